--- /dev/null
+++ b/benchmark/src/experiment.h
@@ -0,0 +1,60 @@
+#ifndef FILBERTSPRING_BENCHMARK_EXPERIMENT_H
+#define FILBERTSPRING_BENCHMARK_EXPERIMENT_H
+
+/// \file
+/// The experiments of filbertbench and the tables that they produce.
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace filbertspring::benchmark {
+
+/// A line of a plot: y values over x values.
+struct Series {
+  std::string Name_;
+  std::vector<double> X_;
+  std::vector<double> Y_;
+};
+
+/// A plot made from an experiment.
+struct Plot {
+  std::string Title_;
+  std::string XLabel_;
+  std::string YLabel_;
+  std::vector<Series> Series_;
+};
+
+/// What an experiment found.
+struct Report {
+  std::vector<std::string> Columns_;
+  std::vector<std::vector<std::string>> Rows_;
+  std::vector<Plot> Plots_;
+  /// Each target that the experiment checks, with its verdict, such as
+  /// "PASS p99 at 85 % is at most half of round robin's (0.31)".
+  std::vector<std::string> Verdicts_;
+};
+
+/// How an experiment is to run.
+struct ExperimentOptions {
+  /// The first seed; an experiment uses Seeds_ of them, counting up.
+  std::uint64_t Seed_ = 1;
+  int Seeds_ = 5;
+  /// Smaller runs for quick checks.
+  bool Quick_ = false;
+};
+
+/// A named experiment.
+struct Experiment {
+  std::string_view Name_;
+  std::string_view Summary_;
+  Report (*Run_)(const ExperimentOptions &Options);
+};
+
+/// Returns all experiments, ordered by name.
+std::vector<Experiment> allExperiments();
+
+} // namespace filbertspring::benchmark
+
+#endif // FILBERTSPRING_BENCHMARK_EXPERIMENT_H
