--- /dev/null
+++ b/packages/entry/src/desks/burn_desk.cpp
@@ -0,0 +1,121 @@
+#include "burn_desk.h"
+
+#include "filbertspring/base/time.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace filbertspring {
+namespace {
+
+constexpr Duration FlushInterval = std::chrono::seconds(5);
+constexpr Duration StopCheckInterval = std::chrono::milliseconds(100);
+constexpr std::int64_t MillisecondsPerMinute = 60'000;
+constexpr std::int64_t MinutesPerHour = 60;
+/// Rows older than the longest window of the report are deleted.
+constexpr std::int64_t KeptHours = 26;
+
+std::int64_t currentMinute() { return wallMilliseconds() / MillisecondsPerMinute; }
+
+} // namespace
+
+BurnDesk::BurnDesk(const Settings &Values, TableDesk &Table)
+    : Instance_(Values.Instance_), Table_(Table), Counter_(Values.Instance_),
+      Thread_([this] { run(); }) {}
+
+BurnDesk::~BurnDesk() { stop(); }
+
+RowKey BurnDesk::keyOf(std::int64_t Hour) const {
+  return {RowKind::Burn, fmt::format("{}/{}", Instance_.str(), Hour)};
+}
+
+void BurnDesk::count(const BurnSample &Sample) {
+  std::scoped_lock Lock(Mutex_);
+  Counter_.count(Sample, currentMinute());
+}
+
+void BurnDesk::run() {
+  TimePoint Next = SchedulerClock::now() + FlushInterval;
+  while (!Stopping_) {
+    std::this_thread::sleep_for(StopCheckInterval);
+    if (SchedulerClock::now() < Next)
+      continue;
+    Next = SchedulerClock::now() + FlushInterval;
+    flush();
+    deleteOldRows();
+  }
+  flush();
+}
+
+void BurnDesk::flush() {
+  std::vector<BurnHourRecord> Records;
+  {
+    std::scoped_lock Lock(Mutex_);
+    Counter_.observe(currentMinute());
+    Counter_.forgetBefore(currentMinute() / MinutesPerHour - 1);
+    Records = Counter_.records();
+  }
+  for (const BurnHourRecord &Record : Records)
+    store(Record);
+}
+
+void BurnDesk::store(const BurnHourRecord &Record) {
+  if (!Versions_.contains(Record.Hour_)) {
+    adoptStored(Record.Hour_);
+    return; // The next flush stores the sum.
+  }
+  RowVersion &Version = Versions_[Record.Hour_];
+  TransactionId Id(fmt::format("burn-{}-{}", Instance_.str(),
+                               SchedulerClock::now().time_since_epoch().count()));
+  CommitResult Result =
+      Table_.commit({Id, {}, {{keyOf(Record.Hour_), Version, Record}}});
+  if (Result.Outcome_ == CommitOutcome::Committed) {
+    Version = Result.Version_;
+    return;
+  }
+  if (Result.Outcome_ == CommitOutcome::NotCommitted)
+    return;
+  // The row holds an earlier write of this process whose answer was lost. Its
+  // counts are part of the present ones, so only the version is taken.
+  Result<std::optional<StoredRow>> Stored = Table_.readRow(keyOf(Record.Hour_));
+  if (Stored)
+    Version = *Stored ? (*Stored)->Version_ : AbsentVersion;
+}
+
+bool BurnDesk::adoptStored(std::int64_t Hour) {
+  Result<std::optional<StoredRow>> Stored = Table_.readRow(keyOf(Hour));
+  if (!Stored)
+    return false;
+  Versions_[Hour] = *Stored ? (*Stored)->Version_ : AbsentVersion;
+  if (!*Stored)
+    return true;
+  std::scoped_lock Lock(Mutex_);
+  return Counter_.restore(std::get<BurnHourRecord>((*Stored)->Value_))
+      .has_value();
+}
+
+void BurnDesk::deleteOldRows() {
+  std::int64_t Hour = currentMinute() / MinutesPerHour;
+  if (Hour == CleanedHour_)
+    return;
+  Result<RowBatch> Rows = Table_.scan(RowKind::Burn);
+  if (!Rows)
+    return;
+  CleanedHour_ = Hour;
+  for (const StoredRow &Row : Rows->Rows_) {
+    const auto &Record = std::get<BurnHourRecord>(Row.Value_);
+    if (Record.Hour_ >= Hour - KeptHours)
+      continue;
+    TransactionId Id(fmt::format("burn-delete-{}", Row.Key_.Name_));
+    Table_.commit({Id, {}, {{Row.Key_, Row.Version_, std::nullopt}}});
+  }
+}
+
+void BurnDesk::stop() {
+  if (!Thread_.joinable())
+    return;
+  Stopping_ = true;
+  Thread_.join();
+}
+
+} // namespace filbertspring
--- /dev/null
+++ b/packages/entry/src/desks/membership_thread.cpp
@@ -0,0 +1,37 @@
+#include "membership_thread.h"
+
+#include <algorithm>
+
+namespace filbertspring {
+namespace {
+
+constexpr std::size_t RingCapacity = 4096;
+constexpr double Permille = 1000.0;
+
+membership::LeaseSettings leaseSettings(const Settings &Values) {
+  membership::LeaseSettings Lease;
+  Lease.HeartbeatInterval_ = Values.Leases_.HeartbeatEvery_;
+  Lease.Suspect_ = Values.Leases_.InstanceLapse_;
+  Lease.Lapse_ = Values.Shares_.Lapse_;
+  Lease.DriftPermille_ = std::max<std::int32_t>(
+      1, static_cast<std::int32_t>(Values.Leases_.ClockDrift_ * Permille));
+  Lease.Margin_ = Values.Leases_.Margin_;
+  return Lease;
+}
+
+} // namespace
+
+MembershipThread::MembershipThread(const Settings &Values,
+                                   MembershipPartners Partners)
+    : Values_(Values), Partners_(Partners),
+      Self_(Partners.Self_), Boot_(Self_.str()),
+      Place_{Self_, Values.Zone_}, Lease_(leaseSettings(Values)),
+      Tasks_(RingCapacity) {}
+
+void MembershipThread::post(MembershipTask Task) {
+  if (!Tasks_.tryPush(std::move(Task)))
+    Partners_.Counters_.counter("filbertspring_membership_dropped_total")
+        .add();
+}
+
+} // namespace filbertspring
--- /dev/null
+++ b/packages/entry/src/main.cpp
@@ -0,0 +1,5 @@
+#include "filbertspring/entry/run.h"
+
+int main(int ArgumentCount, char **Arguments) {
+  return filbertspring::runFilbertspring(ArgumentCount, Arguments);
+}
--- /dev/null
+++ b/packages/entry/src/process_name.cpp
@@ -0,0 +1,18 @@
+#include "process_name.h"
+
+#include <fmt/format.h>
+#include <random>
+
+namespace filbertspring {
+
+InstanceName processName(const InstanceName &Instance) {
+  std::random_device Device;
+  return InstanceName(
+      fmt::format("{}.{:08x}{:08x}", Instance.str(), Device(), Device()));
+}
+
+std::string NameMaker::next(const char *Kind) {
+  return fmt::format("{}-{}-{}", Kind, Process_.str(), ++Last_);
+}
+
+} // namespace filbertspring
--- /dev/null
+++ b/packages/entry/src/snapshot.cpp
@@ -0,0 +1,23 @@
+#include "snapshot.h"
+
+#include <algorithm>
+
+namespace filbertspring {
+
+const Contract *EntrySnapshot::findContract(const ContractName &Name) const {
+  auto Found = std::ranges::find(Contracts_, Name, &Contract::Name_);
+  return Found == Contracts_.end() ? nullptr : &*Found;
+}
+
+std::shared_ptr<const EntrySnapshot> SnapshotBoard::current() const {
+  std::scoped_lock Lock(Mutex_);
+  return Current_;
+}
+
+void SnapshotBoard::publish(EntrySnapshot Next) {
+  auto Fresh = std::make_shared<const EntrySnapshot>(std::move(Next));
+  std::scoped_lock Lock(Mutex_);
+  Current_.swap(Fresh);
+}
+
+} // namespace filbertspring
