Platform client and worker model headers

The interfaces come before their implementation, so that the packages that call them can be written against them. Reads and scans return rows that cannot be decoded as findings beside the good ones: one broken row must not hide a whole kind.

--- /dev/null
+++ b/packages/platform/include/filbertspring/platform/instance_codec.h
@@ -0,0 +1,43 @@
+#ifndef FILBERTSPRING_PLATFORM_INSTANCE_CODEC_H
+#define FILBERTSPRING_PLATFORM_INSTANCE_CODEC_H
+
+/// \file
+/// JSON documents of the platform's instance list.
+
+#include "filbertspring/base/finding.h"
+#include "filbertspring/base/result.h"
+#include "filbertspring/domain/endpoint.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace filbertspring {
+
+/// The platform's list as it was read.
+struct InstanceList {
+  std::vector<ListedInstance> Instances_;
+  /// Entries that could not be decoded, each with its place in the document.
+  Findings Findings_;
+};
+
+/// Parses "HOST:PORT" with a numeric IPv4 host and a port from 1 to 65535.
+/// Errors: InvalidInput.
+Result<Address> decodeAddress(std::string_view Text);
+
+/// Returns the JSON document of one instance. Errors: InvalidInput for text
+/// that is not UTF-8.
+Result<std::string> encodeInstance(const ListedInstance &Instance);
+
+/// Parses the JSON document of one instance. Name, role, state, zone and HTTP
+/// address are required; the fields of other roles may be absent. Errors:
+/// InvalidJson.
+Result<ListedInstance> decodeInstance(std::string_view Text);
+
+/// Parses the JSON document of the list. An entry that cannot be decoded
+/// becomes a finding. Errors: InvalidJson when the document is not a list.
+Result<InstanceList> decodeInstanceList(std::string_view Text);
+
+} // namespace filbertspring
+
+#endif // FILBERTSPRING_PLATFORM_INSTANCE_CODEC_H
--- /dev/null
+++ b/packages/platform/include/filbertspring/platform/object_client.h
@@ -0,0 +1,46 @@
+#ifndef FILBERTSPRING_PLATFORM_OBJECT_CLIENT_H
+#define FILBERTSPRING_PLATFORM_OBJECT_CLIENT_H
+
+/// \file
+/// A client of the platform's object store.
+
+#include "filbertspring/base/result.h"
+#include "filbertspring/base/time.h"
+#include "filbertspring/domain/endpoint.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace filbertspring {
+
+/// Reads and writes objects over one connection, which is kept open between
+/// calls and replaced after any failure. Used by one thread at a time; each
+/// call blocks for at most the timeout.
+class ObjectClient {
+public:
+  /// Makes a client that connects at its first call. \p Zone is the caller's
+  /// availability zone.
+  ObjectClient(const Address &Platform, ZoneName Zone, Duration Timeout);
+  ~ObjectClient();
+  ObjectClient(ObjectClient &&) noexcept;
+  ObjectClient &operator=(ObjectClient &&) noexcept;
+
+  /// Returns the bytes of the object called \p Name. Errors: NotFound;
+  /// ConnectFailed; Timeout; ConnectionLost; Unavailable; InvalidInput for a
+  /// name that is not made of letters, digits and "-._/".
+  Result<std::string> get(std::string_view Name);
+
+  /// Stores \p Bytes under \p Name. Repeating it has no further effect.
+  /// Errors: ConnectFailed and Unavailable when surely not stored;
+  /// OutcomeUnknown; InvalidInput as get().
+  Status put(std::string_view Name, std::string_view Bytes);
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Impl_;
+};
+
+} // namespace filbertspring
+
+#endif // FILBERTSPRING_PLATFORM_OBJECT_CLIENT_H
