Worker model in virtual time

A worker that never runs an attempt twice in a boot: it remembers every attempt that it started, stopped or refused. A refused start stays refused, since the sender takes the refusal as proof that the attempt never ran and a duplicate of the start may still be on its way.

--- a/standins/include/filbertspring/standins/worker_model.h
+++ b/standins/include/filbertspring/standins/worker_model.h
@@ -7,9 +7,12 @@
 
 #include "filbertspring/domain/worker_protocol.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace filbertspring {
@@ -93,7 +96,7 @@
   std::optional<StartRefusal> start(const StartCommand &Command);
   std::optional<StartRefusal> refusalOf(const StartCommand &Command) const;
   void run(const StartCommand &Command);
-  void advanceAttempt(const AttemptRef &Ref, Attempt &Each);
+  void advanceAttempt(Attempt &Each);
   void end(Attempt &Each, AttemptState State, WorkerTime At,
            std::string_view Reason);
   Resources inUse() const;
