--- /dev/null
+++ b/packages/config/include/filbertspring/config/units.h
@@ -0,0 +1,48 @@
+#ifndef FILBERTSPRING_CONFIG_UNITS_H
+#define FILBERTSPRING_CONFIG_UNITS_H
+
+/// \file
+/// Quantities as text: a whole number and its unit, such as "250ms".
+
+#include "filbertspring/base/enum_table.h"
+#include "filbertspring/base/quantity.h"
+#include "filbertspring/base/time.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+namespace filbertspring {
+
+/// Why a text is not a quantity.
+enum class UnitMistake { NotANumber, UnitMissing, UnitUnknown, TooLarge };
+
+inline constexpr EnumTable<UnitMistake, 4> UnitMistakeNames{
+    {{UnitMistake::NotANumber, "is not a whole number with a unit"},
+     {UnitMistake::UnitMissing, "has no unit"},
+     {UnitMistake::UnitUnknown, "has an unknown unit"},
+     {UnitMistake::TooLarge, "is too large"}}};
+
+/// A quantity, or why the text is none.
+template <typename T> using Measured = tl::expected<T, UnitMistake>;
+
+/// Reads a duration. Units: us, ms, s, min, h.
+Measured<Duration> parseDuration(std::string_view Text);
+/// Reads processor time. Units: millicores, cores.
+Measured<Millicores> parseCpu(std::string_view Text);
+/// Reads an amount of memory. Units: MiB, GiB, TiB.
+Measured<Mebibytes> parseMemory(std::string_view Text);
+/// Reads a rate as events per second. Unit: /s.
+Measured<std::int64_t> parseRate(std::string_view Text);
+
+/// Each returns the text with the largest unit that keeps the number whole;
+/// the parse function above reads the same quantity from it.
+std::string formatDuration(Duration Value);
+std::string formatCpu(Millicores Value);
+std::string formatMemory(Mebibytes Value);
+std::string formatRate(std::int64_t PerSecond);
+
+} // namespace filbertspring
+
+#endif // FILBERTSPRING_CONFIG_UNITS_H
