--- /dev/null
+++ b/packages/routing/include/filbertspring/routing/policy.h
@@ -0,0 +1,33 @@
+#ifndef FILBERTSPRING_ROUTING_POLICY_H
+#define FILBERTSPRING_ROUTING_POLICY_H
+
+/// \file
+/// The policies that choose an endpoint among those that have room.
+
+#include <cstdint>
+#include <variant>
+
+namespace filbertspring {
+
+/// Any endpoint with equal probability. A baseline.
+struct RandomPolicy {};
+
+/// One endpoint after the other. A baseline.
+struct RoundRobinPolicy {};
+
+/// The endpoint with the fewest attempts of this router. A baseline.
+struct LeastInFlightPolicy {};
+
+/// The best of a few random candidates, by predicted latency.
+struct SampledPolicy {
+  /// Candidates drawn for each decision.
+  std::int32_t Samples_ = 3;
+};
+
+/// The policy of a router.
+using EndpointPolicy = std::variant<SampledPolicy, RandomPolicy,
+                                    RoundRobinPolicy, LeastInFlightPolicy>;
+
+} // namespace filbertspring
+
+#endif // FILBERTSPRING_ROUTING_POLICY_H
