--- /dev/null
+++ b/packages/placement/include/filbertspring/placement/scheduler_view.h
@@ -0,0 +1,91 @@
+#ifndef FILBERTSPRING_PLACEMENT_SCHEDULER_VIEW_H
+#define FILBERTSPRING_PLACEMENT_SCHEDULER_VIEW_H
+
+/// \file
+/// What a scheduler shows of itself.
+
+#include "filbertspring/base/enum_table.h"
+#include "filbertspring/base/id.h"
+#include "filbertspring/base/quantity.h"
+#include "filbertspring/domain/job.h"
+#include "filbertspring/domain/task.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace filbertspring {
+
+/// Why a waiting task was passed over last.
+enum class WaitReason {
+  NotConsidered,
+  LeftToPeer,
+  PlatformUnreachable,
+  ContractUnknown,
+  NoRack,
+  ZoneNotAllowed,
+  ZoneOutOfService,
+  ZoneReturning,
+  QuotaUsed,
+  NoRoom,
+  NoFreshWorker,
+  CommitUnderWay,
+  Draining
+};
+
+inline constexpr EnumTable<WaitReason, 13> WaitReasonNames{
+    {{WaitReason::NotConsidered, "not considered yet"},
+     {WaitReason::LeftToPeer, "left to another entry instance"},
+     {WaitReason::PlatformUnreachable, "platform unreachable"},
+     {WaitReason::ContractUnknown, "contract not known here"},
+     {WaitReason::NoRack, "this instance schedules no rack"},
+     {WaitReason::ZoneNotAllowed, "zone not allowed"},
+     {WaitReason::ZoneOutOfService, "zone out of service"},
+     {WaitReason::ZoneReturning, "zone is being filled slowly"},
+     {WaitReason::QuotaUsed, "quota used up"},
+     {WaitReason::NoRoom, "no worker has room"},
+     {WaitReason::NoFreshWorker, "no fresh report of a worker with room"},
+     {WaitReason::CommitUnderWay, "commit under way"},
+     {WaitReason::Draining, "this instance is draining"}}};
+
+/// The state of one task and why it is so.
+struct TaskExplanation {
+  TaskRef Task_;
+  TaskState State_ = TaskState::Waiting;
+  std::string Why_;
+};
+
+/// One worker as its scheduler sees it.
+struct WorkerSnapshot {
+  WorkerName Name_;
+  RackName Rack_;
+  ZoneName Zone_;
+  bool Reachable_ = false;
+  bool Leaving_ = false;
+  Resources Capacity_;
+  Resources Committed_;
+  std::size_t Attempts_ = 0;
+};
+
+/// One rack as its scheduler sees it.
+struct RackSnapshot {
+  RackName Name_;
+  ZoneName Zone_;
+  bool Owned_ = false;
+  std::int64_t Epoch_ = 0;
+  std::size_t Attempts_ = 0;
+};
+
+/// The state of a scheduler, ordered by name.
+struct SchedulerSnapshot {
+  std::vector<RackSnapshot> Racks_;
+  std::vector<WorkerSnapshot> Workers_;
+  std::size_t WaitingTasks_ = 0;
+  /// Set after DrainStarted when no commit is under way.
+  bool Drained_ = false;
+};
+
+} // namespace filbertspring
+
+#endif // FILBERTSPRING_PLACEMENT_SCHEDULER_VIEW_H
--- /dev/null
+++ b/packages/placement/include/filbertspring/placement/worker_choice.h
@@ -0,0 +1,32 @@
+#ifndef FILBERTSPRING_PLACEMENT_WORKER_CHOICE_H
+#define FILBERTSPRING_PLACEMENT_WORKER_CHOICE_H
+
+/// \file
+/// The choice of a worker for one task.
+
+#include "filbertspring/base/id.h"
+#include "filbertspring/base/quantity.h"
+
+#include <cstddef>
+#include <optional>
+#include <span>
+
+namespace filbertspring {
+
+/// A worker that may take a task.
+struct WorkerCandidate {
+  WorkerName Name_;
+  Resources Capacity_;
+  Resources Free_;
+};
+
+/// Returns the index of the candidate that has room for \p Size and keeps the
+/// least room afterwards, the first of equals; nothing when none has room.
+/// Workers with accelerators come last for a task that needs none. Linear.
+std::optional<std::size_t>
+chooseWorker(std::span<const WorkerCandidate> Candidates,
+             const Resources &Size);
+
+} // namespace filbertspring
+
+#endif // FILBERTSPRING_PLACEMENT_WORKER_CHOICE_H
