--- /dev/null
+++ b/packages/membership/include/filbertspring/membership/digest_board.h
@@ -0,0 +1,59 @@
+#ifndef FILBERTSPRING_MEMBERSHIP_DIGEST_BOARD_H
+#define FILBERTSPRING_MEMBERSHIP_DIGEST_BOARD_H
+
+/// \file
+/// Collects what is to be told to each peer, and what peers told.
+
+#include "filbertspring/membership/peer_message.h"
+#include "filbertspring/membership/rack_assignment.h"
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+namespace filbertspring {
+
+/// How far a value must move before it is told again.
+struct DigestSettings {
+  std::int32_t DemandStepPermille_ = 20;
+  std::int32_t LoadStep_ = 2;
+};
+
+/// The latest demands and endpoint loads, with what each peer was told. Peers
+/// of the own zone are told everything new that did not come from the zone
+/// itself; peers elsewhere are told what concerns the own zone's demands. So
+/// each value crosses each link at most once per change. Not thread-safe.
+class DigestBoard {
+public:
+  /// \p FirstSequence must exceed every sequence of an earlier process of the
+  /// same name; the wall clock in milliseconds serves.
+  DigestBoard(InstancePlace Self, std::uint64_t FirstSequence,
+              DigestSettings Settings = {});
+  ~DigestBoard();
+  DigestBoard(DigestBoard &&) noexcept;
+  DigestBoard &operator=(DigestBoard &&) noexcept;
+
+  /// Sets the own demand for a contract.
+  void setDemand(const ContractName &Contract, std::int32_t Permille);
+  /// Sets the load of an endpoint of the own zone, as seen here.
+  void setLoad(const EndpointLoad &Load);
+  /// Takes in a digest of \p From. Returns the demands that were new.
+  std::vector<DemandEntry> adopt(const InstancePlace &From,
+                                 const PeerDigest &Digest);
+  /// Makes the next digest for \p To. What did not fit waits for the next one,
+  /// oldest first.
+  PeerDigest digestFor(const InstancePlace &To, RowVersion CompleteTo);
+  /// Forgets what \p Peer was told, so that it is told all again. Call it when
+  /// a stream to it was opened anew.
+  void resend(const InstanceName &Peer);
+  /// Drops everything about instances that are not in \p Live.
+  void retain(const std::vector<InstancePlace> &Live);
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Impl_;
+};
+
+} // namespace filbertspring
+
+#endif // FILBERTSPRING_MEMBERSHIP_DIGEST_BOARD_H
--- /dev/null
+++ b/packages/membership/include/filbertspring/membership/peer_message.h
@@ -0,0 +1,85 @@
+#ifndef FILBERTSPRING_MEMBERSHIP_PEER_MESSAGE_H
+#define FILBERTSPRING_MEMBERSHIP_PEER_MESSAGE_H
+
+/// \file
+/// What instances tell each other, and its encoding.
+
+#include "filbertspring/base/id.h"
+#include "filbertspring/base/result.h"
+#include "filbertspring/domain/store.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace filbertspring {
+
+/// Bounds of one message; a decoder refuses what exceeds them.
+inline constexpr std::size_t MaxPeerMessageBytes = 256 * 1024;
+inline constexpr std::size_t MaxPeerNameBytes = 128;
+inline constexpr std::size_t MaxDigestEndpoints = 16;
+inline constexpr std::size_t MaxDigestDemands = 64;
+inline constexpr std::size_t MaxDeltaRows = 512;
+
+/// The load of an endpoint as one instance last saw it.
+struct EndpointLoad {
+  EndpointName Endpoint_;
+  std::int32_t InFlight_ = 0;
+  /// Set when the endpoint said that it is leaving.
+  bool Leaving_ = false;
+};
+
+/// The demand of one instance for one contract. A higher sequence replaces a
+/// lower one of the same instance and contract.
+struct DemandEntry {
+  InstanceName Instance_;
+  ContractName Contract_;
+  std::int32_t Permille_ = 0;
+  std::uint64_t Sequence_ = 0;
+};
+
+/// What an instance tells its peers about once a second.
+struct PeerDigest {
+  /// Up to which version the sender's configuration is complete.
+  RowVersion CompleteTo_ = AbsentVersion;
+  /// Endpoints of the sender's zone whose load changed.
+  std::vector<EndpointLoad> Endpoints_;
+  /// Demands that changed.
+  std::vector<DemandEntry> Demands_;
+};
+
+/// Asks for all configuration rows above a version.
+struct DeltaRequest {
+  RowVersion Since_ = AbsentVersion;
+};
+
+/// A row whose value is encoded as in the table.
+struct EncodedRow {
+  RowKey Key_;
+  RowVersion Version_ = AbsentVersion;
+  std::string Value_;
+};
+
+/// The answer to a DeltaRequest, see ConfigurationDelta.
+struct EncodedDelta {
+  RowVersion Since_ = AbsentVersion;
+  RowVersion CompleteTo_ = AbsentVersion;
+  std::vector<EncodedRow> Rows_;
+};
+
+using PeerPayload = std::variant<PeerDigest, DeltaRequest, EncodedDelta>;
+
+/// Encodes \p Payload as MessagePack.
+std::string encodePeerPayload(const PeerPayload &Payload);
+
+/// Decodes a message of a peer. Errors: MessageTooLarge when a bound is
+/// exceeded, ProtocolViolation for anything else that is not a valid message.
+/// Never throws.
+Result<PeerPayload> decodePeerPayload(std::string_view Bytes);
+
+} // namespace filbertspring
+
+#endif // FILBERTSPRING_MEMBERSHIP_PEER_MESSAGE_H
--- /dev/null
+++ b/packages/membership/include/filbertspring/membership/peer_selection.h
@@ -0,0 +1,26 @@
+#ifndef FILBERTSPRING_MEMBERSHIP_PEER_SELECTION_H
+#define FILBERTSPRING_MEMBERSHIP_PEER_SELECTION_H
+
+/// \file
+/// The peers to which an instance keeps a stream.
+
+#include "filbertspring/membership/rack_assignment.h"
+
+#include <cstddef>
+#include <vector>
+
+namespace filbertspring {
+
+/// Links between each two zones, over all their instances.
+inline constexpr std::size_t LinksPerZonePair = 2;
+
+/// Returns the peers of \p Self among \p Live in name order: all of its zone,
+/// and those with which rendezvous hashing pairs it across zones. Both ends of
+/// a link select each other when they know the same instances. Quadratic in
+/// the instances of a zone.
+std::vector<InstancePlace> selectPeers(const InstancePlace &Self,
+                                       const std::vector<InstancePlace> &Live);
+
+} // namespace filbertspring
+
+#endif // FILBERTSPRING_MEMBERSHIP_PEER_SELECTION_H
