--- a/packages/membership/include/filbertspring/membership/rack_assignment.h
+++ b/packages/membership/include/filbertspring/membership/rack_assignment.h
@@ -25,9 +25,9 @@
 /// Returns the instance that should schedule \p Rack: by rendezvous hashing
 /// over the instances of the rack's zone, or over all when that zone has none.
 /// Nothing when \p Live is empty. Linear in \p Live.
-std::optional<InstanceName>
-schedulerOf(const RackName &Rack, const ZoneName &Zone,
-            const std::vector<InstancePlace> &Live);
+std::optional<InstanceName> schedulerOf(const RackName &Rack,
+                                        const ZoneName &Zone,
+                                        const std::vector<InstancePlace> &Live);
 
 /// The pace of takeovers by one instance.
 struct TakeoverSettings {
--- a/packages/membership/include/filbertspring/membership/share_allocator.h
+++ b/packages/membership/include/filbertspring/membership/share_allocator.h
@@ -76,9 +76,9 @@
 /// Draining has ended: give everything back.
 struct ShareStopRequested {};
 
-using ShareEvent = std::variant<DemandObserved, UseObserved, ContractsInForce,
-                                LeaseChanged, LedgersRead, LedgerCommitEnded,
-                                ShareTick, ShareStopRequested>;
+using ShareEvent =
+    std::variant<DemandObserved, UseObserved, ContractsInForce, LeaseChanged,
+                 LedgersRead, LedgerCommitEnded, ShareTick, ShareStopRequested>;
 
 /// Read the ledgers of these contracts.
 struct ReadLedgers {
--- /dev/null
+++ b/packages/membership/src/configuration_sync.cpp
@@ -0,0 +1,181 @@
+#include "filbertspring/membership/configuration_sync.h"
+
+#include "filbertspring/base/overloaded.h"
+
+#include <map>
+#include <optional>
+#include <utility>
+
+namespace filbertspring {
+
+namespace {
+
+using Actions = std::vector<ConfigurationAction>;
+
+/// A peer that is ahead, and since when it was.
+struct PeerAhead {
+  RowVersion CompleteTo_ = AbsentVersion;
+  TimePoint Since_;
+};
+
+} // namespace
+
+struct ConfigurationSync::Impl {
+  explicit Impl(ConfigurationSyncSettings Settings) : Settings_(Settings) {}
+
+  ConfigurationSyncSettings Settings_;
+  ConfigurationView View_;
+  /// When the table operation under way was sent.
+  std::optional<TimePoint> TableBusySince_;
+  std::optional<TimePoint> LastPoll_;
+  /// The head whose scan is under way.
+  std::optional<HeadAnswered> ScannedHead_;
+  std::optional<TimePoint> RequestSince_;
+  InstanceName AskedPeer_;
+  std::map<InstanceName, PeerAhead> Ahead_;
+
+  Actions on(const SyncTick &, TimePoint Now);
+  Actions on(const HeadAnswered &Answer, TimePoint Now);
+  Actions on(const ScanAnswered &Answer, TimePoint Now);
+  Actions on(const TableReadFailed &, TimePoint Now);
+  Actions on(const PeerCompleteTo &Peer, TimePoint Now);
+  Actions on(const DeltaReceived &Answer, TimePoint Now);
+
+  bool timedOut(std::optional<TimePoint> SentAt, TimePoint Now) const;
+  void pollTable(TimePoint Now, Actions &Out);
+  void askPeer(TimePoint Now, Actions &Out);
+  void requestFrom(const InstanceName &Peer, TimePoint Now, Actions &Out);
+  void forgetCaughtUp();
+};
+
+bool ConfigurationSync::Impl::timedOut(std::optional<TimePoint> SentAt,
+                                       TimePoint Now) const {
+  return SentAt && Now - *SentAt >= Settings_.AnswerTimeout_;
+}
+
+void ConfigurationSync::Impl::pollTable(TimePoint Now, Actions &Out) {
+  if (timedOut(TableBusySince_, Now)) {
+    TableBusySince_.reset();
+    ScannedHead_.reset();
+  }
+  if (TableBusySince_)
+    return;
+  if (LastPoll_ && Now - *LastPoll_ < Settings_.PollInterval_)
+    return;
+  LastPoll_ = Now;
+  TableBusySince_ = Now;
+  Out.emplace_back(ReadHead{});
+}
+
+void ConfigurationSync::Impl::requestFrom(const InstanceName &Peer,
+                                          TimePoint Now, Actions &Out) {
+  RequestSince_ = Now;
+  AskedPeer_ = Peer;
+  Out.emplace_back(RequestDelta{Peer, View_.completeTo()});
+}
+
+void ConfigurationSync::Impl::askPeer(TimePoint Now, Actions &Out) {
+  if (timedOut(RequestSince_, Now)) {
+    RequestSince_.reset();
+    Ahead_.erase(AskedPeer_); // Its next digest lists it again.
+  }
+  if (RequestSince_)
+    return;
+  for (const auto &[Peer, Entry] : Ahead_) {
+    if (Now - Entry.Since_ < Settings_.PeerGrace_)
+      continue;
+    requestFrom(Peer, Now, Out);
+    return;
+  }
+}
+
+void ConfigurationSync::Impl::forgetCaughtUp() {
+  std::erase_if(Ahead_, [this](const auto &Entry) {
+    return View_.ready() && Entry.second.CompleteTo_ <= View_.completeTo();
+  });
+}
+
+Actions ConfigurationSync::Impl::on(const SyncTick &, TimePoint Now) {
+  Actions Out;
+  pollTable(Now, Out);
+  askPeer(Now, Out);
+  return Out;
+}
+
+Actions ConfigurationSync::Impl::on(const HeadAnswered &Answer, TimePoint Now) {
+  // A late answer to a read that was given up still proves what it says.
+  const bool Current = View_.confirmHead(Answer.Head_, Answer.SentAt_);
+  if (TableBusySince_ != Answer.SentAt_ || ScannedHead_)
+    return {};
+  TableBusySince_.reset();
+  if (Current)
+    return {};
+  ScannedHead_ = Answer;
+  TableBusySince_ = Now;
+  return {ScanConfiguration{}};
+}
+
+Actions ConfigurationSync::Impl::on(const ScanAnswered &Answer, TimePoint) {
+  if (!ScannedHead_ || TableBusySince_ != Answer.SentAt_)
+    return {};
+  TableBusySince_.reset();
+  const HeadAnswered Head = *std::exchange(ScannedHead_, std::nullopt);
+  ConfigurationChange Change = View_.adoptScan(
+      {Head.SentAt_, Answer.SentAt_, Head.Head_, Answer.Rows_});
+  forgetCaughtUp();
+  return {ConfigurationChanged{std::move(Change)}};
+}
+
+Actions ConfigurationSync::Impl::on(const TableReadFailed &, TimePoint) {
+  TableBusySince_.reset();
+  ScannedHead_.reset();
+  return {};
+}
+
+Actions ConfigurationSync::Impl::on(const PeerCompleteTo &Peer, TimePoint Now) {
+  const bool IsAhead =
+      !View_.ready() || Peer.CompleteTo_ > View_.completeTo();
+  if (!IsAhead) {
+    Ahead_.erase(Peer.Peer_);
+    return {};
+  }
+  auto [Entry, Inserted] =
+      Ahead_.try_emplace(Peer.Peer_, PeerAhead{Peer.CompleteTo_, Now});
+  Entry->second.CompleteTo_ = Peer.CompleteTo_;
+  return {};
+}
+
+Actions ConfigurationSync::Impl::on(const DeltaReceived &Answer,
+                                    TimePoint Now) {
+  ConfigurationChange Change = View_.adoptDelta(Answer.Delta_);
+  if (Answer.Peer_ == AskedPeer_)
+    RequestSince_.reset();
+  forgetCaughtUp();
+  Actions Out;
+  if (!Change.Adopted_.empty())
+    Out.emplace_back(ConfigurationChanged{std::move(Change)});
+  // A delta that was cut to size is followed by the next part at once.
+  if (!RequestSince_ && Ahead_.contains(Answer.Peer_) &&
+      !Answer.Delta_.Rows_.empty())
+    requestFrom(Answer.Peer_, Now, Out);
+  return Out;
+}
+
+ConfigurationSync::ConfigurationSync(ConfigurationSyncSettings Settings)
+    : Impl_(std::make_unique<Impl>(Settings)) {}
+ConfigurationSync::~ConfigurationSync() = default;
+ConfigurationSync::ConfigurationSync(ConfigurationSync &&) noexcept = default;
+ConfigurationSync &
+ConfigurationSync::operator=(ConfigurationSync &&) noexcept = default;
+
+std::vector<ConfigurationAction>
+ConfigurationSync::handle(const ConfigurationEvent &Event, TimePoint Now) {
+  return std::visit(
+      [&](const auto &Each) { return Impl_->on(Each, Now); }, Event);
+}
+
+const ConfigurationView &ConfigurationSync::view() const {
+  return Impl_->View_;
+}
+
+} // namespace filbertspring
--- /dev/null
+++ b/packages/membership/src/configuration_view.cpp
@@ -0,0 +1,175 @@
+#include "filbertspring/membership/configuration_view.h"
+
+#include <algorithm>
+#include <map>
+
+namespace filbertspring {
+
+namespace {
+
+bool isConfiguration(const RowKey &Key) {
+  return Key.Kind_ == RowKind::Contract || Key.Kind_ == RowKind::Zone;
+}
+
+void raise(std::optional<TimePoint> &Proof, TimePoint SentAt) {
+  if (!Proof || *Proof < SentAt)
+    Proof = SentAt;
+}
+
+} // namespace
+
+struct ConfigurationView::Impl {
+  std::map<RowKey, StoredRow> Rows_;
+  std::optional<RowVersion> CompleteTo_;
+  /// Holds for all rows.
+  std::optional<TimePoint> HeadProof_;
+  std::map<ZoneName, TimePoint> ZoneProofs_;
+
+  bool adopt(const StoredRow &Row);
+  ConfigurationChange adoptAll(const std::vector<StoredRow> &Rows);
+  void completeAtLeast(RowVersion Version);
+  const StoredRow *find(RowKind Kind, const std::string &Name) const;
+};
+
+bool ConfigurationView::Impl::adopt(const StoredRow &Row) {
+  if (!isConfiguration(Row.Key_))
+    return false;
+  auto [Held, Inserted] = Rows_.try_emplace(Row.Key_, Row);
+  if (Inserted)
+    return true;
+  if (Row.Version_ <= Held->second.Version_)
+    return false;
+  Held->second = Row;
+  return true;
+}
+
+ConfigurationChange
+ConfigurationView::Impl::adoptAll(const std::vector<StoredRow> &Rows) {
+  ConfigurationChange Change;
+  for (const StoredRow &Row : Rows)
+    if (adopt(Row))
+      Change.Adopted_.push_back(Row.Key_);
+  std::ranges::sort(Change.Adopted_);
+  return Change;
+}
+
+void ConfigurationView::Impl::completeAtLeast(RowVersion Version) {
+  CompleteTo_ = std::max(CompleteTo_.value_or(AbsentVersion), Version);
+}
+
+const StoredRow *
+ConfigurationView::Impl::find(RowKind Kind, const std::string &Name) const {
+  auto Found = Rows_.find({Kind, Name});
+  return Found == Rows_.end() ? nullptr : &Found->second;
+}
+
+ConfigurationView::ConfigurationView() : Impl_(std::make_unique<Impl>()) {}
+ConfigurationView::~ConfigurationView() = default;
+ConfigurationView::ConfigurationView(ConfigurationView &&) noexcept = default;
+ConfigurationView &
+ConfigurationView::operator=(ConfigurationView &&) noexcept = default;
+
+ConfigurationChange
+ConfigurationView::adoptScan(const ConfigurationScan &Scan) {
+  ConfigurationChange Change = Impl_->adoptAll(Scan.Rows_);
+  // The scan was sent after the head's answer, so it shows every change up to
+  // that head; a later change may be missing.
+  Impl_->completeAtLeast(Scan.Head_);
+  raise(Impl_->HeadProof_, Scan.HeadSentAt_);
+  for (const StoredRow &Row : Scan.Rows_) {
+    if (Row.Key_.Kind_ != RowKind::Zone)
+      continue;
+    TimePoint &Proof = Impl_->ZoneProofs_[ZoneName(Row.Key_.Name_)];
+    Proof = std::max(Proof, Scan.ScanSentAt_);
+  }
+  return Change;
+}
+
+ConfigurationChange
+ConfigurationView::adoptDelta(const ConfigurationDelta &Delta) {
+  ConfigurationChange Change = Impl_->adoptAll(Delta.Rows_);
+  const bool Contiguous = Delta.Since_ == AbsentVersion ||
+                          (Impl_->CompleteTo_ && Delta.Since_ <= completeTo());
+  if (Contiguous)
+    Impl_->completeAtLeast(Delta.CompleteTo_);
+  return Change;
+}
+
+bool ConfigurationView::confirmHead(RowVersion Head, TimePoint SentAt) {
+  if (!Impl_->CompleteTo_ || Head > *Impl_->CompleteTo_)
+    return false;
+  raise(Impl_->HeadProof_, SentAt);
+  return true;
+}
+
+bool ConfigurationView::ready() const { return Impl_->CompleteTo_.has_value(); }
+
+RowVersion ConfigurationView::completeTo() const {
+  return Impl_->CompleteTo_.value_or(AbsentVersion);
+}
+
+const AvailabilityZone *ConfigurationView::zone(const ZoneName &Name) const {
+  const StoredRow *Row = Impl_->find(RowKind::Zone, Name.str());
+  return Row ? std::get_if<AvailabilityZone>(&Row->Value_) : nullptr;
+}
+
+const Contract *ConfigurationView::contract(const ContractName &Name) const {
+  const StoredRow *Row = Impl_->find(RowKind::Contract, Name.str());
+  const auto *Record = Row ? std::get_if<ContractRecord>(&Row->Value_) : nullptr;
+  return Record && !Record->Removed_ ? &Record->Terms_ : nullptr;
+}
+
+RowVersion ConfigurationView::versionOf(const RowKey &Key) const {
+  const StoredRow *Row = Impl_->find(Key.Kind_, Key.Name_);
+  return Row ? Row->Version_ : AbsentVersion;
+}
+
+std::vector<AvailabilityZone> ConfigurationView::zones() const {
+  std::vector<AvailabilityZone> Found;
+  for (const auto &[Key, Row] : Impl_->Rows_)
+    if (const auto *Zone = std::get_if<AvailabilityZone>(&Row.Value_))
+      Found.push_back(*Zone);
+  return Found;
+}
+
+std::vector<Contract> ConfigurationView::contracts() const {
+  std::vector<Contract> Found;
+  for (const auto &[Key, Row] : Impl_->Rows_) {
+    const auto *Record = std::get_if<ContractRecord>(&Row.Value_);
+    if (Record && !Record->Removed_)
+      Found.push_back(Record->Terms_);
+  }
+  return Found;
+}
+
+std::optional<TimePoint>
+ConfigurationView::zoneProof(const ZoneName &Name) const {
+  std::optional<TimePoint> Proof = Impl_->HeadProof_;
+  auto Found = Impl_->ZoneProofs_.find(Name);
+  if (Found != Impl_->ZoneProofs_.end())
+    raise(Proof, Found->second);
+  return zone(Name) ? Proof : std::nullopt;
+}
+
+ConfigurationDelta ConfigurationView::delta(RowVersion Since,
+                                            std::size_t MaxRows) const {
+  ConfigurationDelta Delta{Since, Since, {}};
+  if (!ready())
+    return Delta;
+  for (const auto &[Key, Row] : Impl_->Rows_)
+    if (Row.Version_ > Since)
+      Delta.Rows_.push_back(Row);
+  std::ranges::stable_sort(Delta.Rows_, {}, &StoredRow::Version_);
+  Delta.CompleteTo_ = std::max(Since, completeTo());
+  if (Delta.Rows_.size() <= MaxRows)
+    return Delta;
+  // One transaction may write several rows; a cut between them would claim
+  // completeness too early.
+  const RowVersion Last = Delta.Rows_[std::max<std::size_t>(MaxRows, 1) - 1].Version_;
+  std::erase_if(Delta.Rows_,
+                [Last](const StoredRow &Row) { return Row.Version_ > Last; });
+  Delta.CompleteTo_ = std::min(Last, Delta.CompleteTo_);
+  return Delta;
+}
+
+} // namespace filbertspring
