--- a/packages/membership/include/filbertspring/membership/digest_board.h
+++ b/packages/membership/include/filbertspring/membership/digest_board.h
@@ -20,9 +20,9 @@
 };
 
 /// The latest demands and endpoint loads, with what each peer was told. Peers
-/// of the own zone are told everything new that did not come from the zone
-/// itself; peers elsewhere are told what concerns the own zone's demands. So
-/// each value crosses each link at most once per change. Not thread-safe.
+/// of the own zone are told what was seen here or came from another zone; peers
+/// elsewhere are told the demands of the own zone and which endpoints are
+/// leaving. So a change crosses each link at most once. Not thread-safe.
 class DigestBoard {
 public:
   /// \p FirstSequence must exceed every sequence of an earlier process of the
@@ -46,8 +46,10 @@
   /// Forgets what \p Peer was told, so that it is told all again. Call it when
   /// a stream to it was opened anew.
   void resend(const InstanceName &Peer);
-  /// Drops everything about instances that are not in \p Live.
-  void retain(const std::vector<InstancePlace> &Live);
+  /// Drops everything about instances that are not in \p Live and endpoints
+  /// that are not in \p Listed.
+  void retain(const std::vector<InstancePlace> &Live,
+              const std::vector<EndpointName> &Listed);
 
 private:
   struct Impl;
--- a/packages/membership/include/filbertspring/membership/share_allocator.h
+++ b/packages/membership/include/filbertspring/membership/share_allocator.h
@@ -25,7 +25,7 @@
   /// The shortest time between two writes of one ledger by one instance.
   Duration WriteInterval_ = std::chrono::seconds(2);
   /// The longest time between two reads of a ledger.
-  Duration ReadInterval_ = std::chrono::seconds(2);
+  Duration ReadInterval_ = std::chrono::seconds(4);
   /// After this time a read counts as lost, and a commit as unknown.
   Duration AnswerTimeout_ = std::chrono::seconds(3);
   /// Commits per second of one instance, over all contracts.
@@ -69,9 +69,9 @@
   TransactionId Id_;
   CommitResult Result_;
 };
-/// Time has passed. \c Members_ are the instances known to the tracker.
+/// Time has passed. The tracker must live as long as the call.
 struct ShareTick {
-  std::vector<Member> Members_;
+  const LivenessTracker *Tracker_ = nullptr;
 };
 /// Draining has ended: give everything back.
 struct ShareStopRequested {};
@@ -105,7 +105,7 @@
 public:
   /// \p Boot is unique to this process.
   ShareAllocator(InstanceName Self, std::string Boot,
-                 ShareSettings Settings = {}, LeaseSettings Lease = {});
+                 ShareSettings Settings = {});
   ~ShareAllocator();
   ShareAllocator(ShareAllocator &&) noexcept;
   ShareAllocator &operator=(ShareAllocator &&) noexcept;
--- a/packages/membership/src/configuration_sync.cpp
+++ b/packages/membership/src/configuration_sync.cpp
@@ -1,7 +1,5 @@
 #include "filbertspring/membership/configuration_sync.h"
 
-#include "filbertspring/base/overloaded.h"
-
 #include <map>
 #include <optional>
 #include <utility>
@@ -120,8 +118,8 @@
     return {};
   TableBusySince_.reset();
   const HeadAnswered Head = *std::exchange(ScannedHead_, std::nullopt);
-  ConfigurationChange Change = View_.adoptScan(
-      {Head.SentAt_, Answer.SentAt_, Head.Head_, Answer.Rows_});
+  ConfigurationChange Change =
+      View_.adoptScan({Head.SentAt_, Answer.SentAt_, Head.Head_, Answer.Rows_});
   forgetCaughtUp();
   return {ConfigurationChanged{std::move(Change)}};
 }
@@ -133,8 +131,7 @@
 }
 
 Actions ConfigurationSync::Impl::on(const PeerCompleteTo &Peer, TimePoint Now) {
-  const bool IsAhead =
-      !View_.ready() || Peer.CompleteTo_ > View_.completeTo();
+  const bool IsAhead = !View_.ready() || Peer.CompleteTo_ > View_.completeTo();
   if (!IsAhead) {
     Ahead_.erase(Peer.Peer_);
     return {};
@@ -170,8 +167,8 @@
 
 std::vector<ConfigurationAction>
 ConfigurationSync::handle(const ConfigurationEvent &Event, TimePoint Now) {
-  return std::visit(
-      [&](const auto &Each) { return Impl_->on(Each, Now); }, Event);
+  return std::visit([&](const auto &Each) { return Impl_->on(Each, Now); },
+                    Event);
 }
 
 const ConfigurationView &ConfigurationSync::view() const {
--- a/packages/membership/src/configuration_view.cpp
+++ b/packages/membership/src/configuration_view.cpp
@@ -57,8 +57,8 @@
   CompleteTo_ = std::max(CompleteTo_.value_or(AbsentVersion), Version);
 }
 
-const StoredRow *
-ConfigurationView::Impl::find(RowKind Kind, const std::string &Name) const {
+const StoredRow *ConfigurationView::Impl::find(RowKind Kind,
+                                               const std::string &Name) const {
   auto Found = Rows_.find({Kind, Name});
   return Found == Rows_.end() ? nullptr : &Found->second;
 }
@@ -115,7 +115,8 @@
 
 const Contract *ConfigurationView::contract(const ContractName &Name) const {
   const StoredRow *Row = Impl_->find(RowKind::Contract, Name.str());
-  const auto *Record = Row ? std::get_if<ContractRecord>(&Row->Value_) : nullptr;
+  const auto *Record =
+      Row ? std::get_if<ContractRecord>(&Row->Value_) : nullptr;
   return Record && !Record->Removed_ ? &Record->Terms_ : nullptr;
 }
 
@@ -165,7 +166,8 @@
     return Delta;
   // One transaction may write several rows; a cut between them would claim
   // completeness too early.
-  const RowVersion Last = Delta.Rows_[std::max<std::size_t>(MaxRows, 1) - 1].Version_;
+  const RowVersion Last =
+      Delta.Rows_[std::max<std::size_t>(MaxRows, 1) - 1].Version_;
   std::erase_if(Delta.Rows_,
                 [Last](const StoredRow &Row) { return Row.Version_ > Last; });
   Delta.CompleteTo_ = std::min(Last, Delta.CompleteTo_);
--- a/packages/membership/src/heartbeat_keeper.cpp
+++ b/packages/membership/src/heartbeat_keeper.cpp
@@ -1,7 +1,5 @@
 #include "filbertspring/membership/heartbeat_keeper.h"
 
-#include "filbertspring/base/overloaded.h"
-
 #include <algorithm>
 #include <string>
 #include <utility>
@@ -177,8 +175,8 @@
 
 std::vector<HeartbeatAction>
 HeartbeatKeeper::handle(const HeartbeatEvent &Event, TimePoint Now) {
-  return std::visit(
-      [&](const auto &Each) { return Impl_->on(Each, Now); }, Event);
+  return std::visit([&](const auto &Each) { return Impl_->on(Each, Now); },
+                    Event);
 }
 
 const HolderLease &HeartbeatKeeper::lease() const { return Impl_->Lease_; }
--- /dev/null
+++ b/packages/membership/src/rendezvous.h
@@ -0,0 +1,17 @@
+#ifndef FILBERTSPRING_MEMBERSHIP_SRC_RENDEZVOUS_H
+#define FILBERTSPRING_MEMBERSHIP_SRC_RENDEZVOUS_H
+
+/// \file
+/// The hash behind every choice that instances make alike without talking.
+
+#include <cstdint>
+#include <string_view>
+
+namespace filbertspring {
+
+/// Returns the score of the pair (\p Left, \p Right); the highest wins.
+std::uint64_t rendezvousScore(std::string_view Left, std::string_view Right);
+
+} // namespace filbertspring
+
+#endif // FILBERTSPRING_MEMBERSHIP_SRC_RENDEZVOUS_H
--- /dev/null
+++ b/packages/membership/src/share_targets.cpp
@@ -0,0 +1,74 @@
+#include "filbertspring/membership/share_targets.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace filbertspring {
+
+namespace {
+
+/// The part of an even share that an instance keeps without any demand.
+constexpr std::int64_t FloorDivisor = 4;
+
+using Steps = std::vector<std::int64_t>;
+
+/// Returns the indices of \p Demands, the largest demand first.
+std::vector<std::size_t> byDemand(const std::vector<InstanceDemand> &Demands) {
+  std::vector<std::size_t> Order(Demands.size());
+  std::iota(Order.begin(), Order.end(), 0);
+  std::ranges::sort(Order, [&](std::size_t Left, std::size_t Right) {
+    if (Demands[Left].Permille_ != Demands[Right].Permille_)
+      return Demands[Left].Permille_ > Demands[Right].Permille_;
+    return Demands[Left].Instance_ < Demands[Right].Instance_;
+  });
+  return Order;
+}
+
+/// Adds \p Rest steps to \p Result in proportion to the demands.
+void distribute(const std::vector<InstanceDemand> &Demands, std::int64_t Rest,
+                Steps &Result) {
+  std::int64_t Total = 0;
+  for (const InstanceDemand &Each : Demands)
+    Total += std::max(Each.Permille_, 0);
+  const auto Count = static_cast<std::int64_t>(Demands.size());
+  std::int64_t Left = Rest;
+  for (std::size_t Index = 0; Index < Demands.size(); ++Index) {
+    const std::int64_t Demand = std::max(Demands[Index].Permille_, 0);
+    const std::int64_t Part = Total > 0 ? Rest * Demand / Total : Rest / Count;
+    Result[Index] += Part;
+    Left -= Part;
+  }
+  for (std::size_t Index : byDemand(Demands)) {
+    if (Left == 0)
+      break;
+    ++Result[Index];
+    --Left;
+  }
+}
+
+} // namespace
+
+std::vector<InstanceShare>
+targetShares(const std::vector<InstanceDemand> &Demands,
+             std::int32_t StepPermille) {
+  const std::int64_t Available = WholeLimitPermille / StepPermille;
+  const auto Count = static_cast<std::int64_t>(Demands.size());
+  Steps Result(Demands.size(), 0);
+  if (Count > Available) {
+    std::vector<std::size_t> Order = byDemand(Demands);
+    for (std::int64_t Index = 0; Index < Available; ++Index)
+      Result[Order[static_cast<std::size_t>(Index)]] = 1;
+  } else if (Count > 0) {
+    const std::int64_t Floor =
+        std::max<std::int64_t>(1, Available / (FloorDivisor * Count));
+    std::ranges::fill(Result, Floor);
+    distribute(Demands, Available - Floor * Count, Result);
+  }
+  std::vector<InstanceShare> Shares;
+  for (std::size_t Index = 0; Index < Demands.size(); ++Index)
+    Shares.push_back({Demands[Index].Instance_,
+                      static_cast<std::int32_t>(Result[Index]) * StepPermille});
+  return Shares;
+}
+
+} // namespace filbertspring
