--- a/packages/entry/src/api/admin_api.cpp
+++ b/packages/entry/src/api/admin_api.cpp
@@ -3,7 +3,7 @@
 #include "store_loop.h"
 
 #include "filbertspring/config/contract_document.h"
-#include "filbertspring/report/burn_document.h"
+#include "filbertspring/report/burn_counts.h"
 
 #include <algorithm>
 #include <charconv>
--- a/packages/entry/src/api/request_keys.cpp
+++ b/packages/entry/src/api/request_keys.cpp
@@ -55,10 +55,10 @@
   for (int Try = 0; Try < MaxTries; ++Try) {
     TransactionId Id(Names.next("key"));
     Own.insert(Id);
-    CommitResult Result = Table.commit({Id, {}, {{Key, Expected, Wanted}}});
-    if (Result.Outcome_ == CommitOutcome::Committed)
-      return KeyHeld{Result.Version_, Wanted};
-    if (Result.Outcome_ == CommitOutcome::NotCommitted && Own.size() == 1)
+    CommitResult Commit = Table.commit({Id, {}, {{Key, Expected, Wanted}}});
+    if (Commit.Outcome_ == CommitOutcome::Committed)
+      return KeyHeld{Commit.Version_, Wanted};
+    if (Commit.Outcome_ == CommitOutcome::NotCommitted && Own.size() == 1)
       return KeyUnavailable{};
     Result<std::optional<StoredRow>> Row = Table.readRow(Key);
     if (!Row)
--- a/packages/entry/src/desks/burn_desk.cpp
+++ b/packages/entry/src/desks/burn_desk.cpp
@@ -67,13 +67,13 @@
   RowVersion &Version = Versions_[Record.Hour_];
   TransactionId Id(fmt::format("burn-{}-{}", Instance_.str(),
                                SchedulerClock::now().time_since_epoch().count()));
-  CommitResult Result =
+  CommitResult Commit =
       Table_.commit({Id, {}, {{keyOf(Record.Hour_), Version, Record}}});
-  if (Result.Outcome_ == CommitOutcome::Committed) {
-    Version = Result.Version_;
+  if (Commit.Outcome_ == CommitOutcome::Committed) {
+    Version = Commit.Version_;
     return;
   }
-  if (Result.Outcome_ == CommitOutcome::NotCommitted)
+  if (Commit.Outcome_ == CommitOutcome::NotCommitted)
     return;
   // The row holds an earlier write of this process whose answer was lost. Its
   // counts are part of the present ones, so only the version is taken.
--- a/packages/entry/src/desks/peer_follower.cpp
+++ b/packages/entry/src/desks/peer_follower.cpp
@@ -72,7 +72,11 @@
   }
   if (Live.empty())
     return;
-  Digests_.retain(Live);
+  std::vector<EndpointName> Endpoints;
+  for (const ListedInstance &Each : Thread_.Shown_.Listed_)
+    if (Each.Role_ == InstanceRole::Executor)
+      Endpoints.emplace_back(Each.Name_.str());
+  Digests_.retain(Live, Endpoints);
   Peers_.clear();
   std::vector<PeerAddress> Links;
   for (const membership::InstancePlace &Each :
--- a/packages/entry/src/desks/share_follower.cpp
+++ b/packages/entry/src/desks/share_follower.cpp
@@ -43,8 +43,7 @@
     : Thread_(Thread), Digests_(Digests),
       Heartbeat_(ownRecord(Thread), Thread.Boot_, Thread.Lease_),
       Liveness_(Thread.Lease_),
-      Shares_(Thread.Self_, Thread.Boot_, shareSettings(Thread.Values_),
-              Thread.Lease_) {}
+      Shares_(Thread.Self_, Thread.Boot_, shareSettings(Thread.Values_)) {}
 
 std::vector<membership::Member> ShareFollower::members() const {
   return Liveness_.members(SchedulerClock::now());
@@ -59,7 +58,7 @@
   }
   if (Now - LastSample_ >= SampleInterval)
     sampleDemand(Now);
-  handleShare(membership::ShareTick{members()});
+  handleShare(membership::ShareTick{&Liveness_});
   publishGrants(Now);
 }
 
--- a/packages/entry/src/desks/worker_desk.h
+++ b/packages/entry/src/desks/worker_desk.h
@@ -6,8 +6,8 @@
 
 #include "filbertspring/base/ring.h"
 #include "filbertspring/config/settings.h"
-#include "filbertspring/placement/action.h"
-#include "filbertspring/placement/event.h"
+#include "filbertspring/placement/placement_action.h"
+#include "filbertspring/placement/placement_event.h"
 
 #include <atomic>
 #include <functional>
--- a/packages/membership/include/filbertspring/membership/configuration_sync.h
+++ b/packages/membership/include/filbertspring/membership/configuration_sync.h
@@ -10,7 +10,7 @@
 #include <variant>
 #include <vector>
 
-namespace filbertspring {
+namespace filbertspring::membership {
 
 /// Periods of the synchronisation.
 struct ConfigurationSyncSettings {
@@ -89,6 +89,6 @@
   std::unique_ptr<Impl> Impl_;
 };
 
-} // namespace filbertspring
+} // namespace filbertspring::membership
 
 #endif // FILBERTSPRING_MEMBERSHIP_CONFIGURATION_SYNC_H
--- a/packages/membership/include/filbertspring/membership/configuration_view.h
+++ b/packages/membership/include/filbertspring/membership/configuration_view.h
@@ -12,7 +12,7 @@
 #include <optional>
 #include <vector>
 
-namespace filbertspring {
+namespace filbertspring::membership {
 
 /// The answers to a read of the head row and a scan of all contracts and zones
 /// that was sent after the head's answer had arrived.
@@ -99,6 +99,6 @@
   std::unique_ptr<Impl> Impl_;
 };
 
-} // namespace filbertspring
+} // namespace filbertspring::membership
 
 #endif // FILBERTSPRING_MEMBERSHIP_CONFIGURATION_VIEW_H
--- a/packages/membership/include/filbertspring/membership/digest_board.h
+++ b/packages/membership/include/filbertspring/membership/digest_board.h
@@ -11,7 +11,7 @@
 #include <memory>
 #include <vector>
 
-namespace filbertspring {
+namespace filbertspring::membership {
 
 /// How far a value must move before it is told again.
 struct DigestSettings {
@@ -56,6 +56,6 @@
   std::unique_ptr<Impl> Impl_;
 };
 
-} // namespace filbertspring
+} // namespace filbertspring::membership
 
 #endif // FILBERTSPRING_MEMBERSHIP_DIGEST_BOARD_H
--- a/packages/membership/include/filbertspring/membership/heartbeat_keeper.h
+++ b/packages/membership/include/filbertspring/membership/heartbeat_keeper.h
@@ -13,7 +13,7 @@
 #include <variant>
 #include <vector>
 
-namespace filbertspring {
+namespace filbertspring::membership {
 
 /// Time has passed.
 struct HeartbeatTick {};
@@ -71,6 +71,6 @@
   std::unique_ptr<Impl> Impl_;
 };
 
-} // namespace filbertspring
+} // namespace filbertspring::membership
 
 #endif // FILBERTSPRING_MEMBERSHIP_HEARTBEAT_KEEPER_H
--- a/packages/membership/include/filbertspring/membership/lease.h
+++ b/packages/membership/include/filbertspring/membership/lease.h
@@ -8,7 +8,7 @@
 
 #include <cstdint>
 
-namespace filbertspring {
+namespace filbertspring::membership {
 
 /// Times of heartbeats and of the lease that each of them renews.
 struct LeaseSettings {
@@ -43,6 +43,6 @@
   bool holdsAt(TimePoint Now) const { return Since_ <= Now && Now < Until_; }
 };
 
-} // namespace filbertspring
+} // namespace filbertspring::membership
 
 #endif // FILBERTSPRING_MEMBERSHIP_LEASE_H
--- a/packages/membership/include/filbertspring/membership/liveness_tracker.h
+++ b/packages/membership/include/filbertspring/membership/liveness_tracker.h
@@ -12,7 +12,7 @@
 #include <optional>
 #include <vector>
 
-namespace filbertspring {
+namespace filbertspring::membership {
 
 /// What is known of an instance.
 enum class Liveness {
@@ -75,6 +75,6 @@
   std::unique_ptr<Impl> Impl_;
 };
 
-} // namespace filbertspring
+} // namespace filbertspring::membership
 
 #endif // FILBERTSPRING_MEMBERSHIP_LIVENESS_TRACKER_H
--- a/packages/membership/include/filbertspring/membership/peer_message.h
+++ b/packages/membership/include/filbertspring/membership/peer_message.h
@@ -15,7 +15,7 @@
 #include <variant>
 #include <vector>
 
-namespace filbertspring {
+namespace filbertspring::membership {
 
 /// Bounds of one message; a decoder refuses what exceeds them.
 inline constexpr std::size_t MaxPeerMessageBytes = 256 * 1024;
@@ -80,6 +80,6 @@
 /// Never throws.
 Result<PeerPayload> decodePeerPayload(std::string_view Bytes);
 
-} // namespace filbertspring
+} // namespace filbertspring::membership
 
 #endif // FILBERTSPRING_MEMBERSHIP_PEER_MESSAGE_H
--- a/packages/membership/include/filbertspring/membership/peer_selection.h
+++ b/packages/membership/include/filbertspring/membership/peer_selection.h
@@ -9,7 +9,7 @@
 #include <cstddef>
 #include <vector>
 
-namespace filbertspring {
+namespace filbertspring::membership {
 
 /// Links between each two zones, over all their instances.
 inline constexpr std::size_t LinksPerZonePair = 2;
@@ -21,6 +21,6 @@
 std::vector<InstancePlace> selectPeers(const InstancePlace &Self,
                                        const std::vector<InstancePlace> &Live);
 
-} // namespace filbertspring
+} // namespace filbertspring::membership
 
 #endif // FILBERTSPRING_MEMBERSHIP_PEER_SELECTION_H
--- a/packages/membership/include/filbertspring/membership/rack_assignment.h
+++ b/packages/membership/include/filbertspring/membership/rack_assignment.h
@@ -14,7 +14,7 @@
 #include <set>
 #include <vector>
 
-namespace filbertspring {
+namespace filbertspring::membership {
 
 /// An instance and where it runs.
 struct InstancePlace {
@@ -56,6 +56,6 @@
   std::unique_ptr<Impl> Impl_;
 };
 
-} // namespace filbertspring
+} // namespace filbertspring::membership
 
 #endif // FILBERTSPRING_MEMBERSHIP_RACK_ASSIGNMENT_H
--- a/packages/membership/include/filbertspring/membership/share_allocator.h
+++ b/packages/membership/include/filbertspring/membership/share_allocator.h
@@ -16,7 +16,7 @@
 #include <variant>
 #include <vector>
 
-namespace filbertspring {
+namespace filbertspring::membership {
 
 /// How shares follow demand.
 struct ShareSettings {
@@ -121,6 +121,6 @@
   std::unique_ptr<Impl> Impl_;
 };
 
-} // namespace filbertspring
+} // namespace filbertspring::membership
 
 #endif // FILBERTSPRING_MEMBERSHIP_SHARE_ALLOCATOR_H
--- a/packages/membership/include/filbertspring/membership/share_targets.h
+++ b/packages/membership/include/filbertspring/membership/share_targets.h
@@ -9,7 +9,7 @@
 #include <cstdint>
 #include <vector>
 
-namespace filbertspring {
+namespace filbertspring::membership {
 
 /// The demand of one instance for one contract.
 struct InstanceDemand {
@@ -29,6 +29,6 @@
 targetShares(const std::vector<InstanceDemand> &Demands,
              std::int32_t StepPermille);
 
-} // namespace filbertspring
+} // namespace filbertspring::membership
 
 #endif // FILBERTSPRING_MEMBERSHIP_SHARE_TARGETS_H
--- a/packages/membership/src/configuration_sync.cpp
+++ b/packages/membership/src/configuration_sync.cpp
@@ -4,7 +4,7 @@
 #include <optional>
 #include <utility>
 
-namespace filbertspring {
+namespace filbertspring::membership {
 
 namespace {
 
@@ -175,4 +175,4 @@
   return Impl_->View_;
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::membership
--- a/packages/membership/src/configuration_view.cpp
+++ b/packages/membership/src/configuration_view.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <map>
 
-namespace filbertspring {
+namespace filbertspring::membership {
 
 namespace {
 
@@ -174,4 +174,4 @@
   return Delta;
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::membership
--- a/packages/membership/src/digest_board.cpp
+++ b/packages/membership/src/digest_board.cpp
@@ -8,7 +8,7 @@
 #include <utility>
 #include <variant>
 
-namespace filbertspring {
+namespace filbertspring::membership {
 
 namespace {
 
@@ -232,4 +232,4 @@
   });
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::membership
--- a/packages/membership/src/heartbeat_keeper.cpp
+++ b/packages/membership/src/heartbeat_keeper.cpp
@@ -4,7 +4,7 @@
 #include <string>
 #include <utility>
 
-namespace filbertspring {
+namespace filbertspring::membership {
 
 namespace {
 
@@ -183,4 +183,4 @@
 
 bool HeartbeatKeeper::superseded() const { return Impl_->Superseded_; }
 
-} // namespace filbertspring
+} // namespace filbertspring::membership
--- a/packages/membership/src/ledger_replica.cpp
+++ b/packages/membership/src/ledger_replica.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace filbertspring {
+namespace filbertspring::membership {
 
 void LedgerReplica::settleUpTo(RowVersion Version) {
   std::erase_if(Pending_, [Version](const PendingWrite &Write) {
@@ -97,4 +97,4 @@
   return Unknown || !OwnsHistory_;
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::membership
--- a/packages/membership/src/ledger_replica.h
+++ b/packages/membership/src/ledger_replica.h
@@ -11,7 +11,7 @@
 #include <optional>
 #include <vector>
 
-namespace filbertspring {
+namespace filbertspring::membership {
 
 /// A write of the ledger that may still take effect.
 struct PendingWrite {
@@ -70,6 +70,6 @@
   std::optional<RowVersion> InheritedAt_;
 };
 
-} // namespace filbertspring
+} // namespace filbertspring::membership
 
 #endif // FILBERTSPRING_MEMBERSHIP_SRC_LEDGER_REPLICA_H
--- a/packages/membership/src/liveness_tracker.cpp
+++ b/packages/membership/src/liveness_tracker.cpp
@@ -4,7 +4,7 @@
 #include <map>
 #include <set>
 
-namespace filbertspring {
+namespace filbertspring::membership {
 
 namespace {
 
@@ -128,4 +128,4 @@
   return Found;
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::membership
--- a/packages/membership/src/message_bounds.cpp
+++ b/packages/membership/src/message_bounds.cpp
@@ -3,7 +3,7 @@
 #include <cstddef>
 #include <nlohmann/json.hpp>
 
-namespace filbertspring {
+namespace filbertspring::membership {
 
 namespace {
 
@@ -50,4 +50,4 @@
   return Json::sax_parse(Bytes, &Checker, Json::input_format_t::msgpack, true);
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::membership
--- a/packages/membership/src/peer_message.cpp
+++ b/packages/membership/src/peer_message.cpp
@@ -9,7 +9,7 @@
 #include <optional>
 #include <utility>
 
-namespace filbertspring {
+namespace filbertspring::membership {
 
 namespace {
 
@@ -246,4 +246,4 @@
   return fail(Errc::ProtocolViolation);
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::membership
--- a/packages/membership/src/peer_selection.cpp
+++ b/packages/membership/src/peer_selection.cpp
@@ -6,7 +6,7 @@
 #include <map>
 #include <tuple>
 
-namespace filbertspring {
+namespace filbertspring::membership {
 
 namespace {
 
@@ -80,4 +80,4 @@
   return Peers;
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::membership
--- a/packages/membership/src/rack_assignment.cpp
+++ b/packages/membership/src/rack_assignment.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <map>
 
-namespace filbertspring {
+namespace filbertspring::membership {
 
 namespace {
 
@@ -95,4 +95,4 @@
   return Taken;
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::membership
--- a/packages/membership/src/share_allocator.cpp
+++ b/packages/membership/src/share_allocator.cpp
@@ -8,7 +8,7 @@
 #include <set>
 #include <utility>
 
-namespace filbertspring {
+namespace filbertspring::membership {
 
 namespace {
 
@@ -288,4 +288,4 @@
           Impl_->Lease_.Until_};
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::membership
--- a/packages/membership/src/share_plan.cpp
+++ b/packages/membership/src/share_plan.cpp
@@ -7,7 +7,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace filbertspring {
+namespace filbertspring::membership {
 
 namespace {
 
@@ -210,4 +210,4 @@
   return Plan.take();
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::membership
--- a/packages/membership/src/share_plan.h
+++ b/packages/membership/src/share_plan.h
@@ -12,7 +12,7 @@
 #include <optional>
 #include <vector>
 
-namespace filbertspring {
+namespace filbertspring::membership {
 
 /// What a plan depends on.
 struct SharePlanInput {
@@ -45,6 +45,6 @@
 /// others as far as they are below their targets.
 SharePlan planRelease(const SharePlanInput &Input);
 
-} // namespace filbertspring
+} // namespace filbertspring::membership
 
 #endif // FILBERTSPRING_MEMBERSHIP_SRC_SHARE_PLAN_H
--- a/packages/membership/src/share_targets.cpp
+++ b/packages/membership/src/share_targets.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <numeric>
 
-namespace filbertspring {
+namespace filbertspring::membership {
 
 namespace {
 
@@ -71,4 +71,4 @@
   return Shares;
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::membership
--- a/packages/placement/include/filbertspring/placement/lease_rules.h
+++ b/packages/placement/include/filbertspring/placement/lease_rules.h
@@ -8,7 +8,7 @@
 #include "filbertspring/domain/worker_protocol.h"
 #include "filbertspring/placement/scheduler_settings.h"
 
-namespace filbertspring {
+namespace filbertspring::placement {
 
 /// A reading of a worker's clock, and when it arrived on the own clock. The
 /// worker read it at or before ReceivedAt_.
@@ -40,6 +40,6 @@
 bool surelyPast(const ClockReading &Reading, TimePoint Now, WorkerTime Limit,
                 const LeaseSettings &Settings);
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
 
 #endif // FILBERTSPRING_PLACEMENT_LEASE_RULES_H
--- a/packages/placement/include/filbertspring/placement/placement_action.h
+++ b/packages/placement/include/filbertspring/placement/placement_action.h
@@ -14,7 +14,7 @@
 #include <variant>
 #include <vector>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 
 /// Send a transaction; answered by CommitDone.
 struct CommitRows {
@@ -53,6 +53,6 @@
 using PlacementAction =
     std::variant<CommitRows, ReadRows, SendCommands, TaskNote>;
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
 
 #endif // FILBERTSPRING_PLACEMENT_PLACEMENT_ACTION_H
--- a/packages/placement/include/filbertspring/placement/placement_event.h
+++ b/packages/placement/include/filbertspring/placement/placement_event.h
@@ -14,7 +14,7 @@
 #include <variant>
 #include <vector>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 
 /// Joins the answer of a read or of an exchange to its action.
 using RequestNumber = std::uint64_t;
@@ -106,6 +106,6 @@
                  WorkerUnreachable, WorkersListed, RacksAssigned, PlatformState,
                  DrainStarted, EvictRequested, ThrottleRequested, Tick>;
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
 
 #endif // FILBERTSPRING_PLACEMENT_PLACEMENT_EVENT_H
--- a/packages/placement/include/filbertspring/placement/scheduler.h
+++ b/packages/placement/include/filbertspring/placement/scheduler.h
@@ -16,7 +16,7 @@
 #include <optional>
 #include <vector>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 
 /// Decides which waiting tasks run on which workers, holds their leases and
 /// ends them in the table. Events go in, actions come out; it reads no clock
@@ -54,6 +54,6 @@
   std::unique_ptr<Impl> Impl_;
 };
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
 
 #endif // FILBERTSPRING_PLACEMENT_SCHEDULER_H
--- a/packages/placement/include/filbertspring/placement/scheduler_settings.h
+++ b/packages/placement/include/filbertspring/placement/scheduler_settings.h
@@ -9,7 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 
 /// Settings that all entry instances must share, since one instance waits for
 /// what another may still do.
@@ -104,6 +104,6 @@
   ImpossibleSettings Impossible_;
 };
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
 
 #endif // FILBERTSPRING_PLACEMENT_SCHEDULER_SETTINGS_H
--- a/packages/placement/include/filbertspring/placement/scheduler_view.h
+++ b/packages/placement/include/filbertspring/placement/scheduler_view.h
@@ -15,7 +15,7 @@
 #include <string>
 #include <vector>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 
 /// Why a waiting task was passed over last.
 enum class WaitReason {
@@ -86,6 +86,6 @@
   bool Drained_ = false;
 };
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
 
 #endif // FILBERTSPRING_PLACEMENT_SCHEDULER_VIEW_H
--- a/packages/placement/include/filbertspring/placement/worker_choice.h
+++ b/packages/placement/include/filbertspring/placement/worker_choice.h
@@ -11,7 +11,7 @@
 #include <optional>
 #include <span>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 
 /// A worker that may take a task.
 struct WorkerCandidate {
@@ -27,6 +27,6 @@
 chooseWorker(std::span<const WorkerCandidate> Candidates,
              const Resources &Size);
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
 
 #endif // FILBERTSPRING_PLACEMENT_WORKER_CHOICE_H
--- a/packages/placement/include/filbertspring/placement/zone_ramp_limit.h
+++ b/packages/placement/include/filbertspring/placement/zone_ramp_limit.h
@@ -10,7 +10,7 @@
 #include <cstdint>
 #include <optional>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 
 /// Bounds the starts in one zone after its return. The allowed rate grows
 /// linearly until the ramp ends, from when there is no bound.
@@ -28,6 +28,6 @@
   std::int64_t Starts_ = 0;
 };
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
 
 #endif // FILBERTSPRING_PLACEMENT_ZONE_RAMP_LIMIT_H
--- a/packages/routing/include/filbertspring/routing/action.h
+++ b/packages/routing/include/filbertspring/routing/action.h
@@ -13,7 +13,7 @@
 #include <cstdint>
 #include <variant>
 
-namespace filbertspring {
+namespace filbertspring::routing {
 
 /// Send the request to an endpoint.
 struct SendAttempt {
@@ -57,6 +57,6 @@
 using RoutingAction =
     std::variant<SendAttempt, CancelAttempt, AnswerCaller, DropConnections>;
 
-} // namespace filbertspring
+} // namespace filbertspring::routing
 
 #endif // FILBERTSPRING_ROUTING_ACTION_H
--- a/packages/routing/include/filbertspring/routing/attempt.h
+++ b/packages/routing/include/filbertspring/routing/attempt.h
@@ -8,7 +8,7 @@
 
 #include <cstdint>
 
-namespace filbertspring {
+namespace filbertspring::routing {
 
 /// Counts the attempts of one request from 1.
 using AttemptNumber = std::int32_t;
@@ -62,6 +62,6 @@
   bool Leaving_ = false;
 };
 
-} // namespace filbertspring
+} // namespace filbertspring::routing
 
 #endif // FILBERTSPRING_ROUTING_ATTEMPT_H
--- a/packages/routing/include/filbertspring/routing/config.h
+++ b/packages/routing/include/filbertspring/routing/config.h
@@ -12,7 +12,7 @@
 #include <cstddef>
 #include <cstdint>
 
-namespace filbertspring {
+namespace filbertspring::routing {
 
 /// Settings of retries and hedges.
 struct RetryConfig {
@@ -66,6 +66,6 @@
   HealthConfig Health_;
 };
 
-} // namespace filbertspring
+} // namespace filbertspring::routing
 
 #endif // FILBERTSPRING_ROUTING_CONFIG_H
--- a/packages/routing/include/filbertspring/routing/event.h
+++ b/packages/routing/include/filbertspring/routing/event.h
@@ -15,7 +15,7 @@
 #include <variant>
 #include <vector>
 
-namespace filbertspring {
+namespace filbertspring::routing {
 
 /// A caller sent a request. The ticket is the sender's own number for it and is
 /// never used twice; a ticket that is still held is ignored.
@@ -98,6 +98,6 @@
                  PeerEndpointReports, ContractsChanged, ShareChanged,
                  ZoneChanged, DrainStarted, Tick>;
 
-} // namespace filbertspring
+} // namespace filbertspring::routing
 
 #endif // FILBERTSPRING_ROUTING_EVENT_H
--- a/packages/routing/include/filbertspring/routing/outcome_table.h
+++ b/packages/routing/include/filbertspring/routing/outcome_table.h
@@ -11,7 +11,7 @@
 #include <cstdint>
 #include <string_view>
 
-namespace filbertspring {
+namespace filbertspring::routing {
 
 /// What became of a request.
 enum class RequestOutcome {
@@ -95,6 +95,6 @@
 /// The HTTP status of the outcome Unknown.
 inline constexpr std::int32_t UnknownHttpStatus = 502;
 
-} // namespace filbertspring
+} // namespace filbertspring::routing
 
 #endif // FILBERTSPRING_ROUTING_OUTCOME_TABLE_H
--- a/packages/routing/include/filbertspring/routing/policy.h
+++ b/packages/routing/include/filbertspring/routing/policy.h
@@ -7,7 +7,7 @@
 #include <cstdint>
 #include <variant>
 
-namespace filbertspring {
+namespace filbertspring::routing {
 
 /// Any endpoint with equal probability. A baseline.
 struct RandomPolicy {};
@@ -28,6 +28,6 @@
 using EndpointPolicy = std::variant<SampledPolicy, RandomPolicy,
                                     RoundRobinPolicy, LeastInFlightPolicy>;
 
-} // namespace filbertspring
+} // namespace filbertspring::routing
 
 #endif // FILBERTSPRING_ROUTING_POLICY_H
--- a/packages/routing/include/filbertspring/routing/router.h
+++ b/packages/routing/include/filbertspring/routing/router.h
@@ -16,7 +16,7 @@
 #include <optional>
 #include <vector>
 
-namespace filbertspring {
+namespace filbertspring::routing {
 
 /// Sizes of a router's state, for gauges.
 struct RouterCounts {
@@ -57,6 +57,6 @@
   std::unique_ptr<Impl> Impl_;
 };
 
-} // namespace filbertspring
+} // namespace filbertspring::routing
 
 #endif // FILBERTSPRING_ROUTING_ROUTER_H
