--- a/packages/entry/src/api/admin_api.cpp
+++ b/packages/entry/src/api/admin_api.cpp
@@ -60,16 +60,16 @@
     return StoreStep{{{Write.Key_, Stored, Write.Make_(Before)},
                       {HeadKey, HeadVersion, Head}}};
   };
-  StoreResult Result = changeRows(Context.Table_, Context.Names_,
-                                  {Write.Key_, HeadKey}, Step);
+  StoreResult Result =
+      changeRows(Context.Table_, Context.Names_, {Write.Key_, HeadKey}, Step);
   if (Result.Outcome_ == StoreOutcome::Done)
-    return jsonAnswer(200, {{"version", Result.Version_},
-                            {"changed_by", Write.ChangedBy_}});
-  if (LostRace && Result.Outcome_ == StoreOutcome::Nothing)
     return jsonAnswer(
-        409, {{"error", "another change came first"},
-              {"version", Before ? Before->Version_ : AbsentVersion},
-              {"changed_by", changedBy(Before)}});
+        200, {{"version", Result.Version_}, {"changed_by", Write.ChangedBy_}});
+  if (LostRace && Result.Outcome_ == StoreOutcome::Nothing)
+    return jsonAnswer(409,
+                      {{"error", "another change came first"},
+                       {"version", Before ? Before->Version_ : AbsentVersion},
+                       {"changed_by", changedBy(Before)}});
   if (Result.Outcome_ == StoreOutcome::Unknown)
     return errorAnswer(502, "outcome unknown; read it back");
   return errorAnswer(503, "the platform did not take the change");
@@ -127,14 +127,13 @@
     Body.findings().add("/terms/name", "not the name in the path", Name);
   if (!Body.findings().empty())
     return findingsAnswer(Body.findings());
-  return writeConfiguration(
-      Context,
-      {{RowKind::Contract, Name},
-       Expected,
-       By,
-       [&](const std::optional<StoredRow> &) -> RowValue {
-         return ContractRecord{*Parsed.Terms_, By, false};
-       }});
+  return writeConfiguration(Context,
+                            {{RowKind::Contract, Name},
+                             Expected,
+                             By,
+                             [&](const std::optional<StoredRow> &) -> RowValue {
+                               return ContractRecord{*Parsed.Terms_, By, false};
+                             }});
 }
 
 /// Counts the claimed tasks of each zone.
@@ -180,8 +179,7 @@
       Body.integer("expected_version", 0, MaxVersion, AnyVersion);
   std::string By = Body.text("changed_by");
   std::string Reason = Body.text("reason", true);
-  std::optional<ZoneState> State =
-      valueOf(ZoneStateNames, Body.text("state"));
+  std::optional<ZoneState> State = valueOf(ZoneStateNames, Body.text("state"));
   if (!State)
     Body.findings().add("/state", "not a state of a zone",
                         "in-service or out-of-service");
@@ -259,19 +257,18 @@
          {"committed", resourcesToJson(Worker.Committed_)},
          {"capacity", resourcesToJson(Worker.Capacity_)}});
   return jsonAnswer(
-      200,
-      {{"instance", Context.Values_.Instance_.str()},
-       {"zone", Context.Values_.Zone_.str()},
-       {"ready", isReady(Context)},
-       {"draining", Context.Leaving_.load()},
-       {"platform", Now->PlatformReachable_ ? "reachable" : "unreachable"},
-       {"head", Now->Head_},
-       {"version", Now->Head_},
-       {"peers", std::move(Peers)},
-       {"racks_owned", std::move(Racks)},
-       {"waiting_tasks", Scheduler.WaitingTasks_},
-       {"zones", std::move(Zones)},
-       {"workers", std::move(Workers)}});
+      200, {{"instance", Context.Values_.Instance_.str()},
+            {"zone", Context.Values_.Zone_.str()},
+            {"ready", isReady(Context)},
+            {"draining", Context.Leaving_.load()},
+            {"platform", Now->PlatformReachable_ ? "reachable" : "unreachable"},
+            {"head", Now->Head_},
+            {"version", Now->Head_},
+            {"peers", std::move(Peers)},
+            {"racks_owned", std::move(Racks)},
+            {"waiting_tasks", Scheduler.WaitingTasks_},
+            {"zones", std::move(Zones)},
+            {"workers", std::move(Workers)}});
 }
 
 } // namespace
--- a/packages/entry/src/api/job_api.cpp
+++ b/packages/entry/src/api/job_api.cpp
@@ -23,8 +23,7 @@
 JobId jobIdOf(const ContractName &Contract, const IdempotencyKey &Key) {
   std::string Text = Contract.str() + "/" + Key.str();
   XXH128_hash_t Digest = XXH3_128bits(Text.data(), Text.size());
-  return JobId(
-      fmt::format("j-{:016x}{:016x}", Digest.high64, Digest.low64));
+  return JobId(fmt::format("j-{:016x}{:016x}", Digest.high64, Digest.low64));
 }
 
 RowKey rowOf(const JobId &Job) { return {RowKind::Job, Job.str()}; }
@@ -60,8 +59,8 @@
   for (std::size_t Index = 0; Index < Zones.size(); ++Index) {
     std::string Name =
         Zones[Index].is_string() ? Zones[Index].get<std::string>() : "";
-    bool Known = std::ranges::any_of(
-        Now.Zones_, [&Name](const AvailabilityZone &Zone) {
+    bool Known =
+        std::ranges::any_of(Now.Zones_, [&Name](const AvailabilityZone &Zone) {
           return Zone.Name_.str() == Name;
         });
     if (!Known)
@@ -133,8 +132,7 @@
 /// Returns true when \p Repeat asks for the same work as \p Stored.
 bool sameWork(const JobRecord &Stored, const JobRecord &Repeat) {
   return Stored.Kind_ == Repeat.Kind_ && Stored.Size_ == Repeat.Size_ &&
-         Stored.Zones_ == Repeat.Zones_ &&
-         Stored.Payload_ == Repeat.Payload_ &&
+         Stored.Zones_ == Repeat.Zones_ && Stored.Payload_ == Repeat.Payload_ &&
          Stored.Tasks_.size() == Repeat.Tasks_.size();
 }
 
@@ -157,15 +155,15 @@
     return Answer;
   }
   std::optional<StoredRow> Before;
-  StoreResult Result = changeRows(
-      Context.Table_, Context.Names_, {rowOf(Job.Id_)},
-      [&](const std::vector<std::optional<StoredRow>> &Rows)
-          -> std::optional<StoreStep> {
-        Before = Rows[0];
-        if (Before)
-          return std::nullopt;
-        return StoreStep{{{rowOf(Job.Id_), AbsentVersion, Job}}};
-      });
+  StoreResult Result =
+      changeRows(Context.Table_, Context.Names_, {rowOf(Job.Id_)},
+                 [&](const std::vector<std::optional<StoredRow>> &Rows)
+                     -> std::optional<StoreStep> {
+                   Before = Rows[0];
+                   if (Before)
+                     return std::nullopt;
+                   return StoreStep{{{rowOf(Job.Id_), AbsentVersion, Job}}};
+                 });
   json Accepted = {{"job", Job.Id_.str()}, {"accepted", true}};
   if (Result.Outcome_ == StoreOutcome::Done) {
     logEvent(LogEvent::JobAccepted,
@@ -182,10 +180,10 @@
     return jobAnswer(200, Accepted, "completed");
   }
   if (Result.Outcome_ == StoreOutcome::NotDone)
-    return jobAnswer(503,
-                     {{"error", "the platform did not take the job"},
-                      {"accepted", false}},
-                     "not-run");
+    return jobAnswer(
+        503,
+        {{"error", "the platform did not take the job"}, {"accepted", false}},
+        "not-run");
   return jobAnswer(502, {{"error", "ask again with the same key"}}, "unknown");
 }
 
@@ -264,11 +262,10 @@
   for (std::size_t Index = 0; Index < Job.Tasks_.size(); ++Index) {
     const Task &Entry = Job.Tasks_[Index];
     std::string Why = Entry.Reason_;
-    auto Found = std::ranges::find(
-        Known, static_cast<std::int32_t>(Index),
-        [](const placement::TaskExplanation &Each) {
-          return Each.Task_.Index_;
-        });
+    auto Found = std::ranges::find(Known, static_cast<std::int32_t>(Index),
+                                   [](const placement::TaskExplanation &Each) {
+                                     return Each.Task_.Index_;
+                                   });
     if (Found != Known.end() && Entry.State_ == TaskState::Waiting)
       Why = Found->Why_;
     Tasks.push_back({{"index", Index},
--- a/packages/entry/src/api/request_api.cpp
+++ b/packages/entry/src/api/request_api.cpp
@@ -85,13 +85,12 @@
   Outgoing.Body_ = Request.Body_;
   auto Milliseconds =
       std::chrono::ceil<std::chrono::milliseconds>(Caller.Deadline_);
-  Outgoing.Headers_ = {
-      {"x-request-id", Caller.Id_.str()},
-      {"x-contract", Caller.Contract_.str()},
-      {"x-service", Caller.Service_.str()},
-      {"x-idempotent", Caller.Idempotent_ ? "true" : "false"},
-      {"x-deadline-ms", std::to_string(Milliseconds.count())},
-      {"content-type", "application/octet-stream"}};
+  Outgoing.Headers_ = {{"x-request-id", Caller.Id_.str()},
+                       {"x-contract", Caller.Contract_.str()},
+                       {"x-service", Caller.Service_.str()},
+                       {"x-idempotent", Caller.Idempotent_ ? "true" : "false"},
+                       {"x-deadline-ms", std::to_string(Milliseconds.count())},
+                       {"content-type", "application/octet-stream"}};
   return Outgoing;
 }
 
@@ -110,9 +109,8 @@
 }
 
 HttpAnswer unknownAnswer(const CallerRequest &Caller, const char *Reason) {
-  HttpAnswer Answer =
-      jsonAnswer(routing::UnknownHttpStatus,
-                 {{"outcome", "unknown"}, {"reason", Reason}});
+  HttpAnswer Answer = jsonAnswer(routing::UnknownHttpStatus,
+                                 {{"outcome", "unknown"}, {"reason", Reason}});
   Answer.Headers_ = {{"x-request-id", Caller.Id_.str()},
                      {"x-outcome", "unknown"},
                      {"x-reason", Reason}};
@@ -194,9 +192,8 @@
 
 /// Hands the request to the router and waits for its decision. Returns nothing
 /// when the router's ring is full.
-std::optional<std::optional<TicketAnswer>> route(ApiContext &Context,
-                                                 const CallerRequest &Caller,
-                                                 HttpRequest Outgoing) {
+std::optional<std::optional<TicketAnswer>>
+route(ApiContext &Context, const CallerRequest &Caller, HttpRequest Outgoing) {
   TimePoint Arrived = SchedulerClock::now();
   std::uint64_t Number = Context.Tickets_.open(std::move(Outgoing));
   std::shared_ptr<Ticket> Held = Context.Tickets_.find(Number);
@@ -226,9 +223,9 @@
   case routing::RequestOutcome::Unknown:
     break;
   }
-  logEvent(LogEvent::RequestOutcomeUnknown,
-           {{"request", Caller.Id_.str()},
-            {"contract", Caller.Contract_.str()}});
+  logEvent(
+      LogEvent::RequestOutcomeUnknown,
+      {{"request", Caller.Id_.str()}, {"contract", Caller.Contract_.str()}});
   return unknownAnswer(Caller, "answer-lost");
 }
 
@@ -247,15 +244,14 @@
     releaseKey(Context.Table_, Context.Names_, Held);
     return refuse(Refusal::TooBusy, Caller.Id_.str());
   }
-  bool NotRun = *Decision && (*Decision)->Outcome_ ==
-                                 routing::RequestOutcome::NotRun;
-  bool Completed = *Decision && (*Decision)->Outcome_ ==
-                                    routing::RequestOutcome::Completed;
+  bool NotRun =
+      *Decision && (*Decision)->Outcome_ == routing::RequestOutcome::NotRun;
+  bool Completed =
+      *Decision && (*Decision)->Outcome_ == routing::RequestOutcome::Completed;
   if (NotRun)
     releaseKey(Context.Table_, Context.Names_, Held);
   if (Completed)
-    completeKey(Context.Table_, Context.Names_, Held,
-                (*Decision)->Completed_);
+    completeKey(Context.Table_, Context.Names_, Held, (*Decision)->Completed_);
   return toAnswer(Caller, std::move(*Decision));
 }
 
@@ -270,23 +266,22 @@
   Wanted.WrittenMs_ = wallMilliseconds();
   KeyClaim Claim = claimKey(Context.Table_, Context.Names_, Wanted);
   return std::visit(
-      Overloaded{[&](const KeyHeld &Held) {
-                   return answerHeld(Context, Caller, std::move(Outgoing),
-                                     Held);
-                 },
-                 [&](const KeyCompleted &Done) {
-                   return storedAnswer(Caller, Done.Record_);
-                 },
-                 [&](const KeyUnsettled &) {
-                   return unknownAnswer(Caller, "repeat-of-unsettled");
-                 },
-                 [&](const KeyOfOther &) {
-                   return refuse(Refusal::KeyReused, Caller.Id_.str());
-                 },
-                 [&](const KeyUnavailable &) {
-                   return refuse(Refusal::PlatformUnavailable,
-                                 Caller.Id_.str());
-                 }},
+      Overloaded{
+          [&](const KeyHeld &Held) {
+            return answerHeld(Context, Caller, std::move(Outgoing), Held);
+          },
+          [&](const KeyCompleted &Done) {
+            return storedAnswer(Caller, Done.Record_);
+          },
+          [&](const KeyUnsettled &) {
+            return unknownAnswer(Caller, "repeat-of-unsettled");
+          },
+          [&](const KeyOfOther &) {
+            return refuse(Refusal::KeyReused, Caller.Id_.str());
+          },
+          [&](const KeyUnavailable &) {
+            return refuse(Refusal::PlatformUnavailable, Caller.Id_.str());
+          }},
       Claim);
 }
 
--- a/packages/entry/src/api/request_keys.h
+++ b/packages/entry/src/api/request_keys.h
@@ -32,9 +32,8 @@
 /// The table did not take the key; the request must not be sent.
 struct KeyUnavailable {};
 
-using KeyClaim =
-    std::variant<KeyHeld, KeyCompleted, KeyUnsettled, KeyOfOther,
-                 KeyUnavailable>;
+using KeyClaim = std::variant<KeyHeld, KeyCompleted, KeyUnsettled, KeyOfOther,
+                              KeyUnavailable>;
 
 /// Stores \p Wanted before its request is sent. A lost answer of the table is
 /// settled by reading the row: only a row that this call wrote counts as held.
--- a/packages/entry/src/api/store_loop.cpp
+++ b/packages/entry/src/api/store_loop.cpp
@@ -32,10 +32,10 @@
 
 } // namespace
 
-StoreResult changeRows(
-    TableDesk &Table, NameMaker &Names, const std::vector<RowKey> &Keys,
-    const std::function<std::optional<StoreStep>(
-        const std::vector<std::optional<StoredRow>> &)> &Step) {
+StoreResult
+changeRows(TableDesk &Table, NameMaker &Names, const std::vector<RowKey> &Keys,
+           const std::function<std::optional<StoreStep>(
+               const std::vector<std::optional<StoredRow>> &)> &Step) {
   // Transactions whose answers were lost; they may be found in the rows.
   std::set<TransactionId> Unsettled;
   auto Failed = [&Unsettled] {
@@ -51,8 +51,7 @@
       return {StoreOutcome::Done, *Version};
     std::optional<StoreStep> Next = Step(inOrder(Keys, Batch->Rows_));
     if (!Next)
-      return {Unsettled.empty() ? StoreOutcome::Nothing
-                                : StoreOutcome::Unknown,
+      return {Unsettled.empty() ? StoreOutcome::Nothing : StoreOutcome::Unknown,
               AbsentVersion};
     TransactionId Id(Names.next("change"));
     CommitResult Result = Table.commit({Id, {}, std::move(Next->Changes_)});
--- a/packages/entry/src/api/store_loop.h
+++ b/packages/entry/src/api/store_loop.h
@@ -44,10 +44,10 @@
 /// after a conflict. After a lost answer it reads again: a row written by one
 /// of its own transactions means Done. \p Step gets the rows in the order of
 /// \p Keys and returns nothing to end without writing.
-StoreResult changeRows(
-    TableDesk &Table, NameMaker &Names, const std::vector<RowKey> &Keys,
-    const std::function<std::optional<StoreStep>(
-        const std::vector<std::optional<StoredRow>> &)> &Step);
+StoreResult
+changeRows(TableDesk &Table, NameMaker &Names, const std::vector<RowKey> &Keys,
+           const std::function<std::optional<StoreStep>(
+               const std::vector<std::optional<StoredRow>> &)> &Step);
 
 } // namespace filbertspring
 
--- a/packages/entry/src/api/watch_api.cpp
+++ b/packages/entry/src/api/watch_api.cpp
@@ -50,10 +50,9 @@
                         "a contract with watches");
     return findingsAnswer(Body.findings());
   }
-  std::int64_t LongestMs =
-      std::chrono::floor<std::chrono::milliseconds>(
-          Terms->Watches_->MaxDuration_)
-          .count();
+  std::int64_t LongestMs = std::chrono::floor<std::chrono::milliseconds>(
+                               Terms->Watches_->MaxDuration_)
+                               .count();
   std::int64_t DurationMs = Body.integer("duration_ms", 1, LongestMs);
   if (!Body.findings().empty())
     return findingsAnswer(Body.findings());
@@ -70,9 +69,8 @@
           return std::nullopt;
         return StoreStep{{{rowOf(Record.Id_), AbsentVersion, Record}}};
       });
-  HttpAnswer Answer =
-      Known ? jsonAnswer(200, {{"watch", Record.Id_}})
-            : storeAnswer(Result, {{"watch", Record.Id_}});
+  HttpAnswer Answer = Known ? jsonAnswer(200, {{"watch", Record.Id_}})
+                            : storeAnswer(Result, {{"watch", Record.Id_}});
   if (Result.Outcome_ == StoreOutcome::Done)
     Answer.Status_ = 201;
   return Answer;
@@ -146,14 +144,14 @@
       break;
     }
     json Body = eventsToJson(*Stored, Cursor);
-    bool Over = !Body["events"].empty() || Body["closed"] == true ||
-                !MayWait || Context.Draining_ || SchedulerClock::now() >= End;
+    bool Over = !Body["events"].empty() || Body["closed"] == true || !MayWait ||
+                Context.Draining_ || SchedulerClock::now() >= End;
     if (Over) {
       Answer = jsonAnswer(200, Body);
       break;
     }
-    sleepUnlessDraining(Context, std::min(ReadInterval,
-                                          End - SchedulerClock::now()));
+    sleepUnlessDraining(Context,
+                        std::min(ReadInterval, End - SchedulerClock::now()));
   }
   --Waiting;
   return Answer;
@@ -163,9 +161,8 @@
                 const std::string &Id) {
   std::int64_t Cursor =
       std::max<std::int64_t>(queryNumber(Request, "cursor", 0), 0);
-  std::int64_t WaitMs =
-      std::clamp<std::int64_t>(queryNumber(Request, "wait_ms", 0), 0,
-                               MaxWaitMs);
+  std::int64_t WaitMs = std::clamp<std::int64_t>(
+      queryNumber(Request, "wait_ms", 0), 0, MaxWaitMs);
   if (Cursor > 0) {
     HttpAnswer Acknowledged =
         change(Context, Id, [Cursor](Watch &Stored) -> Status {
@@ -202,9 +199,8 @@
     std::string Payload = Body.text("payload");
     if (!Body.findings().empty())
       return findingsAnswer(Body.findings());
-    return change(Context, Path[0], [&Payload](Watch &Stored) {
-      return Stored.append(Payload);
-    });
+    return change(Context, Path[0],
+                  [&Payload](Watch &Stored) { return Stored.append(Payload); });
   }
   return errorAnswer(404, "no such path");
 }
--- a/packages/entry/src/desks/burn_desk.cpp
+++ b/packages/entry/src/desks/burn_desk.cpp
@@ -15,7 +15,9 @@
 /// Rows older than the longest window of the report are deleted.
 constexpr std::int64_t KeptHours = 26;
 
-std::int64_t currentMinute() { return wallMilliseconds() / MillisecondsPerMinute; }
+std::int64_t currentMinute() {
+  return wallMilliseconds() / MillisecondsPerMinute;
+}
 
 } // namespace
 
@@ -65,8 +67,9 @@
     return; // The next flush stores the sum.
   }
   RowVersion &Version = Versions_[Record.Hour_];
-  TransactionId Id(fmt::format("burn-{}-{}", Instance_.str(),
-                               SchedulerClock::now().time_since_epoch().count()));
+  TransactionId Id(
+      fmt::format("burn-{}-{}", Instance_.str(),
+                  SchedulerClock::now().time_since_epoch().count()));
   CommitResult Commit =
       Table_.commit({Id, {}, {{keyOf(Record.Hour_), Version, Record}}});
   if (Commit.Outcome_ == CommitOutcome::Committed) {
--- a/packages/entry/src/desks/configuration_follower.cpp
+++ b/packages/entry/src/desks/configuration_follower.cpp
@@ -129,12 +129,10 @@
           {},
           {{{RowKind::Zone, Zone.Name_.str()}, AbsentVersion, Row},
            {HeadKey, Version, Next}}};
-      Thread_.Partners_.Table_.post(
-          TableCommit{std::move(Request), [this, Zone](CommitResult) {
-                        Thread_.post([this, Zone] {
-                          CreationTried_.erase(Zone.Name_);
-                        });
-                      }});
+      Thread_.Partners_.Table_.post(TableCommit{
+          std::move(Request), [this, Zone](CommitResult) {
+            Thread_.post([this, Zone] { CreationTried_.erase(Zone.Name_); });
+          }});
     };
     Thread_.Partners_.Table_.post(TableRead{{HeadKey}, std::move(Create)});
   }
@@ -180,8 +178,7 @@
 
 void ConfigurationFollower::deltaReceived(
     const InstanceName &Peer, const membership::EncodedDelta &Encoded) {
-  membership::ConfigurationDelta Delta{
-      Encoded.Since_, Encoded.CompleteTo_, {}};
+  membership::ConfigurationDelta Delta{Encoded.Since_, Encoded.CompleteTo_, {}};
   for (const membership::EncodedRow &Row : Encoded.Rows_) {
     Result<RowValue> Value = decodeRowValue(Row.Key_.Kind_, Row.Value_);
     if (!Value)
--- a/packages/entry/src/desks/configuration_follower.h
+++ b/packages/entry/src/desks/configuration_follower.h
@@ -18,8 +18,8 @@
 class ConfigurationFollower {
 public:
   /// Sends a message to a peer.
-  using SendToPeer =
-      std::function<void(const InstanceName &, const membership::PeerPayload &)>;
+  using SendToPeer = std::function<void(const InstanceName &,
+                                        const membership::PeerPayload &)>;
 
   ConfigurationFollower(MembershipThread &Thread, SendToPeer Send);
 
--- a/packages/entry/src/desks/demand_meter.h
+++ b/packages/entry/src/desks/demand_meter.h
@@ -52,10 +52,10 @@
                      static_cast<double>(Service.Concurrency_);
       Entry.Arrivals_ = 0;
       Sample.Demand_ =
-          std::max(Sample.Demand_, static_cast<std::int32_t>(
-                                       std::max(Rate, InUse) * Permille));
-      Sample.InUse_ = std::max(Sample.InUse_,
-                               static_cast<std::int32_t>(InUse * Permille));
+          std::max(Sample.Demand_,
+                   static_cast<std::int32_t>(std::max(Rate, InUse) * Permille));
+      Sample.InUse_ =
+          std::max(Sample.InUse_, static_cast<std::int32_t>(InUse * Permille));
     }
     return Sample;
   }
--- a/packages/entry/src/desks/membership_desk.cpp
+++ b/packages/entry/src/desks/membership_desk.cpp
@@ -50,8 +50,7 @@
 
 MembershipDesk::Impl::Impl(const Settings &Values, MembershipPartners Partners)
     : Thread_(Values, Partners),
-      Digests_(Thread_.Place_,
-               static_cast<std::uint64_t>(wallMilliseconds())),
+      Digests_(Thread_.Place_, static_cast<std::uint64_t>(wallMilliseconds())),
       Shares_(Thread_, Digests_),
       Peers_(Thread_, Digests_,
              {[this](const InstanceName &Peer, RowVersion Version) {
@@ -95,8 +94,8 @@
   Shares_.tick(Now);
   Peers_.tick(Shares_.members(), Configuration_.view().completeTo(), Now);
   for (const auto &[Endpoint, Load] : Thread_.Partners_.Routes_.takeLoads())
-    Digests_.setLoad({Endpoint, static_cast<std::int32_t>(Load.InFlight_),
-                      Load.Leaving_});
+    Digests_.setLoad(
+        {Endpoint, static_cast<std::int32_t>(Load.InFlight_), Load.Leaving_});
   if (Now - LastAssign_ >= AssignInterval) {
     LastAssign_ = Now;
     assignRacks(Now);
@@ -162,8 +161,7 @@
 void MembershipDesk::Impl::adoptList(const InstanceList &List) {
   Thread_.Shown_.Listed_ = List.Instances_;
   Thread_.Partners_.Routes_.post(routing::EndpointsListed{List.Instances_});
-  Thread_.Partners_.Placement_.post(
-      placement::WorkersListed{List.Instances_});
+  Thread_.Partners_.Placement_.post(placement::WorkersListed{List.Instances_});
 }
 
 MembershipDesk::MembershipDesk(const Settings &Values,
--- a/packages/entry/src/desks/membership_thread.cpp
+++ b/packages/entry/src/desks/membership_thread.cpp
@@ -23,15 +23,13 @@
 
 MembershipThread::MembershipThread(const Settings &Values,
                                    MembershipPartners Partners)
-    : Values_(Values), Partners_(Partners),
-      Self_(Partners.Self_), Boot_(Self_.str()),
-      Place_{Self_, Values.Zone_}, Lease_(leaseSettings(Values)),
-      Tasks_(RingCapacity) {}
+    : Values_(Values), Partners_(Partners), Self_(Partners.Self_),
+      Boot_(Self_.str()), Place_{Self_, Values.Zone_},
+      Lease_(leaseSettings(Values)), Tasks_(RingCapacity) {}
 
 void MembershipThread::post(MembershipTask Task) {
   if (!Tasks_.tryPush(std::move(Task)))
-    Partners_.Counters_.counter("filbertspring_membership_dropped_total")
-        .add();
+    Partners_.Counters_.counter("filbertspring_membership_dropped_total").add();
 }
 
 } // namespace filbertspring
--- a/packages/entry/src/desks/placement_desk.cpp
+++ b/packages/entry/src/desks/placement_desk.cpp
@@ -18,8 +18,8 @@
   Result.Leases_.Lease_ = Values.Leases_.WorkerLease_;
   Result.Leases_.StartBound_ = Values.ZonesOut_.StartBound_;
   Result.Leases_.CutOffGrace_ = Values.Leases_.CutOffGrace_;
-  Result.Leases_.DriftPpm_ = static_cast<std::int64_t>(
-      Values.Leases_.ClockDrift_ * PartsPerMillion);
+  Result.Leases_.DriftPpm_ =
+      static_cast<std::int64_t>(Values.Leases_.ClockDrift_ * PartsPerMillion);
   Result.Leases_.Margin_ = Values.Leases_.Margin_;
   Result.Pace_.WorkerPoll_ = Values.Leases_.RenewEvery_;
   return Result;
@@ -72,11 +72,10 @@
     : Table_(Table),
       Dropped_(Counters.counter("filbertspring_placement_dropped_total")),
       Scheduler_(schedulerSettings(Values), Self, freshSeed()),
-      Events_(RingCapacity),
-      Workers_(Values, WorkerThreads,
-               [this](placement::PlacementEvent Event) {
-                 post(std::move(Event));
-               }),
+      Events_(RingCapacity), Workers_(Values, WorkerThreads,
+                                      [this](placement::PlacementEvent Event) {
+                                        post(std::move(Event));
+                                      }),
       Thread_([this] { run(); }) {}
 
 PlacementDesk::~PlacementDesk() { stop(); }
@@ -96,8 +95,7 @@
 
 void PlacementDesk::run() {
   while (!Stopping_) {
-    std::optional<placement::PlacementEvent> Event =
-        Events_.popFor(waitTime());
+    std::optional<placement::PlacementEvent> Event = Events_.popFor(waitTime());
     handle(Event ? *Event : placement::PlacementEvent(placement::Tick{}));
   }
 }
--- a/packages/entry/src/desks/route_desk.cpp
+++ b/packages/entry/src/desks/route_desk.cpp
@@ -33,11 +33,10 @@
                      CounterRegistry &Counters)
     : Tickets_(Tickets), Counters_(Counters),
       Router_(routerConfig(Values), freshSeed()), Events_(RingCapacity),
-      Exchanges_(static_cast<std::size_t>(Values.Listen_.MaxConnections_),
-                 Values.Requests_.IdleReuse_, Tickets,
-                 [this](routing::AttemptEnded Ended) {
-                   postEnded(std::move(Ended));
-                 }),
+      Exchanges_(
+          static_cast<std::size_t>(Values.Listen_.MaxConnections_),
+          Values.Requests_.IdleReuse_, Tickets,
+          [this](routing::AttemptEnded Ended) { postEnded(std::move(Ended)); }),
       Thread_([this] { run(); }) {}
 
 RouteDesk::~RouteDesk() { stop(); }
@@ -76,8 +75,8 @@
 void RouteDesk::postEnded(routing::AttemptEnded Ended) {
   Counters_
       .counter("filbertspring_attempts_total",
-               fmt::format("result=\"{}\"", nameOf(routing::AttemptResultNames,
-                                                   Ended.Result_)))
+               fmt::format("result=\"{}\"",
+                           nameOf(routing::AttemptResultNames, Ended.Result_)))
       .add();
   while (!Events_.tryPush(Ended) && !Stopping_)
     std::this_thread::sleep_for(std::chrono::milliseconds(1));
@@ -123,25 +122,24 @@
 
 void RouteDesk::perform(const routing::RoutingAction &Action) {
   std::visit(
-      Overloaded{
-          [this](const routing::SendAttempt &Attempt) { send(Attempt); },
-          [](const routing::CancelAttempt &) {
-            // The exchange runs to its end on its own thread; its answer is
-            // not passed on.
-          },
-          [this](const routing::AnswerCaller &Answer) {
-            Tickets_.answer(Answer.Ticket_,
-                            {Answer.Outcome_, Answer.Reason_,
-                             Answer.RetryAfter_, HttpAnswer()},
-                            Answer.Attempt_);
-          },
-          [this](const routing::DropConnections &Drop) {
-            logEvent(LogEvent::EndpointSuspected,
-                     {{"endpoint", Drop.Endpoint_.str()}});
-            auto Found = Addresses_.find(Drop.Endpoint_);
-            if (Found != Addresses_.end())
-              Exchanges_.dropConnections(Found->second);
-          }},
+      Overloaded{[this](const routing::SendAttempt &Attempt) { send(Attempt); },
+                 [](const routing::CancelAttempt &) {
+                   // The exchange runs to its end on its own thread; its answer
+                   // is not passed on.
+                 },
+                 [this](const routing::AnswerCaller &Answer) {
+                   Tickets_.answer(Answer.Ticket_,
+                                   {Answer.Outcome_, Answer.Reason_,
+                                    Answer.RetryAfter_, HttpAnswer()},
+                                   Answer.Attempt_);
+                 },
+                 [this](const routing::DropConnections &Drop) {
+                   logEvent(LogEvent::EndpointSuspected,
+                            {{"endpoint", Drop.Endpoint_.str()}});
+                   auto Found = Addresses_.find(Drop.Endpoint_);
+                   if (Found != Addresses_.end())
+                     Exchanges_.dropConnections(Found->second);
+                 }},
       Action);
 }
 
--- a/packages/entry/src/desks/share_follower.cpp
+++ b/packages/entry/src/desks/share_follower.cpp
@@ -32,8 +32,8 @@
   for (const ServiceTerms &Service : Terms.Services_)
     Smallest =
         std::min({Smallest, Service.Concurrency_, Service.RatePerSecond_});
-  return static_cast<std::int32_t>(
-      (WholeLimitPermille + Smallest - 1) / std::max<std::int64_t>(Smallest, 1));
+  return static_cast<std::int32_t>((WholeLimitPermille + Smallest - 1) /
+                                   std::max<std::int64_t>(Smallest, 1));
 }
 
 } // namespace
@@ -74,8 +74,8 @@
 void ShareFollower::demandsObserved(
     const std::vector<membership::DemandEntry> &Demands) {
   for (const membership::DemandEntry &Each : Demands)
-    handleShare(membership::DemandObserved{
-        Each.Contract_, {Each.Instance_, Each.Permille_}});
+    handleShare(membership::DemandObserved{Each.Contract_,
+                                           {Each.Instance_, Each.Permille_}});
 }
 
 void ShareFollower::leave() { handleHeartbeat(membership::LeaveRequested{}); }
@@ -131,10 +131,10 @@
     if (Answer && Answer->Findings_.empty())
       Liveness_.handle({SentAt, Answer->Rows_}, SchedulerClock::now());
   };
-  Thread_.Partners_.Table_.post(
-      TableScan{RowKind::Heartbeat, {}, [this, Handle](Result<RowBatch> Answer) {
-                  Thread_.post([Handle, Answer] { Handle(Answer); });
-                }});
+  Thread_.Partners_.Table_.post(TableScan{
+      RowKind::Heartbeat, {}, [this, Handle](Result<RowBatch> Answer) {
+        Thread_.post([Handle, Answer] { Handle(Answer); });
+      }});
 }
 
 void ShareFollower::handleShare(const membership::ShareEvent &Event) {
@@ -180,8 +180,8 @@
   for (const Contract &Terms : Contracts_) {
     DemandSample Sample = Thread_.Partners_.Demand_.sample(Terms, Seconds);
     Digests_.setDemand(Terms.Name_, Sample.Demand_);
-    handleShare(membership::DemandObserved{
-        Terms.Name_, {Thread_.Self_, Sample.Demand_}});
+    handleShare(membership::DemandObserved{Terms.Name_,
+                                           {Thread_.Self_, Sample.Demand_}});
     handleShare(membership::UseObserved{Terms.Name_, Sample.InUse_});
   }
 }
@@ -208,9 +208,8 @@
       continue;
     RowKey Key{RowKind::Heartbeat, Each.Heartbeat_.Instance_.str()};
     TransactionId Id("heartbeat-delete-" + Key.Name_);
-    Thread_.Partners_.Table_.post(
-        TableCommit{{Id, {}, {{Key, Each.Version_, std::nullopt}}},
-                    [](CommitResult) {}});
+    Thread_.Partners_.Table_.post(TableCommit{
+        {Id, {}, {{Key, Each.Version_, std::nullopt}}}, [](CommitResult) {}});
   }
 }
 
--- a/packages/entry/src/desks/table_desk.cpp
+++ b/packages/entry/src/desks/table_desk.cpp
@@ -11,18 +11,13 @@
 constexpr Duration StopCheckInterval = std::chrono::milliseconds(50);
 
 void refuse(TableJob &Job) {
-  std::visit(Overloaded{[](TableRead &Each) {
-                          Each.Done_(fail(Errc::Unavailable));
-                        },
-                        [](TableScan &Each) {
-                          Each.Done_(fail(Errc::Unavailable));
-                        },
-                        [](TableCommit &Each) {
-                          Each.Done_({CommitOutcome::NotCommitted,
-                                      AbsentVersion,
-                                      {}});
-                        }},
-             Job);
+  std::visit(
+      Overloaded{[](TableRead &Each) { Each.Done_(fail(Errc::Unavailable)); },
+                 [](TableScan &Each) { Each.Done_(fail(Errc::Unavailable)); },
+                 [](TableCommit &Each) {
+                   Each.Done_({CommitOutcome::NotCommitted, AbsentVersion, {}});
+                 }},
+      Job);
 }
 
 void perform(TableJob &Job, TableClient &Client) {
--- a/packages/entry/src/desks/worker_desk.cpp
+++ b/packages/entry/src/desks/worker_desk.cpp
@@ -59,8 +59,8 @@
     std::optional<placement::SendCommands> Commands =
         Commands_.popFor(StopCheckInterval);
     if (Commands)
-      OnAnswered_(perform(
-          *Commands, clientOf(Open, Commands->Address_, Values_.Zone_)));
+      OnAnswered_(perform(*Commands,
+                          clientOf(Open, Commands->Address_, Values_.Zone_)));
     else if (Stopping_)
       return;
   }
--- a/packages/entry/src/entry.cpp
+++ b/packages/entry/src/entry.cpp
@@ -64,9 +64,8 @@
       Placement_(Values_, Process_, PlacementTable_, Counters_),
       Membership_(Values_, {Process_, MembershipTable_, Routes_, Placement_,
                             Demand_, Board_, Counters_}),
-      Context_{Values_,    Names_, CallerTable_, Routes_, Tickets_,
-               Placement_, Burn_,  Demand_,      Board_,  Counters_,
-               Leaving_,   Draining_},
+      Context_{Values_, Names_,  CallerTable_, Routes_,   Tickets_, Placement_,
+               Burn_,   Demand_, Board_,       Counters_, Leaving_, Draining_},
       Server_(
           [this] {
             HttpServerOptions Options;
--- a/packages/entry/src/refusal.cpp
+++ b/packages/entry/src/refusal.cpp
@@ -14,8 +14,8 @@
   if (Row.RetryAfterMs_ > 0)
     Answer.Headers_.push_back(
         {"retry-after-ms", std::to_string(Row.RetryAfterMs_)});
-  Answer.Body_ = fmt::format(R"({{"outcome":"not-run","reason":"{}"}})",
-                             Row.Name_);
+  Answer.Body_ =
+      fmt::format(R"({{"outcome":"not-run","reason":"{}"}})", Row.Name_);
   return Answer;
 }
 
--- a/packages/entry/src/run.cpp
+++ b/packages/entry/src/run.cpp
@@ -116,8 +116,8 @@
 int runFilbertspring(int ArgumentCount, const char *const *Arguments) {
   try {
     cxxopts::Options Options("filbertspring");
-    Options.add_options()("h,help", "")(
-        "settings", "", cxxopts::value<std::string>())(
+    Options.add_options()("h,help", "")("settings", "",
+                                        cxxopts::value<std::string>())(
         "words", "", cxxopts::value<std::vector<std::string>>());
     Options.parse_positional({"words"});
     return runParsed(Options.parse(ArgumentCount, Arguments));
