--- /dev/null
+++ b/packages/platform/src/byte_text.cpp
@@ -0,0 +1,49 @@
+#include "byte_text.h"
+
+namespace filbertspring {
+namespace {
+
+/// Code points from 128 to 255 take two bytes in UTF-8.
+constexpr unsigned FirstTwoByteCodePoint = 0x80;
+constexpr unsigned TwoByteLead = 0xC0;
+constexpr unsigned Continuation = 0x80;
+constexpr unsigned ContinuationBits = 6;
+constexpr unsigned ContinuationMask = 0x3F;
+constexpr unsigned LastTwoByteLead = 0xC3;
+
+} // namespace
+
+std::string bytesToText(std::string_view Bytes) {
+  std::string Text;
+  Text.reserve(Bytes.size());
+  for (char Each : Bytes) {
+    unsigned Code = static_cast<unsigned char>(Each);
+    if (Code < FirstTwoByteCodePoint) {
+      Text.push_back(Each);
+      continue;
+    }
+    Text.push_back(static_cast<char>(TwoByteLead | Code >> ContinuationBits));
+    Text.push_back(static_cast<char>(Continuation | (Code & ContinuationMask)));
+  }
+  return Text;
+}
+
+Result<std::string> textToBytes(std::string_view Text) {
+  std::string Bytes;
+  Bytes.reserve(Text.size());
+  for (std::size_t Index = 0; Index < Text.size(); ++Index) {
+    unsigned Lead = static_cast<unsigned char>(Text[Index]);
+    if (Lead < FirstTwoByteCodePoint) {
+      Bytes.push_back(Text[Index]);
+      continue;
+    }
+    if (Lead > LastTwoByteLead || ++Index == Text.size())
+      return fail(Errc::InvalidJson);
+    unsigned Low = static_cast<unsigned char>(Text[Index]) & ContinuationMask;
+    unsigned High = (Lead & ContinuationMask) << ContinuationBits;
+    Bytes.push_back(static_cast<char>(High | Low));
+  }
+  return Bytes;
+}
+
+} // namespace filbertspring
--- /dev/null
+++ b/standins/src/instance_registry.h
@@ -0,0 +1,36 @@
+#ifndef FILBERTSPRING_STANDINS_INSTANCE_REGISTRY_H
+#define FILBERTSPRING_STANDINS_INSTANCE_REGISTRY_H
+
+/// \file
+/// The platform's lagging list of instances.
+
+#include "filbertspring/base/time.h"
+
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace filbertspring {
+
+/// Keeps the changes of each instance, so that it can show the list as it was
+/// a while ago.
+class InstanceRegistry {
+public:
+  /// Sets the entry of \p Name; null removes it. Times must not decrease.
+  void set(const std::string &Name, nlohmann::json Entry, TimePoint Now);
+  /// Returns the list as it was at \p Then, ordered by name.
+  nlohmann::json listAt(TimePoint Then) const;
+
+private:
+  struct Version {
+    TimePoint Since_;
+    nlohmann::json Entry_;
+  };
+  std::map<std::string, std::vector<Version>> History_;
+};
+
+} // namespace filbertspring
+
+#endif // FILBERTSPRING_STANDINS_INSTANCE_REGISTRY_H
