--- /dev/null
+++ b/packages/config/src/settings_rules.cpp
@@ -0,0 +1,123 @@
+#include "settings_rules.h"
+
+#include "document.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <set>
+#include <string_view>
+#include <vector>
+
+namespace filbertspring::config_detail {
+namespace {
+
+/// A lease survives the loss of this many renewals less one.
+constexpr int RenewalsPerLease = 3;
+
+/// A relation between settings; the finding stands at the first place.
+struct Rule {
+  bool Holds_;
+  std::vector<std::string_view> Places_;
+  std::string_view Problem_;
+  std::string_view Allowed_;
+};
+
+/// Applies rules and collects the broken ones.
+class RuleChecker {
+public:
+  /// Rules for fields that have a finding in \p Found are skipped.
+  explicit RuleChecker(Findings &Found) : Unread_(Found), Found_(Found) {}
+
+  void check(const Rule &Item) {
+    if (Item.Holds_)
+      return;
+    bool Skipped =
+        std::ranges::any_of(Item.Places_, [this](std::string_view Place) {
+          return hasFindingAt(Unread_, Place);
+        });
+    if (!Skipped)
+      Found_.add(Item.Places_.front(), Item.Problem_, Item.Allowed_);
+  }
+
+private:
+  Findings Unread_;
+  Findings &Found_;
+};
+
+void checkLeases(const Settings &Values, RuleChecker &Rules) {
+  const LeaseSettings &Leases = Values.Leases_;
+  Rules.check({Leases.RenewEvery_ * RenewalsPerLease <= Leases.WorkerLease_,
+               {"/leases/renew_every", "/leases/worker_lease"},
+               "renewals are too rare for the lease",
+               "at most a third of worker_lease"});
+  Rules.check(
+      {Leases.HeartbeatEvery_ * RenewalsPerLease <= Leases.InstanceLapse_,
+       {"/leases/heartbeat_every", "/leases/instance_lapse"},
+       "heartbeats are too rare for the lapse",
+       "at most a third of instance_lapse"});
+  Rules.check({Leases.Margin_ < Leases.WorkerLease_,
+               {"/leases/margin", "/leases/worker_lease"},
+               "margin is not shorter than the lease",
+               "less than worker_lease"});
+  Rules.check({Leases.CutOffGrace_ >= Leases.WorkerLease_,
+               {"/leases/cut_off_grace", "/leases/worker_lease"},
+               "grace is shorter than the lease",
+               "at least worker_lease"});
+  Rules.check({Values.Platform_.Timeout_ <= Leases.HeartbeatEvery_,
+               {"/platform/timeout", "/leases/heartbeat_every"},
+               "one call may delay the next heartbeat",
+               "at most heartbeat_every"});
+}
+
+void checkIntervals(const Settings &Values, RuleChecker &Rules) {
+  Rules.check({Values.Configuration_.PollEvery_ + Values.Platform_.Timeout_ <=
+                   Values.ZonesOut_.StartBound_,
+               {"/zones_out/start_bound", "/configuration/poll_every",
+                "/platform/timeout"},
+               "zone states cannot be known in time",
+               "at least poll_every and platform timeout together"});
+  Rules.check({Values.Shares_.Lapse_ >= Values.Leases_.InstanceLapse_,
+               {"/shares/lapse", "/leases/instance_lapse"},
+               "a share lapses before its instance does",
+               "at least instance_lapse"});
+  Rules.check({Values.Shares_.RebalanceEvery_ * RenewalsPerLease <=
+                   Values.Shares_.Lapse_,
+               {"/shares/rebalance_every", "/shares/lapse"},
+               "shares are renewed too rarely for the lapse",
+               "at most a third of lapse"});
+}
+
+void checkZones(const Settings &Values, RuleChecker &Rules) {
+  Rules.check({!Values.Zones_.empty(),
+               {"/zones"},
+               "no availability zone is named",
+               "at least one zone"});
+  std::set<ZoneName> Names;
+  for (std::size_t Index = 0; Index < Values.Zones_.size(); ++Index) {
+    std::string Place = fmt::format("/zones/{}/name", Index);
+    Rules.check({Names.insert(Values.Zones_[Index].Name_).second,
+                 {Place},
+                 "name is used twice",
+                 "a name of its own"});
+  }
+  std::string Problem = fmt::format("availability zone \"{}\" does not exist",
+                                    Values.Zone_.str());
+  std::string Allowed = "one of \"zones\"";
+  Rules.check(
+      {Names.contains(Values.Zone_), {"/zone", "/zones"}, Problem, Allowed});
+}
+
+} // namespace
+
+void checkSettings(const Settings &Values, Findings &Found) {
+  RuleChecker Rules(Found);
+  checkZones(Values, Rules);
+  Rules.check({!(Values.Listen_.Http_ == Values.Listen_.Peer_),
+               {"/listen/peer", "/listen/http"},
+               "is the address of http as well",
+               "an address of its own"});
+  checkLeases(Values, Rules);
+  checkIntervals(Values, Rules);
+}
+
+} // namespace filbertspring::config_detail
