--- a/packages/routing/include/filbertspring/routing/action.h
+++ b/packages/routing/include/filbertspring/routing/action.h
@@ -22,7 +22,8 @@
   EndpointName Endpoint_;
   Address Address_;
   ZoneName Zone_;
-  /// Open a new connection instead of using an idle one.
+  /// Open a new connection. Otherwise the idle connection that was used last
+  /// serves, or a new one when none is idle.
   bool FreshConnection_ = false;
   /// End the attempt as Silent when nothing came after this time.
   Duration Timeout_{};
--- a/packages/routing/include/filbertspring/routing/config.h
+++ b/packages/routing/include/filbertspring/routing/config.h
@@ -42,8 +42,9 @@
   Duration MaxIdleTime_ = std::chrono::seconds(5);
   /// A busy endpoint is tried again after this time without news of it.
   Duration BusyTime_ = std::chrono::milliseconds(5);
-  /// How long an unlisted endpoint is remembered as leaving.
-  Duration LeavingMemory_ = std::chrono::seconds(60);
+  /// How long what is known of an unlisted endpoint is kept, since lists that
+  /// lag may show it again.
+  Duration UnlistedMemory_ = std::chrono::seconds(60);
 };
 
 /// Settings of a router.
--- a/packages/routing/include/filbertspring/routing/outcome_table.h
+++ b/packages/routing/include/filbertspring/routing/outcome_table.h
@@ -57,12 +57,14 @@
 };
 
 /// Every way to the answer "not run", in the order of NotRunReason. The router
-/// gives that answer through this table only.
+/// gives that answer with these reasons only.
 inline constexpr std::array<NotRunRow, 12> NotRunTable{
-    {{NotRunReason::UnknownContract, "unknown-contract", 404, false,
-      "refused on arrival or while queued; nothing was sent"},
-     {NotRunReason::UnknownService, "unknown-service", 404, false,
-      "refused on arrival or while queued; nothing was sent"},
+    {{NotRunReason::UnknownContract, "unknown-contract", 404, true,
+      "no attempt is active, and each earlier one was refused by its endpoint "
+      "or sent no byte"},
+     {NotRunReason::UnknownService, "unknown-service", 404, true,
+      "no attempt is active, and each earlier one was refused by its endpoint "
+      "or sent no byte"},
      {NotRunReason::Draining, "draining", 503, false,
       "refused on arrival; nothing was sent"},
      {NotRunReason::NoShare, "no-share", 429, false,
--- /dev/null
+++ b/packages/routing/tests/outcome_table_test.cpp
@@ -0,0 +1,158 @@
+#include "router_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <set>
+
+using namespace filbertspring;
+using namespace filbertspring::routing_test;
+
+namespace {
+
+/// Brings a fresh router to the answer, and returns all actions on the way.
+using Scenario = std::vector<RoutingAction> (*)(RouterFixture &);
+
+std::vector<RoutingAction> refuseAll(RouterFixture &Fixture,
+                                     AttemptResult Result) {
+  Fixture.start({executor("e1", "bodrum"), executor("e2", "bodrum"),
+                 executor("e3", "bodrum"), executor("e4", "bodrum")});
+  std::vector<RoutingAction> All = Fixture.arrive(1, false);
+  std::vector<RoutingAction> Last = All;
+  for (int Step = 0; Step < 4; ++Step) {
+    Last = Fixture.end(only<SendAttempt>(Last), Result);
+    All.insert(All.end(), Last.begin(), Last.end());
+  }
+  return All;
+}
+
+/// One slot in all, taken by ticket 1.
+SendAttempt fill(RouterFixture &Fixture) {
+  Fixture.start({executor("e1", "bodrum", 1)});
+  return only<SendAttempt>(Fixture.arrive(1, false));
+}
+
+struct Case {
+  NotRunReason Reason_;
+  Scenario Run_;
+};
+
+const std::vector<Case> Cases = {
+    {NotRunReason::UnknownContract,
+     [](RouterFixture &Fixture) { return Fixture.arrive(9); }},
+    {NotRunReason::UnknownService,
+     [](RouterFixture &Fixture) {
+       Fixture.start({executor("e1", "bodrum")});
+       return Fixture.tell(RequestArrived{9, RequestId("r"), ContractName("a"),
+                                          ServiceName("other"),
+                                          Fixture.Now_ + 1s, true});
+     }},
+    {NotRunReason::Draining,
+     [](RouterFixture &Fixture) {
+       Fixture.start({executor("e1", "bodrum")});
+       Fixture.tell(DrainStarted{});
+       return Fixture.arrive(9);
+     }},
+    {NotRunReason::NoShare,
+     [](RouterFixture &Fixture) {
+       Fixture.start({executor("e1", "bodrum")});
+       Fixture.tell(ShareChanged{ContractName("a"), 0});
+       return Fixture.arrive(9);
+     }},
+    {NotRunReason::RateLimited,
+     [](RouterFixture &Fixture) {
+       Fixture.start({executor("e1", "bodrum")});
+       Fixture.arrive(1);
+       return Fixture.arrive(9);
+     }},
+    {NotRunReason::QueueFull,
+     [](RouterFixture &Fixture) {
+       fill(Fixture);
+       for (std::uint64_t Ticket = 2; Ticket < 2 + 1024; ++Ticket) {
+         Fixture.pass(1ms);
+         Fixture.arrive(Ticket, false);
+       }
+       return Fixture.arrive(9999, false);
+     }},
+    {NotRunReason::WaitTooLong,
+     [](RouterFixture &Fixture) {
+       Fixture.end(fill(Fixture), AttemptResult::Completed, 1500ms);
+       Fixture.pass(100ms);
+       Fixture.arrive(2, false);
+       Fixture.arrive(3, false);
+       return Fixture.arrive(9, false);
+     }},
+    {NotRunReason::DeadlinePassed,
+     [](RouterFixture &Fixture) {
+       fill(Fixture);
+       Fixture.pass(10ms);
+       Fixture.arrive(9, false);
+       return Fixture.pass(2s);
+     }},
+    {NotRunReason::NoEndpoint,
+     [](RouterFixture &Fixture) {
+       Fixture.start({});
+       return Fixture.arrive(9);
+     }},
+    {NotRunReason::EndpointsBusy,
+     [](RouterFixture &Fixture) {
+       return refuseAll(Fixture, AttemptResult::RefusedBusy);
+     }},
+    {NotRunReason::EndpointsUnreachable,
+     [](RouterFixture &Fixture) {
+       return refuseAll(Fixture, AttemptResult::ConnectFailed);
+     }},
+    {NotRunReason::CallerGone,
+     [](RouterFixture &Fixture) {
+       fill(Fixture);
+       Fixture.pass(10ms);
+       Fixture.arrive(9, false);
+       return Fixture.tell(CallerGone{9});
+     }},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(outcome_table)
+
+BOOST_AUTO_TEST_CASE(has_its_rows_in_the_order_of_the_reasons) {
+  for (std::size_t Index = 0; Index < NotRunTable.size(); ++Index)
+    BOOST_TEST((static_cast<std::size_t>(NotRunTable[Index].Reason_) == Index));
+}
+
+BOOST_AUTO_TEST_CASE(names_only_statuses_of_the_protocol) {
+  const std::set<std::int32_t> Allowed = {404, 429, 503, 504};
+  for (const NotRunRow &Row : NotRunTable)
+    BOOST_TEST(Allowed.contains(Row.HttpStatus_), Row.Name_);
+}
+
+BOOST_AUTO_TEST_CASE(has_a_scenario_for_each_row_in_which_nothing_ran) {
+  std::set<NotRunReason> Seen;
+  for (const Case &Item : Cases) {
+    const NotRunRow &Row = notRunRow(Item.Reason_);
+    RouterFixture Fixture;
+    std::vector<RoutingAction> Out = Item.Run_(Fixture);
+    AnswerCaller Answer = only<AnswerCaller>(Out);
+    BOOST_TEST(isNotRun(Answer, Item.Reason_), Row.Name_);
+    bool Sent = false;
+    for (const SendAttempt &Attempt : allOf<SendAttempt>(Out))
+      Sent = Sent || Attempt.Ticket_ == Answer.Ticket_;
+    BOOST_TEST((!Sent || Row.AfterAttempts_), Row.Name_);
+    Seen.insert(Item.Reason_);
+  }
+  BOOST_TEST(Seen.size() == NotRunTable.size());
+}
+
+BOOST_AUTO_TEST_CASE(gives_unknown_in_place_of_each_row_once_it_may_have_run) {
+  for (AttemptResult Result :
+       {AttemptResult::Lost, AttemptResult::Silent, AttemptResult::Foreign,
+        AttemptResult::Truncated}) {
+    RouterFixture Fixture;
+    Fixture.start({executor("e1", "bodrum"), executor("e2", "bodrum")});
+    SendAttempt Sent = only<SendAttempt>(Fixture.arrive(1, false));
+    std::vector<RoutingAction> Out = Fixture.end(Sent, Result);
+    BOOST_TEST(allOf<SendAttempt>(Out).empty());
+    BOOST_TEST((only<AnswerCaller>(Out).Outcome_ == RequestOutcome::Unknown));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/packages/routing/tests/router_fixture.h
@@ -0,0 +1,115 @@
+#ifndef FILBERTSPRING_ROUTING_TESTS_ROUTER_FIXTURE_H
+#define FILBERTSPRING_ROUTING_TESTS_ROUTER_FIXTURE_H
+
+/// \file
+/// A router with a virtual clock and short ways to tell it things.
+
+#include "filbertspring/routing.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace filbertspring::routing_test {
+
+using namespace std::chrono_literals;
+
+inline ListedInstance executor(const std::string &Name, const std::string &Zone,
+                               std::int64_t Slots = 8) {
+  ListedInstance Instance;
+  Instance.Name_ = InstanceName(Name);
+  Instance.Role_ = InstanceRole::Executor;
+  Instance.Zone_ = ZoneName(Zone);
+  Instance.Service_ = ServiceName("check");
+  Instance.Slots_ = Slots;
+  Instance.Http_ = {"10.0.0.1", 8000};
+  return Instance;
+}
+
+inline Contract contract(const std::string &Name, std::int64_t Rate = 1000,
+                         std::int64_t Concurrency = 100) {
+  Contract Terms;
+  Terms.Name_ = ContractName(Name);
+  Terms.Team_ = TeamName("team");
+  Terms.Services_ = {
+      {ServiceName("check"), 250ms, 0.99, Rate, Concurrency, 2s, true}};
+  return Terms;
+}
+
+/// Each call returns the actions that the router asked for.
+struct RouterFixture {
+  RouterConfig Config_ = [] {
+    RouterConfig Settings;
+    Settings.Zone_ = ZoneName("bodrum");
+    return Settings;
+  }();
+  Router Router_{Config_, 1};
+  TimePoint Now_{1h};
+
+  std::vector<RoutingAction> tell(const RoutingEvent &Event) {
+    std::vector<RoutingAction> Out;
+    Router_.handle(Event, Now_, Out);
+    return Out;
+  }
+
+  /// Moves the clock, with a Tick at each time that the router asks for.
+  std::vector<RoutingAction> pass(Duration Time) {
+    std::vector<RoutingAction> Out;
+    TimePoint End = Now_ + Time;
+    while (Router_.nextWake() && *Router_.nextWake() <= End) {
+      Now_ = std::max(Now_, *Router_.nextWake());
+      Router_.handle(Tick{}, Now_, Out);
+    }
+    Now_ = End;
+    return Out;
+  }
+
+  /// A contract "a" with the whole share and the given endpoints.
+  void start(const std::vector<ListedInstance> &Endpoints) {
+    tell(ContractsChanged{{contract("a")}});
+    tell(ShareChanged{ContractName("a"), 1000});
+    tell(EndpointsListed{Endpoints});
+  }
+
+  std::vector<RoutingAction> arrive(std::uint64_t Ticket,
+                                    bool Idempotent = true,
+                                    const std::string &Name = "a") {
+    return tell(RequestArrived{Ticket, RequestId("r"), ContractName(Name),
+                               ServiceName("check"), Now_ + 2s, Idempotent});
+  }
+
+  std::vector<RoutingAction> end(const SendAttempt &Sent, AttemptResult Result,
+                                 Duration Took = 10ms,
+                                 std::optional<ObservedLoad> Load = {}) {
+    return tell(AttemptEnded{Sent.Ticket_, Sent.Attempt_, Sent.Endpoint_,
+                             Result, Load, Took});
+  }
+};
+
+template <typename Action>
+std::vector<Action> allOf(const std::vector<RoutingAction> &Out) {
+  std::vector<Action> Found;
+  for (const RoutingAction &Item : Out)
+    if (const auto *Known = std::get_if<Action>(&Item))
+      Found.push_back(*Known);
+  return Found;
+}
+
+/// Returns the only action of its kind; throws when there is not just one.
+template <typename Action> Action only(const std::vector<RoutingAction> &Out) {
+  std::vector<Action> Found = allOf<Action>(Out);
+  if (Found.size() != 1)
+    throw std::runtime_error("not exactly one action of the kind but " +
+                             std::to_string(Found.size()));
+  return Found.front();
+}
+
+inline bool isNotRun(const AnswerCaller &Answer, NotRunReason Reason) {
+  return Answer.Outcome_ == RequestOutcome::NotRun && Answer.Reason_ == Reason;
+}
+
+} // namespace filbertspring::routing_test
+
+#endif // FILBERTSPRING_ROUTING_TESTS_ROUTER_FIXTURE_H
