--- /dev/null
+++ b/packages/placement/src/attempt_reconcile.cpp
@@ -0,0 +1,182 @@
+#include "attempt_reconcile.h"
+
+#include <algorithm>
+
+namespace filbertspring {
+namespace {
+
+/// What an answer says of one attempt, and what was sent about it.
+struct AttemptEvidence {
+  const AttemptReport *Report_ = nullptr;
+  const RefusedStart *Refusal_ = nullptr;
+  bool StopSent_ = false;
+  bool StartSent_ = false;
+};
+
+AttemptEvidence evidenceOf(const AttemptRef &Attempt,
+                           const ExchangeInFlight &Flight,
+                           const WorkerAnswer &Answer) {
+  AttemptEvidence Evidence;
+  const WorkerCommands &Sent = Flight.Commands_;
+  auto Listed = std::ranges::find(Answer.Report_.Attempts_, Attempt,
+                                  &AttemptReport::Attempt_);
+  if (Listed != Answer.Report_.Attempts_.end())
+    Evidence.Report_ = &*Listed;
+  auto Refused =
+      std::ranges::find(Answer.Refused_, Attempt, &RefusedStart::Attempt_);
+  if (Refused != Answer.Refused_.end())
+    Evidence.Refusal_ = &*Refused;
+  Evidence.StopSent_ =
+      std::ranges::find(Sent.Stops_, Attempt, &StopCommand::Attempt_) !=
+      Sent.Stops_.end();
+  Evidence.StartSent_ =
+      std::ranges::find(Sent.Starts_, Attempt, &StartCommand::Attempt_) !=
+      Sent.Starts_.end();
+  return Evidence;
+}
+
+void seenRunning(SchedulerCore &Core, RackState &Rack, HeldAttempt &Held,
+                 const WorkerState &Worker) {
+  if (Held.State_ == HeldState::Running)
+    return;
+  bool Adopted = Held.State_ == HeldState::Unproven;
+  // The worker refuses earlier owners from now on, so no lease of theirs is
+  // based on a later reading than this one.
+  if (Adopted)
+    Held.LapsedAt_ = surelyLapsed(*Worker.Reading_, Core.Settings_.Leases_);
+  Held.State_ = HeldState::Running;
+  Held.Boot_ = Worker.Boot_;
+  Held.Start_.reset();
+  Core.note(Adopted ? LogEvent::TaskRecovered : LogEvent::TaskStarted,
+            Held.Assignment_.Attempt_, Rack.Name_, Worker.Name_,
+            Adopted ? "adopted" : "");
+}
+
+void takeReport(SchedulerCore &Core, RackState &Rack, HeldAttempt &Held,
+                const WorkerState &Worker, const AttemptReport &Report) {
+  Held.Progress_ = Report.Progress_;
+  if (!Report.Checkpoint_.empty())
+    Held.Checkpoint_ = Report.Checkpoint_;
+  switch (Report.State_) {
+  case AttemptState::Running:
+    seenRunning(Core, Rack, Held, Worker);
+    break;
+  case AttemptState::Finished:
+    markOver(Core, Rack, Held, AttemptEnd::Finished, Report.Reason_);
+    break;
+  case AttemptState::Failed:
+    markOver(Core, Rack, Held, AttemptEnd::Failed, Report.Reason_);
+    break;
+  case AttemptState::Stopped:
+    markOver(Core, Rack, Held, AttemptEnd::Evicted,
+             Held.StopReason_.empty() ? "stopped" : Held.StopReason_);
+    break;
+  case AttemptState::Lapsed:
+    markOver(Core, Rack, Held, AttemptEnd::Lost, "lease lapsed");
+    break;
+  }
+}
+
+/// Asks for a stop, after which the worker refuses every late start.
+void stopToBeSure(SchedulerCore &Core, HeldAttempt &Held, WorkerState &Worker,
+                  std::string Reason) {
+  if (Held.Stop_ == StopWish::None)
+    Held.StopReason_ = std::move(Reason);
+  Held.Stop_ = StopWish::AtOnce;
+  Core.hurry(Worker);
+}
+
+void takeSilence(SchedulerCore &Core, RackState &Rack, HeldAttempt &Held,
+                 WorkerState &Worker, const AttemptEvidence &Evidence) {
+  if (Evidence.StopSent_) {
+    markOver(Core, Rack, Held, AttemptEnd::Lost,
+             Held.StopReason_.empty() ? "not running" : Held.StopReason_);
+    return;
+  }
+  if (Evidence.Refusal_ != nullptr) {
+    std::string_view Why =
+        nameOf(StartRefusalNames, Evidence.Refusal_->Reason_);
+    Core.note(LogEvent::StartRefused, Held.Assignment_.Attempt_, Rack.Name_,
+              Worker.Name_, std::string(Why));
+    stopToBeSure(Core, Held, Worker, "start refused: " + std::string(Why));
+    return;
+  }
+  bool Waits = Held.State_ == HeldState::Starting && !Evidence.StartSent_;
+  if (Waits)
+    Core.hurry(Worker);
+  else
+    stopToBeSure(Core, Held, Worker, "not running on its worker");
+}
+
+/// Remembers attempts that the worker lists and the table does not assign.
+void takeUnassigned(SchedulerCore &Core, const RackState &Rack,
+                    WorkerState &Worker, const WorkerReport &Report) {
+  Worker.Acknowledge_.clear();
+  Worker.Strays_.clear();
+  for (const AttemptReport &Each : Report.Attempts_) {
+    if (Rack.Held_.contains(Each.Attempt_))
+      continue;
+    bool Running = Each.State_ == AttemptState::Running;
+    (Running ? Worker.Strays_ : Worker.Acknowledge_).insert(Each.Attempt_);
+  }
+  if (!Worker.Strays_.empty())
+    Core.hurry(Worker);
+}
+
+std::vector<HeldAttempt *> heldOn(RackState &Rack, const WorkerName &Worker) {
+  std::vector<HeldAttempt *> Found;
+  for (auto &[Attempt, Held] : Rack.Held_)
+    if (Held.Worker_ == Worker && Held.State_ != HeldState::Over)
+      Found.push_back(&Held);
+  return Found;
+}
+
+} // namespace
+
+void markOver(SchedulerCore &Core, RackState &Rack, HeldAttempt &Held,
+              AttemptEnd End, std::string Reason) {
+  Held.State_ = HeldState::Over;
+  Held.End_ = End;
+  Held.EndReason_ = std::move(Reason);
+  Core.dirty(Rack.Name_);
+}
+
+void expireAttempts(SchedulerCore &Core, RackState &Rack,
+                    const WorkerState &Worker) {
+  const LeaseSettings &Leases = Core.Settings_.Leases_;
+  for (HeldAttempt *Held : heldOn(Rack, Worker.Name_)) {
+    if (Held->LapsedAt_) {
+      if (Core.Now_ >= *Held->LapsedAt_)
+        markOver(Core, Rack, *Held, AttemptEnd::Lost,
+                 "worker unreachable until its lease lapsed");
+      continue;
+    }
+    bool TooLate = surelyPast(Held->ClaimReading_, Core.Now_,
+                              Held->Start_->StartBefore_, Leases);
+    bool Unwanted = Held->Stop_ != StopWish::None;
+    if (TooLate || Unwanted || Held->Boot_ != Worker.Boot_)
+      markOver(Core, Rack, *Held, AttemptEnd::Lost, "never started");
+  }
+}
+
+void endEarlierBoots(SchedulerCore &Core, RackState &Rack,
+                     const WorkerState &Worker, const std::string &Boot) {
+  for (HeldAttempt *Held : heldOn(Rack, Worker.Name_))
+    if (!Held->Boot_.empty() && Held->Boot_ != Boot)
+      markOver(Core, Rack, *Held, AttemptEnd::Lost, "worker restarted");
+}
+
+void reconcile(SchedulerCore &Core, RackState &Rack, WorkerState &Worker,
+               const ExchangeInFlight &Flight, const WorkerAnswer &Answer) {
+  for (HeldAttempt *Held : heldOn(Rack, Worker.Name_)) {
+    const AttemptRef &Attempt = Held->Assignment_.Attempt_;
+    AttemptEvidence Evidence = evidenceOf(Attempt, Flight, Answer);
+    if (Evidence.Report_ != nullptr)
+      takeReport(Core, Rack, *Held, Worker, *Evidence.Report_);
+    else
+      takeSilence(Core, Rack, *Held, Worker, Evidence);
+  }
+  takeUnassigned(Core, Rack, Worker, Answer.Report_);
+}
+
+} // namespace filbertspring
--- /dev/null
+++ b/packages/placement/src/backoff.h
@@ -0,0 +1,34 @@
+#ifndef FILBERTSPRING_PLACEMENT_BACKOFF_H
+#define FILBERTSPRING_PLACEMENT_BACKOFF_H
+
+/// \file
+/// Exponential backoff with jitter.
+
+#include "filbertspring/base/time.h"
+
+#include <algorithm>
+#include <pcg_random.hpp>
+
+namespace filbertspring {
+
+/// The wait before the next try of one thing.
+class Backoff {
+public:
+  /// Counts a failure and returns the wait: \p First doubled with each failure
+  /// up to \p Limit, shortened at random by up to a half.
+  Duration fail(Duration First, Duration Limit, pcg32 &Random) {
+    constexpr int MaxDoublings = 20;
+    Duration Full = std::min(Limit, First * (1 << Doublings_));
+    Doublings_ = std::min(Doublings_ + 1, MaxDoublings);
+    auto Half = static_cast<std::uint32_t>(Full.count() / 2);
+    return Full - Duration(Random(Half + 1));
+  }
+  void reset() { Doublings_ = 0; }
+
+private:
+  int Doublings_ = 0;
+};
+
+} // namespace filbertspring
+
+#endif // FILBERTSPRING_PLACEMENT_BACKOFF_H
--- /dev/null
+++ b/packages/placement/src/job_rejection.cpp
@@ -0,0 +1,114 @@
+#include "job_rejection.h"
+
+#include "row_intake.h"
+#include "table_reads.h"
+
+#include <map>
+
+namespace filbertspring {
+namespace {
+
+constexpr std::size_t MaxRejectsPerCommit = 32;
+
+/// Returns the job with its waiting tasks rejected.
+Result<JobRecord> rejected(const JobEntry &Entry, const std::string &Reason) {
+  Result<Job> Subject = Job::restore(Entry.Record_);
+  if (!Subject)
+    return fail(Subject.error());
+  for (std::int32_t Index : Entry.Waiting_)
+    (void)Subject->reject(Index, Reason); // Waiting_ holds waiting tasks only.
+  return Subject->record();
+}
+
+/// Adds the rejection of \p Entry, based on the present contract.
+void addRejection(SchedulerCore &Core, JobEntry &Entry,
+                  const std::string &Reason, Transaction &Draft,
+                  std::map<RowKey, RowVersion> &Guards) {
+  Result<JobRecord> Value = rejected(Entry, Reason);
+  if (!Value)
+    return;
+  const ContractName &Contract = Entry.Record_.Contract_;
+  Guards[{RowKind::Contract, Contract.str()}] =
+      findRow(Core.Table_.Contracts_, Contract)->Version_;
+  Draft.Changes_.push_back({{RowKind::Job, Entry.Record_.Id_.str()},
+                            Entry.Version_,
+                            std::move(*Value)});
+  Entry.Locked_ = true;
+  Core.Jobs_.place(Entry, Core.Now_);
+  Core.note(LogEvent::TaskImpossible,
+            {{Entry.Record_.Id_, *Entry.Waiting_.begin()}, 0}, {}, {}, Reason);
+}
+
+/// Returns the entry of a row's job when it may be rejected here and now.
+JobEntry *rejectable(SchedulerCore &Core, const StoredRow &Row) {
+  JobEntry *Entry = Core.Jobs_.find(JobId(Row.Key_.Name_));
+  return Entry != nullptr && Entry->Queued_ ? Entry : nullptr;
+}
+
+void endRejection(SchedulerCore &Core, bool Reread) {
+  PendingReject Done = std::move(*Core.Reject_);
+  Core.Reject_.reset();
+  for (const Change &Each : Done.Transaction_.Changes_) {
+    JobEntry *Entry = Core.Jobs_.find(JobId(Each.Key_.Name_));
+    if (Entry == nullptr)
+      continue;
+    Entry->Locked_ = false;
+    Entry->Stale_ = Entry->Stale_ || Reread;
+    Core.Jobs_.place(*Entry, Core.Now_);
+    if (Reread)
+      wantRow(Core, Each.Key_);
+  }
+}
+
+} // namespace
+
+void rejectImpossible(SchedulerCore &Core, const std::vector<StoredRow> &Rows) {
+  expireRejection(Core);
+  if (Core.Reject_ || Core.Draining_ || !Core.PlatformReachable_)
+    return;
+  Transaction Draft;
+  std::map<RowKey, RowVersion> Guards;
+  for (const StoredRow &Row : Rows) {
+    JobEntry *Entry = rejectable(Core, Row);
+    if (Entry == nullptr || Draft.Changes_.size() >= MaxRejectsPerCommit)
+      continue;
+    std::optional<std::string> Reason =
+        impossibleReason(Entry->Record_, Core.Table_, Core.Census_, Core.Now_,
+                         Core.Settings_.Impossible_);
+    if (Reason)
+      addRejection(Core, *Entry, *Reason, Draft, Guards);
+  }
+  if (Draft.Changes_.empty())
+    return;
+  Draft.Id_ = Core.nextTransaction();
+  for (const auto &[Key, Version] : Guards)
+    Draft.Guards_.push_back({Key, Version});
+  Core.Reject_ = PendingReject{Draft.Id_, Core.Now_, Draft};
+  Core.act(CommitRows{std::move(Draft)});
+}
+
+void rejectDone(SchedulerCore &Core, const CommitDone &Answer) {
+  if (!Core.Reject_ || Core.Reject_->Id_ != Answer.Id_)
+    return;
+  Transaction Sent = Core.Reject_->Transaction_;
+  const CommitResult &Outcome = Answer.Result_;
+  bool Committed = Outcome.Outcome_ == CommitOutcome::Committed;
+  endRejection(Core, !Committed);
+  for (const RowKey &Key : Outcome.Conflicts_)
+    wantRow(Core, Key);
+  if (!Committed)
+    return;
+  for (const Change &Each : Sent.Changes_)
+    takeRow(Core, {Each.Key_, Outcome.Version_, Sent.Id_, *Each.Value_},
+            std::nullopt);
+}
+
+void expireRejection(SchedulerCore &Core) {
+  if (!Core.Reject_)
+    return;
+  Duration Passed = Core.Now_ - Core.Reject_->SentAt_;
+  if (Passed >= Core.Settings_.Pace_.TableTimeout_)
+    endRejection(Core, true);
+}
+
+} // namespace filbertspring
--- /dev/null
+++ b/packages/placement/src/rack_commits.cpp
@@ -0,0 +1,165 @@
+#include "rack_commits.h"
+
+#include "job_rejection.h"
+#include "row_intake.h"
+#include "table_reads.h"
+
+namespace filbertspring {
+namespace {
+
+void setLock(SchedulerCore &Core, const RowKey &Key, bool Locked) {
+  if (Key.Kind_ == RowKind::QuotaLedger) {
+    ContractName Name(Key.Name_);
+    if (Locked)
+      Core.LockedLedgers_.insert(Name);
+    else
+      Core.LockedLedgers_.erase(Name);
+    return;
+  }
+  if (Key.Kind_ != RowKind::Job)
+    return;
+  JobEntry *Entry = Core.Jobs_.find(JobId(Key.Name_));
+  if (Entry == nullptr)
+    return;
+  Entry->Locked_ = Locked;
+  Core.Jobs_.place(*Entry, Core.Now_);
+}
+
+void markStale(SchedulerCore &Core, const RowKey &Key) {
+  wantRow(Core, Key);
+  if (Key.Kind_ != RowKind::Job)
+    return;
+  JobEntry *Entry = Core.Jobs_.find(JobId(Key.Name_));
+  if (Entry == nullptr)
+    return;
+  Entry->Stale_ = true;
+  Core.Jobs_.place(*Entry, Core.Now_);
+}
+
+/// Ends the transaction under way and returns it.
+PendingCommit takePending(SchedulerCore &Core, RackState &Rack) {
+  PendingCommit Pending = std::move(*Rack.Pending_);
+  Rack.Pending_.reset();
+  Core.Commits_.erase(Pending.Transaction_.Id_);
+  for (const Change &Each : Pending.Transaction_.Changes_)
+    setLock(Core, Each.Key_, false);
+  Core.dirtyAllRacks();
+  return Pending;
+}
+
+/// Ends a transaction that did not take effect, or whose effect is unknown.
+void endUnsuccessful(SchedulerCore &Core, RackState &Rack) {
+  takePending(Core, Rack);
+  const PaceSettings &Pace = Core.Settings_.Pace_;
+  Rack.RetryAt_ =
+      Core.Now_ +
+      Rack.Backoff_.fail(Pace.Backoff_, Pace.BackoffMax_, Core.Random_);
+}
+
+void committed(SchedulerCore &Core, RackState &Rack, RowVersion Version) {
+  // The rack's row settles the transaction and takes the other rows in.
+  const Change &First = Rack.Pending_->Transaction_.Changes_.front();
+  StoredRow Row{First.Key_, Version, Rack.Pending_->Transaction_.Id_,
+                *First.Value_};
+  TimePoint SentAt = Rack.Pending_->SentAt_;
+  takeRow(Core, Row, SentAt);
+}
+
+void conflicted(SchedulerCore &Core, RackState &Rack,
+                const std::vector<RowKey> &Conflicts) {
+  Core.note(LogEvent::CommitConflict, {}, Rack.Name_, {},
+            Conflicts.empty() ? "" : Conflicts.front().Name_);
+  endUnsuccessful(Core, Rack);
+  for (const RowKey &Key : Conflicts)
+    markStale(Core, Key);
+  if (Conflicts.empty())
+    wantRack(Core, Rack.Name_);
+}
+
+} // namespace
+
+void sendCommit(SchedulerCore &Core, RackState &Rack, const RackDraft &Draft,
+                bool Takeover, std::map<AttemptRef, HeldAttempt> Starts) {
+  PendingCommit Pending;
+  Pending.Transaction_ = Draft.build(Core.nextTransaction());
+  Pending.SentAt_ = Core.Now_;
+  Pending.RackExpected_ = Rack.Version_;
+  Pending.Takeover_ = Takeover;
+  Pending.Starts_ = std::move(Starts);
+  Core.Commits_[Pending.Transaction_.Id_] = Rack.Name_;
+  for (const Change &Each : Pending.Transaction_.Changes_)
+    setLock(Core, Each.Key_, true);
+  Core.act(CommitRows{Pending.Transaction_});
+  Rack.Pending_ = std::move(Pending);
+}
+
+void commitDone(SchedulerCore &Core, const CommitDone &Answer) {
+  auto Found = Core.Commits_.find(Answer.Id_);
+  if (Found == Core.Commits_.end()) {
+    rejectDone(Core, Answer);
+    return;
+  }
+  RackState &Rack = *Core.findRack(Found->second);
+  switch (Answer.Result_.Outcome_) {
+  case CommitOutcome::Committed:
+    committed(Core, Rack, Answer.Result_.Version_);
+    break;
+  case CommitOutcome::Conflict:
+    conflicted(Core, Rack, Answer.Result_.Conflicts_);
+    break;
+  case CommitOutcome::NotCommitted:
+    endUnsuccessful(Core, Rack);
+    break;
+  case CommitOutcome::Unknown:
+    commitUnknown(Core, Rack);
+    break;
+  }
+  Core.dirty(Rack.Name_);
+}
+
+void commitUnknown(SchedulerCore &Core, RackState &Rack) {
+  Core.note(LogEvent::CommitUnknown, {}, Rack.Name_, {});
+  Rack.Pending_->Unsettled_ = true;
+  for (const Change &Each : Rack.Pending_->Transaction_.Changes_)
+    wantRow(Core, Each.Key_);
+}
+
+SettledCommit settleByRow(SchedulerCore &Core, RackState &Rack,
+                          const StoredRow &Row) {
+  SettledCommit Settled;
+  if (!Rack.Pending_ || Row.Version_ <= Rack.Pending_->RackExpected_)
+    return Settled;
+  bool TookEffect = Row.Writer_ == Rack.Pending_->Transaction_.Id_;
+  if (!TookEffect) {
+    std::vector<Change> Changes = Rack.Pending_->Transaction_.Changes_;
+    endUnsuccessful(Core, Rack);
+    for (const Change &Each : Changes)
+      if (Each.Key_.Kind_ != RowKind::Rack)
+        markStale(Core, Each.Key_);
+    return Settled;
+  }
+  PendingCommit Pending = takePending(Core, Rack);
+  Rack.Backoff_.reset();
+  Rack.RetryAt_ = Core.Now_;
+  // All rows of a transaction get the same version.
+  for (const Change &Each : Pending.Transaction_.Changes_)
+    if (Each.Key_.Kind_ != RowKind::Rack)
+      takeRow(Core,
+              {Each.Key_, Row.Version_, Pending.Transaction_.Id_, *Each.Value_},
+              std::nullopt);
+  Settled.TookOver_ = Pending.Takeover_;
+  Settled.Starts_ = std::move(Pending.Starts_);
+  return Settled;
+}
+
+void abandonUnsettled(SchedulerCore &Core, RackState &Rack) {
+  if (!Rack.Pending_ || !Rack.Pending_->Unsettled_)
+    return;
+  std::vector<Change> Changes = Rack.Pending_->Transaction_.Changes_;
+  endUnsuccessful(Core, Rack);
+  for (const Change &Each : Changes)
+    if (Each.Key_.Kind_ != RowKind::Rack)
+      markStale(Core, Each.Key_);
+}
+
+} // namespace filbertspring
--- /dev/null
+++ b/packages/placement/src/rack_commits.h
@@ -0,0 +1,41 @@
+#ifndef FILBERTSPRING_PLACEMENT_RACK_COMMITS_H
+#define FILBERTSPRING_PLACEMENT_RACK_COMMITS_H
+
+/// \file
+/// The life of the transactions of racks. Each rack has one under way at a
+/// time. What an unanswered one did is never assumed: its rows are read, and
+/// the rack's row tells whether it took effect.
+
+#include "rack_draft.h"
+#include "scheduler_core.h"
+
+namespace filbertspring {
+
+/// What became of a transaction, as a rack's row shows it.
+struct SettledCommit {
+  bool TookOver_ = false;
+  std::map<AttemptRef, HeldAttempt> Starts_;
+};
+
+/// Sends the transaction of \p Draft for \p Rack, which has none under way.
+void sendCommit(SchedulerCore &Core, RackState &Rack, const RackDraft &Draft,
+                bool Takeover, std::map<AttemptRef, HeldAttempt> Starts);
+
+/// Takes in the answer to a transaction of any rack.
+void commitDone(SchedulerCore &Core, const CommitDone &Answer);
+
+/// Treats the transaction of \p Rack as unanswered.
+void commitUnknown(SchedulerCore &Core, RackState &Rack);
+
+/// Settles the transaction of \p Rack by a newer version of its row: it took
+/// effect when it wrote \p Row, else it never will.
+SettledCommit settleByRow(SchedulerCore &Core, RackState &Rack,
+                          const StoredRow &Row);
+
+/// Gives up an unanswered transaction whose rack's row has not changed. It may
+/// still take effect, and then its rows are met as they are.
+void abandonUnsettled(SchedulerCore &Core, RackState &Rack);
+
+} // namespace filbertspring
+
+#endif // FILBERTSPRING_PLACEMENT_RACK_COMMITS_H
--- /dev/null
+++ b/packages/placement/src/rack_service.cpp
@@ -0,0 +1,145 @@
+#include "rack_service.h"
+
+#include "drain_planner.h"
+#include "end_planner.h"
+#include "grant_planner.h"
+#include "rack_commits.h"
+#include "start_planner.h"
+#include "table_reads.h"
+
+#include <algorithm>
+
+namespace filbertspring {
+namespace {
+
+/// Adds workers that the platform lists, and removes those that left it.
+void planWorkers(const SchedulerCore &Core, const RackState &Rack,
+                 RackDraft &Draft) {
+  for (const auto &[Name, Worker] : Core.Workers_) {
+    if (Worker.Rack_ != Rack.Name_ || !Worker.ListedAt_)
+      continue;
+    const RackWorker *Known = Draft.rack().findWorker(Name);
+    if (Known != nullptr && Known->Capacity_ == Worker.Capacity_)
+      continue;
+    Resources Reserved = Known == nullptr ? Resources{} : Known->Reserved_;
+    Draft.rack().upsertWorker(Name, Worker.Capacity_, Reserved);
+    Draft.touch();
+  }
+}
+
+bool workersDiffer(const SchedulerCore &Core, const RackState &Rack) {
+  return std::ranges::any_of(Core.Workers_, [&](const auto &Item) {
+    const WorkerState &Worker = Item.second;
+    if (Worker.Rack_ != Rack.Name_ || !Worker.ListedAt_)
+      return false;
+    auto Known =
+        std::ranges::find(Rack.Row_.Workers_, Worker.Name_, &RackWorker::Name_);
+    return Known == Rack.Row_.Workers_.end() ||
+           Known->Capacity_ != Worker.Capacity_;
+  });
+}
+
+std::size_t takeoversUnderWay(const SchedulerCore &Core) {
+  return std::ranges::count_if(Core.Racks_, [](const auto &Item) {
+    return Item.second.Pending_ && Item.second.Pending_->Takeover_;
+  });
+}
+
+void takeOver(SchedulerCore &Core, RackState &Rack) {
+  if (takeoversUnderWay(Core) >= Core.Settings_.Batch_.Takeovers_) {
+    Rack.RetryAt_ = Core.Now_ + Core.Settings_.Pace_.Backoff_;
+    return;
+  }
+  RackRecord Record = Rack.Row_;
+  Record.Name_ = Rack.Name_;
+  Record.Zone_ = Rack.Zone_;
+  Result<RackDraft> Draft = RackDraft::make(Record, Rack.Version_);
+  if (!Draft) {
+    Rack.RetryAt_ = Core.Now_ + Core.Settings_.Pace_.BackoffMax_;
+    return;
+  }
+  Draft->rack().takeOver(Core.Self_);
+  planWorkers(Core, Rack, *Draft);
+  sendCommit(Core, Rack, *Draft, true, {});
+}
+
+/// Returns true when a transaction may have something to do; cheap.
+bool hasWork(const SchedulerCore &Core, const RackState &Rack) {
+  bool Starts =
+      Core.Jobs_.anyQueued() && Rack.BlockedAt_ != Core.Jobs_.generation();
+  return Starts || hasEnds(Rack) || grantsDue(Core, Rack) ||
+         workersDiffer(Core, Rack);
+}
+
+void commitWork(SchedulerCore &Core, RackState &Rack) {
+  if (!hasWork(Core, Rack))
+    return;
+  Result<RackDraft> Draft = RackDraft::make(Rack.Row_, Rack.Version_);
+  if (!Draft)
+    return;
+  planWorkers(Core, Rack, *Draft);
+  planEnds(Core, Rack, *Draft);
+  planGrantReturns(Core, Rack, *Draft);
+  std::map<AttemptRef, HeldAttempt> Starts = planStarts(Core, Rack, *Draft);
+  if (Draft->touched())
+    sendCommit(Core, Rack, *Draft, false, std::move(Starts));
+}
+
+void expireCommit(SchedulerCore &Core, RackState &Rack) {
+  Duration Passed = Core.Now_ - Rack.Pending_->SentAt_;
+  bool Silent = Passed >= Core.Settings_.Pace_.TableTimeout_;
+  if (Silent && !Rack.Pending_->Unsettled_)
+    commitUnknown(Core, Rack);
+}
+
+void armRack(SchedulerCore &Core, const RackState &Rack) {
+  const PaceSettings &Pace = Core.Settings_.Pace_;
+  TimerKey Key{TimerKind::Rack, Rack.Name_.str()};
+  TimePoint Next = Core.Now_ + Pace.OwnershipRead_;
+  if (Rack.Pending_ && !Rack.Pending_->Unsettled_)
+    Next = Rack.Pending_->SentAt_ + Pace.TableTimeout_;
+  else if (Rack.RetryAt_ > Core.Now_)
+    Next = std::min(Next, Rack.RetryAt_);
+  else if (Rack.Owned_ && Rack.NextRead_ > Core.Now_)
+    Next = std::min(Next, Rack.NextRead_);
+  Core.Timers_.set(Key, Next);
+}
+
+void readIfDue(SchedulerCore &Core, RackState &Rack) {
+  bool Confirm = Rack.Owned_ && Core.Now_ >= Rack.NextRead_;
+  if (Rack.Known_ && !Confirm)
+    return;
+  wantRack(Core, Rack.Name_);
+  Rack.NextRead_ = Core.Now_ + Core.Settings_.Pace_.OwnershipRead_;
+}
+
+/// Returns true when the next transaction of the rack may be sent.
+bool mayCommit(const SchedulerCore &Core, const RackState &Rack) {
+  RowKey Key{RowKind::Rack, Rack.Name_.str()};
+  bool Reading = Core.Wanted_.contains(Key);
+  return Rack.Known_ && !Rack.Pending_ && !Reading &&
+         Core.Now_ >= Rack.RetryAt_ && Core.PlatformReachable_;
+}
+
+} // namespace
+
+void serviceRack(SchedulerCore &Core, RackState &Rack) {
+  if (!Rack.Desired_ && !Rack.Owned_ && !Rack.Pending_) {
+    Core.Timers_.clear({TimerKind::Rack, Rack.Name_.str()});
+    return;
+  }
+  if (Rack.Pending_)
+    expireCommit(Core, Rack);
+  readIfDue(Core, Rack);
+  if (Rack.Owned_)
+    planEvictions(Core, Rack);
+  if (mayCommit(Core, Rack)) {
+    if (Rack.Owned_)
+      commitWork(Core, Rack);
+    else if (Rack.Desired_ && !Core.Draining_)
+      takeOver(Core, Rack);
+  }
+  armRack(Core, Rack);
+}
+
+} // namespace filbertspring
--- /dev/null
+++ b/packages/placement/src/rack_state.h
@@ -0,0 +1,94 @@
+#ifndef FILBERTSPRING_PLACEMENT_RACK_STATE_H
+#define FILBERTSPRING_PLACEMENT_RACK_STATE_H
+
+/// \file
+/// What a scheduler keeps for each rack and each worker.
+
+#include "backoff.h"
+#include "held_attempt.h"
+
+#include "filbertspring/domain/endpoint.h"
+#include "filbertspring/domain/store.h"
+#include "filbertspring/placement/placement_event.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace filbertspring {
+
+/// A transaction of a rack that was sent.
+struct PendingCommit {
+  Transaction Transaction_;
+  TimePoint SentAt_{};
+  RowVersion RackExpected_ = AbsentVersion;
+  bool Takeover_ = false;
+  /// Its outcome is unknown, and its rows are read.
+  bool Unsettled_ = false;
+  RequestNumber SettleRead_ = UnsolicitedRead;
+  /// Starts to send once it is seen committed, by attempt.
+  std::map<AttemptRef, HeldAttempt> Starts_;
+};
+
+/// A rack that this instance schedules, or should.
+struct RackState {
+  RackName Name_;
+  ZoneName Zone_;
+  bool Desired_ = false;
+  /// The row was read, or is known to be absent.
+  bool Known_ = false;
+  RowVersion Version_ = AbsentVersion;
+  RackRecord Row_;
+  /// A takeover of this scheduler is seen committed and no later one.
+  bool Owned_ = false;
+  std::int64_t Epoch_ = 0;
+  /// When the latest read or commit that showed the ownership was sent.
+  TimePoint ConfirmedAt_{};
+  TimePoint NextRead_{};
+  TimePoint RetryAt_{};
+  bool Reading_ = false;
+  Backoff Backoff_;
+  std::optional<PendingCommit> Pending_;
+  std::map<AttemptRef, HeldAttempt> Held_;
+  /// When a contract last took capacity here.
+  std::map<ContractName, TimePoint> LastClaim_;
+  /// The generation of the job index at which nothing could be placed.
+  std::optional<std::uint64_t> BlockedAt_;
+};
+
+/// The commands of one exchange with a worker.
+struct ExchangeInFlight {
+  RequestNumber Number_ = 0;
+  TimePoint SentAt_{};
+  WorkerCommands Commands_;
+  /// Attempts whose first start is among the commands.
+  std::vector<AttemptRef> FirstStarts_;
+};
+
+/// What is known of a worker.
+struct WorkerState {
+  WorkerName Name_;
+  RackName Rack_;
+  ZoneName Zone_;
+  Address Address_;
+  Resources Capacity_;
+  bool Leaving_ = false;
+  std::optional<TimePoint> ListedAt_;
+  std::string Boot_;
+  std::optional<ClockReading> Reading_;
+  /// The epoch that the worker last obeyed, and so the older ones are refused.
+  std::int64_t ObeyedEpoch_ = 0;
+  std::size_t Failures_ = 0;
+  Backoff Backoff_;
+  std::optional<ExchangeInFlight> InFlight_;
+  TimePoint NextExchange_{};
+  /// Ended attempts that the table no longer assigns.
+  std::set<AttemptRef> Acknowledge_;
+  /// Running attempts that the table does not assign.
+  std::set<AttemptRef> Strays_;
+};
+
+} // namespace filbertspring
+
+#endif // FILBERTSPRING_PLACEMENT_RACK_STATE_H
--- /dev/null
+++ b/packages/placement/src/row_intake.cpp
@@ -0,0 +1,186 @@
+#include "row_intake.h"
+
+#include "job_rejection.h"
+#include "rack_ownership.h"
+
+#include "filbertspring/base/overloaded.h"
+#include "filbertspring/placement/job_rank.h"
+
+#include <algorithm>
+
+namespace filbertspring {
+namespace {
+
+bool holdsAttemptOf(const SchedulerCore &Core, const JobId &Job) {
+  auto First = Core.HeldIn_.lower_bound({{Job, 0}, 0});
+  return First != Core.HeldIn_.end() && First->first.Task_.Job_ == Job;
+}
+
+bool isOver(const JobRecord &Job) {
+  return std::ranges::none_of(Job.Tasks_, [](const Task &Each) {
+    return Each.State_ == TaskState::Waiting ||
+           Each.State_ == TaskState::Claimed;
+  });
+}
+
+/// Returns how long this instance leaves a new job to others.
+Duration fallbackDelay(const SchedulerCore &Core, const JobId &Job) {
+  const PaceSettings &Pace = Core.Settings_.Pace_;
+  std::size_t Rank = jobRank(Job, Core.Self_, Core.Alive_);
+  return Pace.FallbackStep_ *
+         static_cast<std::int64_t>(std::min(Rank, Pace.MaxFallbackRank_));
+}
+
+void queueJob(SchedulerCore &Core, JobEntry &Entry) {
+  Core.Jobs_.place(Entry, Core.Now_);
+  if (Entry.Queued_)
+    for (const auto &[Name, Rack] : Core.Racks_)
+      Core.dirty(Name);
+  if (Entry.EligibleAt_ > Core.Now_)
+    Core.Timers_.set({TimerKind::Job, Entry.Record_.Id_.str()},
+                     Entry.EligibleAt_);
+}
+
+void takeJob(SchedulerCore &Core, const JobRecord &Job, RowVersion Version) {
+  JobEntry *Known = Core.Jobs_.find(Job.Id_);
+  if (Known != nullptr && Version < Known->Version_)
+    return;
+  if (Known != nullptr && Version == Known->Version_) {
+    Known->Stale_ = false;
+    queueJob(Core, *Known);
+    return;
+  }
+  stopUnclaimed(Core, Job);
+  if (Known == nullptr && isOver(Job) && !holdsAttemptOf(Core, Job.Id_))
+    return;
+  bool New = Known == nullptr;
+  JobEntry &Entry = Core.Jobs_.adopt(Job, Version);
+  if (New)
+    Entry.EligibleAt_ = Core.Now_ + fallbackDelay(Core, Job.Id_);
+  queueJob(Core, Entry);
+  forgetEndedJob(Core, Job.Id_);
+}
+
+void takeZone(SchedulerCore &Core, const AvailabilityZone &Zone,
+              RowVersion Version) {
+  const auto *Before = findRow(Core.Table_.Zones_, Zone.Name_);
+  bool WasOut = Before != nullptr && !Before->Value_.inService();
+  if (!adoptNewer(Core.Table_.Zones_, Zone.Name_, Zone, Version))
+    return;
+  if (WasOut && Zone.inService())
+    Core.Ramps_[Zone.Name_].restart(Core.Now_);
+  Core.dirtyAllRacks();
+}
+
+void takeContract(SchedulerCore &Core, const ContractRecord &Contract,
+                  RowVersion Version) {
+  const ContractName &Name = Contract.Terms_.Name_;
+  if (adoptNewer(Core.Table_.Contracts_, Name, Contract, Version))
+    Core.dirtyAllRacks();
+}
+
+void takeLedger(SchedulerCore &Core, const QuotaLedgerRecord &Ledger,
+                RowVersion Version) {
+  if (adoptNewer(Core.Table_.Ledgers_, Ledger.Contract_, Ledger, Version))
+    Core.dirtyAllRacks();
+}
+
+/// Takes in that the row of \p Job does not exist.
+void takeAbsentJob(SchedulerCore &Core, const JobId &Job) {
+  if (!holdsAttemptOf(Core, Job)) {
+    Core.Jobs_.erase(Job);
+    return;
+  }
+  JobRecord Gone;
+  Gone.Id_ = Job;
+  stopUnclaimed(Core, Gone);
+  Core.Jobs_.adopt(Gone, AbsentVersion);
+}
+
+} // namespace
+
+bool claims(const JobRecord &Job, const AttemptRef &Attempt) {
+  auto Index = static_cast<std::size_t>(Attempt.Task_.Index_);
+  if (Index >= Job.Tasks_.size())
+    return false;
+  const Task &Entry = Job.Tasks_[Index];
+  return Entry.State_ == TaskState::Claimed &&
+         Entry.Attempt_ == Attempt.Attempt_;
+}
+
+void stopUnclaimed(SchedulerCore &Core, const JobRecord &Job) {
+  auto Next = Core.HeldIn_.lower_bound({{Job.Id_, 0}, 0});
+  for (; Next != Core.HeldIn_.end(); ++Next) {
+    const AttemptRef &Attempt = Next->first;
+    if (Attempt.Task_.Job_ != Job.Id_)
+      return;
+    HeldAttempt &Held = *Core.findHeld(Attempt);
+    if (claims(Job, Attempt) || Held.Stop_ == StopWish::AtOnce)
+      continue;
+    Held.Stop_ = StopWish::AtOnce;
+    Held.StopReason_ = "no longer claimed by its job";
+    if (WorkerState *Worker = Core.findWorker(Held.Worker_))
+      Core.hurry(*Worker);
+  }
+}
+
+void forgetEndedJob(SchedulerCore &Core, const JobId &Job) {
+  const JobEntry *Entry = Core.Jobs_.find(Job);
+  if (Entry == nullptr || Entry->Locked_)
+    return;
+  if (isOver(Entry->Record_) && !holdsAttemptOf(Core, Job))
+    Core.Jobs_.erase(Job);
+}
+
+void takeRow(SchedulerCore &Core, const StoredRow &Row,
+             std::optional<TimePoint> ProvedAt) {
+  std::visit(Overloaded{[&](const ContractRecord &Value) {
+                          takeContract(Core, Value, Row.Version_);
+                        },
+                        [&](const AvailabilityZone &Value) {
+                          takeZone(Core, Value, Row.Version_);
+                        },
+                        [&](const RackRecord &Value) {
+                          takeRack(Core, Value, Row, ProvedAt);
+                        },
+                        [&](const JobRecord &Value) {
+                          takeJob(Core, Value, Row.Version_);
+                        },
+                        [&](const QuotaLedgerRecord &Value) {
+                          takeLedger(Core, Value, Row.Version_);
+                        },
+                        [](const auto &) {}},
+             Row.Value_);
+}
+
+void takeAbsent(SchedulerCore &Core, const RowKey &Key) {
+  switch (Key.Kind_) {
+  case RowKind::Rack:
+    takeAbsentRack(Core, RackName(Key.Name_));
+    break;
+  case RowKind::QuotaLedger: {
+    ContractName Name(Key.Name_);
+    Core.Table_.Ledgers_.try_emplace(
+        Name, Versioned<QuotaLedgerRecord>{{Name, {}}, AbsentVersion});
+    Core.dirtyAllRacks();
+    break;
+  }
+  case RowKind::Job:
+    takeAbsentJob(Core, JobId(Key.Name_));
+    Core.dirtyAllRacks();
+    break;
+  default:
+    break;
+  }
+}
+
+void takeScan(SchedulerCore &Core, RowKind Kind,
+              const std::vector<StoredRow> &Rows) {
+  if (Kind == RowKind::Zone)
+    Core.Table_.ZonesComplete_ = true;
+  if (Kind != RowKind::Job)
+    return;
+  rejectImpossible(Core, Rows);
+}
+
+} // namespace filbertspring
--- /dev/null
+++ b/packages/placement/src/row_intake.h
@@ -0,0 +1,35 @@
+#ifndef FILBERTSPRING_PLACEMENT_ROW_INTAKE_H
+#define FILBERTSPRING_PLACEMENT_ROW_INTAKE_H
+
+/// \file
+/// Takes rows of the table into the state of a scheduler. Of each row only a
+/// higher version is ever taken.
+
+#include "scheduler_core.h"
+
+namespace filbertspring {
+
+/// Takes in \p Row. \p ProvedAt is when the read or commit that showed it was
+/// sent; nothing for a row that only informs.
+void takeRow(SchedulerCore &Core, const StoredRow &Row,
+             std::optional<TimePoint> ProvedAt);
+
+/// Takes in that the row of \p Key did not exist when it was read.
+void takeAbsent(SchedulerCore &Core, const RowKey &Key);
+
+/// Takes in the end of a scan that returned \p Rows.
+void takeScan(SchedulerCore &Core, RowKind Kind,
+              const std::vector<StoredRow> &Rows);
+
+/// Returns true when \p Attempt is the one that its task is claimed by.
+bool claims(const JobRecord &Job, const AttemptRef &Attempt);
+
+/// Drops \p Job when it is over and none of its attempts is held.
+void forgetEndedJob(SchedulerCore &Core, const JobId &Job);
+
+/// Stops the attempts of \p Job that its row no longer claims.
+void stopUnclaimed(SchedulerCore &Core, const JobRecord &Job);
+
+} // namespace filbertspring
+
+#endif // FILBERTSPRING_PLACEMENT_ROW_INTAKE_H
--- /dev/null
+++ b/packages/placement/src/scheduler.cpp
@@ -0,0 +1,192 @@
+#include "filbertspring/placement/scheduler.h"
+
+#include "job_rejection.h"
+#include "rack_commits.h"
+#include "rack_ownership.h"
+#include "rack_service.h"
+#include "row_intake.h"
+#include "scheduler_core.h"
+#include "scheduler_views.h"
+#include "table_reads.h"
+#include "worker_exchange.h"
+
+#include "filbertspring/base/overloaded.h"
+
+#include <algorithm>
+#include <string>
+
+namespace filbertspring {
+namespace {
+
+const TimerKey JobScanTimer{TimerKind::JobScan, {}};
+const TimerKey ConfigurationScanTimer{TimerKind::ConfigurationScan, {}};
+
+void evictAttempt(SchedulerCore &Core, const EvictRequested &Event) {
+  HeldAttempt *Held = Core.findHeld(Event.Attempt_);
+  if (Held == nullptr || Held->Stop_ != StopWish::None)
+    return;
+  Held->Stop_ = StopWish::WithCheckpoint;
+  Held->StopReason_ = Event.Reason_;
+  if (WorkerState *Worker = Core.findWorker(Held->Worker_))
+    Core.hurry(*Worker);
+}
+
+void throttleAttempt(SchedulerCore &Core, const ThrottleRequested &Event) {
+  HeldAttempt *Held = Core.findHeld(Event.Attempt_);
+  if (Held == nullptr)
+    return;
+  Held->Throttle_ = Event.Fraction_;
+  if (WorkerState *Worker = Core.findWorker(Held->Worker_))
+    Core.hurry(*Worker);
+}
+
+void setPlatformState(SchedulerCore &Core, const PlatformState &Event) {
+  Core.PlatformReachable_ = Event.Reachable_;
+  if (Event.Reachable_)
+    retryReadsNow(Core);
+  Core.dirtyAllRacks();
+}
+
+void takeEvent(SchedulerCore &Core, const PlacementEvent &Event) {
+  std::visit(
+      Overloaded{
+          [&](const RowsRead &Each) { readDone(Core, Each); },
+          [&](const ReadFailed &Each) { readFailed(Core, Each.Read_); },
+          [&](const CommitDone &Each) { commitDone(Core, Each); },
+          [&](const WorkerAnswered &Each) { workerAnswered(Core, Each); },
+          [&](const WorkerUnreachable &Each) { workerUnreachable(Core, Each); },
+          [&](const WorkersListed &Each) { workersListed(Core, Each); },
+          [&](const RacksAssigned &Each) { assignRacks(Core, Each); },
+          [&](const PlatformState &Each) { setPlatformState(Core, Each); },
+          [&](const DrainStarted &) { Core.Draining_ = true; },
+          [&](const EvictRequested &Each) { evictAttempt(Core, Each); },
+          [&](const ThrottleRequested &Each) { throttleAttempt(Core, Each); },
+          [](const Tick &) {}},
+      Event);
+}
+
+bool schedulesAnyRack(const SchedulerCore &Core) {
+  return std::ranges::any_of(Core.Racks_, [](const auto &Item) {
+    return Item.second.Owned_ || Item.second.Desired_;
+  });
+}
+
+void scanJobs(SchedulerCore &Core) {
+  if (schedulesAnyRack(Core) && Core.PlatformReachable_)
+    scanRows(Core, RowKind::Job);
+  Core.Timers_.set(JobScanTimer, Core.Now_ + Core.Settings_.Pace_.JobScan_);
+}
+
+/// Also probes a platform that does not answer.
+void scanConfiguration(SchedulerCore &Core) {
+  scanRows(Core, RowKind::Zone);
+  if (Core.PlatformReachable_)
+    scanRows(Core, RowKind::Contract);
+  Core.Timers_.set(ConfigurationScanTimer,
+                   Core.Now_ + Core.Settings_.Pace_.ConfigurationScan_);
+}
+
+void jobIsEligible(SchedulerCore &Core, const JobId &Job) {
+  JobEntry *Entry = Core.Jobs_.find(Job);
+  if (Entry == nullptr)
+    return;
+  Core.Jobs_.place(*Entry, Core.Now_);
+  Core.dirtyAllRacks();
+}
+
+void readTimeout(SchedulerCore &Core, const std::string &Name) {
+  constexpr int Decimal = 10;
+  RequestNumber Number = std::strtoull(Name.c_str(), nullptr, Decimal);
+  if (Number != UnsolicitedRead)
+    readFailed(Core, Number);
+}
+
+void runTimer(SchedulerCore &Core, const TimerKey &Key) {
+  switch (Key.Kind_) {
+  case TimerKind::JobScan:
+    scanJobs(Core);
+    break;
+  case TimerKind::ConfigurationScan:
+    scanConfiguration(Core);
+    break;
+  case TimerKind::Read:
+    readTimeout(Core, Key.Name_);
+    break;
+  case TimerKind::Rack:
+    Core.dirty(RackName(Key.Name_));
+    break;
+  case TimerKind::Worker:
+    Core.DirtyWorkers_.insert(WorkerName(Key.Name_));
+    break;
+  case TimerKind::Job:
+    jobIsEligible(Core, JobId(Key.Name_));
+    break;
+  }
+}
+
+/// Serves racks and workers until none asks for it. Each service sends a
+/// request whose answer is awaited, or leaves nothing to do, so this ends; the
+/// bound guards against a fault in that reasoning.
+void serveDirty(SchedulerCore &Core) {
+  constexpr int MaxRounds = 64;
+  for (int Round = 0; Round < MaxRounds; ++Round) {
+    std::set<WorkerName> Workers = std::exchange(Core.DirtyWorkers_, {});
+    for (const WorkerName &Name : Workers)
+      if (WorkerState *Worker = Core.findWorker(Name))
+        serviceWorker(Core, *Worker);
+    std::set<RackName> Racks = std::exchange(Core.DirtyRacks_, {});
+    for (const RackName &Name : Racks)
+      if (RackState *Rack = Core.findRack(Name))
+        serviceRack(Core, *Rack);
+    if (Core.DirtyWorkers_.empty() && Core.DirtyRacks_.empty())
+      return;
+  }
+}
+
+} // namespace
+
+struct Scheduler::Impl {
+  Impl(SchedulerSettings Settings, InstanceName Self, std::uint64_t Seed)
+      : Core_(Settings, std::move(Self), Seed) {}
+
+  SchedulerCore Core_;
+  bool Begun_ = false;
+};
+
+Scheduler::Scheduler(SchedulerSettings Settings, InstanceName Self,
+                     std::uint64_t Seed)
+    : Impl_(std::make_unique<Impl>(Settings, std::move(Self), Seed)) {}
+Scheduler::~Scheduler() = default;
+Scheduler::Scheduler(Scheduler &&) noexcept = default;
+Scheduler &Scheduler::operator=(Scheduler &&) noexcept = default;
+
+void Scheduler::handle(const PlacementEvent &Event, TimePoint Now,
+                       std::vector<PlacementAction> &Out) {
+  SchedulerCore &Core = Impl_->Core_;
+  Core.Now_ = std::max(Core.Now_, Now);
+  Core.Out_ = &Out;
+  if (!std::exchange(Impl_->Begun_, true)) {
+    Core.Timers_.set(JobScanTimer, Core.Now_);
+    Core.Timers_.set(ConfigurationScanTimer, Core.Now_);
+  }
+  takeEvent(Core, Event);
+  while (std::optional<TimerKey> Due = Core.Timers_.popDue(Core.Now_))
+    runTimer(Core, *Due);
+  serveDirty(Core);
+  flushReads(Core);
+  Core.Out_ = nullptr;
+}
+
+std::optional<TimePoint> Scheduler::nextWake() const {
+  return Impl_->Core_.Timers_.next();
+}
+
+std::vector<TaskExplanation> Scheduler::explain(const JobId &Job) const {
+  return explainJob(Impl_->Core_, Job);
+}
+
+SchedulerSnapshot Scheduler::snapshot() const {
+  return snapshotOf(Impl_->Core_);
+}
+
+} // namespace filbertspring
--- /dev/null
+++ b/packages/placement/src/scheduler_core.h
@@ -0,0 +1,108 @@
+#ifndef FILBERTSPRING_PLACEMENT_SCHEDULER_CORE_H
+#define FILBERTSPRING_PLACEMENT_SCHEDULER_CORE_H
+
+/// \file
+/// The state that the parts of a scheduler share.
+
+#include "job_index.h"
+#include "rack_state.h"
+#include "table_view.h"
+#include "timer_set.h"
+#include "worker_census.h"
+
+#include "filbertspring/placement/placement_action.h"
+#include "filbertspring/placement/placement_event.h"
+#include "filbertspring/placement/scheduler_settings.h"
+#include "filbertspring/placement/zone_ramp_limit.h"
+
+#include <map>
+#include <optional>
+#include <pcg_random.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace filbertspring {
+
+/// A read that was asked for.
+struct PendingRead {
+  TimePoint IssuedAt_{};
+  std::vector<RowKey> Keys_;
+  std::optional<RowKind> Scan_;
+};
+
+/// A transaction that names jobs as impossible.
+struct PendingReject {
+  TransactionId Id_;
+  TimePoint SentAt_{};
+  Transaction Transaction_;
+};
+
+/// All state of a scheduler, with the operations that every part needs.
+struct SchedulerCore {
+  SchedulerCore(SchedulerSettings Settings, InstanceName Self,
+                std::uint64_t Seed);
+
+  /// Appends an action.
+  template <typename Action> void act(Action Wanted) {
+    Out_->push_back(std::move(Wanted));
+  }
+  /// Appends a note.
+  void note(LogEvent Event, const AttemptRef &Attempt, const RackName &Rack,
+            const WorkerName &Worker, std::string Text = {});
+  RequestNumber nextNumber() { return ++LastNumber_; }
+  TransactionId nextTransaction();
+
+  RackState *findRack(const RackName &Name);
+  WorkerState *findWorker(const WorkerName &Name);
+  /// Returns the rack of \p Worker when this instance owns it, else null.
+  RackState *ownedRackOf(const WorkerState &Worker);
+  /// Returns the held attempt, or null.
+  HeldAttempt *findHeld(const AttemptRef &Attempt);
+
+  /// Has \p Rack looked at before handle() returns.
+  void dirty(const RackName &Rack) { DirtyRacks_.insert(Rack); }
+  /// Has all racks looked at; what blocked them may be gone.
+  void dirtyAllRacks();
+  /// Has an exchange with \p Worker made as soon as none is under way.
+  void hurry(WorkerState &Worker);
+
+  SchedulerSettings Settings_;
+  InstanceName Self_;
+  std::uint64_t Seed_;
+  pcg32 Random_;
+
+  TimePoint Now_{};
+  std::vector<PlacementAction> *Out_ = nullptr;
+  TimerSet Timers_;
+  RequestNumber LastNumber_ = 0;
+  std::uint64_t LastTransaction_ = 0;
+
+  JobIndex Jobs_;
+  TableView Table_;
+  WorkerCensus Census_;
+  std::map<RackName, RackState> Racks_;
+  std::map<WorkerName, WorkerState> Workers_;
+  std::map<AttemptRef, RackName> HeldIn_;
+  std::map<ZoneName, ZoneRampLimit> Ramps_;
+  std::vector<InstanceName> Alive_;
+  bool PlatformReachable_ = true;
+  bool Draining_ = false;
+
+  std::map<TransactionId, RackName> Commits_;
+  std::optional<PendingReject> Reject_;
+  std::set<ContractName> LockedLedgers_;
+
+  std::map<RequestNumber, PendingRead> Reads_;
+  std::set<RowKey> Wanted_;
+  std::set<RowKey> BeingRead_;
+  TimePoint ReadRetryAt_{};
+  Backoff ReadBackoff_;
+
+  std::set<RackName> DirtyRacks_;
+  std::set<WorkerName> DirtyWorkers_;
+};
+
+} // namespace filbertspring
+
+#endif // FILBERTSPRING_PLACEMENT_SCHEDULER_CORE_H
--- /dev/null
+++ b/packages/placement/src/scheduler_views.h
@@ -0,0 +1,20 @@
+#ifndef FILBERTSPRING_PLACEMENT_SCHEDULER_VIEWS_H
+#define FILBERTSPRING_PLACEMENT_SCHEDULER_VIEWS_H
+
+/// \file
+/// Shows the state of a scheduler.
+
+#include "scheduler_core.h"
+
+#include "filbertspring/placement/scheduler_view.h"
+
+namespace filbertspring {
+
+std::vector<TaskExplanation> explainJob(const SchedulerCore &Core,
+                                        const JobId &Job);
+
+SchedulerSnapshot snapshotOf(const SchedulerCore &Core);
+
+} // namespace filbertspring
+
+#endif // FILBERTSPRING_PLACEMENT_SCHEDULER_VIEWS_H
--- /dev/null
+++ b/packages/placement/src/table_reads.cpp
@@ -0,0 +1,123 @@
+#include "table_reads.h"
+
+#include "row_intake.h"
+
+#include <string>
+
+namespace filbertspring {
+namespace {
+
+constexpr std::size_t MaxKeysPerRead = 200;
+
+TimerKey timerOf(RequestNumber Number) {
+  return {TimerKind::Read, std::to_string(Number)};
+}
+
+const TimerKey RetryTimer{TimerKind::Read, "retry"};
+
+/// Removes the read from those under way and returns it.
+std::optional<PendingRead> takeRead(SchedulerCore &Core, RequestNumber Number) {
+  auto Found = Core.Reads_.find(Number);
+  if (Found == Core.Reads_.end())
+    return std::nullopt;
+  PendingRead Read = std::move(Found->second);
+  Core.Reads_.erase(Found);
+  Core.Timers_.clear(timerOf(Number));
+  for (const RowKey &Key : Read.Keys_)
+    Core.BeingRead_.erase(Key);
+  return Read;
+}
+
+void issue(SchedulerCore &Core, PendingRead Read) {
+  RequestNumber Number = Core.nextNumber();
+  Read.IssuedAt_ = Core.Now_;
+  Core.act(ReadRows{Number, Read.Keys_, Read.Scan_});
+  Core.Timers_.set(timerOf(Number),
+                   Core.Now_ + Core.Settings_.Pace_.TableTimeout_);
+  Core.Reads_.emplace(Number, std::move(Read));
+}
+
+bool scanUnderWay(const SchedulerCore &Core, RowKind Kind) {
+  for (const auto &[Number, Read] : Core.Reads_)
+    if (Read.Scan_ == Kind)
+      return true;
+  return false;
+}
+
+} // namespace
+
+void wantRow(SchedulerCore &Core, const RowKey &Key) {
+  if (!Core.BeingRead_.contains(Key))
+    Core.Wanted_.insert(Key);
+}
+
+void wantJob(SchedulerCore &Core, const JobId &Job) {
+  wantRow(Core, {RowKind::Job, Job.str()});
+}
+
+void wantRack(SchedulerCore &Core, const RackName &Rack) {
+  wantRow(Core, {RowKind::Rack, Rack.str()});
+}
+
+void scanRows(SchedulerCore &Core, RowKind Kind) {
+  if (scanUnderWay(Core, Kind))
+    return;
+  PendingRead Read;
+  Read.Scan_ = Kind;
+  issue(Core, std::move(Read));
+}
+
+void flushReads(SchedulerCore &Core) {
+  if (Core.Wanted_.empty() || !Core.PlatformReachable_)
+    return;
+  if (Core.Now_ < Core.ReadRetryAt_) {
+    Core.Timers_.set(RetryTimer, Core.ReadRetryAt_);
+    return;
+  }
+  while (!Core.Wanted_.empty()) {
+    PendingRead Read;
+    while (!Core.Wanted_.empty() && Read.Keys_.size() < MaxKeysPerRead) {
+      auto First = Core.Wanted_.extract(Core.Wanted_.begin());
+      Core.BeingRead_.insert(First.value());
+      Read.Keys_.push_back(std::move(First.value()));
+    }
+    issue(Core, std::move(Read));
+  }
+}
+
+void readDone(SchedulerCore &Core, const RowsRead &Answer) {
+  std::optional<PendingRead> Read = takeRead(Core, Answer.Read_);
+  std::optional<TimePoint> ProvedAt;
+  if (Read) {
+    ProvedAt = Read->IssuedAt_;
+    Core.ReadBackoff_.reset();
+    Core.PlatformReachable_ = true;
+  }
+  for (const StoredRow &Row : Answer.Rows_)
+    takeRow(Core, Row, ProvedAt);
+  if (!Read)
+    return;
+  for (const RowKey &Key : Answer.Absent_)
+    takeAbsent(Core, Key);
+  if (Read->Scan_)
+    takeScan(Core, *Read->Scan_, Answer.Rows_);
+}
+
+void readFailed(SchedulerCore &Core, RequestNumber Number) {
+  std::optional<PendingRead> Read = takeRead(Core, Number);
+  if (!Read)
+    return;
+  for (const RowKey &Key : Read->Keys_)
+    Core.Wanted_.insert(Key);
+  const PaceSettings &Pace = Core.Settings_.Pace_;
+  Core.ReadRetryAt_ =
+      Core.Now_ +
+      Core.ReadBackoff_.fail(Pace.Backoff_, Pace.BackoffMax_, Core.Random_);
+}
+
+void retryReadsNow(SchedulerCore &Core) {
+  Core.ReadBackoff_.reset();
+  Core.ReadRetryAt_ = Core.Now_;
+}
+
+} // namespace filbertspring
--- /dev/null
+++ b/packages/placement/src/table_view.h
@@ -0,0 +1,53 @@
+#ifndef FILBERTSPRING_PLACEMENT_TABLE_VIEW_H
+#define FILBERTSPRING_PLACEMENT_TABLE_VIEW_H
+
+/// \file
+/// The contracts, availability zones and quota ledgers as last read.
+
+#include "filbertspring/domain/store.h"
+
+#include <map>
+
+namespace filbertspring {
+
+/// A row's value and version.
+template <typename Value> struct Versioned {
+  Value Value_{};
+  RowVersion Version_ = AbsentVersion;
+};
+
+template <typename Name, typename Value>
+using VersionedRows = std::map<Name, Versioned<Value>>;
+
+/// Takes \p Value when it is newer than the one held; returns whether it was.
+template <typename Name, typename Value>
+bool adoptNewer(VersionedRows<Name, Value> &Rows, const Name &Key,
+                const Value &Fresh, RowVersion Version) {
+  Versioned<Value> &Entry = Rows[Key];
+  if (Version <= Entry.Version_)
+    return false;
+  Entry = {Fresh, Version};
+  return true;
+}
+
+/// Returns the row of \p Key, or null. \p Rows owns it.
+template <typename Name, typename Value>
+const Versioned<Value> *findRow(const VersionedRows<Name, Value> &Rows,
+                                const Name &Key) {
+  auto Found = Rows.find(Key);
+  return Found == Rows.end() ? nullptr : &Found->second;
+}
+
+/// The highest version of each row that was read.
+struct TableView {
+  VersionedRows<ContractName, ContractRecord> Contracts_;
+  VersionedRows<ZoneName, AvailabilityZone> Zones_;
+  /// Absent ledgers that were looked for are held with AbsentVersion.
+  VersionedRows<ContractName, QuotaLedgerRecord> Ledgers_;
+  /// A scan of the zones has ended.
+  bool ZonesComplete_ = false;
+};
+
+} // namespace filbertspring
+
+#endif // FILBERTSPRING_PLACEMENT_TABLE_VIEW_H
--- /dev/null
+++ b/packages/placement/src/timer_set.h
@@ -0,0 +1,72 @@
+#ifndef FILBERTSPRING_PLACEMENT_TIMER_SET_H
+#define FILBERTSPRING_PLACEMENT_TIMER_SET_H
+
+/// \file
+/// The timers of a scheduler, one for each key.
+
+#include "filbertspring/base/time.h"
+
+#include <compare>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace filbertspring {
+
+/// What a timer is for.
+enum class TimerKind { JobScan, ConfigurationScan, Read, Rack, Worker, Job };
+
+/// The key of a timer.
+struct TimerKey {
+  TimerKind Kind_ = TimerKind::JobScan;
+  std::string Name_;
+
+  friend auto operator<=>(const TimerKey &, const TimerKey &) = default;
+};
+
+/// Timers ordered by time. All operations are logarithmic.
+class TimerSet {
+public:
+  /// Sets the timer of \p Key, in place of an earlier one.
+  void set(const TimerKey &Key, TimePoint At) {
+    clear(Key);
+    Times_[Key] = At;
+    Order_.emplace(At, Key);
+  }
+  /// Sets the timer of \p Key unless it is set to an earlier time.
+  void setEarlier(const TimerKey &Key, TimePoint At) {
+    auto Found = Times_.find(Key);
+    if (Found == Times_.end() || At < Found->second)
+      set(Key, At);
+  }
+  void clear(const TimerKey &Key) {
+    auto Found = Times_.find(Key);
+    if (Found == Times_.end())
+      return;
+    Order_.erase({Found->second, Key});
+    Times_.erase(Found);
+  }
+  /// Removes and returns the first timer that is due, or nothing.
+  std::optional<TimerKey> popDue(TimePoint Now) {
+    if (Order_.empty() || Order_.begin()->first > Now)
+      return std::nullopt;
+    TimerKey Key = Order_.begin()->second;
+    clear(Key);
+    return Key;
+  }
+  std::optional<TimePoint> next() const {
+    if (Order_.empty())
+      return std::nullopt;
+    return Order_.begin()->first;
+  }
+
+private:
+  std::map<TimerKey, TimePoint> Times_;
+  std::set<std::pair<TimePoint, TimerKey>> Order_;
+};
+
+} // namespace filbertspring
+
+#endif // FILBERTSPRING_PLACEMENT_TIMER_SET_H
--- /dev/null
+++ b/packages/placement/src/worker_choice.cpp
@@ -0,0 +1,33 @@
+#include "filbertspring/placement/worker_choice.h"
+
+#include <tuple>
+
+namespace filbertspring {
+namespace {
+
+/// Orders candidates: the smaller, the better.
+auto orderOf(const WorkerCandidate &Candidate, const Resources &Size) {
+  Resources Left = Candidate.Free_ - Size;
+  bool WastesAccelerators = Size.Accelerators_ == Accelerators{} &&
+                            Candidate.Capacity_.Accelerators_ != Accelerators{};
+  return std::tuple(WastesAccelerators, Left.Accelerators_, Left.Cpu_,
+                    Left.Memory_);
+}
+
+} // namespace
+
+std::optional<std::size_t>
+chooseWorker(std::span<const WorkerCandidate> Candidates,
+             const Resources &Size) {
+  std::optional<std::size_t> Best;
+  for (std::size_t Index = 0; Index < Candidates.size(); ++Index) {
+    if (!Size.fitsIn(Candidates[Index].Free_))
+      continue;
+    if (!Best ||
+        orderOf(Candidates[Index], Size) < orderOf(Candidates[*Best], Size))
+      Best = Index;
+  }
+  return Best;
+}
+
+} // namespace filbertspring
--- /dev/null
+++ b/packages/placement/src/zone_ramp_limit.cpp
@@ -0,0 +1,26 @@
+#include "filbertspring/placement/zone_ramp_limit.h"
+
+namespace filbertspring {
+
+void ZoneRampLimit::restart(TimePoint Now) {
+  ReturnedAt_ = Now;
+  Starts_ = 0;
+}
+
+bool ZoneRampLimit::mayStart(TimePoint Now,
+                             const DrainSettings &Settings) const {
+  if (!ReturnedAt_)
+    return true;
+  Duration Passed = Now - *ReturnedAt_;
+  if (Passed >= Settings.RampLength_)
+    return true;
+  // The rate grows to ten times its first value over the ramp.
+  constexpr double GrowthOverRamp = 9.0;
+  double Seconds = std::chrono::duration<double>(Passed).count();
+  double Length = std::chrono::duration<double>(Settings.RampLength_).count();
+  double Mean = 1.0 + GrowthOverRamp * Seconds / (2.0 * Length);
+  double Allowed = 1.0 + Settings.RampStartsPerSecond_ * Seconds * Mean;
+  return static_cast<double>(Starts_) < Allowed;
+}
+
+} // namespace filbertspring
