--- a/packages/membership/tests/share_fuzz_test.cpp
+++ b/packages/membership/tests/share_fuzz_test.cpp
@@ -5,6 +5,7 @@
 #include <rapidcheck.h>
 
 using namespace filbertspring;
+using namespace filbertspring::membership;
 using namespace filbertspring::test;
 using namespace std::chrono_literals;
 
--- a/packages/placement/src/attempt_reconcile.cpp
+++ b/packages/placement/src/attempt_reconcile.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 namespace {
 
 /// What an answer says of one attempt, and what was sent about it.
@@ -179,4 +179,4 @@
   takeUnassigned(Core, Rack, Worker, Answer.Report_);
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
--- a/packages/placement/src/attempt_reconcile.h
+++ b/packages/placement/src/attempt_reconcile.h
@@ -6,7 +6,7 @@
 
 #include "scheduler_core.h"
 
-namespace filbertspring {
+namespace filbertspring::placement {
 
 /// Marks \p Held as surely over; its rack's next transaction says so.
 void markOver(SchedulerCore &Core, RackState &Rack, HeldAttempt &Held,
@@ -25,6 +25,6 @@
 void reconcile(SchedulerCore &Core, RackState &Rack, WorkerState &Worker,
                const ExchangeInFlight &Flight, const WorkerAnswer &Answer);
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
 
 #endif // FILBERTSPRING_PLACEMENT_ATTEMPT_RECONCILE_H
--- a/packages/placement/src/backoff.h
+++ b/packages/placement/src/backoff.h
@@ -9,7 +9,7 @@
 #include <algorithm>
 #include <pcg_random.hpp>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 
 /// The wait before the next try of one thing.
 class Backoff {
@@ -29,6 +29,6 @@
   int Doublings_ = 0;
 };
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
 
 #endif // FILBERTSPRING_PLACEMENT_BACKOFF_H
--- a/packages/placement/src/drain_planner.cpp
+++ b/packages/placement/src/drain_planner.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 namespace {
 
 /// Returns the work that a loss of the attempt would cost: the run time done
@@ -56,4 +56,4 @@
   }
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
--- a/packages/placement/src/drain_planner.h
+++ b/packages/placement/src/drain_planner.h
@@ -6,13 +6,13 @@
 
 #include "scheduler_core.h"
 
-namespace filbertspring {
+namespace filbertspring::placement {
 
 /// Has attempts of \p Rack stopped with a checkpoint when their zone is out of
 /// service or their worker leaves: those whose loss would cost most first, a
 /// bounded number at a time.
 void planEvictions(SchedulerCore &Core, RackState &Rack);
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
 
 #endif // FILBERTSPRING_PLACEMENT_DRAIN_PLANNER_H
--- a/packages/placement/src/end_planner.cpp
+++ b/packages/placement/src/end_planner.cpp
@@ -5,7 +5,7 @@
 
 #include <algorithm>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 namespace {
 
 Status applyEnd(Job &Subject, const HeldAttempt &Held) {
@@ -93,4 +93,4 @@
   }
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
--- a/packages/placement/src/end_planner.h
+++ b/packages/placement/src/end_planner.h
@@ -7,7 +7,7 @@
 #include "rack_draft.h"
 #include "scheduler_core.h"
 
-namespace filbertspring {
+namespace filbertspring::placement {
 
 /// Returns true when an attempt of \p Rack is over. Linear in its attempts.
 bool hasEnds(const RackState &Rack);
@@ -16,6 +16,6 @@
 /// capacity change together.
 void planEnds(SchedulerCore &Core, RackState &Rack, RackDraft &Draft);
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
 
 #endif // FILBERTSPRING_PLACEMENT_END_PLANNER_H
--- a/packages/placement/src/grant_planner.cpp
+++ b/packages/placement/src/grant_planner.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 namespace {
 
 using LedgerRow = Versioned<QuotaLedgerRecord>;
@@ -141,4 +141,4 @@
   }
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
--- a/packages/placement/src/grant_planner.h
+++ b/packages/placement/src/grant_planner.h
@@ -8,7 +8,7 @@
 #include "rack_draft.h"
 #include "scheduler_core.h"
 
-namespace filbertspring {
+namespace filbertspring::placement {
 
 /// Makes room for \p Size in the rack's grant of \p Contract, from the ledger
 /// when needed. Returns why there is none, or nothing when there is room.
@@ -23,6 +23,6 @@
 /// Gives back grants that were idle for long, or that exceed a lowered quota.
 void planGrantReturns(SchedulerCore &Core, RackState &Rack, RackDraft &Draft);
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
 
 #endif // FILBERTSPRING_PLACEMENT_GRANT_PLANNER_H
--- a/packages/placement/src/held_attempt.h
+++ b/packages/placement/src/held_attempt.h
@@ -12,7 +12,7 @@
 #include <optional>
 #include <string>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 
 /// How far an attempt is known to be.
 enum class HeldState {
@@ -56,6 +56,6 @@
   std::string EndReason_;
 };
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
 
 #endif // FILBERTSPRING_PLACEMENT_HELD_ATTEMPT_H
--- a/packages/placement/src/job_index.cpp
+++ b/packages/placement/src/job_index.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 namespace {
 
 WaitingKey keyOf(const JobEntry &Entry) {
@@ -138,4 +138,4 @@
   return Found == Shares_.end() ? 0.0 : Found->second.Served_;
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
--- a/packages/placement/src/job_index.h
+++ b/packages/placement/src/job_index.h
@@ -14,7 +14,7 @@
 #include <set>
 #include <vector>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 
 /// One job as it was last read or written.
 struct JobEntry {
@@ -97,6 +97,6 @@
   std::size_t QueuedCount_ = 0;
 };
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
 
 #endif // FILBERTSPRING_PLACEMENT_JOB_INDEX_H
--- a/packages/placement/src/job_rank.cpp
+++ b/packages/placement/src/job_rank.cpp
@@ -6,7 +6,7 @@
 
 #include <xxhash.h>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 namespace {
 
 std::pair<std::uint64_t, const InstanceName &>
@@ -26,4 +26,4 @@
   });
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
--- a/packages/placement/src/job_rejection.cpp
+++ b/packages/placement/src/job_rejection.cpp
@@ -5,7 +5,7 @@
 
 #include <map>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 namespace {
 
 constexpr std::size_t MaxRejectsPerCommit = 32;
@@ -111,4 +111,4 @@
     endRejection(Core, true);
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
--- a/packages/placement/src/job_rejection.h
+++ b/packages/placement/src/job_rejection.h
@@ -6,7 +6,7 @@
 
 #include "scheduler_core.h"
 
-namespace filbertspring {
+namespace filbertspring::placement {
 
 /// Rejects those waiting jobs of \p Rows that can never run.
 void rejectImpossible(SchedulerCore &Core, const std::vector<StoredRow> &Rows);
@@ -17,6 +17,6 @@
 /// Gives up a rejection that got no answer in time.
 void expireRejection(SchedulerCore &Core);
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
 
 #endif // FILBERTSPRING_PLACEMENT_JOB_REJECTION_H
--- a/packages/placement/src/lease_rules.cpp
+++ b/packages/placement/src/lease_rules.cpp
@@ -1,6 +1,6 @@
 #include "filbertspring/placement/lease_rules.h"
 
-namespace filbertspring {
+namespace filbertspring::placement {
 namespace {
 
 constexpr std::int64_t PartsPerMillion = 1'000'000;
@@ -45,4 +45,4 @@
   return Now >= Reading.ReceivedAt_ + stretched(Left, Settings);
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
--- a/packages/placement/src/rack_commits.cpp
+++ b/packages/placement/src/rack_commits.cpp
@@ -4,7 +4,7 @@
 #include "row_intake.h"
 #include "table_reads.h"
 
-namespace filbertspring {
+namespace filbertspring::placement {
 namespace {
 
 void setLock(SchedulerCore &Core, const RowKey &Key, bool Locked) {
@@ -162,4 +162,4 @@
       markStale(Core, Each.Key_);
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
--- a/packages/placement/src/rack_commits.h
+++ b/packages/placement/src/rack_commits.h
@@ -9,7 +9,7 @@
 #include "rack_draft.h"
 #include "scheduler_core.h"
 
-namespace filbertspring {
+namespace filbertspring::placement {
 
 /// What became of a transaction, as a rack's row shows it.
 struct SettledCommit {
@@ -36,6 +36,6 @@
 /// still take effect, and then its rows are met as they are.
 void abandonUnsettled(SchedulerCore &Core, RackState &Rack);
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
 
 #endif // FILBERTSPRING_PLACEMENT_RACK_COMMITS_H
--- a/packages/placement/src/rack_draft.cpp
+++ b/packages/placement/src/rack_draft.cpp
@@ -1,6 +1,6 @@
 #include "rack_draft.h"
 
-namespace filbertspring {
+namespace filbertspring::placement {
 
 Result<RackDraft> RackDraft::make(const RackRecord &Record,
                                   RowVersion Version) {
@@ -53,4 +53,4 @@
   return Built;
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
--- a/packages/placement/src/rack_draft.h
+++ b/packages/placement/src/rack_draft.h
@@ -9,7 +9,7 @@
 #include <map>
 #include <optional>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 
 /// Working copies of the rows that one transaction changes, with the versions
 /// on which the changes are based.
@@ -57,6 +57,6 @@
   std::map<RowKey, RowVersion> Guards_;
 };
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
 
 #endif // FILBERTSPRING_PLACEMENT_RACK_DRAFT_H
--- a/packages/placement/src/rack_ownership.cpp
+++ b/packages/placement/src/rack_ownership.cpp
@@ -6,7 +6,7 @@
 
 #include <algorithm>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 namespace {
 
 void forgetHeld(SchedulerCore &Core, RackState &Rack) {
@@ -183,4 +183,4 @@
   return Rack.Owned_ && SinceProof <= Core.Settings_.Leases_.CutOffGrace_;
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
--- a/packages/placement/src/rack_ownership.h
+++ b/packages/placement/src/rack_ownership.h
@@ -7,7 +7,7 @@
 
 #include "scheduler_core.h"
 
-namespace filbertspring {
+namespace filbertspring::placement {
 
 /// Takes in a rack's row.
 void takeRack(SchedulerCore &Core, const RackRecord &Record,
@@ -22,6 +22,6 @@
 /// Returns true while the ownership was seen recently enough to renew leases.
 bool mayRenew(const SchedulerCore &Core, const RackState &Rack);
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
 
 #endif // FILBERTSPRING_PLACEMENT_RACK_OWNERSHIP_H
--- a/packages/placement/src/rack_service.cpp
+++ b/packages/placement/src/rack_service.cpp
@@ -9,7 +9,7 @@
 
 #include <algorithm>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 namespace {
 
 /// Adds workers that the platform lists, and removes those that left it.
@@ -142,4 +142,4 @@
   armRack(Core, Rack);
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
--- a/packages/placement/src/rack_service.h
+++ b/packages/placement/src/rack_service.h
@@ -7,11 +7,11 @@
 
 #include "scheduler_core.h"
 
-namespace filbertspring {
+namespace filbertspring::placement {
 
 /// Does what is due for \p Rack and sets its timer.
 void serviceRack(SchedulerCore &Core, RackState &Rack);
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
 
 #endif // FILBERTSPRING_PLACEMENT_RACK_SERVICE_H
--- a/packages/placement/src/rack_state.h
+++ b/packages/placement/src/rack_state.h
@@ -16,7 +16,7 @@
 #include <set>
 #include <vector>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 
 /// A transaction of a rack that was sent.
 struct PendingCommit {
@@ -89,6 +89,6 @@
   std::set<AttemptRef> Strays_;
 };
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
 
 #endif // FILBERTSPRING_PLACEMENT_RACK_STATE_H
--- a/packages/placement/src/row_intake.cpp
+++ b/packages/placement/src/row_intake.cpp
@@ -8,7 +8,7 @@
 
 #include <algorithm>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 namespace {
 
 bool holdsAttemptOf(const SchedulerCore &Core, const JobId &Job) {
@@ -183,4 +183,4 @@
   rejectImpossible(Core, Rows);
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
--- a/packages/placement/src/row_intake.h
+++ b/packages/placement/src/row_intake.h
@@ -7,7 +7,7 @@
 
 #include "scheduler_core.h"
 
-namespace filbertspring {
+namespace filbertspring::placement {
 
 /// Takes in \p Row. \p ProvedAt is when the read or commit that showed it was
 /// sent; nothing for a row that only informs.
@@ -30,6 +30,6 @@
 /// Stops the attempts of \p Job that its row no longer claims.
 void stopUnclaimed(SchedulerCore &Core, const JobRecord &Job);
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
 
 #endif // FILBERTSPRING_PLACEMENT_ROW_INTAKE_H
--- a/packages/placement/src/scheduler.cpp
+++ b/packages/placement/src/scheduler.cpp
@@ -15,7 +15,7 @@
 #include <algorithm>
 #include <string>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 namespace {
 
 const TimerKey JobScanTimer{TimerKind::JobScan, {}};
@@ -189,4 +189,4 @@
   return snapshotOf(Impl_->Core_);
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
--- a/packages/placement/src/scheduler_core.cpp
+++ b/packages/placement/src/scheduler_core.cpp
@@ -2,7 +2,7 @@
 
 #include <fmt/format.h>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 
 SchedulerCore::SchedulerCore(SchedulerSettings Settings, InstanceName Self,
                              std::uint64_t Seed)
@@ -53,4 +53,4 @@
   DirtyWorkers_.insert(Worker.Name_);
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
--- a/packages/placement/src/scheduler_core.h
+++ b/packages/placement/src/scheduler_core.h
@@ -22,7 +22,7 @@
 #include <string>
 #include <vector>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 
 /// A read that was asked for.
 struct PendingRead {
@@ -103,6 +103,6 @@
   std::set<WorkerName> DirtyWorkers_;
 };
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
 
 #endif // FILBERTSPRING_PLACEMENT_SCHEDULER_CORE_H
--- a/packages/placement/src/scheduler_views.cpp
+++ b/packages/placement/src/scheduler_views.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <fmt/format.h>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 namespace {
 
 bool ownsAnyRack(const SchedulerCore &Core) {
@@ -96,4 +96,4 @@
   return View;
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
--- a/packages/placement/src/scheduler_views.h
+++ b/packages/placement/src/scheduler_views.h
@@ -8,13 +8,13 @@
 
 #include "filbertspring/placement/scheduler_view.h"
 
-namespace filbertspring {
+namespace filbertspring::placement {
 
 std::vector<TaskExplanation> explainJob(const SchedulerCore &Core,
                                         const JobId &Job);
 
 SchedulerSnapshot snapshotOf(const SchedulerCore &Core);
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
 
 #endif // FILBERTSPRING_PLACEMENT_SCHEDULER_VIEWS_H
--- a/packages/placement/src/start_planner.cpp
+++ b/packages/placement/src/start_planner.cpp
@@ -7,7 +7,7 @@
 
 #include <algorithm>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 namespace {
 
 using Starts = std::map<AttemptRef, HeldAttempt>;
@@ -241,4 +241,4 @@
   return StartRound(Core, Rack, Draft).run();
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
--- a/packages/placement/src/start_planner.h
+++ b/packages/placement/src/start_planner.h
@@ -9,7 +9,7 @@
 
 #include <map>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 
 /// Adds claims of waiting tasks: urgent ones first, then by the contracts'
 /// weighted shares, then oldest first. Returns the attempts to start once the
@@ -17,6 +17,6 @@
 std::map<AttemptRef, HeldAttempt> planStarts(SchedulerCore &Core,
                                              RackState &Rack, RackDraft &Draft);
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
 
 #endif // FILBERTSPRING_PLACEMENT_START_PLANNER_H
--- a/packages/placement/src/table_reads.cpp
+++ b/packages/placement/src/table_reads.cpp
@@ -4,7 +4,7 @@
 
 #include <string>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 namespace {
 
 constexpr std::size_t MaxKeysPerRead = 200;
@@ -120,4 +120,4 @@
   Core.ReadRetryAt_ = Core.Now_;
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
--- a/packages/placement/src/table_reads.h
+++ b/packages/placement/src/table_reads.h
@@ -6,7 +6,7 @@
 
 #include "scheduler_core.h"
 
-namespace filbertspring {
+namespace filbertspring::placement {
 
 /// Has the row of \p Key read, unless that is under way.
 void wantRow(SchedulerCore &Core, const RowKey &Key);
@@ -26,6 +26,6 @@
 /// Has failed reads repeated at once.
 void retryReadsNow(SchedulerCore &Core);
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
 
 #endif // FILBERTSPRING_PLACEMENT_TABLE_READS_H
--- a/packages/placement/src/table_view.h
+++ b/packages/placement/src/table_view.h
@@ -8,7 +8,7 @@
 
 #include <map>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 
 /// A row's value and version.
 template <typename Value> struct Versioned {
@@ -48,6 +48,6 @@
   bool ZonesComplete_ = false;
 };
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
 
 #endif // FILBERTSPRING_PLACEMENT_TABLE_VIEW_H
--- a/packages/placement/src/timer_set.h
+++ b/packages/placement/src/timer_set.h
@@ -13,7 +13,7 @@
 #include <string>
 #include <utility>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 
 /// What a timer is for.
 enum class TimerKind { JobScan, ConfigurationScan, Read, Rack, Worker, Job };
@@ -67,6 +67,6 @@
   std::set<std::pair<TimePoint, TimerKey>> Order_;
 };
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
 
 #endif // FILBERTSPRING_PLACEMENT_TIMER_SET_H
--- a/packages/placement/src/worker_census.cpp
+++ b/packages/placement/src/worker_census.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 namespace {
 
 bool mayUse(const JobRecord &Job, const Contract &Terms, const ZoneName &Zone) {
@@ -86,4 +86,4 @@
   return Census.tooLarge(Job, Allowed, Now, Settings);
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
--- a/packages/placement/src/worker_census.h
+++ b/packages/placement/src/worker_census.h
@@ -15,7 +15,7 @@
 #include <string>
 #include <vector>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 
 /// Remembers the capacities of the workers that the platform listed, for some
 /// time after they left the list.
@@ -56,6 +56,6 @@
                                             TimePoint Now,
                                             const ImpossibleSettings &Settings);
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
 
 #endif // FILBERTSPRING_PLACEMENT_WORKER_CENSUS_H
--- a/packages/placement/src/worker_choice.cpp
+++ b/packages/placement/src/worker_choice.cpp
@@ -2,7 +2,7 @@
 
 #include <tuple>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 namespace {
 
 /// Orders candidates: the smaller, the better.
@@ -30,4 +30,4 @@
   return Best;
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
--- a/packages/placement/src/worker_exchange.cpp
+++ b/packages/placement/src/worker_exchange.cpp
@@ -6,7 +6,7 @@
 
 #include <algorithm>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 namespace {
 
 /// A worker that is to stop an attempt is asked this much more often.
@@ -238,4 +238,4 @@
              Core.Settings_.Pace_.FreshReading_;
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
--- a/packages/placement/src/worker_exchange.h
+++ b/packages/placement/src/worker_exchange.h
@@ -7,7 +7,7 @@
 
 #include "scheduler_core.h"
 
-namespace filbertspring {
+namespace filbertspring::placement {
 
 /// Takes in the platform's list.
 void workersListed(SchedulerCore &Core, const WorkersListed &List);
@@ -25,6 +25,6 @@
 /// Returns true when a claim may rely on the clock reading of \p Worker.
 bool hasFreshReading(const SchedulerCore &Core, const WorkerState &Worker);
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
 
 #endif // FILBERTSPRING_PLACEMENT_WORKER_EXCHANGE_H
--- a/packages/placement/src/zone_ramp_limit.cpp
+++ b/packages/placement/src/zone_ramp_limit.cpp
@@ -1,6 +1,6 @@
 #include "filbertspring/placement/zone_ramp_limit.h"
 
-namespace filbertspring {
+namespace filbertspring::placement {
 
 void ZoneRampLimit::restart(TimePoint Now) {
   ReturnedAt_ = Now;
@@ -23,4 +23,4 @@
   return static_cast<double>(Starts_) < Allowed;
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
--- a/packages/routing/src/router.cpp
+++ b/packages/routing/src/router.cpp
@@ -4,7 +4,7 @@
 
 #include <utility>
 
-namespace filbertspring {
+namespace filbertspring::routing {
 
 using routing::Timer;
 using routing::TimerKind;
@@ -100,4 +100,4 @@
   return Found == Requests_.end() ? nullptr : &Found->second;
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::routing
--- a/packages/routing/src/router_admission.cpp
+++ b/packages/routing/src/router_admission.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace filbertspring {
+namespace filbertspring::routing {
 namespace {
 
 /// Advice where nothing says when a repeat may succeed.
@@ -92,4 +92,4 @@
   return Found == Flows_.end() ? nullptr : Found->second.get();
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::routing
--- a/packages/routing/src/router_contracts.cpp
+++ b/packages/routing/src/router_contracts.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace filbertspring {
+namespace filbertspring::routing {
 
 using routing::ContractState;
 using routing::Flow;
@@ -95,4 +95,4 @@
   Member.Limit_ = routing::scaleDown(Member.Terms_.Concurrency_, Permille);
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::routing
--- a/packages/routing/src/router_dispatch.cpp
+++ b/packages/routing/src/router_dispatch.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace filbertspring {
+namespace filbertspring::routing {
 namespace {
 
 /// An idempotent attempt may take this many times the usual time before its
@@ -149,4 +149,4 @@
     Member.Contract_->Budget_.refund();
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::routing
--- a/packages/routing/src/router_impl.h
+++ b/packages/routing/src/router_impl.h
@@ -19,7 +19,7 @@
 #include <utility>
 #include <vector>
 
-namespace filbertspring {
+namespace filbertspring::routing {
 
 struct Router::Impl {
   Impl(RouterConfig Config, std::uint64_t Seed);
@@ -100,6 +100,6 @@
   std::vector<RoutingAction> *Out_ = nullptr;
 };
 
-} // namespace filbertspring
+} // namespace filbertspring::routing
 
 #endif // FILBERTSPRING_ROUTING_SRC_ROUTER_IMPL_H
--- a/packages/routing/src/router_outcomes.cpp
+++ b/packages/routing/src/router_outcomes.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace filbertspring {
+namespace filbertspring::routing {
 namespace {
 
 NotRunReason reasonAfter(AttemptResult Last) {
@@ -179,4 +179,4 @@
     cancelOthers(Item);
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::routing
--- a/packages/routing/tests/outcome_table_test.cpp
+++ b/packages/routing/tests/outcome_table_test.cpp
@@ -5,6 +5,7 @@
 #include <set>
 
 using namespace filbertspring;
+using namespace filbertspring::routing;
 using namespace filbertspring::routing_test;
 
 namespace {
--- a/packages/routing/tests/router_test.cpp
+++ b/packages/routing/tests/router_test.cpp
@@ -4,6 +4,7 @@
 #include <set>
 
 using namespace filbertspring;
+using namespace filbertspring::routing;
 using namespace filbertspring::routing_test;
 
 BOOST_FIXTURE_TEST_SUITE(router, RouterFixture)
