--- a/packages/base/include/filbertspring/base/ring.h
+++ b/packages/base/include/filbertspring/base/ring.h
@@ -2,12 +2,13 @@
 #define FILBERTSPRING_BASE_RING_H
 
 /// \file
-/// The bounded ring that joins two threads.
+/// The bounded ring that joins threads.
 
 #include "filbertspring/base/time.h"
 
 #include <boost/lockfree/queue.hpp>
 
+#include <atomic>
 #include <cstddef>
 #include <memory>
 #include <optional>
@@ -16,8 +17,8 @@
 
 namespace filbertspring {
 
-/// A bounded queue from many writers to one reader. A full ring refuses the
-/// value; writers never wait.
+/// A bounded queue from many writers to one or more readers. A full ring
+/// refuses the value; writers never wait.
 template <typename T> class Ring {
 public:
   /// Makes a ring for at most \p Capacity values (1 to 65533).
@@ -30,8 +31,11 @@
   Ring(const Ring &) = delete;
   Ring &operator=(const Ring &) = delete;
 
-  /// Stores \p Value and returns true; returns false when the ring is full.
+  /// Stores \p Value and returns true; returns false when the ring is full or
+  /// closed.
   bool tryPush(T Value) {
+    if (Closed_)
+      return false;
     auto Item = std::make_unique<T>(std::move(Value));
     if (!Queue_.bounded_push(Item.get()))
       return false;
@@ -47,6 +51,13 @@
     return take();
   }
 
+  /// Returns the oldest value, waiting for one. Returns nothing once the ring
+  /// is closed and empty.
+  std::optional<T> pop() {
+    Ready_.acquire();
+    return take();
+  }
+
   /// Returns the oldest value, waiting at most \p Limit for one.
   std::optional<T> popFor(Duration Limit) {
     if (!Ready_.try_acquire_for(Limit))
@@ -54,17 +65,30 @@
     return take();
   }
 
+  /// Takes no more values and ends all waiting for them.
+  void close() {
+    Closed_ = true;
+    Ready_.release();
+  }
+
 private:
   std::optional<T> take() {
     T *Raw = nullptr;
-    while (!Queue_.pop(Raw))
-      ; // The semaphore guarantees a value; its push may still be finishing.
+    while (!Queue_.pop(Raw)) {
+      // The push of this value may still be finishing, unless the permit came
+      // from close(); that one is passed on to the next reader.
+      if (Closed_ && Queue_.empty()) {
+        Ready_.release();
+        return std::nullopt;
+      }
+    }
     std::unique_ptr<T> Item(Raw);
     return std::move(*Item);
   }
 
   boost::lockfree::queue<T *, boost::lockfree::fixed_sized<true>> Queue_;
   std::counting_semaphore<> Ready_{0};
+  std::atomic<bool> Closed_{false};
 };
 
 } // namespace filbertspring
--- a/packages/base/tests/ring_test.cpp
+++ b/packages/base/tests/ring_test.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
 #include <string>
 #include <thread>
 #include <vector>
@@ -33,6 +34,31 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(when_closed)
+
+BOOST_AUTO_TEST_CASE(hands_out_what_it_holds_and_then_ends_all_waiting) {
+  Ring<int> Values(4);
+  BOOST_TEST(Values.tryPush(1));
+  std::atomic<int> Taken{0};
+  std::atomic<int> Ended{0};
+  std::vector<std::thread> Readers;
+  Readers.reserve(3);
+  for (int Reader = 0; Reader < 3; ++Reader)
+    Readers.emplace_back([&] {
+      while (Values.pop())
+        ++Taken;
+      ++Ended;
+    });
+  Values.close();
+  for (std::thread &Each : Readers)
+    Each.join();
+  BOOST_TEST(Taken == 1);
+  BOOST_TEST(Ended == 3);
+  BOOST_TEST(!Values.tryPush(2));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(with_many_writers)
 
 BOOST_AUTO_TEST_CASE(loses_and_doubles_nothing) {
--- a/packages/entry/src/desks/exchange_desk.cpp
+++ b/packages/entry/src/desks/exchange_desk.cpp
@@ -7,7 +7,6 @@
 
 using routing::AttemptResult;
 
-constexpr Duration StopCheckInterval = std::chrono::milliseconds(50);
 /// Idle connections kept to each endpoint.
 constexpr std::size_t MaxIdleConnections = 16;
 
@@ -71,14 +70,8 @@
 }
 
 void ExchangeDesk::run() {
-  while (true) {
-    std::optional<routing::SendAttempt> Attempt =
-        Attempts_.popFor(StopCheckInterval);
-    if (Attempt)
-      OnEnded_(perform(*Attempt));
-    else if (Stopping_)
-      return;
-  }
+  while (std::optional<routing::SendAttempt> Attempt = Attempts_.pop())
+    OnEnded_(perform(*Attempt));
 }
 
 routing::AttemptEnded
@@ -111,7 +104,7 @@
 }
 
 void ExchangeDesk::stop() {
-  Stopping_ = true;
+  Attempts_.close();
   for (std::thread &Each : Threads_)
     Each.join();
   Threads_.clear();
--- a/packages/entry/src/desks/exchange_desk.h
+++ b/packages/entry/src/desks/exchange_desk.h
@@ -11,7 +11,6 @@
 #include "filbertspring/routing/event.h"
 #include "filbertspring/transport/http_exchange.h"
 
-#include <atomic>
 #include <functional>
 #include <thread>
 #include <vector>
@@ -47,7 +46,6 @@
   Ended OnEnded_;
   ExchangePool Pool_;
   Ring<routing::SendAttempt> Attempts_;
-  std::atomic<bool> Stopping_{false};
   std::vector<std::thread> Threads_;
 };
 
--- a/packages/entry/src/desks/table_desk.cpp
+++ b/packages/entry/src/desks/table_desk.cpp
@@ -8,8 +8,6 @@
 namespace filbertspring {
 namespace {
 
-constexpr Duration StopCheckInterval = std::chrono::milliseconds(50);
-
 void refuse(TableJob &Job) {
   std::visit(
       Overloaded{[](TableRead &Each) { Each.Done_(fail(Errc::Unavailable)); },
@@ -64,13 +62,8 @@
 }
 
 void TableDesk::run(TableClient Client) {
-  while (true) {
-    std::optional<TableJob> Job = Jobs_.popFor(StopCheckInterval);
-    if (Job)
-      perform(*Job, Client);
-    else if (Stopping_)
-      return;
-  }
+  while (std::optional<TableJob> Job = Jobs_.pop())
+    perform(*Job, Client);
 }
 
 Result<RowBatch> TableDesk::read(std::vector<RowKey> Keys) {
@@ -106,7 +99,7 @@
 }
 
 void TableDesk::stop() {
-  Stopping_ = true;
+  Jobs_.close();
   for (std::thread &Each : Threads_)
     Each.join();
   Threads_.clear();
--- a/packages/entry/src/desks/table_desk.h
+++ b/packages/entry/src/desks/table_desk.h
@@ -9,7 +9,6 @@
 #include "filbertspring/config/settings.h"
 #include "filbertspring/platform/table_client.h"
 
-#include <atomic>
 #include <functional>
 #include <string>
 #include <thread>
@@ -71,7 +70,6 @@
   static constexpr std::size_t RingCapacity = 1024;
 
   Ring<TableJob> Jobs_;
-  std::atomic<bool> Stopping_{false};
   std::vector<std::thread> Threads_;
 };
 
--- a/packages/entry/src/desks/worker_desk.cpp
+++ b/packages/entry/src/desks/worker_desk.cpp
@@ -1,25 +1,10 @@
 #include "worker_desk.h"
 
-#include "filbertspring/platform/worker_client.h"
-
-#include <map>
-#include <string>
-
 namespace filbertspring {
 namespace {
 
-constexpr Duration StopCheckInterval = std::chrono::milliseconds(50);
 constexpr Duration WorkerTimeout = std::chrono::milliseconds(1500);
 
-/// The connections of one thread, by address.
-using Clients = std::map<std::string, WorkerClient>;
-
-WorkerClient &clientOf(Clients &Open, const Address &Worker,
-                       const ZoneName &Zone) {
-  return Open.try_emplace(Worker.toString(), Worker, Zone, WorkerTimeout)
-      .first->second;
-}
-
 placement::PlacementEvent failureOf(const placement::SendCommands &Commands,
                                     bool SurelyNotReceived) {
   return placement::WorkerUnreachable{Commands.Worker_, Commands.Exchange_,
@@ -53,21 +38,29 @@
     OnAnswered_(failureOf(Commands, true));
 }
 
+WorkerClient WorkerDesk::takeClient(const Address &Worker) {
+  std::scoped_lock Lock(Mutex_);
+  auto Idle = Idle_.extract(Worker.toString());
+  if (!Idle.empty())
+    return std::move(Idle.mapped());
+  return WorkerClient(Worker, Values_.Zone_, WorkerTimeout);
+}
+
+void WorkerDesk::giveBack(const Address &Worker, WorkerClient Client) {
+  std::scoped_lock Lock(Mutex_);
+  Idle_.insert_or_assign(Worker.toString(), std::move(Client));
+}
+
 void WorkerDesk::run() {
-  Clients Open;
-  while (true) {
-    std::optional<placement::SendCommands> Commands =
-        Commands_.popFor(StopCheckInterval);
-    if (Commands)
-      OnAnswered_(perform(*Commands,
-                          clientOf(Open, Commands->Address_, Values_.Zone_)));
-    else if (Stopping_)
-      return;
+  while (std::optional<placement::SendCommands> Commands = Commands_.pop()) {
+    WorkerClient Client = takeClient(Commands->Address_);
+    OnAnswered_(perform(*Commands, Client));
+    giveBack(Commands->Address_, std::move(Client));
   }
 }
 
 void WorkerDesk::stop() {
-  Stopping_ = true;
+  Commands_.close();
   for (std::thread &Each : Threads_)
     Each.join();
   Threads_.clear();
--- a/packages/entry/src/desks/worker_desk.h
+++ b/packages/entry/src/desks/worker_desk.h
@@ -8,17 +8,19 @@
 #include "filbertspring/config/settings.h"
 #include "filbertspring/placement/placement_action.h"
 #include "filbertspring/placement/placement_event.h"
+#include "filbertspring/platform/worker_client.h"
 
-#include <atomic>
 #include <functional>
-#include <memory>
+#include <map>
+#include <mutex>
+#include <string>
 #include <thread>
 #include <vector>
 
 namespace filbertspring {
 
-/// Sends commands on a fixed number of threads. Each thread keeps connections
-/// of its own.
+/// Sends commands on a fixed number of threads. One connection to each worker
+/// is kept, since one exchange with each is under way at a time.
 class WorkerDesk {
 public:
   /// Called on a worker thread with the answer or the failure.
@@ -37,13 +39,17 @@
 
 private:
   void run();
+  WorkerClient takeClient(const Address &Worker);
+  void giveBack(const Address &Worker, WorkerClient Client);
 
   static constexpr std::size_t RingCapacity = 2048;
 
   const Settings &Values_;
   Answered OnAnswered_;
   Ring<placement::SendCommands> Commands_;
-  std::atomic<bool> Stopping_{false};
+  std::mutex Mutex_;
+  /// Connections by address.
+  std::map<std::string, WorkerClient> Idle_;
   std::vector<std::thread> Threads_;
 };
 
--- a/packages/transport/src/http_thread_pool.cpp
+++ b/packages/transport/src/http_thread_pool.cpp
@@ -3,8 +3,6 @@
 namespace filbertspring {
 namespace {
 
-constexpr Duration StopCheckInterval = std::chrono::milliseconds(50);
-
 bool &sheddingFlag() {
   thread_local bool Shedding = false;
   return Shedding;
@@ -32,20 +30,14 @@
 }
 
 void HttpThreadPool::run() {
-  while (true) {
-    std::optional<std::function<void()>> Task =
-        Tasks_.popFor(StopCheckInterval);
-    if (Task) {
-      --Waiting_;
-      (*Task)();
-    } else if (Stopping_) {
-      return;
-    }
+  while (std::optional<std::function<void()>> Task = Tasks_.pop()) {
+    --Waiting_;
+    (*Task)();
   }
 }
 
 void HttpThreadPool::shutdown() {
-  Stopping_ = true;
+  Tasks_.close();
   for (std::thread &Each : Threads_)
     Each.join();
   Threads_.clear();
--- a/packages/transport/src/http_thread_pool.h
+++ b/packages/transport/src/http_thread_pool.h
@@ -35,7 +35,6 @@
 
   Ring<std::function<void()>> Tasks_;
   std::atomic<std::size_t> Waiting_{0};
-  std::atomic<bool> Stopping_{false};
   std::vector<std::thread> Threads_;
 };
 
