--- /dev/null
+++ b/standins/src/program.h
@@ -0,0 +1,60 @@
+#ifndef FILBERTSPRING_STANDINS_PROGRAM_H
+#define FILBERTSPRING_STANDINS_PROGRAM_H
+
+/// \file
+/// What the main functions of the stand-in programs share.
+
+#include "filbertspring/base/result.h"
+#include "filbertspring/domain/endpoint.h"
+#include "filbertspring/platform/instance_codec.h"
+
+#include <cstdint>
+#include <cstdio>
+#include <cxxopts.hpp>
+#include <exception>
+#include <fmt/format.h>
+#include <functional>
+#include <stdexcept>
+#include <string>
+
+namespace filbertspring {
+
+/// Parses the flags and calls \p Serve with them. Prints what went wrong to
+/// standard error; returns the exit code.
+inline int
+runProgram(cxxopts::Options Options, int Count, char **Arguments,
+           const std::function<void(cxxopts::ParseResult &)> &Serve) {
+  try {
+    cxxopts::ParseResult Flags = Options.parse(Count, Arguments);
+    Serve(Flags);
+    return EXIT_SUCCESS;
+  } catch (const std::exception &Problem) {
+    fmt::print(stderr, "{}: {}\n", Options.program(), Problem.what());
+    return EXIT_FAILURE;
+  }
+}
+
+/// Returns the address in the flag called \p Name; throws when it has none.
+inline Address addressFlag(const cxxopts::ParseResult &Flags,
+                           const std::string &Name) {
+  Result<Address> Parsed = decodeAddress(Flags[Name].as<std::string>());
+  if (!Parsed)
+    throw std::runtime_error("--" + Name + " is not HOST:PORT");
+  return *Parsed;
+}
+
+/// Listens on the port in --port and serves until a signal; throws when it
+/// cannot listen or register.
+template <typename Server>
+void serveOn(Server &Subject, const cxxopts::ParseResult &Flags) {
+  Subject.stopOnSignal();
+  Result<std::uint16_t> Bound =
+      Subject.listen(Flags["port"].as<std::uint16_t>());
+  if (!Bound)
+    throw std::runtime_error(Bound.error().message());
+  Subject.run();
+}
+
+} // namespace filbertspring
+
+#endif // FILBERTSPRING_STANDINS_PROGRAM_H
