--- a/packages/placement/src/attempt_reconcile.cpp
+++ b/packages/placement/src/attempt_reconcile.cpp
@@ -52,6 +52,14 @@
             Adopted ? "adopted" : "");
 }
 
+/// Only an attempt that was asked for a checkpoint counts as evicted; a worker
+/// also reports attempts as stopped that never started there.
+void takeStop(SchedulerCore &Core, RackState &Rack, HeldAttempt &Held) {
+  bool Evicted = Held.Stop_ == StopWish::WithCheckpoint;
+  markOver(Core, Rack, Held, Evicted ? AttemptEnd::Evicted : AttemptEnd::Lost,
+           Held.StopReason_.empty() ? "stopped" : Held.StopReason_);
+}
+
 void takeReport(SchedulerCore &Core, RackState &Rack, HeldAttempt &Held,
                 const WorkerState &Worker, const AttemptReport &Report) {
   Held.Progress_ = Report.Progress_;
@@ -68,8 +76,7 @@
     markOver(Core, Rack, Held, AttemptEnd::Failed, Report.Reason_);
     break;
   case AttemptState::Stopped:
-    markOver(Core, Rack, Held, AttemptEnd::Evicted,
-             Held.StopReason_.empty() ? "stopped" : Held.StopReason_);
+    takeStop(Core, Rack, Held);
     break;
   case AttemptState::Lapsed:
     markOver(Core, Rack, Held, AttemptEnd::Lost, "lease lapsed");
--- a/packages/placement/src/rack_ownership.cpp
+++ b/packages/placement/src/rack_ownership.cpp
@@ -80,6 +80,7 @@
              std::map<AttemptRef, HeldAttempt> Starts) {
   for (const RackWorker &Each : Rack.Row_.Workers_) {
     WorkerState &Worker = knownWorker(Core, Rack, Each.Name_);
+    Core.DirtyWorkers_.insert(Each.Name_);
     for (const Assignment &Entry : Each.Assignments_) {
       if (Rack.Held_.contains(Entry.Attempt_))
         continue;
