--- a/packages/placement/src/end_planner.cpp
+++ b/packages/placement/src/end_planner.cpp
@@ -61,8 +61,13 @@
   JobEntry *Entry = usableJob(Core, Attempt.Task_.Job_);
   if (Entry == nullptr)
     return;
+  AttemptStanding Standing = standingOf(Entry->Record_, Attempt);
+  if (Standing == AttemptStanding::NotSeenYet) {
+    wantJob(Core, Attempt.Task_.Job_);
+    return;
+  }
   // A task that was cancelled keeps its state; only the capacity comes back.
-  if (claims(Entry->Record_, Attempt)) {
+  if (Standing == AttemptStanding::Claimed) {
     Result<Job *> Subject = Draft.job(Entry->Record_, Entry->Version_);
     if (!Subject || !applyEnd(**Subject, Held))
       return;
--- a/packages/placement/src/row_intake.cpp
+++ b/packages/placement/src/row_intake.cpp
@@ -99,13 +99,16 @@
 
 } // namespace
 
-bool claims(const JobRecord &Job, const AttemptRef &Attempt) {
+AttemptStanding standingOf(const JobRecord &Job, const AttemptRef &Attempt) {
   auto Index = static_cast<std::size_t>(Attempt.Task_.Index_);
   if (Index >= Job.Tasks_.size())
-    return false;
+    return AttemptStanding::Disowned;
   const Task &Entry = Job.Tasks_[Index];
-  return Entry.State_ == TaskState::Claimed &&
-         Entry.Attempt_ == Attempt.Attempt_;
+  if (Entry.Attempt_ < Attempt.Attempt_)
+    return AttemptStanding::NotSeenYet;
+  bool Claimed = Entry.State_ == TaskState::Claimed &&
+                 Entry.Attempt_ == Attempt.Attempt_;
+  return Claimed ? AttemptStanding::Claimed : AttemptStanding::Disowned;
 }
 
 void stopUnclaimed(SchedulerCore &Core, const JobRecord &Job) {
@@ -115,7 +118,8 @@
     if (Attempt.Task_.Job_ != Job.Id_)
       return;
     HeldAttempt &Held = *Core.findHeld(Attempt);
-    if (claims(Job, Attempt) || Held.Stop_ == StopWish::AtOnce)
+    bool Disowned = standingOf(Job, Attempt) == AttemptStanding::Disowned;
+    if (!Disowned || Held.Stop_ == StopWish::AtOnce)
       continue;
     Held.Stop_ = StopWish::AtOnce;
     Held.StopReason_ = "no longer claimed by its job";
--- a/packages/placement/src/row_intake.h
+++ b/packages/placement/src/row_intake.h
@@ -21,8 +21,18 @@
 void takeScan(SchedulerCore &Core, RowKind Kind,
               const std::vector<StoredRow> &Rows);
 
-/// Returns true when \p Attempt is the one that its task is claimed by.
-bool claims(const JobRecord &Job, const AttemptRef &Attempt);
+/// What a job's row says of an assigned attempt.
+enum class AttemptStanding {
+  /// The row is older than the claim; a newer one must be read.
+  NotSeenYet,
+  Claimed,
+  /// Its task was cancelled, or has ended or gone on without it.
+  Disowned
+};
+
+/// Returns what \p Job says of \p Attempt. Attempt numbers only grow, so a row
+/// that disowns an attempt does so for good.
+AttemptStanding standingOf(const JobRecord &Job, const AttemptRef &Attempt);
 
 /// Drops \p Job when it is over and none of its attempts is held.
 void forgetEndedJob(SchedulerCore &Core, const JobId &Job);
