--- a/packages/placement/tests/scheduler_fuzz_test.cpp
+++ b/packages/placement/tests/scheduler_fuzz_test.cpp
@@ -7,6 +7,7 @@
 #include <rapidcheck.h>
 
 using namespace filbertspring;
+using namespace filbertspring::placement;
 using namespace filbertspring::test;
 
 namespace {
