--- /dev/null
+++ b/packages/platform/tests/row_codec_test.cpp
@@ -0,0 +1,185 @@
+#include "filbertspring/platform/row_codec.h"
+
+#include "random_record.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace filbertspring;
+using Json = nlohmann::json;
+
+namespace {
+
+/// A contract that has no findings, with random amounts.
+Contract randomContract() {
+  Contract Terms;
+  Terms.Name_ = ContractName("denizkul");
+  Terms.Team_ = TeamName("bookings");
+  Terms.Weight_ = *rc::gen::inRange(1, MaxContractWeight);
+  Terms.Zones_ = {ZoneName("bodrum"), ZoneName("kusadasi")};
+  ServiceTerms Service;
+  Service.Name_ = ServiceName("booking");
+  Service.LatencyTarget_ = Duration(*rc::gen::inRange(1, 100) * 1000);
+  Service.Objective_ = *rc::gen::inRange(1, 1000) / 1000.0;
+  Service.RatePerSecond_ = *rc::gen::inRange(1, 100000);
+  Service.Concurrency_ = *rc::gen::inRange(8, 5000);
+  Service.Deadline_ = Duration(*rc::gen::inRange(100, 5000) * 1000);
+  Service.Idempotent_ = *rc::gen::arbitrary<bool>();
+  Terms.Services_ = {Service};
+  if (*rc::gen::arbitrary<bool>())
+    Terms.Batch_ = BatchTerms{
+        {Millicores(64000), Mebibytes(4096), Accelerators(2)},
+        *rc::gen::inRange(1, 1000),
+        {{BatchKindName("permit"), true, 3, std::chrono::minutes(2)}}};
+  if (*rc::gen::arbitrary<bool>())
+    Terms.Watches_ =
+        WatchTerms{*rc::gen::inRange(1, 100), std::chrono::hours(12)};
+  return Terms;
+}
+
+void randomize(Contract &Terms) { Terms = randomContract(); }
+
+template <typename Record> Record randomRecord() {
+  Record Value;
+  Randomizer()(Value);
+  return Value;
+}
+
+template <> ContractRecord randomRecord<ContractRecord>() {
+  ContractRecord Value;
+  randomize(Value.Terms_);
+  Randomizer()(Value.ChangedBy_);
+  Randomizer()(Value.Removed_);
+  return Value;
+}
+
+template <> RequestKeyRecord randomRecord<RequestKeyRecord>() {
+  RequestKeyRecord Value;
+  Randomizer()(Value);
+  Value.AnswerBody_ = *rc::gen::arbitrary<std::string>();
+  return Value;
+}
+
+template <typename Record> void checkRoundTrip() {
+  Record Value = randomRecord<Record>();
+  Result<std::string> Text = encodeRowValue(Value);
+  RC_ASSERT(Text.has_value());
+  Result<RowValue> Back = decodeRowValue(kindOf(Value), *Text);
+  RC_ASSERT(Back.has_value());
+  RC_ASSERT(same(std::get<Record>(*Back), Value));
+}
+
+template <typename Record> void checkRefusals() {
+  Record Value = randomRecord<Record>();
+  RowKind Kind = kindOf(Value);
+  std::string Text = *encodeRowValue(Value);
+  const auto Cut = *rc::gen::inRange<std::size_t>(0, Text.size());
+  RC_ASSERT(decodeRowValue(Kind, Text.substr(0, Cut)).error() ==
+            Errc::InvalidJson);
+  Json Document = Json::parse(Text);
+  auto Member = Document.begin();
+  std::advance(Member, *rc::gen::inRange<std::size_t>(0, Document.size()));
+  std::string Name = Member.key();
+  Json WrongType = Document;
+  WrongType[Name] = Json::array({Json::object(), nullptr});
+  RC_ASSERT(decodeRowValue(Kind, WrongType.dump()).error() ==
+            Errc::InvalidJson);
+  Document.erase(Name);
+  RC_ASSERT(decodeRowValue(Kind, Document.dump()).error() == Errc::InvalidJson);
+}
+
+/// Changed bytes may still be a document; decoding must only not fail badly.
+template <typename Record> void checkDamage() {
+  Record Value = randomRecord<Record>();
+  std::string Text = *encodeRowValue(Value);
+  for (int Count = *rc::gen::inRange(1, 6); Count > 0; --Count)
+    Text[*rc::gen::inRange<std::size_t>(0, Text.size())] =
+        *rc::gen::arbitrary<char>();
+  Result<RowValue> Back = decodeRowValue(kindOf(Value), Text);
+  RC_ASSERT(Back || Back.error() == Errc::InvalidJson);
+  if (Back)
+    RC_ASSERT(encodeRowValue(*Back).has_value());
+}
+
+template <std::size_t Index = 0, typename Function>
+void forEachKind(Function Check) {
+  if constexpr (Index < std::variant_size_v<RowValue>) {
+    using Record = std::variant_alternative_t<Index, RowValue>;
+    std::string Name(RowKindNames[Index].Name_);
+    BOOST_TEST(Check.template operator()<Record>(Name), Name);
+    forEachKind<Index + 1>(Check);
+  }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(row_codec)
+
+BOOST_AUTO_TEST_SUITE(a_row_of_any_kind)
+
+BOOST_AUTO_TEST_CASE(is_read_as_it_was_written) {
+  forEachKind([]<typename Record>(const std::string &Name) {
+    return rc::check(Name + " round trip", checkRoundTrip<Record>);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(is_refused_when_cut_short_incomplete_or_of_a_wrong_type) {
+  forEachKind([]<typename Record>(const std::string &Name) {
+    return rc::check(Name + " refusals", checkRefusals<Record>);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(is_refused_or_read_when_its_bytes_are_damaged) {
+  forEachKind([]<typename Record>(const std::string &Name) {
+    return rc::check(Name + " damage", checkDamage<Record>);
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_field)
+
+BOOST_AUTO_TEST_CASE(of_an_unknown_name_or_out_of_range_is_refused) {
+  std::string Zone = *encodeRowValue(AvailabilityZone{
+      ZoneName("z"), RegionName("r"), ZoneState::InService, "", ""});
+  Json Document = Json::parse(Zone);
+  BOOST_TEST(decodeRowValue(RowKind::Zone, Zone).has_value());
+  Document["state"] = "in_service";
+  BOOST_TEST((decodeRowValue(RowKind::Zone, Document.dump()).error() ==
+              Errc::InvalidJson));
+  auto Shares = [](const std::string &Permille) {
+    return R"({"contract":"c","shares":[{"instance":"i","permille":)" +
+           Permille + "}]}";
+  };
+  auto Accepts = [&Shares](const std::string &Permille) {
+    return decodeRowValue(RowKind::ShareLedger, Shares(Permille)).has_value();
+  };
+  BOOST_TEST(Accepts("2147483647"));
+  for (const char *Bad : {"2147483648", "-2147483649", "1.5", "1e3", "\"1\""})
+    BOOST_TEST(!Accepts(Bad), Bad);
+}
+
+BOOST_AUTO_TEST_CASE(that_json_cannot_hold_is_not_encoded) {
+  BOOST_TEST(
+      (encodeRowValue(HeadRecord{1, "\xff"}).error() == Errc::InvalidInput));
+}
+
+BOOST_AUTO_TEST_CASE(that_is_not_known_is_ignored) {
+  Result<RowValue> Head = decodeRowValue(
+      RowKind::Head, R"({"changes":3,"changed_by":"ada","later":[1]})");
+  BOOST_REQUIRE(Head.has_value());
+  BOOST_TEST(std::get<HeadRecord>(*Head).Changes_ == 3);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(keys_are_read_as_they_were_written) {
+  for (const auto &Kind : RowKindNames) {
+    RowKey Key{Kind.Value_, "contract/a b"};
+    BOOST_TEST((decodeRowKey(encodeRowKey(Key)).value() == Key));
+  }
+  for (const char *Bad : {"", "rack", "racks/r", "/r"})
+    BOOST_TEST((decodeRowKey(Bad).error() == Errc::InvalidInput), Bad);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
