--- a/standins/src/program.h
+++ b/standins/src/program.h
@@ -10,13 +10,18 @@
 
 #include <cstdint>
 #include <cstdio>
-#include <cxxopts.hpp>
 #include <exception>
 #include <fmt/format.h>
 #include <functional>
 #include <stdexcept>
 #include <string>
 
+#if defined(__GNUC__) && !defined(__clang__)
+// GCC 12 warns of overlapping copies in std::string's operator+ (bug 105651).
+#pragma GCC diagnostic ignored "-Wrestrict"
+#endif
+#include <cxxopts.hpp>
+
 namespace filbertspring {
 
 /// Parses the flags and calls \p Serve with them. Prints what went wrong to
@@ -39,7 +44,7 @@
                            const std::string &Name) {
   Result<Address> Parsed = decodeAddress(Flags[Name].as<std::string>());
   if (!Parsed)
-    throw std::runtime_error("--" + Name + " is not HOST:PORT");
+    throw std::runtime_error(fmt::format("--{} is not HOST:PORT", Name));
   return *Parsed;
 }
 
