Report on service-level burn: counters, windows, renderers

The report gives the burn rate over 5 min, 30 min, 1 h, 6 h and 24 h, the verdicts of two windows each (14.4x over 1 h and 5 min; 6x over 6 h and 30 min), the origins of bad requests, and how many minutes of each window no instance, or fewer than the usual number of instances, observed.

--- /dev/null
+++ b/packages/report/src/burn_report.cpp
@@ -0,0 +1,225 @@
+#include "filbertspring/report/burn_report.h"
+
+#include "burn_key.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace filbertspring {
+
+using report_detail::badRequests;
+
+namespace {
+
+constexpr std::size_t Day = static_cast<std::size_t>(BurnWindow::Day);
+constexpr std::int64_t DayMinutes = BurnWindowMinutes[Day];
+
+/// The shortest timeline.
+constexpr std::size_t ShortestTimeline =
+    static_cast<std::size_t>(BurnWindow::HalfHour);
+/// Minutes per step of a timeline of each window, in the order of BurnWindow.
+constexpr std::array<std::int64_t, BurnWindowCount> StepMinutes{1, 1, 1, 5, 15};
+
+using ServiceKey = std::pair<ContractName, ServiceName>;
+
+/// Calls \p Visit with the age of each minute of the last day that \p Record
+/// observed; the present minute has age 0.
+template <typename Visitor>
+void visitObserved(const BurnHourRecord &Record, std::int64_t NowMinute,
+                   Visitor Visit) {
+  std::int64_t FirstMinute = Record.Hour_ * report_detail::MinutesPerHour;
+  for (std::int64_t Bit = 0; Bit < report_detail::MinutesPerHour; ++Bit) {
+    std::int64_t Age = NowMinute - (FirstMinute + Bit);
+    bool Observed = (Record.ObservedMinutes_ >> Bit) & 1;
+    if (Observed && Age >= 0 && Age < DayMinutes)
+      Visit(static_cast<std::size_t>(Age));
+  }
+}
+
+/// Returns how many instances observed each minute of the last day, by age.
+std::vector<std::int64_t>
+countObservers(const std::vector<BurnHourRecord> &Records,
+               std::int64_t NowMinute) {
+  std::vector<std::int64_t> Observers(DayMinutes);
+  for (const BurnHourRecord &Record : Records)
+    visitObserved(Record, NowMinute,
+                  [&](std::size_t Age) { ++Observers[Age]; });
+  return Observers;
+}
+
+WindowCoverage coverageOf(const std::vector<std::int64_t> &Observers,
+                          std::int64_t Minutes) {
+  auto Begin = Observers.begin();
+  auto End = Begin + Minutes;
+  WindowCoverage Coverage;
+  Coverage.Minutes_ = Minutes;
+  Coverage.Instances_ = *std::max_element(Begin, End);
+  Coverage.UnobservedMinutes_ = std::count(Begin, End, 0);
+  Coverage.PartialMinutes_ =
+      Minutes - Coverage.UnobservedMinutes_ -
+      (Coverage.Instances_ == 0 ? 0
+                                : std::count(Begin, End, Coverage.Instances_));
+  return Coverage;
+}
+
+BurnTimeline makeTimeline(const std::vector<std::int64_t> &Observers,
+                          std::int64_t NowMinute) {
+  auto Oldest = std::find_if(Observers.rbegin(), Observers.rend(),
+                             [](std::int64_t Count) { return Count > 0; });
+  std::int64_t Needed = Observers.rend() - Oldest;
+  std::size_t Window = ShortestTimeline;
+  while (BurnWindowMinutes[Window] < Needed)
+    ++Window;
+  std::int64_t Minutes = BurnWindowMinutes[Window];
+  BurnTimeline Timeline;
+  Timeline.FirstMinute_ = NowMinute - Minutes + 1;
+  Timeline.MinutesPerStep_ = StepMinutes[Window];
+  Timeline.ObservedMinutes_.resize(
+      static_cast<std::size_t>(Minutes / Timeline.MinutesPerStep_));
+  for (std::int64_t Age = 0; Age < Minutes; ++Age)
+    if (Observers[static_cast<std::size_t>(Age)] > 0)
+      ++Timeline.ObservedMinutes_[static_cast<std::size_t>(
+          (Minutes - 1 - Age) / Timeline.MinutesPerStep_)];
+  return Timeline;
+}
+
+/// Collects the counts of one service.
+class ServiceCollector {
+public:
+  ServiceCollector(const BurnTimeline &Timeline, std::int64_t NowMinute)
+      : Timeline_(Timeline), NowMinute_(NowMinute) {
+    Steps_.resize(Timeline.ObservedMinutes_.size());
+  }
+
+  void add(const BurnMinute &Counts) {
+    std::int64_t Age = NowMinute_ - Counts.Minute_;
+    if (Age < 0 || Age >= DayMinutes)
+      return;
+    for (std::size_t Window = 0; Window < BurnWindowCount; ++Window) {
+      if (Age >= BurnWindowMinutes[Window])
+        continue;
+      Windows_[Window].Good_ += Counts.Good_;
+      Windows_[Window].Bad_ += badRequests(Counts.Bad_);
+    }
+    addOrigins(Counts);
+    addStep(Counts);
+  }
+
+  bool empty() const {
+    return Windows_[Day].Good_ == 0 && Windows_[Day].Bad_ == 0;
+  }
+
+  /// Returns the burn for the terms of the service.
+  ServiceBurn burnFor(const ContractName &Contract,
+                      const ServiceTerms &Terms) const;
+
+  UnknownServiceCounts unknown(const ServiceKey &Key) const {
+    return {Key.first, Key.second, Windows_[Day].Good_, Windows_[Day].Bad_};
+  }
+
+private:
+  void addOrigins(const BurnMinute &Counts) {
+    for (std::size_t Cause = 0; Cause < BurnCauseCount; ++Cause)
+      if (Counts.Bad_[Cause] > 0)
+        Origins_[{Counts.Zone_, static_cast<BurnCause>(Cause)}] +=
+            Counts.Bad_[Cause];
+  }
+
+  void addStep(const BurnMinute &Counts) {
+    std::int64_t Offset = Counts.Minute_ - Timeline_.FirstMinute_;
+    if (Offset < 0)
+      return;
+    BurnStep &Step =
+        Steps_[static_cast<std::size_t>(Offset / Timeline_.MinutesPerStep_)];
+    Step.Good_ += Counts.Good_;
+    for (std::size_t Cause = 0; Cause < BurnCauseCount; ++Cause)
+      Step.Bad_[Cause] += Counts.Bad_[Cause];
+  }
+
+  const BurnTimeline &Timeline_;
+  std::int64_t NowMinute_;
+  std::array<WindowBurn, BurnWindowCount> Windows_{};
+  std::map<std::pair<ZoneName, BurnCause>, std::int64_t> Origins_;
+  std::vector<BurnStep> Steps_;
+};
+
+double rateOf(const WindowBurn &Window, double Allowed) {
+  std::int64_t Total = Window.Good_ + Window.Bad_;
+  if (Total == 0)
+    return 0.0;
+  return static_cast<double>(Window.Bad_) / static_cast<double>(Total) /
+         Allowed;
+}
+
+ServiceBurn ServiceCollector::burnFor(const ContractName &Contract,
+                                      const ServiceTerms &Terms) const {
+  ServiceBurn Burn;
+  Burn.Contract_ = Contract;
+  Burn.Service_ = Terms.Name_;
+  Burn.Objective_ = Terms.Objective_;
+  Burn.LatencyTarget_ = Terms.LatencyTarget_;
+  Burn.Windows_ = Windows_;
+  Burn.Steps_ = Steps_;
+  double Allowed = 1.0 - Terms.Objective_;
+  for (WindowBurn &Window : Burn.Windows_)
+    Window.Rate_ = rateOf(Window, Allowed);
+  const WindowBurn &Whole = Burn.Windows_[Day];
+  Burn.BudgetRequests_ =
+      static_cast<double>(Whole.Good_ + Whole.Bad_) * Allowed;
+  Burn.BudgetLeft_ = 1.0 - Whole.Rate_;
+  auto Reaches = [&Burn](BurnWindow Window, double Rate) {
+    return Burn.Windows_[static_cast<std::size_t>(Window)].Rate_ >= Rate;
+  };
+  Burn.FastBurn_ = Reaches(BurnWindow::Hour, FastBurnRate) &&
+                   Reaches(BurnWindow::FiveMinutes, FastBurnRate);
+  Burn.SlowBurn_ = Reaches(BurnWindow::SixHours, SlowBurnRate) &&
+                   Reaches(BurnWindow::HalfHour, SlowBurnRate);
+  for (const auto &[Origin, Bad] : Origins_)
+    Burn.Sources_.push_back({Origin.first, Origin.second, Bad});
+  std::ranges::stable_sort(Burn.Sources_, std::greater(), &BurnSource::Bad_);
+  return Burn;
+}
+
+using CollectorMap = std::map<ServiceKey, ServiceCollector>;
+
+CollectorMap collect(const std::vector<BurnHourRecord> &Records,
+                     const BurnTimeline &Timeline, std::int64_t NowMinute) {
+  CollectorMap Collectors;
+  for (const BurnHourRecord &Record : Records)
+    for (const BurnMinute &Counts : Record.Minutes_)
+      Collectors
+          .try_emplace({Counts.Contract_, Counts.Service_}, Timeline, NowMinute)
+          .first->second.add(Counts);
+  return Collectors;
+}
+
+} // namespace
+
+BurnReport makeBurnReport(const std::vector<BurnHourRecord> &Records,
+                          const std::vector<Contract> &Contracts,
+                          std::int64_t NowMs) {
+  std::int64_t NowMinute = NowMs / report_detail::MillisecondsPerMinute;
+  std::vector<std::int64_t> Observers = countObservers(Records, NowMinute);
+  BurnReport Report;
+  Report.NowMs_ = NowMs;
+  for (std::size_t Window = 0; Window < BurnWindowCount; ++Window)
+    Report.Coverage_[Window] = coverageOf(Observers, BurnWindowMinutes[Window]);
+  Report.Timeline_ = makeTimeline(Observers, NowMinute);
+  CollectorMap Collectors = collect(Records, Report.Timeline_, NowMinute);
+  for (const Contract &Terms : Contracts)
+    for (const ServiceTerms &Service : Terms.Services_) {
+      auto Entry = Collectors
+                       .try_emplace({Terms.Name_, Service.Name_},
+                                    Report.Timeline_, NowMinute)
+                       .first;
+      Report.Services_.push_back(Entry->second.burnFor(Terms.Name_, Service));
+      Collectors.erase(Entry);
+    }
+  for (const auto &[Key, Collector] : Collectors)
+    if (!Collector.empty())
+      Report.Unknown_.push_back(Collector.unknown(Key));
+  return Report;
+}
+
+} // namespace filbertspring
--- /dev/null
+++ b/packages/report/src/burn_svg.cpp
@@ -0,0 +1,232 @@
+#include "filbertspring/report/burn_render.h"
+
+#include "burn_key.h"
+#include "svg_canvas.h"
+#include "utc.h"
+
+#include "filbertspring/config/units.h"
+
+#include <algorithm>
+#include <cmath>
+#include <fmt/format.h>
+
+namespace filbertspring {
+
+using report_detail::SvgCanvas;
+using report_detail::TextAnchor;
+using report_detail::TextStyle;
+
+namespace {
+
+// Lengths are in pixels.
+constexpr double ImageWidth = 960;
+constexpr double PlotLeft = 70;
+constexpr double PlotWidth = 740;
+constexpr double PlotRight = PlotLeft + PlotWidth;
+constexpr double PlotHeight = 170;
+constexpr double HeaderHeight = 84;
+constexpr double PanelTitleHeight = 56;
+constexpr double PanelHeight = PanelTitleHeight + PlotHeight + 64;
+/// Labels nearer than this would overlap.
+constexpr double LabelDistance = 13;
+constexpr std::size_t TimeTicks = 6;
+
+constexpr std::string_view AxisColour = "#555555";
+constexpr std::string_view GridColour = "#dddddd";
+constexpr std::string_view UnobservedColour = "#e4e4e4";
+constexpr std::string_view AlarmColour = "#b00020";
+/// In the order of BurnCause; told apart also with impaired colour vision.
+constexpr std::array<std::string_view, BurnCauseCount> CauseColours{
+    "#e69f00", "#56b4e9", "#d55e00", "#cc79a7", "#0072b2"};
+
+/// Where the chart of one service lies, and its scale.
+struct Plot {
+  double Top_ = 0;
+  double MaxRate_ = 1;
+  double StepWidth_ = 1;
+
+  double yOf(double Rate) const {
+    return Top_ + PlotHeight * (1 - Rate / MaxRate_);
+  }
+  double xOf(std::size_t Step) const {
+    return PlotLeft + StepWidth_ * static_cast<double>(Step);
+  }
+};
+
+/// Returns the burn rate that one cause contributes to a step.
+double rateOf(const BurnStep &Step, std::size_t Cause, double Objective) {
+  auto Total =
+      static_cast<double>(Step.Good_ + report_detail::badRequests(Step.Bad_));
+  if (Total == 0)
+    return 0;
+  return static_cast<double>(Step.Bad_[Cause]) / Total / (1 - Objective);
+}
+
+/// Returns the smallest of 2, 5, 10, 20, 50 and so on that is above the rates.
+double scaleFor(const ServiceBurn &Burn) {
+  double Highest = 0;
+  for (const BurnStep &Step : Burn.Steps_) {
+    double Sum = 0;
+    for (std::size_t Cause = 0; Cause < BurnCauseCount; ++Cause)
+      Sum += rateOf(Step, Cause, Burn.Objective_);
+    Highest = std::max(Highest, Sum);
+  }
+  double Scale = 1;
+  constexpr std::array<double, 3> Factors{2, 2.5, 2};
+  for (std::size_t Index = 0; Scale <= Highest || Index == 0; ++Index)
+    Scale *= Factors[Index % Factors.size()];
+  return Scale;
+}
+
+void drawLegend(SvgCanvas &Canvas) {
+  double X = PlotLeft;
+  constexpr double Y = 62;
+  auto Entry = [&](std::string_view Colour, std::string_view Name) {
+    Canvas.rectangle(X, Y - 10, 12, 12, Colour);
+    Canvas.text(X + 17, Y, Name);
+    X += 40 + 7 * static_cast<double>(Name.size());
+  };
+  for (std::size_t Cause = 0; Cause < BurnCauseCount; ++Cause)
+    Entry(CauseColours[Cause], BurnCauseNames[Cause].Name_);
+  Entry(UnobservedColour, "not observed");
+}
+
+void drawTitle(SvgCanvas &Canvas, const ServiceBurn &Burn, double Top) {
+  bool Alarm = Burn.FastBurn_ || Burn.SlowBurn_;
+  Canvas.text(PlotLeft, Top + 18,
+              fmt::format("{} / {}: {:.6g}% within {}", Burn.Contract_.str(),
+                          Burn.Service_.str(), Burn.Objective_ * 100,
+                          formatDuration(Burn.LatencyTarget_)),
+              {TextAnchor::Start, 14, "#111111", true});
+  if (Alarm)
+    Canvas.text(ImageWidth - 20, Top + 18,
+                Burn.FastBurn_ ? "FAST BURN" : "SLOW BURN",
+                {TextAnchor::End, 14, AlarmColour, true});
+  std::string Summary =
+      fmt::format("error budget of 24h used {:.1f}%, burn rate",
+                  (1 - Burn.BudgetLeft_) * 100);
+  for (std::size_t Index = 0; Index < BurnWindowCount; ++Index)
+    Summary +=
+        fmt::format("{} {}: {:.2f}x", Index == 0 ? "" : ",",
+                    BurnWindowNames[Index].Name_, Burn.Windows_[Index].Rate_);
+  Canvas.text(PlotLeft, Top + 38, Summary);
+}
+
+void drawUnobserved(SvgCanvas &Canvas, const BurnTimeline &Timeline,
+                    const Plot &Area) {
+  for (std::size_t Step = 0; Step < Timeline.ObservedMinutes_.size(); ++Step) {
+    double Missing = 1 - static_cast<double>(Timeline.ObservedMinutes_[Step]) /
+                             static_cast<double>(Timeline.MinutesPerStep_);
+    if (Missing > 0)
+      Canvas.rectangle(Area.xOf(Step), Area.Top_, Area.StepWidth_ * Missing,
+                       PlotHeight, UnobservedColour);
+  }
+}
+
+void drawRateAxis(SvgCanvas &Canvas, const Plot &Area) {
+  constexpr int Ticks = 4;
+  for (int Tick = 0; Tick <= Ticks; ++Tick) {
+    double Rate = Area.MaxRate_ * Tick / Ticks;
+    Canvas.line(PlotLeft, Area.yOf(Rate), PlotRight, Area.yOf(Rate),
+                GridColour);
+    Canvas.text(PlotLeft - 6, Area.yOf(Rate) + 4, fmt::format("{:g}x", Rate),
+                {TextAnchor::End, 11});
+  }
+  Canvas.verticalText(20, Area.Top_ + PlotHeight / 2,
+                      "burn rate (times the budget)");
+}
+
+void drawSteps(SvgCanvas &Canvas, const ServiceBurn &Burn, const Plot &Area) {
+  double Gap = Area.StepWidth_ > 4 ? 1 : 0;
+  for (std::size_t Step = 0; Step < Burn.Steps_.size(); ++Step) {
+    double Base = 0;
+    for (std::size_t Cause = 0; Cause < BurnCauseCount; ++Cause) {
+      double Rate = rateOf(Burn.Steps_[Step], Cause, Burn.Objective_);
+      if (Rate == 0)
+        continue;
+      double Upper = Area.yOf(Base + Rate);
+      Canvas.rectangle(Area.xOf(Step), Upper, Area.StepWidth_ - Gap,
+                       Area.yOf(Base) - Upper, CauseColours[Cause]);
+      Base += Rate;
+    }
+  }
+}
+
+/// Draws the alert levels; a label that would touch the one above is left out.
+void drawLevels(SvgCanvas &Canvas, const Plot &Area) {
+  struct Level {
+    double Rate_;
+    std::string_view Name_;
+  };
+  constexpr std::array<Level, 3> Levels{
+      {{FastBurnRate, "fast"}, {SlowBurnRate, "slow"}, {1.0, "budget pace"}}};
+  double LastLabel = Area.Top_ - LabelDistance;
+  for (const Level &Item : Levels) {
+    if (Item.Rate_ > Area.MaxRate_)
+      continue;
+    double Y = Area.yOf(Item.Rate_);
+    Canvas.line(PlotLeft, Y, PlotRight, Y, AlarmColour, true);
+    if (Y - LastLabel < LabelDistance)
+      continue;
+    Canvas.text(PlotRight + 8, Y + 4,
+                fmt::format("{} ({:g}x)", Item.Name_, Item.Rate_),
+                {TextAnchor::Start, 11, AlarmColour});
+    LastLabel = Y;
+  }
+}
+
+void drawTimeAxis(SvgCanvas &Canvas, const BurnTimeline &Timeline,
+                  const Plot &Area) {
+  double Bottom = Area.Top_ + PlotHeight;
+  Canvas.line(PlotLeft, Bottom, PlotRight, Bottom, AxisColour);
+  Canvas.line(PlotLeft, Area.Top_, PlotLeft, Bottom, AxisColour);
+  std::size_t Steps = Timeline.ObservedMinutes_.size();
+  for (std::size_t Tick = 0; Tick <= TimeTicks; ++Tick) {
+    std::size_t Step = Steps * Tick / TimeTicks;
+    std::int64_t Minute =
+        Timeline.FirstMinute_ +
+        static_cast<std::int64_t>(Step) * Timeline.MinutesPerStep_;
+    Canvas.line(Area.xOf(Step), Bottom, Area.xOf(Step), Bottom + 5, AxisColour);
+    Canvas.text(Area.xOf(Step), Bottom + 18,
+                report_detail::formatUtcMinute(Minute),
+                {TextAnchor::Middle, 11});
+  }
+  Canvas.text(PlotLeft + PlotWidth / 2, Bottom + 36, "time (UTC)",
+              {TextAnchor::Middle, 11});
+}
+
+void drawService(SvgCanvas &Canvas, const ServiceBurn &Burn,
+                 const BurnTimeline &Timeline, double Top) {
+  Plot Area;
+  Area.Top_ = Top + PanelTitleHeight;
+  Area.MaxRate_ = scaleFor(Burn);
+  Area.StepWidth_ =
+      PlotWidth / static_cast<double>(Timeline.ObservedMinutes_.size());
+  drawTitle(Canvas, Burn, Top);
+  drawUnobserved(Canvas, Timeline, Area);
+  drawRateAxis(Canvas, Area);
+  drawSteps(Canvas, Burn, Area);
+  drawLevels(Canvas, Area);
+  drawTimeAxis(Canvas, Timeline, Area);
+}
+
+} // namespace
+
+std::string renderBurnSvg(const BurnReport &Report) {
+  SvgCanvas Canvas;
+  Canvas.text(PlotLeft, 32,
+              fmt::format("Service-level burn at {}",
+                          report_detail::formatUtc(Report.NowMs_)),
+              {TextAnchor::Start, 18, "#111111", true});
+  drawLegend(Canvas);
+  double Top = HeaderHeight;
+  for (const ServiceBurn &Burn : Report.Services_) {
+    drawService(Canvas, Burn, Report.Timeline_, Top);
+    Top += PanelHeight;
+  }
+  if (Report.Services_.empty())
+    Canvas.text(PlotLeft, Top + 20, "No contract has a service.");
+  return Canvas.finish(ImageWidth, std::max(Top, HeaderHeight + 40));
+}
+
+} // namespace filbertspring
--- /dev/null
+++ b/packages/report/tests/burn_render_test.cpp
@@ -0,0 +1,81 @@
+#include "filbertspring/report/burn_render.h"
+
+#include "burn_samples.h"
+
+#include <boost/test/unit_test.hpp>
+#include <cstdlib>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+using namespace filbertspring;
+
+namespace {
+
+/// Returns the report of a fault that lasts from minute 12 to 15, and of an
+/// instance that was not there in the minutes 20 to 22.
+BurnReport sampleReport() {
+  BurnCounter Counter(InstanceName("bodrum-1"));
+  for (std::int64_t Minute = 0; Minute < 30; ++Minute) {
+    bool Fault = Minute >= 12 && Minute < 16;
+    if (Minute >= 20 && Minute < 23)
+      continue;
+    countSamples(Counter, SampleMinute + Minute, 95, Fault ? 20 : 0);
+    countSamples(Counter, SampleMinute + Minute, 0, Fault ? 10 : 0,
+                 BurnCause::EndpointFailed);
+  }
+  Contract Second = sampleContract();
+  Second.Name_ = ContractName("<luneta>");
+  return makeBurnReport(Counter.records(), {sampleContract(), Second},
+                        endOf(SampleMinute + 29));
+}
+
+bool contains(const std::string &Text, std::string_view Part) {
+  return Text.find(Part) != std::string::npos;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(burn_rendering)
+
+BOOST_AUTO_TEST_CASE(as_text_shows_budget_windows_origins_and_gaps) {
+  std::string Text = renderBurnText(sampleReport());
+  BOOST_TEST_MESSAGE(Text);
+  BOOST_TEST(contains(Text, "Service-level burn at 2026-12-04 00:29 UTC"));
+  BOOST_TEST(contains(Text, "denizkul / booking-check: 99% within 250ms: ok"));
+  BOOST_TEST(contains(Text, "bodrum               slow                    80"));
+  BOOST_TEST(contains(Text, "bodrum               endpoint-failed         40"));
+  BOOST_TEST(contains(Text, "26.9 requests, 446.9% used"));
+  BOOST_TEST(contains(Text, "30min            3 min             0 min"));
+}
+
+BOOST_AUTO_TEST_CASE(as_json_has_the_same_figures) {
+  auto Document =
+      nlohmann::json::parse(renderBurnJson(sampleReport()), nullptr, false);
+  BOOST_REQUIRE(!Document.is_discarded());
+  const auto &Service = Document["services"][0];
+  BOOST_TEST(Service["windows"][1]["bad"] == 120);
+  BOOST_TEST(Service["sources"][0]["cause"] == "slow");
+  BOOST_TEST(Service["steps"].size() == 30U);
+  BOOST_TEST(Document["coverage"][1]["unobserved_minutes"] == 3);
+}
+
+BOOST_AUTO_TEST_CASE(as_svg_has_labels_and_escapes_names) {
+  std::string Svg = renderBurnSvg(sampleReport());
+  // Written for people who want to look at it.
+  if (const char *Path = std::getenv("BURN_SVG"))
+    std::ofstream(Path) << Svg;
+  BOOST_TEST(Svg.starts_with("<svg xmlns="));
+  BOOST_TEST(contains(Svg, "time (UTC)"));
+  BOOST_TEST(contains(Svg, "burn rate (times the budget)"));
+  BOOST_TEST(contains(Svg, "fast (14.4x)"));
+  BOOST_TEST(contains(Svg, "&lt;luneta&gt;"));
+  BOOST_TEST(!contains(Svg, "<luneta>"));
+}
+
+BOOST_AUTO_TEST_CASE(without_services_says_so) {
+  BurnReport Empty = makeBurnReport({}, {}, endOf(SampleMinute));
+  BOOST_TEST(contains(renderBurnText(Empty), "No contract has a service."));
+  BOOST_TEST(contains(renderBurnSvg(Empty), "No contract has a service."));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
