--- a/packages/routing/src/flow.cpp
+++ b/packages/routing/src/flow.cpp
@@ -5,6 +5,8 @@
 namespace filbertspring::routing {
 
 std::optional<std::uint64_t> Flow::next() const {
+  if (!InForce_)
+    return std::nullopt;
   if (!Retrying_.empty())
     return Retrying_.begin()->second;
   if (!Waiting_.empty() && InUse_ < Limit_)
--- a/packages/routing/src/flow.h
+++ b/packages/routing/src/flow.h
@@ -24,8 +24,6 @@
   Contract Terms_;
   std::int32_t Permille_ = 0;
   RetryBudget Budget_;
-  /// False once the contract is no longer in force.
-  bool InForce_ = true;
 };
 
 /// Requests ordered by deadline, then by ticket.
@@ -50,6 +48,9 @@
   DeadlineQueue Retrying_{};
   /// Virtual time at which its next request may start.
   double NextTurn_ = 0.0;
+  /// False once the contract is no longer in force or leaves it out. It is kept
+  /// while its requests hold units, which count if it comes back.
+  bool InForce_ = true;
 
   std::size_t queued() const { return Waiting_.size() + Retrying_.size(); }
   /// Returns the ticket of the request to be sent next, or nothing.
--- a/packages/routing/src/router_admission.cpp
+++ b/packages/routing/src/router_admission.cpp
@@ -89,7 +89,8 @@
 Flow *Router::Impl::findFlow(const ContractName &Contract,
                              const ServiceName &Service) {
   auto Found = Flows_.find({Contract, Service});
-  return Found == Flows_.end() ? nullptr : Found->second.get();
+  bool Known = Found != Flows_.end() && Found->second->InForce_;
+  return Known ? Found->second.get() : nullptr;
 }
 
 } // namespace filbertspring
--- a/packages/routing/src/router_contracts.cpp
+++ b/packages/routing/src/router_contracts.cpp
@@ -13,17 +13,17 @@
   std::set<ContractName> InForce;
   for (const Contract &Terms : Event.Contracts_)
     InForce.insert(Terms.Name_);
-  std::vector<ContractName> Ended;
-  for (const auto &[Name, State] : Contracts_)
-    if (!InForce.contains(Name))
-      Ended.push_back(Name);
-  for (const ContractName &Name : Ended) {
-    retire(Name, {}, NotRunReason::UnknownContract);
-    Contracts_[Name]->InForce_ = false;
-    Contracts_.erase(Name);
-  }
+  std::erase_if(Contracts_, [&](const auto &Entry) {
+    return !InForce.contains(Entry.first);
+  });
   for (const Contract &Terms : Event.Contracts_)
     adopt(Terms);
+  // Every flow has its new terms before the first action, so that nothing is
+  // sent under old ones.
+  std::vector<Flow *> Ended = retireFlows();
+  for (Flow *Member : Ended)
+    giveUpQueued(*Member);
+  forgetIdleFlows();
   dispatchAll();
 }
 
@@ -43,16 +43,12 @@
   std::shared_ptr<ContractState> &State = Contracts_[Terms.Name_];
   if (!State) {
     State = std::make_shared<ContractState>(
-        ContractState{{}, 0, RetryBudget(Config_.Retry_), true});
+        ContractState{{}, 0, RetryBudget(Config_.Retry_)});
     State->Permille_ = Shares_[Terms.Name_];
   }
   State->Terms_ = Terms;
-  std::set<ServiceName> Kept;
-  for (const ServiceTerms &Service : Terms.Services_) {
-    Kept.insert(Service.Name_);
+  for (const ServiceTerms &Service : Terms.Services_)
     adoptService(State, Service);
-  }
-  retire(Terms.Name_, Kept, NotRunReason::UnknownService);
 }
 
 void Router::Impl::adoptService(const std::shared_ptr<ContractState> &State,
@@ -63,30 +59,47 @@
         Flow{State, Terms, routing::RateLimiter(Config_.BurstTime_)});
     Queues_[Terms.Name_].add(Member);
   }
+  Member->Contract_ = State;
   Member->Terms_ = Terms;
+  Member->InForce_ = true;
   applyLimits(*Member);
 }
 
-void Router::Impl::retire(const ContractName &Name,
-                          const std::set<ServiceName> &Kept,
-                          NotRunReason Reason) {
-  auto Next = Flows_.lower_bound({Name, ServiceName()});
-  while (Next != Flows_.end() && Next->first.first == Name) {
-    if (Kept.contains(Next->first.second)) {
-      ++Next;
-      continue;
-    }
-    std::shared_ptr<Flow> Member = Next->second;
-    Next = Flows_.erase(Next);
-    Queues_[Member->Terms_.Name_].remove(Member.get());
-    std::vector<std::uint64_t> Tickets;
-    for (const auto &[Deadline, Ticket] : Member->Waiting_)
-      Tickets.push_back(Ticket);
-    for (const auto &[Deadline, Ticket] : Member->Retrying_)
-      Tickets.push_back(Ticket);
-    for (std::uint64_t Ticket : Tickets)
-      giveUp(*find(Ticket), Reason);
+std::vector<Flow *> Router::Impl::retireFlows() {
+  std::vector<Flow *> Ended;
+  for (const auto &[Key, Member] : Flows_) {
+    auto State = Contracts_.find(Key.first);
+    bool InForce = State != Contracts_.end() &&
+                   State->second->Terms_.findService(Key.second);
+    if (Member->InForce_ && !InForce)
+      Ended.push_back(Member.get());
+    Member->InForce_ = InForce;
   }
+  return Ended;
+}
+
+void Router::Impl::giveUpQueued(Flow &Member) {
+  NotRunReason Reason = Contracts_.contains(Member.Contract_->Terms_.Name_)
+                            ? NotRunReason::UnknownService
+                            : NotRunReason::UnknownContract;
+  std::vector<std::uint64_t> Tickets;
+  for (const auto &[Deadline, Ticket] : Member.Waiting_)
+    Tickets.push_back(Ticket);
+  for (const auto &[Deadline, Ticket] : Member.Retrying_)
+    Tickets.push_back(Ticket);
+  for (std::uint64_t Ticket : Tickets)
+    giveUp(*find(Ticket), Reason);
+}
+
+void Router::Impl::forgetIdleFlows() {
+  std::erase_if(Flows_, [&](const auto &Entry) {
+    Flow &Member = *Entry.second;
+    bool Idle = Member.InUse_ == 0 && Member.queued() == 0;
+    if (Member.InForce_ || !Idle)
+      return false;
+    Queues_[Member.Terms_.Name_].remove(&Member);
+    return true;
+  });
 }
 
 void Router::Impl::applyLimits(Flow &Member) {
--- a/packages/routing/src/router_dispatch.cpp
+++ b/packages/routing/src/router_dispatch.cpp
@@ -140,7 +140,7 @@
                 Number == static_cast<AttemptNumber>(Item.Attempts_.size());
   bool Allowed = Number < Config_.Retry_.MaxAttempts_ &&
                  Member.InUse_ * HedgeHeadroom <= Member.Limit_ &&
-                 Now_ < Item.Deadline_ && Member.Contract_->InForce_;
+                 Now_ < Item.Deadline_ && Member.InForce_;
   if (!Wanted || !Allowed)
     return;
   if (!Member.Contract_->Budget_.trySpend())
--- a/packages/routing/src/router_impl.h
+++ b/packages/routing/src/router_impl.h
@@ -33,8 +33,9 @@
   void adopt(const Contract &Terms);
   void adoptService(const std::shared_ptr<routing::ContractState> &State,
                     const ServiceTerms &Terms);
-  void retire(const ContractName &Name, const std::set<ServiceName> &Kept,
-              NotRunReason Reason);
+  std::vector<routing::Flow *> retireFlows();
+  void giveUpQueued(routing::Flow &Member);
+  void forgetIdleFlows();
   void applyLimits(routing::Flow &Member);
 
   // Admission (router_admission.cpp).
--- a/packages/routing/src/router_outcomes.cpp
+++ b/packages/routing/src/router_outcomes.cpp
@@ -82,8 +82,7 @@
   auto Made = static_cast<std::int32_t>(Item.Attempts_.size());
   if (Made >= Config_.Retry_.MaxAttempts_)
     return false;
-  bool InForce = findFlow(Terms.Name_, Member.Terms_.Name_) == &Member;
-  if (!InForce || !Endpoints_.anyAvailable(Terms, Member.Terms_.Name_))
+  if (!Member.InForce_ || !Endpoints_.anyAvailable(Terms, Member.Terms_.Name_))
     return false;
   // A refusal cost the endpoint no work.
   return wasRefused(Item.LastResult_) || Member.Contract_->Budget_.trySpend();
--- /dev/null
+++ b/packages/routing/tests/router_fuzz_test.cpp
@@ -0,0 +1,67 @@
+#include "fuzz_world.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/state.h>
+
+using namespace filbertspring;
+using namespace filbertspring::routing_test;
+
+namespace {
+
+struct NoModel {};
+
+/// A step as rapidcheck's command.
+struct StepCommand : rc::state::Command<NoModel, FuzzWorld> {
+  StepCommand() {
+    // Arrivals, ends and time are drawn more often than the rest.
+    constexpr int Common = 18;
+    int Drawn = *rc::gen::inRange(0, StepKindCount + Common);
+    Step_.Kind_ = static_cast<StepKind>(Drawn);
+    if (Drawn >= StepKindCount)
+      Step_.Kind_ = static_cast<StepKind>(Drawn % 3);
+    Step_.A_ = *rc::gen::inRange<std::uint32_t>(0, 1024);
+    Step_.B_ = *rc::gen::inRange<std::uint32_t>(0, 1024);
+    Step_.C_ = *rc::gen::inRange<std::uint32_t>(0, 1024);
+  }
+  void run(const NoModel & /*Before*/, FuzzWorld &World) const override {
+    World.run(Step_);
+    RC_ASSERT(World.Problem_ == "");
+  }
+  void show(std::ostream &Out) const override { Out << Step_; }
+
+  Step Step_;
+};
+
+bool holdsUnderFaults(const char *Name, EndpointPolicy Policy) {
+  return rc::check(Name, [&] {
+    auto Seed = *rc::gen::arbitrary<std::uint64_t>();
+    // Sequences are longer than rapidcheck's sizes.
+    auto Commands = *rc::gen::scale(
+        6.0, rc::state::gen::commands(
+                 NoModel{}, rc::state::gen::execOneOfWithArgs<StepCommand>()));
+    FuzzWorld World(Seed, Policy);
+    rc::state::runAll(Commands, NoModel{}, World);
+    World.finish();
+    RC_ASSERT(World.Problem_ == "");
+    RC_CLASSIFY(World.Outcomes_[RequestOutcome::Completed] > 0, "completed");
+    RC_CLASSIFY(World.Outcomes_[RequestOutcome::NotRun] > 0, "not run");
+    RC_CLASSIFY(World.Outcomes_[RequestOutcome::Unknown] > 0, "unknown");
+  });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(router_under_faults)
+
+BOOST_AUTO_TEST_CASE(keeps_its_rules_with_the_sampled_policy) {
+  BOOST_TEST(holdsUnderFaults("sampled", SampledPolicy{}));
+}
+
+BOOST_AUTO_TEST_CASE(keeps_its_rules_with_the_baselines) {
+  BOOST_TEST(holdsUnderFaults("random", RandomPolicy{}));
+  BOOST_TEST(holdsUnderFaults("round robin", RoundRobinPolicy{}));
+  BOOST_TEST(holdsUnderFaults("least in flight", LeastInFlightPolicy{}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
