--- a/packages/routing/src/endpoint_choice.cpp
+++ b/packages/routing/src/endpoint_choice.cpp
@@ -159,9 +159,12 @@
     if (Remembered > Usual * (OutlierFactor - 1.0))
       Slower = Remembered;
   }
-  double Load = static_cast<double>(Node.load()) /
-                static_cast<double>(std::max<std::int64_t>(Node.Slots_, 1));
-  return {Id, Delay + Slower, (Usual + Slower) * (1.0 + Load)};
+  auto Slots = static_cast<double>(std::max<std::int64_t>(Node.Slots_, 1));
+  double Load = static_cast<double>(Node.load()) / Slots;
+  double Service = Usual + Slower;
+  // Above its slots, each request waits for the ones before it.
+  double Queueing = Service * std::max(Load - 1.0 + 1.0 / Slots, 0.0);
+  return {Id, Delay + Slower + Queueing, Service * (1.0 + Load) + Queueing};
 }
 
 std::optional<EndpointId>
--- a/packages/routing/src/endpoint_table.cpp
+++ b/packages/routing/src/endpoint_table.cpp
@@ -137,6 +137,7 @@
     case AttemptResult::RefusedBusy:
       Node.AnsweredAt_ = Now;
       markSuccess(Node);
+      Node.Refuses_ = true;
       Node.Others_ = std::max(Node.Others_, Node.Slots_ - Node.Own_);
       Node.BusyUntil_ = Now + Config_.Health_.BusyTime_;
       break;
@@ -188,7 +189,7 @@
       return;
     }
     // Without news for a while, one slot is taken to be free.
-    bool Full = UsesReports_ && Node.load() >= Node.Slots_;
+    bool Full = Node.Refuses_ && Node.load() >= Node.Slots_;
     if (Full && Now >= Node.BusyUntil_ && Node.Own_ < Node.Slots_)
       Node.Others_ = Node.Slots_ - Node.Own_ - 1;
   });
@@ -225,8 +226,10 @@
     return false;
   if (Now < Node.BusyUntil_)
     return false;
-  std::int64_t Load = UsesReports_ ? Node.load() : Node.Own_;
-  return Load < Node.Slots_;
+  if (Node.Own_ >= Node.Slots_)
+    return false;
+  bool Bounded = UsesReports_ && Node.Refuses_;
+  return !Bounded || Node.load() < Node.Slots_;
 }
 
 template <typename Function>
--- a/packages/routing/src/endpoint_table.h
+++ b/packages/routing/src/endpoint_table.h
@@ -56,6 +56,8 @@
   std::int64_t Others_ = 0;
   TimePoint ReportedAt_;
   TimePoint BusyUntil_;
+  /// Whether it refuses requests above its slots instead of queueing them.
+  bool Refuses_ = false;
   std::optional<TimePoint> AnsweredAt_;
   MovingMean Latency_{0.1};
   /// Position in its list of open endpoints.
