--- a/packages/membership/tests/share_allocator_test.cpp
+++ b/packages/membership/tests/share_allocator_test.cpp
@@ -4,7 +4,7 @@
 
 using namespace filbertspring;
 using namespace filbertspring::membership;
-using namespace filbertspring::test;
+using namespace filbertspring::membership::test;
 using namespace std::chrono_literals;
 
 namespace {
--- a/packages/membership/tests/share_cluster.cpp
+++ b/packages/membership/tests/share_cluster.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace filbertspring::test {
+namespace filbertspring::membership::test {
 
 namespace {
 
@@ -386,4 +386,4 @@
   return Largest;
 }
 
-} // namespace filbertspring::test
+} // namespace filbertspring::membership::test
--- a/packages/membership/tests/share_cluster.h
+++ b/packages/membership/tests/share_cluster.h
@@ -16,7 +16,7 @@
 #include <string>
 #include <vector>
 
-namespace filbertspring::test {
+namespace filbertspring::membership::test {
 
 /// A mechanism that a cluster runs without, to show that the oracle objects.
 enum class Without {
@@ -180,6 +180,6 @@
   std::uint64_t LedgerWrites_ = 0;
 };
 
-} // namespace filbertspring::test
+} // namespace filbertspring::membership::test
 
 #endif // FILBERTSPRING_MEMBERSHIP_TESTS_SHARE_CLUSTER_H
--- a/packages/membership/tests/share_fuzz_test.cpp
+++ b/packages/membership/tests/share_fuzz_test.cpp
@@ -6,7 +6,7 @@
 
 using namespace filbertspring;
 using namespace filbertspring::membership;
-using namespace filbertspring::test;
+using namespace filbertspring::membership::test;
 using namespace std::chrono_literals;
 
 namespace {
--- a/packages/placement/tests/cluster_case.h
+++ b/packages/placement/tests/cluster_case.h
@@ -10,7 +10,7 @@
 #include <cstdint>
 #include <vector>
 
-namespace filbertspring::test {
+namespace filbertspring::placement::test {
 
 /// A fault or an operator's action.
 enum class FaultKind {
@@ -98,6 +98,6 @@
   return Settings;
 }
 
-} // namespace filbertspring::test
+} // namespace filbertspring::placement::test
 
 #endif // FILBERTSPRING_PLACEMENT_TESTS_CLUSTER_CASE_H
--- a/packages/placement/tests/safety_oracle.cpp
+++ b/packages/placement/tests/safety_oracle.cpp
@@ -6,7 +6,7 @@
 #include <fmt/format.h>
 #include <set>
 
-namespace filbertspring::test {
+namespace filbertspring::placement::test {
 namespace {
 
 std::string nameOfAttempt(const AttemptRef &Attempt) {
@@ -209,4 +209,4 @@
     checkLoad(Worker, std::move(Each), Capacities.at(Worker));
 }
 
-} // namespace filbertspring::test
+} // namespace filbertspring::placement::test
--- a/packages/placement/tests/safety_oracle.h
+++ b/packages/placement/tests/safety_oracle.h
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-namespace filbertspring::test {
+namespace filbertspring::placement::test {
 
 /// One attempt's run in real time.
 struct RealRun {
@@ -72,6 +72,6 @@
   std::vector<std::string> Objections_;
 };
 
-} // namespace filbertspring::test
+} // namespace filbertspring::placement::test
 
 #endif // FILBERTSPRING_PLACEMENT_TESTS_SAFETY_ORACLE_H
--- a/packages/placement/tests/scheduler_fuzz_test.cpp
+++ b/packages/placement/tests/scheduler_fuzz_test.cpp
@@ -8,7 +8,7 @@
 
 using namespace filbertspring;
 using namespace filbertspring::placement;
-using namespace filbertspring::test;
+using namespace filbertspring::placement::test;
 
 namespace {
 
--- a/packages/placement/tests/virtual_cluster.cpp
+++ b/packages/placement/tests/virtual_cluster.cpp
@@ -7,7 +7,7 @@
 #include <algorithm>
 #include <fmt/format.h>
 
-namespace filbertspring::test {
+namespace filbertspring::placement::test {
 
 using namespace std::chrono_literals;
 
@@ -238,4 +238,4 @@
   return Now_ >= TableDownUntil_ && Now_ >= Each.CutUntil_;
 }
 
-} // namespace filbertspring::test
+} // namespace filbertspring::placement::test
--- a/packages/placement/tests/virtual_cluster.h
+++ b/packages/placement/tests/virtual_cluster.h
@@ -20,7 +20,7 @@
 #include <string>
 #include <vector>
 
-namespace filbertspring::test {
+namespace filbertspring::placement::test {
 
 /// What is left at the end of a run.
 struct ClusterResult {
@@ -113,6 +113,6 @@
   int HarnessWrites_ = 0;
 };
 
-} // namespace filbertspring::test
+} // namespace filbertspring::placement::test
 
 #endif // FILBERTSPRING_PLACEMENT_TESTS_VIRTUAL_CLUSTER_H
--- a/packages/placement/tests/virtual_cluster_faults.cpp
+++ b/packages/placement/tests/virtual_cluster_faults.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace filbertspring::test {
+namespace filbertspring::placement::test {
 
 using namespace std::chrono_literals;
 
@@ -154,4 +154,4 @@
   return Runs;
 }
 
-} // namespace filbertspring::test
+} // namespace filbertspring::placement::test
--- a/packages/placement/tests/virtual_cluster_io.cpp
+++ b/packages/placement/tests/virtual_cluster_io.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace filbertspring::test {
+namespace filbertspring::placement::test {
 
 using namespace std::chrono_literals;
 
@@ -181,4 +181,4 @@
   Target.Boots_[Target.Model_.boot()] = Now_;
 }
 
-} // namespace filbertspring::test
+} // namespace filbertspring::placement::test
--- a/packages/placement/tests/virtual_cluster_parts.h
+++ b/packages/placement/tests/virtual_cluster_parts.h
@@ -9,7 +9,7 @@
 #include <deque>
 #include <fmt/format.h>
 
-namespace filbertspring::test {
+namespace filbertspring::placement::test {
 
 inline constexpr int ContractCount = 2;
 inline const Resources WorkerCapacity{Millicores(8000), Mebibytes(16384),
@@ -125,6 +125,6 @@
   }
 };
 
-} // namespace filbertspring::test
+} // namespace filbertspring::placement::test
 
 #endif // FILBERTSPRING_PLACEMENT_TESTS_VIRTUAL_CLUSTER_PARTS_H
--- a/packages/routing/tests/outcome_table_test.cpp
+++ b/packages/routing/tests/outcome_table_test.cpp
@@ -6,7 +6,7 @@
 
 using namespace filbertspring;
 using namespace filbertspring::routing;
-using namespace filbertspring::routing_test;
+using namespace filbertspring::routing::routing_test;
 
 namespace {
 
--- a/packages/routing/tests/router_fixture.h
+++ b/packages/routing/tests/router_fixture.h
@@ -12,7 +12,7 @@
 #include <variant>
 #include <vector>
 
-namespace filbertspring::routing_test {
+namespace filbertspring::routing::routing_test {
 
 using namespace std::chrono_literals;
 
@@ -110,6 +110,6 @@
   return Answer.Outcome_ == RequestOutcome::NotRun && Answer.Reason_ == Reason;
 }
 
-} // namespace filbertspring::routing_test
+} // namespace filbertspring::routing::routing_test
 
 #endif // FILBERTSPRING_ROUTING_TESTS_ROUTER_FIXTURE_H
--- a/packages/routing/tests/router_test.cpp
+++ b/packages/routing/tests/router_test.cpp
@@ -5,7 +5,7 @@
 
 using namespace filbertspring;
 using namespace filbertspring::routing;
-using namespace filbertspring::routing_test;
+using namespace filbertspring::routing::routing_test;
 
 BOOST_FIXTURE_TEST_SUITE(router, RouterFixture)
 
