--- a/packages/placement/tests/safety_oracle.h
+++ b/packages/placement/tests/safety_oracle.h
@@ -33,9 +33,11 @@
   void transactionEnded();
   /// A worker obeyed a start for the first time.
   void started(const StartCommand &Start);
-  /// A worker forgot the end of an attempt that it stopped with a checkpoint,
-  /// or that finished.
+  /// A worker was told to forget the end of an attempt.
   void acknowledged(const AttemptReport &Report);
+  /// The owner of a rack under \p Epoch heard \p Report of an attempt.
+  void heard(const RackName &Rack, std::int64_t Epoch,
+             const AttemptReport &Report);
   /// Checks all runs at the end.
   void checkRuns(std::vector<RealRun> Runs,
                  const std::map<WorkerName, Resources> &Capacities);
@@ -49,6 +51,7 @@
   void checkJob(const JobRecord &Job, Duration Now);
   void checkTask(const JobRecord &Job, std::int32_t Index, const Task &Before,
                  const Task &After, Duration Now);
+  void checkResume(const AttemptRef &Attempt, const Task &After);
   void checkQuota(const ContractName &Contract);
   void checkOverlap(const RealRun &Earlier, const RealRun &Later);
   void checkZone(const RealRun &Run);
@@ -69,6 +72,13 @@
   std::map<AttemptRef, Resources> Sizes_;
   std::map<AttemptRef, CheckpointRef> ClaimedFrom_;
   std::map<TaskRef, Duration> EndedAt_;
+  /// Checkpoints of stopped attempts, as a rack's owner heard of them.
+  struct HeardCheckpoint {
+    RackName Rack_;
+    std::int64_t Epoch_ = 0;
+    CheckpointRef Checkpoint_;
+  };
+  std::map<AttemptRef, HeardCheckpoint> Heard_;
   std::vector<std::string> Objections_;
 };
 
--- a/packages/placement/tests/virtual_cluster.cpp
+++ b/packages/placement/tests/virtual_cluster.cpp
@@ -135,6 +135,7 @@
   Each.Scheduler_ = std::make_unique<Scheduler>(Settings, Each.Name_, Seed);
   Each.Inbox_.clear();
   Each.WakeAt_.reset();
+  Each.Exchanges_.clear();
   deliver(Each, Tick{});
 }
 
@@ -152,6 +153,8 @@
   std::vector<PlacementAction> Actions;
   Each.Scheduler_->handle(Event, Each.clock(Now_), Actions);
   for (PlacementAction &Action : Actions) {
+    if (const auto *Commands = std::get_if<SendCommands>(&Action))
+      Each.Exchanges_[Commands->Exchange_] = Now_;
     // A pause may begin between a decision and its message.
     std::uint64_t Incarnation = Each.Incarnation_;
     at(Now_ + pick(0us, 1ms),
--- a/packages/placement/tests/virtual_cluster.h
+++ b/packages/placement/tests/virtual_cluster.h
@@ -80,6 +80,8 @@
   // Workers.
   void exchange(Node &Each, const SendCommands &Request);
   void obey(Node &Each, const SendCommands &Request, bool Answered);
+  void hear(Node &Each, const Worker &Target, const SendCommands &Request,
+            const WorkerAnswer &Answer);
   void sabotageCommands(Worker &Target, WorkerCommands &Commands);
   void observe(Worker &Target, const WorkerCommands &Commands);
   void restartWorker(Worker &Target);
--- a/packages/placement/tests/virtual_cluster_parts.h
+++ b/packages/placement/tests/virtual_cluster_parts.h
@@ -80,6 +80,8 @@
   Duration SuspectedUntil_{};
   std::optional<Duration> WakeAt_;
   std::deque<PlacementEvent> Inbox_;
+  /// When each exchange without an answer so far was decided.
+  std::map<RequestNumber, Duration> Exchanges_;
 
   TimePoint clock(Duration Now) const {
     auto Passed = static_cast<double>(Now.count()) * Rate_;
