--- a/packages/routing/tests/differential_test.cpp
+++ b/packages/routing/tests/differential_test.cpp
@@ -8,7 +8,8 @@
 #include <tuple>
 
 using namespace filbertspring;
-using namespace filbertspring::routing_test;
+using namespace filbertspring::routing;
+using namespace filbertspring::routing::routing_test;
 
 namespace {
 
--- a/packages/routing/tests/fuzz_world.cpp
+++ b/packages/routing/tests/fuzz_world.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace filbertspring::routing_test {
+namespace filbertspring::routing::routing_test {
 namespace {
 
 constexpr int EndpointCount = 6;
@@ -365,4 +365,4 @@
     Problem_ = Rule;
 }
 
-} // namespace filbertspring::routing_test
+} // namespace filbertspring::routing::routing_test
--- a/packages/routing/tests/fuzz_world.h
+++ b/packages/routing/tests/fuzz_world.h
@@ -10,7 +10,7 @@
 #include <ostream>
 #include <set>
 
-namespace filbertspring::routing_test {
+namespace filbertspring::routing::routing_test {
 
 /// What the environment does in one step.
 enum class StepKind {
@@ -104,6 +104,6 @@
   const AttemptEnded *Ending_ = nullptr;
 };
 
-} // namespace filbertspring::routing_test
+} // namespace filbertspring::routing::routing_test
 
 #endif // FILBERTSPRING_ROUTING_TESTS_FUZZ_WORLD_H
--- a/packages/routing/tests/router_fuzz_test.cpp
+++ b/packages/routing/tests/router_fuzz_test.cpp
@@ -5,7 +5,8 @@
 #include <rapidcheck/state.h>
 
 using namespace filbertspring;
-using namespace filbertspring::routing_test;
+using namespace filbertspring::routing;
+using namespace filbertspring::routing::routing_test;
 
 namespace {
 
