--- a/packages/entry/src/desks/configuration_follower.cpp
+++ b/packages/entry/src/desks/configuration_follower.cpp
@@ -69,6 +69,8 @@
     RowVersion Head =
         Answer->Rows_.empty() ? AbsentVersion : Answer->Rows_.front().Version_;
     handle(membership::HeadAnswered{Head, SentAt});
+    if (Head == AbsentVersion)
+      createMissingZones();
   };
   Thread_.Partners_.Table_.post(
       TableRead{{HeadKey}, [this, Handle](Result<RowBatch> Answer) {
@@ -108,34 +110,45 @@
 /// Stores the zones of the settings that the table does not know, in service.
 /// Instances that do so at the same time conflict; one of them wins.
 void ConfigurationFollower::createMissingZones() {
-  for (const ZoneSettings &Zone : Thread_.Values_.Zones_) {
-    if (view().zone(Zone.Name_) != nullptr ||
-        !CreationTried_.insert(Zone.Name_).second)
-      continue;
-    auto Create = [this, Zone](Result<RowBatch> Head) {
-      if (!Head)
-        return Thread_.post([this, Zone] { CreationTried_.erase(Zone.Name_); });
-      bool Known = !Head->Rows_.empty();
-      RowVersion Version = Known ? Head->Rows_[0].Version_ : AbsentVersion;
-      HeadRecord Next;
-      if (Known)
-        Next = std::get<HeadRecord>(Head->Rows_[0].Value_);
-      ++Next.Changes_;
-      Next.ChangedBy_ = Thread_.Self_.str();
-      AvailabilityZone Row{Zone.Name_, Zone.Region_, ZoneState::InService,
-                           Thread_.Self_.str(), "first seen in the settings"};
-      Transaction Request{
-          TransactionId("zone-" + Zone.Name_.str() + Thread_.Boot_),
-          {},
-          {{{RowKind::Zone, Zone.Name_.str()}, AbsentVersion, Row},
-           {HeadKey, Version, Next}}};
-      Thread_.Partners_.Table_.post(TableCommit{
-          std::move(Request), [this, Zone](CommitResult) {
-            Thread_.post([this, Zone] { CreationTried_.erase(Zone.Name_); });
-          }});
-    };
-    Thread_.Partners_.Table_.post(TableRead{{HeadKey}, std::move(Create)});
+  std::vector<ZoneSettings> Missing;
+  for (const ZoneSettings &Zone : Thread_.Values_.Zones_)
+    if (view().zone(Zone.Name_) == nullptr)
+      Missing.push_back(Zone);
+  if (Missing.empty() || CreatingZones_)
+    return;
+  CreatingZones_ = true;
+  auto Ended = [this] { Thread_.post([this] { CreatingZones_ = false; }); };
+  auto Create = [this, Missing, Ended](Result<RowBatch> Head) {
+    if (!Head)
+      return Ended();
+    Thread_.Partners_.Table_.post(
+        TableCommit{zoneCreation(Missing, Head->Rows_),
+                    [Ended](CommitResult) { Ended(); }});
+  };
+  Thread_.Partners_.Table_.post(TableRead{{HeadKey}, std::move(Create)});
+}
+
+Transaction
+ConfigurationFollower::zoneCreation(const std::vector<ZoneSettings> &Missing,
+                                    const std::vector<StoredRow> &Head) const {
+  Transaction Request;
+  Request.Id_ = TransactionId("zones-" + Thread_.Boot_);
+  RowVersion Version = AbsentVersion;
+  HeadRecord Next;
+  if (!Head.empty()) {
+    Version = Head.front().Version_;
+    Next = std::get<HeadRecord>(Head.front().Value_);
+  }
+  ++Next.Changes_;
+  Next.ChangedBy_ = Thread_.Self_.str();
+  Request.Changes_.push_back({HeadKey, Version, Next});
+  for (const ZoneSettings &Zone : Missing) {
+    AvailabilityZone Row{Zone.Name_, Zone.Region_, ZoneState::InService,
+                         Thread_.Self_.str(), "first seen in the settings"};
+    Request.Changes_.push_back(
+        {{RowKind::Zone, Zone.Name_.str()}, AbsentVersion, Row});
   }
+  return Request;
 }
 
 void ConfigurationFollower::publish(
--- a/packages/entry/src/desks/configuration_follower.h
+++ b/packages/entry/src/desks/configuration_follower.h
@@ -10,7 +10,7 @@
 #include "filbertspring/membership/peer_message.h"
 
 #include <functional>
-#include <set>
+#include <vector>
 
 namespace filbertspring {
 
@@ -44,11 +44,13 @@
   void publish(const membership::ConfigurationChange &Change);
   void platformAnswered(bool Reachable);
   void createMissingZones();
+  Transaction zoneCreation(const std::vector<ZoneSettings> &Missing,
+                           const std::vector<StoredRow> &Head) const;
 
   MembershipThread &Thread_;
   SendToPeer Send_;
   membership::ConfigurationSync Sync_;
-  std::set<ZoneName> CreationTried_;
+  bool CreatingZones_ = false;
 };
 
 } // namespace filbertspring
