--- a/packages/platform/include/filbertspring/platform/instance_list_client.h
+++ b/packages/platform/include/filbertspring/platform/instance_list_client.h
@@ -20,7 +20,8 @@
 public:
   /// Makes a client that connects at its first call. \p Zone is the caller's
   /// availability zone.
-  InstanceListClient(const Address &Platform, ZoneName Zone, Duration Timeout);
+  InstanceListClient(const Address &Platform, const ZoneName &Zone,
+                     Duration Timeout);
   ~InstanceListClient();
   InstanceListClient(InstanceListClient &&) noexcept;
   InstanceListClient &operator=(InstanceListClient &&) noexcept;
--- a/packages/platform/include/filbertspring/platform/object_client.h
+++ b/packages/platform/include/filbertspring/platform/object_client.h
@@ -21,7 +21,7 @@
 public:
   /// Makes a client that connects at its first call. \p Zone is the caller's
   /// availability zone.
-  ObjectClient(const Address &Platform, ZoneName Zone, Duration Timeout);
+  ObjectClient(const Address &Platform, const ZoneName &Zone, Duration Timeout);
   ~ObjectClient();
   ObjectClient(ObjectClient &&) noexcept;
   ObjectClient &operator=(ObjectClient &&) noexcept;
--- a/packages/platform/include/filbertspring/platform/table_client.h
+++ b/packages/platform/include/filbertspring/platform/table_client.h
@@ -34,7 +34,7 @@
 
   /// Makes a client that connects at its first call. \p Zone is the caller's
   /// availability zone. \p Counters must live longer than the client.
-  TableClient(const Address &Platform, ZoneName Zone, Duration Timeout,
+  TableClient(const Address &Platform, const ZoneName &Zone, Duration Timeout,
               CounterRegistry &Counters);
   ~TableClient();
   TableClient(TableClient &&) noexcept;
--- a/packages/platform/include/filbertspring/platform/worker_client.h
+++ b/packages/platform/include/filbertspring/platform/worker_client.h
@@ -20,7 +20,7 @@
 public:
   /// Makes a client that connects at its first call. \p Zone is the caller's
   /// availability zone.
-  WorkerClient(const Address &Worker, ZoneName Zone, Duration Timeout);
+  WorkerClient(const Address &Worker, const ZoneName &Zone, Duration Timeout);
   ~WorkerClient();
   WorkerClient(WorkerClient &&) noexcept;
   WorkerClient &operator=(WorkerClient &&) noexcept;
--- a/packages/platform/src/instance_list_client.cpp
+++ b/packages/platform/src/instance_list_client.cpp
@@ -10,8 +10,8 @@
   HttpChannel Channel_;
 };
 
-InstanceListClient::InstanceListClient(const Address &Platform, ZoneName Zone,
-                                       Duration Timeout)
+InstanceListClient::InstanceListClient(const Address &Platform,
+                                       const ZoneName &Zone, Duration Timeout)
     : Impl_(new Impl{HttpChannel(Platform, Zone, Timeout)}) {}
 
 InstanceListClient::~InstanceListClient() = default;
--- a/packages/platform/src/object_client.cpp
+++ b/packages/platform/src/object_client.cpp
@@ -26,7 +26,7 @@
   HttpChannel Channel_;
 };
 
-ObjectClient::ObjectClient(const Address &Platform, ZoneName Zone,
+ObjectClient::ObjectClient(const Address &Platform, const ZoneName &Zone,
                            Duration Timeout)
     : Impl_(new Impl{HttpChannel(Platform, Zone, Timeout)}) {}
 
--- a/packages/platform/src/table_client.cpp
+++ b/packages/platform/src/table_client.cpp
@@ -104,7 +104,7 @@
           {}};
 }
 
-TableClient::TableClient(const Address &Platform, ZoneName Zone,
+TableClient::TableClient(const Address &Platform, const ZoneName &Zone,
                          Duration Timeout, CounterRegistry &Counters)
     : Impl_(std::make_unique<Impl>(HttpChannel(Platform, Zone, Timeout),
                                    Counters)) {}
--- a/packages/platform/src/worker_client.cpp
+++ b/packages/platform/src/worker_client.cpp
@@ -24,7 +24,7 @@
   return fail(NotSent ? Errc::ConnectFailed : Errc::OutcomeUnknown);
 }
 
-WorkerClient::WorkerClient(const Address &Worker, ZoneName Zone,
+WorkerClient::WorkerClient(const Address &Worker, const ZoneName &Zone,
                            Duration Timeout)
     : Impl_(new Impl{HttpChannel(Worker, Zone, Timeout)}) {}
 
--- a/packages/platform/tests/clients_test.cpp
+++ b/packages/platform/tests/clients_test.cpp
@@ -4,8 +4,9 @@
 
 #include "filbertspring/standins/platform_server.h"
 #include "filbertspring/standins/registration.h"
+#include "filbertspring/standins/running_server.h"
 #include "filbertspring/standins/worker_server.h"
-#include "running_server.h"
+#include "unused_address.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -30,11 +31,6 @@
 
 } // namespace
 
-Address filbertspring::unusedAddress() {
-  PlatformServer Closed{Duration::zero()};
-  return {"127.0.0.1", Closed.listen(0).value()};
-}
-
 BOOST_AUTO_TEST_SUITE(object_client)
 
 BOOST_AUTO_TEST_CASE(returns_the_bytes_that_it_stored) {
--- a/packages/platform/tests/table_client_test.cpp
+++ b/packages/platform/tests/table_client_test.cpp
@@ -2,8 +2,9 @@
 
 #include "filbertspring/standins/platform_server.h"
 #include "filbertspring/standins/relay.h"
-#include "running_server.h"
+#include "filbertspring/standins/running_server.h"
 #include "scripted_server.h"
+#include "unused_address.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/packages/platform/tests/running_server.h
+++ b/standins/include/filbertspring/standins/running_server.h
@@ -1,8 +1,8 @@
-#ifndef FILBERTSPRING_PLATFORM_TESTS_RUNNING_SERVER_H
-#define FILBERTSPRING_PLATFORM_TESTS_RUNNING_SERVER_H
+#ifndef FILBERTSPRING_STANDINS_RUNNING_SERVER_H
+#define FILBERTSPRING_STANDINS_RUNNING_SERVER_H
 
 /// \file
-/// A stand-in that serves on a thread of the test.
+/// A stand-in that serves on a thread of a Boost.Test case.
 
 #include "filbertspring/domain/endpoint.h"
 
@@ -52,9 +52,6 @@
   std::thread Thread_;
 };
 
-/// Returns the address of a port on which nothing listens.
-Address unusedAddress();
-
 } // namespace filbertspring
 
-#endif // FILBERTSPRING_PLATFORM_TESTS_RUNNING_SERVER_H
+#endif // FILBERTSPRING_STANDINS_RUNNING_SERVER_H
--- a/standins/src/executor_server.cpp
+++ b/standins/src/executor_server.cpp
@@ -122,7 +122,8 @@
     return {200, Json{{"executed", Counts_.Executed_},
                       {"refused_busy", Counts_.RefusedBusy_},
                       {"refused_leaving", Counts_.RefusedLeaving_},
-                      {"in_flight", InFlight_}}
+                      {"in_flight", InFlight_},
+                      {"held", Held_.size()}}
                      .dump()};
   if (Request.Path_ == "/leave") {
     markLeaving();
