filbertctl: the operators' command line

contract apply/show/list/diff, zone out/in/status, job submit/status/cancel, report burn, explain, status. Commands are a library that tests drive against a small HTTP server; the program is a main that prints the output.

Writes carry an expected version: the one given, or the one read first. A lost race prints the version that won and by whom. A write goes to the next entry instance only when the failed try surely changed nothing (no connection, or status 503); after a lost answer the exit code is 6 and nothing is resent. Sending job submissions again on their own, which their key would allow, was weighed and left to the operator, so that one rule holds for all writes.

--- a/packages/config/include/filbertspring/config.h
+++ b/packages/config/include/filbertspring/config.h
@@ -4,6 +4,7 @@
 /// \file
 /// Includes every public header of the config package.
 
+#include "filbertspring/config/address_text.h"
 #include "filbertspring/config/contract_document.h"
 #include "filbertspring/config/settings.h"
 #include "filbertspring/config/settings_document.h"
--- /dev/null
+++ b/packages/ctl/src/entry_client.cpp
@@ -0,0 +1,67 @@
+#include "entry_client.h"
+
+#include <httplib.h>
+#include <optional>
+
+namespace filbertspring::ctl_detail {
+namespace {
+
+constexpr const char *JsonType = "application/json";
+constexpr int ServiceUnavailable = 503;
+
+httplib::Result perform(httplib::Client &Client, const Call &Request) {
+  switch (Request.Method_) {
+  case HttpMethod::Put:
+    return Client.Put(Request.Path_, Request.Body_, JsonType);
+  case HttpMethod::Post:
+    return Client.Post(Request.Path_, Request.Body_, JsonType);
+  case HttpMethod::Get:
+    break;
+  }
+  return Client.Get(Request.Path_);
+}
+
+/// Returns true when not a byte of the request was sent.
+bool surelyNotSent(httplib::Error Error) {
+  return Error == httplib::Error::Connection ||
+         Error == httplib::Error::ConnectionTimeout;
+}
+
+} // namespace
+
+Result<Reply> EntryClient::sendTo(const Address &Entry,
+                                  const Call &Request) const {
+  try {
+    httplib::Client Client(Entry.Host_, Entry.Port_);
+    Client.set_connection_timeout(Timeout_);
+    Client.set_read_timeout(Timeout_);
+    Client.set_write_timeout(Timeout_);
+    httplib::Result Answer = perform(Client, Request);
+    if (Answer)
+      return Reply{Answer->status, Answer->body, Entry};
+    bool Unchanged =
+        Request.Kind_ == CallKind::Read || surelyNotSent(Answer.error());
+    return fail(Unchanged ? Errc::Unavailable : Errc::OutcomeUnknown);
+  } catch (const std::exception &) {
+    return fail(Request.Kind_ == CallKind::Read ? Errc::Unavailable
+                                                : Errc::OutcomeUnknown);
+  }
+}
+
+Result<Reply> EntryClient::send(const Call &Request) const {
+  std::optional<Reply> Refused;
+  for (const Address &Entry : Entries_) {
+    Result<Reply> Answer = sendTo(Entry, Request);
+    if (!Answer && Answer.error() == Errc::Unavailable)
+      continue;
+    // Status 503 says that the instance changed nothing.
+    if (!Answer || Answer->Status_ != ServiceUnavailable)
+      return Answer;
+    Refused = std::move(*Answer);
+  }
+  if (Refused)
+    return std::move(*Refused);
+  return fail(Errc::Unavailable);
+}
+
+} // namespace filbertspring::ctl_detail
--- /dev/null
+++ b/packages/ctl/src/job_commands.cpp
@@ -0,0 +1,220 @@
+#include "command.h"
+
+#include "filbertspring/config/units.h"
+
+#include <array>
+#include <fmt/format.h>
+
+namespace filbertspring::ctl_detail {
+namespace {
+
+/// Reads the options of a submission and collects what is wrong with them.
+class SubmissionReader {
+public:
+  explicit SubmissionReader(const ParsedOptions &Options) : Options_(Options) {}
+
+  std::string text(std::string_view Name) {
+    std::string Value = Options_.text(Name);
+    if (Value.empty())
+      Found_.add(fmt::format("--{}", Name), "is missing");
+    return Value;
+  }
+
+  std::int64_t count(std::string_view Name, std::int64_t Default,
+                     std::int64_t Min) {
+    if (!Options_.has(Name))
+      return Default;
+    auto Value = parseCount(Options_.text(Name), Min);
+    if (!Value)
+      Found_.add(fmt::format("--{}", Name), "is out of range",
+                 fmt::format("a whole number from {}", Min));
+    return Value.value_or(Default);
+  }
+
+  template <typename T>
+  std::int64_t measured(std::string_view Name,
+                        Measured<T> (*Parse)(std::string_view),
+                        std::string_view Example) {
+    std::string Text = text(Name);
+    if (Text.empty())
+      return 0;
+    Measured<T> Value = Parse(Text);
+    if (Value && Value->count() > 0)
+      return Value->count();
+    Found_.add(fmt::format("--{}", Name),
+               Value ? fmt::format("\"{}\" is not above zero", Text)
+                     : fmt::format("\"{}\" {}", Text,
+                                   nameOf(UnitMistakeNames, Value.error())),
+               fmt::format("such as \"{}\"", Example));
+    return 0;
+  }
+
+  const Findings &found() const { return Found_; }
+
+private:
+  const ParsedOptions &Options_;
+  Findings Found_;
+};
+
+Json readSubmission(const ParsedOptions &Options, SubmissionReader &Reader) {
+  constexpr std::int64_t MicrosecondsPerMillisecond = 1000;
+  Json Body;
+  Body["contract"] = Reader.text("contract");
+  Body["kind"] = Reader.text("kind");
+  Body["idempotency_key"] = Reader.text("key");
+  Body["tasks"] = Reader.count("tasks", 1, 1);
+  Body["size"]["cpu_millicores"] = Reader.measured("cpu", parseCpu, "2 cores");
+  Body["size"]["memory_mib"] = Reader.measured("memory", parseMemory, "4 GiB");
+  Body["size"]["accelerators"] = Reader.count("accelerators", 0, 0);
+  Body["run_time_ms"] = Reader.measured("run-time", parseDuration, "10min") /
+                        MicrosecondsPerMillisecond;
+  Body["zones"] = Options.texts("zone");
+  Body["urgent"] = Options.has("urgent");
+  Body["payload"] = Options.text("payload");
+  return Body;
+}
+
+CommandOutput submitJob(const Context &Run) {
+  SubmissionReader Reader(Run.options());
+  Json Body = readSubmission(Run.options(), Reader);
+  if (!Reader.found().empty())
+    return Run.rejected("filbertctl job submit", Reader.found());
+  Call Request{CallKind::Write, HttpMethod::Post, "/v1/jobs",
+               compactText(Body)};
+  CommandOutput Output = Run.call(Request, [&](const Json &Answer) {
+    return Run.done(Answer, memberText(Answer, "job") + "\n");
+  });
+  if (Output.Code_ == ExitCode::OutcomeUnknown)
+    Output.Error_ += "filbertctl: submit again with the same --key; the job "
+                     "is accepted once\n";
+  return Output;
+}
+
+std::string describeTask(const Json &Task) {
+  return fmt::format("{:>6}  {:<11}{:>8}  {:<20}{:<14}{}\n",
+                     memberText(Task, "index"), memberText(Task, "state"),
+                     memberText(Task, "attempt"), memberText(Task, "worker"),
+                     memberText(Task, "zone"), memberText(Task, "reason"));
+}
+
+std::string describeJob(const Json &Body) {
+  std::string Text =
+      fmt::format("job {}: {} {} is {}\n", memberText(Body, "job"),
+                  memberText(Body, "contract"), memberText(Body, "kind"),
+                  memberText(Body, "state"));
+  Text += fmt::format("{:>6}  {:<11}{:>8}  {:<20}{:<14}{}\n", "task", "state",
+                      "attempt", "worker", "zone", "reason");
+  for (const Json &Task : memberArray(Body, "tasks"))
+    Text += describeTask(Task);
+  return Text;
+}
+
+std::string jobPath(std::string_view Job) {
+  return "/v1/jobs/" + pathSegment(Job);
+}
+
+CommandOutput showJob(const Context &Run) {
+  return Run.call(
+      {CallKind::Read, HttpMethod::Get, jobPath(Run.argument(0)), {}},
+      [&](const Json &Body) { return Run.done(Body, describeJob(Body)); });
+}
+
+CommandOutput cancelJob(const Context &Run) {
+  Call Request{CallKind::Write, HttpMethod::Post,
+               jobPath(Run.argument(0)) + "/cancel", "{}"};
+  return Run.call(Request, [&](const Json &Body) {
+    return Run.done(Body, fmt::format("job {}: {}\n", Run.argument(0),
+                                      memberText(Body, "state")));
+  });
+}
+
+/// A task as the command line names it: JOB or JOB/INDEX.
+struct TaskName {
+  std::string Job_;
+  /// Empty for all tasks of the job.
+  std::string Index_;
+};
+
+TaskName parseTaskName(const std::string &Text) {
+  std::size_t Slash = Text.find('/');
+  if (Slash == std::string::npos)
+    return {Text, {}};
+  return {Text.substr(0, Slash), Text.substr(Slash + 1)};
+}
+
+CommandOutput explainTask(const Context &Run) {
+  TaskName Name = parseTaskName(Run.argument(0));
+  Call Request{
+      CallKind::Read, HttpMethod::Get, jobPath(Name.Job_) + "/explain", {}};
+  return Run.call(Request, [&](const Json &Body) {
+    Json Selected = Json::array();
+    std::string Text;
+    for (const Json &Task : memberArray(Body, "tasks")) {
+      if (!Name.Index_.empty() && memberText(Task, "index") != Name.Index_)
+        continue;
+      Selected.push_back(Task);
+      Text +=
+          fmt::format("{}/{} {}: {}\n", Name.Job_, memberText(Task, "index"),
+                      memberText(Task, "state"), memberText(Task, "why"));
+    }
+    if (Selected.empty())
+      return Run.failed(ExitCode::NotFound,
+                        fmt::format("task {} does not exist", Run.argument(0)));
+    Json Document;
+    Document["job"] = Name.Job_;
+    Document["tasks"] = std::move(Selected);
+    return Run.done(Document, Text);
+  });
+}
+
+constexpr std::array<OptionSpec, 11> SubmitOptions{{
+    {"contract", "NAME", "the contract (required)"},
+    {"kind", "NAME", "the kind of batch work (required)"},
+    {"key", "TEXT", "idempotency key: a job is accepted once (required)"},
+    {"tasks", "N", "number of tasks (default: 1)"},
+    {"cpu", "AMOUNT", "processors of a task, such as '2 cores' (required)"},
+    {"memory", "AMOUNT", "memory of a task, such as '4 GiB' (required)"},
+    {"accelerators", "N", "accelerators of a task (default: 0)"},
+    {"run-time", "TIME", "declared run time, such as 10min (required)"},
+    {"zone", "NAME", "allowed zone; repeat it for several (default: all)"},
+    {"urgent", "", "goes before waiting work that is not urgent"},
+    {"payload", "TEXT", "what the tasks are to do"},
+}};
+
+constexpr std::array<Command, 4> Commands{{
+    {"job submit", "", 0, 0, "submits a job and prints its identifier",
+     "filbertctl job submit --contract denizkul-tours --kind permit-filing \\\n"
+     "  --key permit-2026-0412 --cpu '1 cores' --memory '512 MiB' \\\n"
+     "  --run-time 2min --payload 'voyage 412'",
+     SubmitOptions, submitJob},
+    {"job status",
+     "JOB",
+     1,
+     1,
+     "shows a job and its tasks",
+     "filbertctl job status j-81f2",
+     {},
+     showJob},
+    {"job cancel",
+     "JOB",
+     1,
+     1,
+     "cancels the tasks that have not ended",
+     "filbertctl job cancel j-81f2",
+     {},
+     cancelJob},
+    {"explain",
+     "JOB[/INDEX]",
+     1,
+     1,
+     "says why tasks are in their states",
+     "filbertctl explain j-81f2\nfilbertctl explain j-81f2/0 --json",
+     {},
+     explainTask},
+}};
+
+} // namespace
+
+std::span<const Command> jobCommands() { return Commands; }
+
+} // namespace filbertspring::ctl_detail
--- a/packages/report/src/burn_svg.cpp
+++ b/packages/report/src/burn_svg.cpp
@@ -14,7 +14,6 @@
 
 using report_detail::SvgCanvas;
 using report_detail::TextAnchor;
-using report_detail::TextStyle;
 
 namespace {
 
