--- a/packages/config/tests/examples_test.cpp
+++ b/packages/config/tests/examples_test.cpp
@@ -66,6 +66,18 @@
       boost::test_tools::per_element());
 }
 
+BOOST_AUTO_TEST_CASE(with_mistakes_are_explained_in_the_docs) {
+  Result<std::string> Docs =
+      readTextFile(std::string(FILBERTSPRING_DOCS_DIR) + "/SETTINGS.md");
+  BOOST_REQUIRE(Docs);
+  const Findings Found =
+      parseSettings(exampleText("broken-settings.json")).Found_;
+  for (const Finding &Item : Found.items())
+    BOOST_TEST(Docs->find("| `" + Item.Place_ + "` | " + Item.Problem_ + " | " +
+                          Item.Allowed_ + " |") != std::string::npos,
+               Item.Place_);
+}
+
 BOOST_AUTO_TEST_CASE(that_cannot_be_read_are_an_error) {
   BOOST_CHECK(readTextFile("/nonexistent").error() == Errc::FileUnreadable);
   BOOST_CHECK(readTextFile(FILBERTSPRING_EXAMPLES_DIR).error() ==
--- a/packages/report/src/burn_svg.cpp
+++ b/packages/report/src/burn_svg.cpp
@@ -30,6 +30,7 @@
 constexpr double LabelDistance = 13;
 constexpr std::size_t TimeTicks = 6;
 
+constexpr std::string_view TitleColour = "#111111";
 constexpr std::string_view AxisColour = "#555555";
 constexpr std::string_view GridColour = "#dddddd";
 constexpr std::string_view UnobservedColour = "#e4e4e4";
@@ -90,23 +91,31 @@
   Entry(UnobservedColour, "not observed");
 }
 
+/// Returns \p Name, cut when it would not fit into a title.
+std::string shortened(const std::string &Name) {
+  constexpr std::size_t MaxLength = 40;
+  if (Name.size() <= MaxLength)
+    return Name;
+  return Name.substr(0, MaxLength - 3) + "...";
+}
+
 void drawTitle(SvgCanvas &Canvas, const ServiceBurn &Burn, double Top) {
   bool Alarm = Burn.FastBurn_ || Burn.SlowBurn_;
+  std::string_view Verdict = Burn.FastBurn_   ? "FAST BURN: "
+                             : Burn.SlowBurn_ ? "SLOW BURN: "
+                                              : "";
   Canvas.text(PlotLeft, Top + 18,
-              fmt::format("{} / {}: {:.6g}% within {}", Burn.Contract_.str(),
-                          Burn.Service_.str(), Burn.Objective_ * 100,
+              fmt::format("{}{} / {}: {:.6g}% within {}", Verdict,
+                          shortened(Burn.Contract_.str()),
+                          shortened(Burn.Service_.str()), Burn.Objective_ * 100,
                           formatDuration(Burn.LatencyTarget_)),
-              {TextAnchor::Start, 14, "#111111", true});
-  if (Alarm)
-    Canvas.text(ImageWidth - 20, Top + 18,
-                Burn.FastBurn_ ? "FAST BURN" : "SLOW BURN",
-                {TextAnchor::End, 14, AlarmColour, true});
+              {TextAnchor::Start, 14, Alarm ? AlarmColour : TitleColour, true});
   std::string Summary =
-      fmt::format("error budget of 24h used {:.1f}%, burn rate",
+      fmt::format("error budget of 24h used {:.0f}%, burn rate",
                   (1 - Burn.BudgetLeft_) * 100);
   for (std::size_t Index = 0; Index < BurnWindowCount; ++Index)
     Summary +=
-        fmt::format("{} {}: {:.2f}x", Index == 0 ? "" : ",",
+        fmt::format("{} {}: {:.1f}x", Index == 0 ? "" : ",",
                     BurnWindowNames[Index].Name_, Burn.Windows_[Index].Rate_);
   Canvas.text(PlotLeft, Top + 38, Summary);
 }
@@ -216,7 +225,7 @@
   Canvas.text(PlotLeft, 32,
               fmt::format("Service-level burn at {}",
                           report_detail::formatUtc(Report.NowMs_)),
-              {TextAnchor::Start, 18, "#111111", true});
+              {TextAnchor::Start, 18, TitleColour, true});
   drawLegend(Canvas);
   double Top = HeaderHeight;
   for (const ServiceBurn &Burn : Report.Services_) {
--- a/packages/report/tests/burn_render_test.cpp
+++ b/packages/report/tests/burn_render_test.cpp
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <regex>
 
 using namespace filbertspring;
 
@@ -29,6 +30,41 @@
                         endOf(SampleMinute + 29));
 }
 
+/// The estimated space of one label, in pixels.
+struct LabelBox {
+  double Left_, Top_, Right_, Bottom_;
+  std::string Text_;
+};
+
+/// Returns the boxes of the labels of \p Svg that are not turned.
+std::vector<LabelBox> labelBoxes(const std::string &Svg) {
+  // Wider than the usual fonts, in parts of the font size.
+  constexpr double CharacterWidth = 0.6;
+  const std::regex Label("<text x=\"([0-9.]+)\" y=\"([0-9.]+)\" "
+                         "font-size=\"([0-9]+)\"[^>]*"
+                         "text-anchor=\"([a-z]+)\"[^>]*>([^<]*)<");
+  std::vector<LabelBox> Boxes;
+  for (std::sregex_iterator Match(Svg.begin(), Svg.end(), Label), End;
+       Match != End; ++Match) {
+    double X = std::stod((*Match)[1]);
+    double Y = std::stod((*Match)[2]);
+    double Size = std::stod((*Match)[3]);
+    std::string Anchor = (*Match)[4];
+    std::string Text = (*Match)[5];
+    double Width = CharacterWidth * Size * static_cast<double>(Text.size());
+    double Left = Anchor == "start" ? X
+                  : Anchor == "end" ? X - Width
+                                    : X - Width / 2;
+    Boxes.push_back({Left, Y - Size * 0.8, Left + Width, Y + Size * 0.2, Text});
+  }
+  return Boxes;
+}
+
+bool touch(const LabelBox &One, const LabelBox &Other) {
+  return One.Left_ < Other.Right_ && Other.Left_ < One.Right_ &&
+         One.Top_ < Other.Bottom_ && Other.Top_ < One.Bottom_;
+}
+
 bool contains(const std::string &Text, std::string_view Part) {
   return Text.find(Part) != std::string::npos;
 }
@@ -72,6 +108,27 @@
   BOOST_TEST(!contains(Svg, "<luneta>"));
 }
 
+BOOST_AUTO_TEST_CASE(as_svg_has_labels_that_do_not_touch) {
+  BurnCounter Counter(InstanceName("bodrum-1"));
+  countSamples(Counter, SampleMinute, 0, 1000);
+  for (double Objective : {0.5, 0.9, 0.99, 0.9999}) {
+    Contract Terms = sampleContract();
+    Terms.Services_[0].Objective_ = Objective;
+    Contract LongName = Terms;
+    LongName.Name_ = ContractName(std::string(64, 'm'));
+    std::string Svg = renderBurnSvg(makeBurnReport(
+        Counter.records(), {Terms, LongName}, endOf(SampleMinute)));
+    std::vector<LabelBox> Boxes = labelBoxes(Svg);
+    BOOST_TEST(Boxes.size() > 30U);
+    for (std::size_t One = 0; One < Boxes.size(); ++One) {
+      BOOST_TEST(Boxes[One].Right_ <= 960, Boxes[One].Text_);
+      for (std::size_t Other = 0; Other < One; ++Other)
+        BOOST_TEST(!touch(Boxes[One], Boxes[Other]),
+                   Boxes[One].Text_ << " and " << Boxes[Other].Text_);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(without_services_says_so) {
   BurnReport Empty = makeBurnReport({}, {}, endOf(SampleMinute));
   BOOST_TEST(contains(renderBurnText(Empty), "No contract has a service."));
