--- a/packages/ctl/tests/fake_entry.cpp
+++ b/packages/ctl/tests/fake_entry.cpp
@@ -53,7 +53,7 @@
   Changed.ChangedBy_ = By;
 }
 
-FakeEntry::Handler FakeEntry::guarded(Handler Handle) {
+FakeEntry::Handler FakeEntry::guarded(const Handler &Handle) {
   return [this, Handle](const httplib::Request &Request,
                         httplib::Response &Answer) {
     if (NotReady_)
@@ -63,7 +63,7 @@
   };
 }
 
-FakeEntry::Handler FakeEntry::write(Handler Handle) {
+FakeEntry::Handler FakeEntry::write(const Handler &Handle) {
   return guarded([this, Handle](const httplib::Request &Request,
                                 httplib::Response &Answer) {
     if (BeforeWrite_)
@@ -130,6 +130,17 @@
                        {"head", 7},
                        {"racks_owned", {"r1"}}});
               }));
+  Server_.Get("/v1/jobs/j1", guarded([](const auto &, auto &Answer) {
+                json Task{{"index", 0},       {"state", "claimed"},
+                          {"attempt", 2},     {"worker", "w7"},
+                          {"zone", "bodrum"}, {"reason", nullptr}};
+                reply(Answer, 200,
+                      {{"job", "j1"},
+                       {"contract", "denizkul-tours"},
+                       {"kind", "permit"},
+                       {"state", "running"},
+                       {"tasks", json::array({Task})}});
+              }));
   Server_.Get(
       "/v1/jobs/j1/explain", guarded([](const auto &, auto &Answer) {
         json First{{"index", 0}, {"state", "claimed"}, {"why", "runs"}};
--- a/packages/ctl/tests/fake_entry.h
+++ b/packages/ctl/tests/fake_entry.h
@@ -59,8 +59,8 @@
       std::function<void(const httplib::Request &, httplib::Response &)>;
   void addReads();
   void addWrites();
-  Handler guarded(Handler Handle);
-  Handler write(Handler Handle);
+  Handler guarded(const Handler &Handle);
+  Handler write(const Handler &Handle);
   void store(const std::string &Name, const nlohmann::json &Body,
              const nlohmann::json &Value, httplib::Response &Answer);
 
--- a/packages/ctl/tests/job_commands_test.cpp
+++ b/packages/ctl/tests/job_commands_test.cpp
@@ -54,6 +54,16 @@
   BOOST_TEST(contains(Output.Error_, "submit again with the same --key"));
 }
 
+BOOST_AUTO_TEST_CASE(status_shows_the_tasks) {
+  FakeEntry Entry;
+  CommandOutput Output = Entry.run({"job", "status", "j1"});
+  BOOST_TEST(Output.Code_ == ExitCode::Done);
+  BOOST_TEST(contains(Output.Out_, "job j1: denizkul-tours permit is running"));
+  BOOST_TEST(contains(
+      Output.Out_, "     0  claimed           2  w7                  bodrum"));
+  BOOST_TEST(Entry.run({"job", "status", "j2"}).Code_ == ExitCode::NotFound);
+}
+
 BOOST_AUTO_TEST_CASE(cancel_tells_the_state) {
   FakeEntry Entry;
   BOOST_TEST(Entry.run({"job", "cancel", "j1"}).Out_ == "job j1: ended\n");
