Routing: hedges by load, refusals counted apart, silence found early

Hedges start at twice the usual time while the endpoints are loaded below 0.88, and at four times above.

--- a/benchmark/experiments/routing_runs.cpp
+++ b/benchmark/experiments/routing_runs.cpp
@@ -21,6 +21,7 @@
           {"sampled-no-hedge", baseline(SampledPolicy{})},
           {"random", baseline(RandomPolicy{})},
           {"round-robin", baseline(RoundRobinPolicy{})},
+          {"plain-round-robin", baseline(RoundRobinPolicy{false})},
           {"least-in-flight", baseline(LeastInFlightPolicy{})}};
 }
 
--- a/packages/routing/include/filbertspring/routing/config.h
+++ b/packages/routing/include/filbertspring/routing/config.h
@@ -22,10 +22,19 @@
   double MaxSavedRetries_ = 10.0;
   /// False lifts the budget: a baseline.
   bool BudgetEnforced_ = true;
-  /// Attempts of one request in all.
+  /// Attempts of one request that its endpoints did not refuse.
   std::int32_t MaxAttempts_ = 4;
-  /// A hedge is sent when the attempt took this many times the usual time.
-  double HedgeAfterFactor_ = 4.0;
+  /// Attempts of one request that its endpoints refused.
+  std::int32_t MaxRefusals_ = 16;
+  /// A hedge is sent when the attempt took this many times the usual time,
+  double HedgeAfterFactor_ = 2.0;
+  /// or this many while the endpoints are loaded above MaxHedgeLoad_.
+  double OverdueFactor_ = 4.0;
+  /// Neither of them sooner than this after the attempt was sent.
+  Duration MinHedgeDelay_ = std::chrono::milliseconds(1);
+  /// Requests held by the endpoints of the service as a fraction of their
+  /// slots.
+  double MaxHedgeLoad_ = 0.88;
   bool HedgingEnabled_ = true;
 };
 
--- a/packages/routing/include/filbertspring/routing/policy.h
+++ b/packages/routing/include/filbertspring/routing/policy.h
@@ -13,7 +13,11 @@
 struct RandomPolicy {};
 
 /// One endpoint after the other. A baseline.
-struct RoundRobinPolicy {};
+struct RoundRobinPolicy {
+  /// False sends also to endpoints whose slots this router has filled already,
+  /// as a balancer does that knows nothing of load.
+  bool BoundedBySlots_ = true;
+};
 
 /// The endpoint with the fewest attempts of this router. A baseline.
 struct LeastInFlightPolicy {};
--- a/packages/routing/src/endpoint_table.cpp
+++ b/packages/routing/src/endpoint_table.cpp
@@ -4,6 +4,14 @@
 #include <utility>
 
 namespace filbertspring::routing {
+namespace {
+
+/// Weight of the latest attempt in the share of overdue ones.
+constexpr double OverdueWeight = 0.1;
+/// Above this share, idle connections are taken to be silent.
+constexpr double MaxOverdueShare = 0.25;
+
+} // namespace
 
 EndpointTable::EndpointTable(const RouterConfig &Config, TimerQueue &Timers)
     : Config_(Config),
@@ -131,6 +139,7 @@
     switch (Seen.Result_) {
     case AttemptResult::Completed:
       Node.AnsweredAt_ = Now;
+      Node.OverdueShare_ -= OverdueWeight * Node.OverdueShare_;
       addLatency(Node, Seen.Took_);
       markSuccess(Node);
       break;
@@ -171,13 +180,19 @@
   return Drop;
 }
 
-void EndpointTable::attemptOverdue(EndpointId Id, TimePoint SentAt,
+bool EndpointTable::attemptOverdue(EndpointId Id, TimePoint SentAt,
                                    TimePoint Now) {
+  bool Drop = false;
   update(Id, Now, [&](Endpoint &Node) {
     bool Quiet = !Node.AnsweredAt_ || *Node.AnsweredAt_ < SentAt;
     if (Quiet && Node.Health_ == Health::Healthy)
       Node.Health_ = Health::Probation;
+    Node.OverdueShare_ += OverdueWeight * (1.0 - Node.OverdueShare_);
+    Drop = Quiet || Node.OverdueShare_ > MaxOverdueShare;
+    if (Drop)
+      Node.OverdueShare_ = 0.0;
   });
+  return Drop;
 }
 
 void EndpointTable::timerDue(const Timer &Due, TimePoint Now) {
@@ -226,6 +241,9 @@
     return false;
   if (Now < Node.BusyUntil_)
     return false;
+  const auto *InTurn = std::get_if<RoundRobinPolicy>(&Config_.Policy_);
+  if (InTurn && !InTurn->BoundedBySlots_)
+    return true;
   if (Node.Own_ >= Node.Slots_)
     return false;
   bool Bounded = UsesReports_ && Node.Refuses_;
@@ -238,6 +256,11 @@
   ServicePool &Pool = Pools_[Node.Service_];
   bool Before = available(Node);
   bool HealthyBefore = Before && Node.Health_ == Health::Healthy;
+  if (HealthyBefore) {
+    --Pool.Healthy_;
+    Pool.Load_ -= Node.load();
+    Pool.Slots_ -= Node.Slots_;
+  }
   Update(Node);
   bool After = available(Node);
   bool HealthyAfter = After && Node.Health_ == Health::Healthy;
@@ -246,10 +269,11 @@
     --Available;
   if (!Before && After)
     ++Available;
-  if (HealthyBefore && !HealthyAfter)
-    --Pool.Healthy_;
-  if (!HealthyBefore && HealthyAfter)
+  if (HealthyAfter) {
     ++Pool.Healthy_;
+    Pool.Load_ += Node.load();
+    Pool.Slots_ += Node.Slots_;
+  }
   setOpen(Id, open(Node, Now));
   if (After && Node.Health_ == Health::Probation)
     Pool.OnProbation_.insert(Id);
--- a/packages/routing/src/endpoint_table.h
+++ b/packages/routing/src/endpoint_table.h
@@ -9,6 +9,7 @@
 #include "moving_mean.h"
 #include "timers.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -60,6 +61,8 @@
   bool Refuses_ = false;
   std::optional<TimePoint> AnsweredAt_;
   MovingMean Latency_{0.1};
+  /// Share of its latest attempts that were overdue.
+  double OverdueShare_ = 0.0;
   /// Position in its list of open endpoints.
   std::optional<std::size_t> OpenAt_;
 
@@ -75,8 +78,17 @@
   /// How many of these are healthy, over all zones.
   std::size_t Healthy_ = 0;
   std::set<EndpointId> OnProbation_;
+  /// Sums over the healthy ones.
+  std::int64_t Load_ = 0;
+  std::int64_t Slots_ = 0;
   /// Usual time of an attempt without the delay between zones.
   MovingMean Latency_{0.01};
+
+  /// Returns the requests held as a fraction of the slots.
+  double load() const {
+    return static_cast<double>(Load_) /
+           static_cast<double>(std::max<std::int64_t>(Slots_, 1));
+  }
 };
 
 /// How an attempt on an endpoint ended.
@@ -102,7 +114,8 @@
   bool attemptEnded(EndpointId Id, const EndpointObservation &Seen,
                     TimePoint Now);
   /// Stops new work to an endpoint that answered nothing since \p SentAt.
-  void attemptOverdue(EndpointId Id, TimePoint SentAt, TimePoint Now);
+  /// Returns true when idle connections to the endpoint are to be dropped.
+  bool attemptOverdue(EndpointId Id, TimePoint SentAt, TimePoint Now);
   /// Takes in that a Reopen or Probation timer is due.
   void timerDue(const Timer &Due, TimePoint Now);
 
--- a/packages/routing/src/request.h
+++ b/packages/routing/src/request.h
@@ -32,7 +32,7 @@
   /// When it last joined the queue.
   TimePoint QueuedAt_;
   std::vector<Attempt> Attempts_;
-  /// Endpoints of its attempts.
+  /// Endpoints of its attempts, but for those that were busy.
   std::vector<EndpointId> Tried_;
   bool Queued_ = false;
   bool Answered_ = false;
@@ -43,6 +43,13 @@
   /// How the last attempt ended that did not complete.
   AttemptResult LastResult_ = AttemptResult::ConnectFailed;
 
+  /// Attempts that its endpoints refused.
+  std::int32_t Refusals_ = 0;
+
+  /// Returns the number of the other attempts.
+  std::int32_t unrefused() const {
+    return static_cast<std::int32_t>(Attempts_.size()) - Refusals_;
+  }
   bool active() const {
     return std::ranges::any_of(Attempts_, &Attempt::Active_);
   }
--- a/packages/routing/src/router.cpp
+++ b/packages/routing/src/router.cpp
@@ -53,7 +53,10 @@
       continue;
     switch (Due->Kind_) {
     case TimerKind::Hedge:
-      hedge(*Item, Due->Attempt_);
+      hedge(*Item, Due->Attempt_, false);
+      break;
+    case TimerKind::Overdue:
+      overdue(*Item, Due->Attempt_);
       break;
     case TimerKind::Spill:
       dispatch(Item->Flow_->Terms_.Name_);
--- a/packages/routing/src/router_dispatch.cpp
+++ b/packages/routing/src/router_dispatch.cpp
@@ -107,12 +107,22 @@
   Endpoints_.attemptSent(Id, Now_);
   Out_->emplace_back(SendAttempt{Item.Ticket_, Number, Node.Name_,
                                  Node.Address_, Node.Zone_, Fresh, Timeout});
-  if (!Item.Idempotent_ || !Member.Latency_.known())
+  armHedge(Item, Number);
+}
+
+void Router::Impl::armHedge(const Request &Item, AttemptNumber Number) {
+  const routing::MovingMean &Usual = Item.Flow_->Latency_;
+  if (!Item.Idempotent_ || !Usual.known())
     return;
-  auto Usual = static_cast<double>(Member.Latency_.duration().count());
-  Duration After(
-      static_cast<std::int64_t>(Usual * Config_.Retry_.HedgeAfterFactor_));
-  Timers_.add({Now_ + After, TimerKind::Hedge, Item.Ticket_, Number});
+  const RetryConfig &Limits = Config_.Retry_;
+  auto After = [&](double Factor) {
+    Duration Late(static_cast<std::int64_t>(Usual.microseconds() * Factor));
+    return std::max(Late, Limits.MinHedgeDelay_);
+  };
+  Timers_.add({Now_ + After(Limits.HedgeAfterFactor_), TimerKind::Hedge,
+               Item.Ticket_, Number});
+  Timers_.add({Now_ + After(Limits.OverdueFactor_), TimerKind::Overdue,
+               Item.Ticket_, Number});
 }
 
 Duration Router::Impl::patience(const Request &Item) const {
@@ -130,19 +140,30 @@
   return std::min(Left, std::max(Left / 2, Usual.duration() * TimeoutFactor));
 }
 
-void Router::Impl::hedge(Request &Item, AttemptNumber Number) {
+void Router::Impl::overdue(Request &Item, AttemptNumber Number) {
   const Attempt &Slow = Item.Attempts_[static_cast<std::size_t>(Number) - 1];
   if (!Slow.Active_)
     return;
-  Endpoints_.attemptOverdue(Slow.Endpoint_, Slow.SentAt_, Now_);
+  if (Endpoints_.attemptOverdue(Slow.Endpoint_, Slow.SentAt_, Now_))
+    Out_->emplace_back(
+        DropConnections{Endpoints_.at(Slow.Endpoint_).Name_, Now_});
+  hedge(Item, Number, true);
+}
+
+void Router::Impl::hedge(Request &Item, AttemptNumber Number, bool Late) {
+  const Attempt &Slow = Item.Attempts_[static_cast<std::size_t>(Number) - 1];
+  const RetryConfig &Limits = Config_.Retry_;
   const Flow &Member = *Item.Flow_;
-  bool Wanted = Config_.Retry_.HedgingEnabled_ && !Item.Answered_ &&
+  bool Wanted = Limits.HedgingEnabled_ && Slow.Active_ && !Item.Answered_ &&
                 Number == static_cast<AttemptNumber>(Item.Attempts_.size());
-  bool Allowed = Number < Config_.Retry_.MaxAttempts_ &&
+  bool Allowed = Item.unrefused() < Limits.MaxAttempts_ &&
                  Member.InUse_ * HedgeHeadroom <= Member.Limit_ &&
                  Now_ < Item.Deadline_ && Member.InForce_;
   if (!Wanted || !Allowed)
     return;
+  double Load = Endpoints_.findPool(Member.Terms_.Name_)->load();
+  if (!Late && Load > Limits.MaxHedgeLoad_)
+    return;
   if (!Member.Contract_->Budget_.trySpend())
     return;
   if (!trySend(Item, Item.Deadline_ - Now_))
--- a/packages/routing/src/router_impl.h
+++ b/packages/routing/src/router_impl.h
@@ -58,7 +58,9 @@
   void send(routing::Request &Item, routing::EndpointId Id);
   Duration patience(const routing::Request &Item) const;
   Duration timeoutFor(const routing::Request &Item) const;
-  void hedge(routing::Request &Item, AttemptNumber Number);
+  void armHedge(const routing::Request &Item, AttemptNumber Number);
+  void overdue(routing::Request &Item, AttemptNumber Number);
+  void hedge(routing::Request &Item, AttemptNumber Number, bool Late);
 
   // Ends of attempts and answers (router_outcomes.cpp).
   void on(const AttemptEnded &Event);
--- a/packages/routing/src/router_outcomes.cpp
+++ b/packages/routing/src/router_outcomes.cpp
@@ -52,6 +52,9 @@
     }
   } else {
     Item->LastResult_ = Event.Result_;
+    Item->Refusals_ += wasRefused(Event.Result_) ? 1 : 0;
+    if (Event.Result_ == AttemptResult::RefusedBusy)
+      std::erase(Item->Tried_, Ended.Endpoint_);
     Item->MayHaveRun_ = Item->MayHaveRun_ || mayHaveRun(Event.Result_);
   }
   settle(*Item);
@@ -79,8 +82,8 @@
   const Contract &Terms = Member.Contract_->Terms_;
   if (!Safe || Item.CallerGone_ || Now_ >= Item.Deadline_)
     return false;
-  auto Made = static_cast<std::int32_t>(Item.Attempts_.size());
-  if (Made >= Config_.Retry_.MaxAttempts_)
+  if (Item.unrefused() >= Config_.Retry_.MaxAttempts_ ||
+      Item.Refusals_ >= Config_.Retry_.MaxRefusals_)
     return false;
   if (!Member.InForce_ || !Endpoints_.anyAvailable(Terms, Member.Terms_.Name_))
     return false;
--- a/packages/routing/src/timers.h
+++ b/packages/routing/src/timers.h
@@ -19,6 +19,9 @@
 enum class TimerKind {
   /// The attempt Attempt_ of the request Id_ takes longer than usual.
   Hedge,
+  /// The attempt Attempt_ of the request Id_ takes so long that its connection
+  /// may be silent.
+  Overdue,
   /// The request Id_ has waited so long that a dearer endpoint may do.
   Spill,
   /// The deadline of the request Id_ has passed while it is queued.
--- a/packages/routing/tests/fuzz_world.h
+++ b/packages/routing/tests/fuzz_world.h
@@ -75,6 +75,7 @@
   void pass(Duration Time);
   void check(const RoutingAction &Action);
   void checkSend(const SendAttempt &Sent);
+  void checkDrop(const DropConnections &Drop);
   void checkAnswer(const AnswerCaller &Answer);
   void expect(bool Holds, const std::string &Rule);
   void endOne(std::uint32_t Which, std::uint32_t How, std::uint32_t Load);
