--- a/benchmark/experiments/routing_world.cpp
+++ b/benchmark/experiments/routing_world.cpp
@@ -86,7 +86,7 @@
 void RoutingWorld::run() {
   for (std::size_t Stream = 0; Stream < Shape_.Streams_.size(); ++Stream)
     scheduleArrival(Stream);
-  TimePoint End = Start_ + Shape_.WarmUp_ + Shape_.Measured_ +
+  TimePoint End = Start_ + Shape_.WarmUp_ + Shape_.Measured_ + Shape_.Tail_ +
                   Shape_.Deadline_ + std::chrono::seconds(1);
   while (!Events_.empty() && Events_.top().At_ <= End) {
     Event Next = Events_.top();
@@ -285,7 +285,7 @@
   double PerSecond = Shape_.Streams_[Stream].PerSecond_;
   double Gap = -std::log(1.0 - uniform()) / PerSecond;
   Duration After = Now_ - Start_ + Duration(std::llround(Gap * 1e6));
-  if (After > Shape_.WarmUp_ + Shape_.Measured_)
+  if (After > Shape_.WarmUp_ + Shape_.Measured_ + Shape_.Tail_)
     return;
   at(After, [this, Stream] {
     arrival(Stream);
--- a/benchmark/experiments/routing_world.h
+++ b/benchmark/experiments/routing_world.h
@@ -50,6 +50,8 @@
   RouterConfig Router_;
   Duration WarmUp_ = std::chrono::seconds(1);
   Duration Measured_ = std::chrono::seconds(5);
+  /// Arrivals go on for this long after the measured time.
+  Duration Tail_{};
 };
 
 /// An executor of the world.
