--- a/packages/routing/include/filbertspring/routing/config.h
+++ b/packages/routing/include/filbertspring/routing/config.h
@@ -45,7 +45,7 @@
   /// Time until a suspect endpoint gets one request; doubles with each
   /// failure of that request, up to MaxSuspectTime_.
   Duration SuspectTime_ = std::chrono::milliseconds(500);
-  Duration MaxSuspectTime_ = std::chrono::seconds(8);
+  Duration MaxSuspectTime_ = std::chrono::seconds(2);
   /// Idle connections are not used for non-idempotent requests when the
   /// endpoint has answered nothing for this long.
   Duration MaxIdleTime_ = std::chrono::seconds(5);
@@ -66,9 +66,12 @@
   /// Tokens of this much time can be saved up for a burst.
   Duration BurstTime_ = std::chrono::milliseconds(100);
   /// Requests that may wait, for each service of a contract.
-  std::size_t MaxQueued_ = 1024;
+  std::size_t MaxQueued_ = 4096;
   /// False keeps requests queued that will miss their deadline: a baseline.
   bool EarlyShedding_ = true;
+  /// The part of the time to its deadline that a request may be predicted to
+  /// wait when it is admitted.
+  double MaxWaitFraction_ = 0.5;
   /// Time after the deadline at which a request is answered even when an
   /// attempt has not ended.
   Duration AnswerGrace_ = std::chrono::milliseconds(50);
--- a/packages/routing/include/filbertspring/routing/outcome_table.h
+++ b/packages/routing/include/filbertspring/routing/outcome_table.h
@@ -74,7 +74,7 @@
      {NotRunReason::QueueFull, "queue-full", 429, false,
       "refused on arrival; nothing was sent"},
      {NotRunReason::WaitTooLong, "wait-too-long", 503, false,
-      "refused on arrival; nothing was sent"},
+      "refused on arrival or before its first attempt; nothing was sent"},
      {NotRunReason::DeadlinePassed, "deadline-passed", 504, true,
       "no attempt is active, and each earlier one was refused by its endpoint "
       "or sent no byte"},
--- a/packages/routing/src/router_admission.cpp
+++ b/packages/routing/src/router_admission.cpp
@@ -66,7 +66,9 @@
   if (Member.queued() >= Config_.MaxQueued_)
     return NotRunReason::QueueFull;
   Duration Wait = Member.predictedWait();
-  bool TooLate = Now_ + Wait + Member.Latency_.duration() > Deadline;
+  auto Left = static_cast<double>((Deadline - Now_).count());
+  bool TooLate =
+      static_cast<double>(Wait.count()) > Left * Config_.MaxWaitFraction_;
   // Without a queue it is sent, so that the estimate is renewed.
   if (Config_.EarlyShedding_ && Wait > Duration::zero() && TooLate)
     return NotRunReason::WaitTooLong;
--- a/packages/routing/src/router_dispatch.cpp
+++ b/packages/routing/src/router_dispatch.cpp
@@ -58,6 +58,7 @@
   bool Sent = true;
   while (Sent) {
     Sent = false;
+    shedLate(Queue->second);
     std::vector<Flow *> Ready = Queue->second.inTurn();
     // What a later flow would accept goes to the one whose turn it is, or
     // flows with long queues would take every endpoint.
@@ -75,6 +76,21 @@
   }
 }
 
+void Router::Impl::shedLate(const routing::FairQueue &Queue) {
+  if (!Config_.EarlyShedding_)
+    return;
+  for (Flow *Member : Queue.inTurn()) {
+    // An idle flow sends it all the same, so that its estimate is renewed.
+    while (Member->Active_ > 0 && Member->next()) {
+      Request &Item = *find(*Member->next());
+      bool TooLate = Now_ + Member->Latency_.duration() > Item.Deadline_;
+      if (!TooLate || !Item.Attempts_.empty())
+        break;
+      giveUp(Item, NotRunReason::WaitTooLong);
+    }
+  }
+}
+
 void Router::Impl::dispatchAll() {
   for (const auto &[Service, Queue] : Queues_)
     dispatch(Service);
--- a/packages/routing/src/router_impl.h
+++ b/packages/routing/src/router_impl.h
@@ -53,6 +53,7 @@
   void dequeue(routing::Request &Item);
   void watchQueued(std::uint64_t Ticket);
   void dispatch(const ServiceName &Service);
+  void shedLate(const routing::FairQueue &Queue);
   void dispatchAll();
   bool trySend(routing::Request &Item, Duration Patience);
   void send(routing::Request &Item, routing::EndpointId Id);
--- a/packages/routing/src/router_outcomes.cpp
+++ b/packages/routing/src/router_outcomes.cpp
@@ -150,11 +150,12 @@
   if (!Item.Answered_ || Item.active())
     return;
   std::shared_ptr<Flow> Member = Item.Flow_;
-  if (Item.HoldsUnit_) {
-    --Member->InUse_;
-    --InFlight_;
-  }
+  bool HeldUnit = Item.HoldsUnit_;
   Requests_.erase(Item.Ticket_);
+  if (!HeldUnit)
+    return;
+  --Member->InUse_;
+  --InFlight_;
   dispatch(Member->Terms_.Name_);
 }
 
--- a/packages/routing/tests/outcome_table_test.cpp
+++ b/packages/routing/tests/outcome_table_test.cpp
@@ -69,12 +69,14 @@
      }},
     {NotRunReason::QueueFull,
      [](RouterFixture &Fixture) {
+       Fixture.Config_.MaxQueued_ = 16;
+       Fixture.Router_ = Router(Fixture.Config_, 1);
        fill(Fixture);
-       for (std::uint64_t Ticket = 2; Ticket < 2 + 1024; ++Ticket) {
+       for (std::uint64_t Ticket = 2; Ticket < 2 + 16; ++Ticket) {
          Fixture.pass(1ms);
          Fixture.arrive(Ticket, false);
        }
-       return Fixture.arrive(9999, false);
+       return Fixture.arrive(99999, false);
      }},
     {NotRunReason::WaitTooLong,
      [](RouterFixture &Fixture) {
