--- a/benchmark/experiments/routing_world.cpp
+++ b/benchmark/experiments/routing_world.cpp
@@ -86,7 +86,7 @@
 void RoutingWorld::run() {
   for (std::size_t Stream = 0; Stream < Shape_.Streams_.size(); ++Stream)
     scheduleArrival(Stream);
-  TimePoint End = Start_ + Shape_.WarmUp_ + Shape_.Measured_ +
+  TimePoint End = Start_ + Shape_.WarmUp_ + Shape_.Measured_ + Shape_.Tail_ +
                   Shape_.Deadline_ + std::chrono::seconds(1);
   while (!Events_.empty() && Events_.top().At_ <= End) {
     Event Next = Events_.top();
@@ -174,8 +174,10 @@
 void RoutingWorld::send(Entry &From, const SendAttempt &Sent) {
   std::size_t Target = ByName_.at(Sent.Endpoint_);
   const ExecutorModel &Node = Executors_[Target];
-  if (measuring())
+  if (measuring()) {
     ++Counts_.Attempts_;
+    Counts_.Sent_ += Sent.Attempt_ == 1 ? 1 : 0;
+  }
   std::uint64_t Number = ++From.NextFlight_;
   Flight Item{Sent, Target, Now_, Now_};
   std::vector<TimePoint> &Idle = From.Idle_[Target];
@@ -285,7 +287,7 @@
   double PerSecond = Shape_.Streams_[Stream].PerSecond_;
   double Gap = -std::log(1.0 - uniform()) / PerSecond;
   Duration After = Now_ - Start_ + Duration(std::llround(Gap * 1e6));
-  if (After > Shape_.WarmUp_ + Shape_.Measured_)
+  if (After > Shape_.WarmUp_ + Shape_.Measured_ + Shape_.Tail_)
     return;
   at(After, [this, Stream] {
     arrival(Stream);
