Configuration: fuzzed against an oracle; deltas are whole

A delta cut to a number of rows claimed completeness too early: a row may have moved from a version in one part to one beyond it, and a late head answer then proved a state that was not held. Deltas now hold all rows above the receiver's version.

--- a/packages/membership/include/filbertspring/membership/configuration_view.h
+++ b/packages/membership/include/filbertspring/membership/configuration_view.h
@@ -4,10 +4,10 @@
 /// \file
 /// The contracts and availability zones in force at one instance.
 
+#include "filbertspring/base/result.h"
 #include "filbertspring/base/time.h"
 #include "filbertspring/domain/store.h"
 
-#include <cstddef>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -89,10 +89,11 @@
   /// time of its answer. Nothing when no read confirmed it.
   std::optional<TimePoint> zoneProof(const ZoneName &Name) const;
 
-  /// Returns rows above \p Since in order of version, at most about \p MaxRows
-  /// (rows of one version stay together). A peer repeats its request from
-  /// CompleteTo_ until nothing is left. Linear in the rows held.
-  ConfigurationDelta delta(RowVersion Since, std::size_t MaxRows) const;
+  /// Returns all rows above \p Since in key order. They are not cut to size:
+  /// a row may have gone from a version in one part to one in the next, so that
+  /// no part alone tells up to where it is complete. Linear in the rows held.
+  /// Errors: NotReady.
+  Result<ConfigurationDelta> delta(RowVersion Since) const;
 
 private:
   struct Impl;
--- a/packages/membership/src/configuration_sync.cpp
+++ b/packages/membership/src/configuration_sync.cpp
@@ -142,8 +142,7 @@
   return {};
 }
 
-Actions ConfigurationSync::Impl::on(const DeltaReceived &Answer,
-                                    TimePoint Now) {
+Actions ConfigurationSync::Impl::on(const DeltaReceived &Answer, TimePoint) {
   ConfigurationChange Change = View_.adoptDelta(Answer.Delta_);
   if (Answer.Peer_ == AskedPeer_)
     RequestSince_.reset();
@@ -151,10 +150,6 @@
   Actions Out;
   if (!Change.Adopted_.empty())
     Out.emplace_back(ConfigurationChanged{std::move(Change)});
-  // A delta that was cut to size is followed by the next part at once.
-  if (!RequestSince_ && Ahead_.contains(Answer.Peer_) &&
-      !Answer.Delta_.Rows_.empty())
-    requestFrom(Answer.Peer_, Now, Out);
   return Out;
 }
 
--- a/packages/membership/src/configuration_view.cpp
+++ b/packages/membership/src/configuration_view.cpp
@@ -152,25 +152,13 @@
   return zone(Name) ? Proof : std::nullopt;
 }
 
-ConfigurationDelta ConfigurationView::delta(RowVersion Since,
-                                            std::size_t MaxRows) const {
-  ConfigurationDelta Delta{Since, Since, {}};
+Result<ConfigurationDelta> ConfigurationView::delta(RowVersion Since) const {
   if (!ready())
-    return Delta;
+    return fail(Errc::NotReady);
+  ConfigurationDelta Delta{Since, std::max(Since, completeTo()), {}};
   for (const auto &[Key, Row] : Impl_->Rows_)
     if (Row.Version_ > Since)
       Delta.Rows_.push_back(Row);
-  std::ranges::stable_sort(Delta.Rows_, {}, &StoredRow::Version_);
-  Delta.CompleteTo_ = std::max(Since, completeTo());
-  if (Delta.Rows_.size() <= MaxRows)
-    return Delta;
-  // One transaction may write several rows; a cut between them would claim
-  // completeness too early.
-  const RowVersion Last =
-      Delta.Rows_[std::max<std::size_t>(MaxRows, 1) - 1].Version_;
-  std::erase_if(Delta.Rows_,
-                [Last](const StoredRow &Row) { return Row.Version_ > Last; });
-  Delta.CompleteTo_ = std::min(Last, Delta.CompleteTo_);
   return Delta;
 }
 
--- /dev/null
+++ b/packages/membership/tests/configuration_cluster.cpp
@@ -0,0 +1,267 @@
+#include "configuration_cluster.h"
+
+#include "filbertspring/base/overloaded.h"
+
+#include <algorithm>
+#include <memory>
+
+namespace filbertspring::test {
+
+namespace {
+
+constexpr Duration Step = std::chrono::milliseconds(50);
+constexpr Duration TickInterval = std::chrono::milliseconds(250);
+constexpr std::int64_t MicrosPerSecond = 1'000'000;
+constexpr int Zones = 3;
+constexpr int Contracts = 6;
+constexpr RowVersion ForgedVersions = 1'000'000'000;
+const RowKey HeadKey{RowKind::Head, ""};
+
+/// Writers number their changes in the field that names them.
+std::int64_t contentOf(const RowValue &Value) {
+  if (const auto *Zone = std::get_if<AvailabilityZone>(&Value))
+    return std::stoll(Zone->ChangedBy_);
+  return std::stoll(std::get<ContractRecord>(Value).ChangedBy_);
+}
+
+RowValue makeValue(const RowKey &Key, std::int64_t Content) {
+  if (Key.Kind_ == RowKind::Zone)
+    return AvailabilityZone{ZoneName(Key.Name_), RegionName("r"),
+                            Content % 2 ? ZoneState::OutOfService
+                                        : ZoneState::InService,
+                            std::to_string(Content), ""};
+  ContractRecord Record;
+  Record.Terms_.Name_ = ContractName(Key.Name_);
+  Record.ChangedBy_ = std::to_string(Content);
+  Record.Removed_ = Content % 5 == 0;
+  return Record;
+}
+
+} // namespace
+
+ConfigurationCluster::ConfigurationCluster(int Instances, std::uint64_t Seed,
+                                           ConfigurationFaults Faults,
+                                           ConfigurationWithout Missing)
+    : Faults_(Faults), Missing_(Missing), Random_(Seed) {
+  Nodes_.resize(static_cast<std::size_t>(Instances));
+  for (int Count = 0; Count < Zones + Contracts; ++Count)
+    writeRow();
+}
+
+Duration ConfigurationCluster::delay() {
+  const bool Slow = Faulty_ && chance(Faults_.Slow_);
+  return std::chrono::milliseconds(Random_(Slow ? 8000 : 40));
+}
+
+void ConfigurationCluster::schedule(Duration After, std::function<void()> Run) {
+  Queue_.push({Now_ + After, ++Order_, std::move(Run)});
+}
+
+RowVersion ConfigurationCluster::headVersion() {
+  auto Row = Table_.read(HeadKey);
+  return Row ? Row->Version_ : AbsentVersion;
+}
+
+std::vector<StoredRow> ConfigurationCluster::configurationRows() {
+  std::vector<StoredRow> Rows = Table_.scan(RowKind::Contract);
+  for (StoredRow &Row : Table_.scan(RowKind::Zone))
+    Rows.push_back(std::move(Row));
+  return Rows;
+}
+
+void ConfigurationCluster::writeRow() {
+  const bool IsZone = chance(500);
+  const auto Number = std::to_string(Random_(IsZone ? Zones : Contracts));
+  const RowKey Key = IsZone ? RowKey{RowKind::Zone, "z" + Number}
+                            : RowKey{RowKind::Contract, "c" + Number};
+  auto Row = Table_.read(Key);
+  const RowVersion Version = Row ? Row->Version_ : AbsentVersion;
+  ++Writes_;
+  Table_.commit({TransactionId("operator"),
+                 {},
+                 {{Key, Version, makeValue(Key, Writes_)},
+                  {HeadKey, headVersion(), HeadRecord{Writes_, ""}}}});
+  if (IsZone)
+    History_[Key][Now_] = Writes_;
+}
+
+void ConfigurationCluster::run(Duration Length) {
+  const Duration End = Now_ + Length;
+  while (Now_ < End) {
+    Now_ += Step;
+    while (!Queue_.empty() && Queue_.top().At_ <= Now_) {
+      auto Run = Queue_.top().Run_;
+      Queue_.pop();
+      Run();
+    }
+    if (Now_.count() % MicrosPerSecond == 0) {
+      drawFaults();
+      exchange();
+    }
+    if (Now_.count() % TickInterval.count() == 0)
+      for (std::size_t Index = 0; Index < Nodes_.size(); ++Index)
+        feed(Index, SyncTick{});
+  }
+}
+
+void ConfigurationCluster::drawFaults() {
+  if (!Faulty_)
+    return;
+  if (chance(Faults_.Writes_))
+    writeRow();
+  for (int Index = 0; Index < static_cast<int>(Nodes_.size()); ++Index) {
+    if (chance(Faults_.Cut_))
+      cutFromTable(Index, std::chrono::seconds(Random_(30)));
+    if (chance(Faults_.Restart_))
+      restart(Index);
+  }
+}
+
+void ConfigurationCluster::endFaults() {
+  Faulty_ = false;
+  for (Node &Each : Nodes_)
+    Each.CutUntil_ = std::min(Each.CutUntil_, Now_);
+}
+
+void ConfigurationCluster::cutFromTable(int Instance, Duration Length) {
+  Nodes_[static_cast<std::size_t>(Instance)].CutUntil_ = Now_ + Length;
+}
+
+void ConfigurationCluster::restart(int Instance) {
+  Node &Each = Nodes_[static_cast<std::size_t>(Instance)];
+  Each.Sync_ = ConfigurationSync();
+  Each.Newest_.clear();
+  ++Each.Life_;
+}
+
+const ConfigurationView &ConfigurationCluster::view(int Instance) const {
+  return Nodes_[static_cast<std::size_t>(Instance)].Sync_.view();
+}
+
+bool ConfigurationCluster::converged() {
+  const std::vector<StoredRow> Rows = configurationRows();
+  return std::ranges::all_of(Nodes_, [&](const Node &Each) {
+    const ConfigurationView &View = Each.Sync_.view();
+    return std::ranges::all_of(Rows, [&](const StoredRow &Row) {
+      return View.versionOf(Row.Key_) == Row.Version_;
+    });
+  });
+}
+
+void ConfigurationCluster::feed(std::size_t Index,
+                                const ConfigurationEvent &Event) {
+  const auto Actions = Nodes_[Index].Sync_.handle(Event, stamp());
+  check(Index);
+  for (const ConfigurationAction &Action : Actions)
+    perform(Index, Action);
+}
+
+void ConfigurationCluster::perform(std::size_t Index,
+                                   const ConfigurationAction &Action) {
+  std::visit(Overloaded{[&](const ReadHead &) { readHead(Index); },
+                        [&](const ScanConfiguration &) { scan(Index); },
+                        [&](const RequestDelta &Ask) { request(Index, Ask); },
+                        [](const ConfigurationChanged &) {}},
+             Action);
+}
+
+void ConfigurationCluster::operate(std::size_t Index,
+                                   std::function<void()> AtTable,
+                                   std::function<void()> OnAnswer) {
+  const Duration There = delay();
+  const Duration Back = There + delay();
+  const bool Cut = Nodes_[Index].CutUntil_ > Now_;
+  if (Cut || (Faulty_ && chance(Faults_.Lost_)))
+    return;
+  schedule(There, std::move(AtTable));
+  schedule(Back, [this, Index, Life = Nodes_[Index].Life_,
+                  Run = std::move(OnAnswer)] {
+    if (Nodes_[Index].Life_ == Life)
+      Run();
+  });
+}
+
+void ConfigurationCluster::readHead(std::size_t Index) {
+  auto Answer = std::make_shared<HeadAnswered>();
+  Answer->SentAt_ = stamp();
+  operate(
+      Index, [this, Answer] { Answer->Head_ = headVersion(); },
+      [this, Index, Answer] {
+        HeadAnswered Event = *Answer;
+        const bool Current =
+            Event.Head_ <= Nodes_[Index].Sync_.view().completeTo();
+        if (Missing_ == ConfigurationWithout::SendTime && Current)
+          Event.SentAt_ = stamp();
+        feed(Index, Event);
+      });
+}
+
+void ConfigurationCluster::scan(std::size_t Index) {
+  auto Answer = std::make_shared<ScanAnswered>();
+  Answer->SentAt_ = stamp();
+  operate(
+      Index, [this, Answer] { Answer->Rows_ = configurationRows(); },
+      [this, Index, Answer] {
+        feed(Index, *Answer);
+        if (Missing_ != ConfigurationWithout::HeadFirst)
+          return;
+        const RowVersion Since = Nodes_[Index].Sync_.view().completeTo();
+        feed(Index,
+             DeltaReceived{InstanceName("self"), {Since, headVersion(), {}}});
+      });
+}
+
+void ConfigurationCluster::request(std::size_t Index,
+                                   const RequestDelta &Action) {
+  const auto Peer = static_cast<std::size_t>(std::stoi(Action.Peer_.str()));
+  if (Faulty_ && chance(Faults_.Lost_))
+    return;
+  schedule(delay(), [this, Index, Peer, Action] {
+    auto Delta = Nodes_[Peer].Sync_.view().delta(Action.Since_);
+    if (!Delta)
+      return; // The peer is not ready itself.
+    ++Deltas_;
+    if (Missing_ == ConfigurationWithout::Versions)
+      for (StoredRow &Row : Delta->Rows_)
+        Row.Version_ = ForgedVersions + static_cast<RowVersion>(Order_);
+    schedule(delay(), [this, Index, Action, Delta] {
+      feed(Index, DeltaReceived{Action.Peer_, *Delta});
+    });
+  });
+}
+
+void ConfigurationCluster::exchange() {
+  for (std::size_t From = 0; From < Nodes_.size(); ++From) {
+    const ConfigurationView &View = Nodes_[From].Sync_.view();
+    if (!View.ready())
+      continue;
+    const PeerCompleteTo Event{InstanceName(std::to_string(From)),
+                               View.completeTo()};
+    for (std::size_t To = 0; To < Nodes_.size(); ++To)
+      if (To != From && !(Faulty_ && chance(Faults_.Lost_)))
+        schedule(delay(), [this, To, Event] { feed(To, Event); });
+  }
+}
+
+void ConfigurationCluster::check(std::size_t Index) {
+  Node &Each = Nodes_[Index];
+  const ConfigurationView &View = Each.Sync_.view();
+  for (const AvailabilityZone &Zone : View.zones()) {
+    const RowKey Key{RowKind::Zone, Zone.Name_.str()};
+    const std::int64_t Content = contentOf(RowValue(Zone));
+    std::int64_t &Newest = Each.Newest_[Key];
+    if (Content < Newest)
+      ++Reverts_;
+    Newest = std::max(Newest, Content);
+    const auto Proof = View.zoneProof(Zone.Name_);
+    if (!Proof)
+      continue;
+    const auto &Past = History_[Key];
+    // A write at the very time of the read may have followed it.
+    auto After = Past.lower_bound(Proof->time_since_epoch());
+    if (After != Past.begin() && Content < std::prev(After)->second)
+      ++FalseProofs_;
+  }
+}
+
+} // namespace filbertspring::test
--- /dev/null
+++ b/packages/membership/tests/configuration_fuzz_test.cpp
@@ -0,0 +1,111 @@
+#define BOOST_TEST_MODULE configuration_fuzz
+#include "configuration_cluster.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace filbertspring;
+using namespace filbertspring::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration FaultyTime = 120s;
+/// The time in which a change must be in force everywhere.
+constexpr Duration SpreadLimit = 14s;
+constexpr std::uint64_t SearchedSeeds = 200;
+
+/// Returns true when some run without \p Missing breaks \p Rule.
+template <typename Rule>
+bool oracleObjects(ConfigurationWithout Missing, Rule Broken) {
+  for (std::uint64_t Seed = 1; Seed <= SearchedSeeds; ++Seed) {
+    ConfigurationCluster Cluster(4, Seed, HeavyConfigurationFaults, Missing);
+    Cluster.run(FaultyTime);
+    Cluster.endFaults();
+    Cluster.run(SpreadLimit);
+    if (!Broken(Cluster))
+      continue;
+    BOOST_TEST_MESSAGE("seed " << Seed << ": reverts " << Cluster.reverts()
+                               << ", false proofs " << Cluster.falseProofs()
+                               << ", converged " << Cluster.converged());
+    return true;
+  }
+  return false;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(configuration_under_faults)
+
+BOOST_AUTO_TEST_CASE(never_reverts_and_converges_afterwards) {
+  const bool Holds = rc::check([](std::uint64_t Seed) {
+    const auto Instances = *rc::gen::inRange(1, 7);
+    ConfigurationCluster Cluster(Instances, Seed, HeavyConfigurationFaults);
+    Cluster.run(FaultyTime);
+    Cluster.endFaults();
+    Cluster.run(SpreadLimit);
+    RC_ASSERT(Cluster.reverts() == 0);
+    RC_ASSERT(Cluster.falseProofs() == 0);
+    RC_ASSERT(Cluster.converged());
+  });
+  BOOST_TEST(Holds);
+}
+
+BOOST_AUTO_TEST_SUITE(needs)
+
+BOOST_AUTO_TEST_CASE(proofs_dated_by_the_send_time) {
+  BOOST_TEST(
+      oracleObjects(ConfigurationWithout::SendTime, [](const auto &Cluster) {
+        return Cluster.falseProofs() > 0;
+      }));
+}
+
+BOOST_AUTO_TEST_CASE(versions_to_decide_between_rows) {
+  BOOST_TEST(
+      oracleObjects(ConfigurationWithout::Versions,
+                    [](const auto &Cluster) { return Cluster.reverts() > 0; }));
+}
+
+BOOST_AUTO_TEST_CASE(the_head_to_be_read_before_the_scan) {
+  BOOST_TEST(oracleObjects(ConfigurationWithout::HeadFirst,
+                           [](auto &Cluster) { return !Cluster.converged(); }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(cut_from_the_table)
+
+BOOST_AUTO_TEST_CASE(is_learned_from_peers) {
+  ConfigurationCluster Cluster(4, 3, ConfigurationFaults{});
+  Cluster.run(5s);
+  Cluster.cutFromTable(0, 600s);
+  Cluster.writeRow();
+  Cluster.run(SpreadLimit);
+  BOOST_TEST(Cluster.converged());
+  BOOST_TEST(Cluster.deltas() > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(makes_a_restarted_instance_ready_through_peers) {
+  ConfigurationCluster Cluster(4, 4, ConfigurationFaults{});
+  Cluster.run(5s);
+  Cluster.cutFromTable(0, 600s);
+  Cluster.restart(0);
+  BOOST_TEST(!Cluster.view(0).ready());
+  Cluster.run(SpreadLimit);
+  BOOST_TEST(Cluster.view(0).ready());
+  BOOST_TEST(Cluster.converged());
+  // Peers cannot prove how new a zone's state is.
+  BOOST_TEST(!Cluster.view(0).zoneProof(ZoneName("z0")).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(leaves_a_restarted_instance_alone_not_ready) {
+  ConfigurationCluster Cluster(1, 5, ConfigurationFaults{});
+  Cluster.cutFromTable(0, 600s);
+  Cluster.run(60s);
+  BOOST_TEST(!Cluster.view(0).ready());
+  BOOST_TEST(Cluster.view(0).contracts().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
