--- /dev/null
+++ b/packages/membership/tests/liveness_test.cpp
@@ -0,0 +1,173 @@
+#include "filbertspring/membership.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace filbertspring;
+using namespace std::chrono_literals;
+
+namespace {
+
+const InstanceName Other("entry-2");
+const LeaseSettings Settings;
+
+TimePoint at(Duration Since) { return TimePoint(Since); }
+
+StoredRow heartbeat(RowVersion Version, bool Leaving = false) {
+  HeartbeatRecord Record;
+  Record.Instance_ = Other;
+  Record.Leaving_ = Leaving;
+  return {{RowKind::Heartbeat, Other.str()},
+          Version,
+          TransactionId("boot/hb/1"),
+          Record};
+}
+
+struct Observed {
+  /// Takes in a scan sent and answered at \p Since.
+  void scan(Duration Since, std::vector<StoredRow> Rows) {
+    Tracker_.handle({at(Since), std::move(Rows)}, at(Since));
+  }
+  Liveness state(Duration Since) const {
+    return Tracker_.stateOf(Other, at(Since));
+  }
+  LivenessTracker Tracker_;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(an_observed_instance, Observed)
+
+BOOST_AUTO_TEST_CASE(is_alive_while_its_row_changes) {
+  for (int Second = 0; Second < 60; Second += 2)
+    scan(std::chrono::seconds(Second), {heartbeat(Second + 1)});
+  BOOST_TEST((state(60s) == Liveness::Alive));
+}
+
+BOOST_AUTO_TEST_CASE(is_leaving_when_it_says_so) {
+  scan(1s, {heartbeat(1, true)});
+  BOOST_TEST((state(1s) == Liveness::Leaving));
+}
+
+BOOST_AUTO_TEST_CASE(is_suspected_by_time_alone_but_never_lapsed) {
+  scan(1s, {heartbeat(1)});
+  BOOST_TEST((state(1s + Settings.Suspect_) == Liveness::Suspected));
+  BOOST_TEST((state(1h) == Liveness::Suspected));
+  BOOST_TEST(!Tracker_.lapsedGuard(Other).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(lapses_by_a_scan_sent_after_its_lease) {
+  scan(1s, {heartbeat(7)});
+  scan(1s + Settings.observedLapse() - 1us, {heartbeat(7)});
+  BOOST_TEST(!Tracker_.lapsedGuard(Other).has_value());
+  scan(1s + Settings.observedLapse(), {heartbeat(7)});
+  BOOST_TEST((state(12s) == Liveness::Lapsed));
+  BOOST_TEST(Tracker_.lapsedGuard(Other)->Expected_ == 7);
+}
+
+BOOST_AUTO_TEST_CASE(comes_back_with_its_next_heartbeat) {
+  scan(1s, {heartbeat(7)});
+  scan(20s, {heartbeat(7)});
+  scan(21s, {heartbeat(8)});
+  BOOST_TEST((state(21s) == Liveness::Alive));
+  BOOST_TEST(!Tracker_.lapsedGuard(Other).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(is_not_judged_by_scans_that_arrive_out_of_order) {
+  scan(30s, {heartbeat(9)});
+  Tracker_.handle({at(2s), {heartbeat(8)}}, at(31s));
+  BOOST_TEST(Tracker_.members(at(31s)).front().Version_ == 9);
+}
+
+BOOST_AUTO_TEST_CASE(without_a_row_lapses_from_the_first_scan) {
+  BOOST_TEST((state(100s) == Liveness::Suspected));
+  scan(100s, {});
+  BOOST_TEST((state(100s) == Liveness::Suspected));
+  scan(100s + Settings.observedLapse(), {});
+  BOOST_TEST((state(111s) == Liveness::Lapsed));
+  BOOST_TEST(Tracker_.lapsedGuard(Other)->Expected_ == AbsentVersion);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+struct Keeping {
+  Keeping() {
+    HeartbeatRecord Self;
+    Self.Instance_ = Other;
+    Keeper_ = HeartbeatKeeper(Self, "boot");
+  }
+  std::vector<HeartbeatAction> handle(const HeartbeatEvent &Event,
+                                      Duration Since) {
+    return Keeper_.handle(Event, at(Since));
+  }
+  /// Reads the row at the start and returns the first write.
+  TransactionId begin(std::optional<StoredRow> Row, Duration Since) {
+    handle(HeartbeatTick{}, Since);
+    const auto Actions = handle(OwnHeartbeatRead{std::move(Row)}, Since);
+    return std::get<CommitHeartbeat>(Actions.front()).Request_.Id_;
+  }
+  void commit(const TransactionId &Id, RowVersion Version, Duration Since) {
+    handle(HeartbeatCommitEnded{Id, {CommitOutcome::Committed, Version, {}}},
+           Since);
+  }
+  HeartbeatKeeper Keeper_{{}, ""};
+};
+
+StoredRow foreignRow(RowVersion Version) {
+  StoredRow Row = heartbeat(Version);
+  Row.Writer_ = TransactionId("earlier/hb/3");
+  return Row;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(an_own_lease, Keeping)
+
+BOOST_AUTO_TEST_CASE(counts_from_the_send_time) {
+  commit(begin(std::nullopt, 1s), 1, 2s);
+  BOOST_TEST((Keeper_.lease().Since_ == at(2s)));
+  BOOST_TEST((Keeper_.lease().Until_ == at(1s + Settings.Lapse_)));
+}
+
+BOOST_AUTO_TEST_CASE(begins_late_after_an_earlier_process) {
+  commit(begin(foreignRow(5), 1s), 6, 2s);
+  BOOST_TEST((Keeper_.lease().Since_ == at(2s + Settings.observedLapse())));
+}
+
+BOOST_AUTO_TEST_CASE(that_had_ended_needs_rows_read_anew) {
+  commit(begin(std::nullopt, 1s), 1, 2s);
+  const auto Actions = handle(HeartbeatTick{}, 20s);
+  commit(std::get<CommitHeartbeat>(Actions.front()).Request_.Id_, 2, 21s);
+  BOOST_TEST((Keeper_.lease().Since_ == at(21s)));
+}
+
+BOOST_AUTO_TEST_CASE(is_not_renewed_by_an_unknown_write) {
+  const TransactionId Id = begin(std::nullopt, 1s);
+  const auto Actions = handle(HeartbeatCommitEnded{Id, {}}, 2s);
+  BOOST_TEST(std::holds_alternative<ReadOwnHeartbeat>(Actions.front()));
+  BOOST_TEST(!Keeper_.lease().holdsAt(at(2s)));
+}
+
+BOOST_AUTO_TEST_CASE(ends_for_good_when_the_name_is_taken_over) {
+  commit(begin(std::nullopt, 1s), 1, 2s);
+  const auto Actions = handle(HeartbeatTick{}, 4s);
+  const auto Id = std::get<CommitHeartbeat>(Actions.front()).Request_.Id_;
+  handle(HeartbeatCommitEnded{Id, {CommitOutcome::Conflict, 0, {}}}, 4s);
+  handle(OwnHeartbeatRead{foreignRow(9)}, 5s);
+  BOOST_TEST(Keeper_.superseded());
+  BOOST_TEST(!Keeper_.lease().holdsAt(at(5s)));
+  BOOST_TEST(handle(HeartbeatTick{}, 60s).empty());
+}
+
+BOOST_AUTO_TEST_CASE(ends_with_the_row_on_a_stop) {
+  commit(begin(std::nullopt, 1s), 1, 2s);
+  const auto Actions = handle(StopRequested{}, 3s);
+  const auto &Request = std::get<CommitHeartbeat>(Actions.front()).Request_;
+  BOOST_TEST(!Request.Changes_.front().Value_.has_value());
+  BOOST_TEST(!Keeper_.lease().holdsAt(at(3s)));
+  commit(Request.Id_, 2, 4s);
+  BOOST_TEST(handle(HeartbeatTick{}, 60s).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/packages/transport/include/filbertspring/transport/peer_links.h
+++ b/packages/transport/include/filbertspring/transport/peer_links.h
@@ -69,7 +69,7 @@
   /// Replaces the set of peers. Links to others are closed.
   void setPeers(std::vector<PeerAddress> Peers);
   /// Queues a message. Delivery is not guaranteed and not confirmed.
-  void send(InstanceName To, std::string Message);
+  void send(const InstanceName &To, std::string Message);
 
   /// Returns the state of all links in name order.
   std::vector<PeerLinkStatus> status() const;
--- a/packages/transport/src/peer_links.cpp
+++ b/packages/transport/src/peer_links.cpp
@@ -282,7 +282,7 @@
   });
 }
 
-void PeerLinks::send(InstanceName To, std::string Message) {
+void PeerLinks::send(const InstanceName &To, std::string Message) {
   const std::scoped_lock Lock(Impl_->Mutex_);
   auto Found = Impl_->Outboxes_.find(To);
   const bool Refused = Found == Impl_->Outboxes_.end() ||
