--- a/packages/membership/src/configuration_view.cpp
+++ b/packages/membership/src/configuration_view.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <map>
 
-namespace filbertspring {
+namespace filbertspring::membership {
 
 namespace {
 
@@ -162,4 +162,4 @@
   return Delta;
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::membership
--- a/packages/membership/src/share_allocator.cpp
+++ b/packages/membership/src/share_allocator.cpp
@@ -9,7 +9,7 @@
 #include <set>
 #include <utility>
 
-namespace filbertspring {
+namespace filbertspring::membership {
 
 namespace {
 
@@ -319,4 +319,4 @@
           Impl_->Lease_.Until_};
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::membership
--- a/packages/membership/tests/configuration_cluster.cpp
+++ b/packages/membership/tests/configuration_cluster.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <memory>
 
-namespace filbertspring::test {
+namespace filbertspring::membership::test {
 
 namespace {
 
@@ -264,4 +264,4 @@
   }
 }
 
-} // namespace filbertspring::test
+} // namespace filbertspring::membership::test
--- a/packages/membership/tests/configuration_cluster.h
+++ b/packages/membership/tests/configuration_cluster.h
@@ -17,7 +17,7 @@
 #include <string>
 #include <vector>
 
-namespace filbertspring::test {
+namespace filbertspring::membership::test {
 
 /// A mechanism that the cluster runs without.
 enum class ConfigurationWithout {
@@ -119,6 +119,6 @@
   std::uint64_t Deltas_ = 0;
 };
 
-} // namespace filbertspring::test
+} // namespace filbertspring::membership::test
 
 #endif // FILBERTSPRING_MEMBERSHIP_TESTS_CONFIGURATION_CLUSTER_H
--- a/packages/membership/tests/configuration_fuzz_test.cpp
+++ b/packages/membership/tests/configuration_fuzz_test.cpp
@@ -5,7 +5,8 @@
 #include <rapidcheck.h>
 
 using namespace filbertspring;
-using namespace filbertspring::test;
+using namespace filbertspring::membership;
+using namespace filbertspring::membership::test;
 using namespace std::chrono_literals;
 
 namespace {
--- a/packages/membership/tests/peers_test.cpp
+++ b/packages/membership/tests/peers_test.cpp
@@ -7,6 +7,7 @@
 #include <map>
 
 using namespace filbertspring;
+using namespace filbertspring::membership;
 using namespace std::chrono_literals;
 
 namespace {
--- a/packages/membership/tests/share_allocator_test.cpp
+++ b/packages/membership/tests/share_allocator_test.cpp
@@ -3,7 +3,8 @@
 #include <boost/test/unit_test.hpp>
 
 using namespace filbertspring;
-using namespace filbertspring::test;
+using namespace filbertspring::membership;
+using namespace filbertspring::membership::test;
 using namespace std::chrono_literals;
 
 namespace {
