Reads of configuration and shares carry the time of their decision

The synchronisation matches an answer to its read by the send time. The shell took a second reading of the clock, so every answer was ignored and no contract came into force. Seen in path_system_test: the instances never became ready.

--- a/packages/entry/src/desks/configuration_follower.cpp
+++ b/packages/entry/src/desks/configuration_follower.cpp
@@ -7,9 +7,6 @@
 namespace filbertspring {
 namespace {
 
-/// Rows in one answer to a peer; it asks again for the rest.
-constexpr std::size_t MaxRowsPerDelta = 128;
-
 membership::ConfigurationSyncSettings syncSettings(const Settings &Values) {
   membership::ConfigurationSyncSettings Result;
   Result.PollInterval_ = Values.Configuration_.PollEvery_;
@@ -32,16 +29,16 @@
 
 void ConfigurationFollower::handle(
     const membership::ConfigurationEvent &Event) {
-  for (const membership::ConfigurationAction &Action :
-       Sync_.handle(Event, SchedulerClock::now()))
-    perform(Action);
+  TimePoint Now = SchedulerClock::now();
+  for (const membership::ConfigurationAction &Action : Sync_.handle(Event, Now))
+    perform(Action, Now);
 }
 
 void ConfigurationFollower::perform(
-    const membership::ConfigurationAction &Action) {
+    const membership::ConfigurationAction &Action, TimePoint Now) {
   std::visit(
-      Overloaded{[this](const membership::ReadHead &) { readHead(); },
-                 [this](const membership::ScanConfiguration &) { scan(); },
+      Overloaded{[&](const membership::ReadHead &) { readHead(Now); },
+                 [&](const membership::ScanConfiguration &) { scan(Now); },
                  [this](const membership::RequestDelta &Each) {
                    Send_(Each.Peer_, membership::DeltaRequest{Each.Since_});
                  },
@@ -60,8 +57,7 @@
   Thread_.Partners_.Placement_.post(placement::PlatformState{Reachable});
 }
 
-void ConfigurationFollower::readHead() {
-  TimePoint SentAt = SchedulerClock::now();
+void ConfigurationFollower::readHead(TimePoint SentAt) {
   auto Handle = [this, SentAt](const Result<RowBatch> &Answer) {
     platformAnswered(Answer.has_value());
     if (!Answer)
@@ -78,8 +74,7 @@
                 }});
 }
 
-void ConfigurationFollower::scan() {
-  TimePoint SentAt = SchedulerClock::now();
+void ConfigurationFollower::scan(TimePoint SentAt) {
   auto Handle = [this, SentAt](const Result<RowBatch> &Answer) {
     if (!Answer || !Answer->Findings_.empty())
       return handle(membership::TableReadFailed{});
@@ -177,10 +172,11 @@
 
 void ConfigurationFollower::deltaRequested(
     const InstanceName &Peer, const membership::DeltaRequest &Request) {
-  membership::ConfigurationDelta Delta =
-      view().delta(Request.Since_, MaxRowsPerDelta);
-  membership::EncodedDelta Encoded{Delta.Since_, Delta.CompleteTo_, {}};
-  for (const StoredRow &Row : Delta.Rows_) {
+  Result<membership::ConfigurationDelta> Delta = view().delta(Request.Since_);
+  if (!Delta)
+    return;
+  membership::EncodedDelta Encoded{Delta->Since_, Delta->CompleteTo_, {}};
+  for (const StoredRow &Row : Delta->Rows_) {
     Result<std::string> Value = encodeRowValue(Row.Value_);
     if (!Value)
       return; // Without this row the delta would not be complete.
--- a/packages/entry/src/desks/configuration_follower.h
+++ b/packages/entry/src/desks/configuration_follower.h
@@ -37,9 +37,9 @@
 
 private:
   void handle(const membership::ConfigurationEvent &Event);
-  void perform(const membership::ConfigurationAction &Action);
-  void readHead();
-  void scan();
+  void perform(const membership::ConfigurationAction &Action, TimePoint Now);
+  void readHead(TimePoint SentAt);
+  void scan(TimePoint SentAt);
   void scanZones(TimePoint SentAt, std::vector<StoredRow> Rows);
   void publish(const membership::ConfigurationChange &Change);
   void platformAnswered(bool Reachable);
--- a/packages/entry/src/desks/share_follower.cpp
+++ b/packages/entry/src/desks/share_follower.cpp
@@ -138,10 +138,10 @@
 }
 
 void ShareFollower::handleShare(const membership::ShareEvent &Event) {
-  for (const membership::ShareAction &Action :
-       Shares_.handle(Event, SchedulerClock::now()))
-    std::visit(Overloaded{[this](const membership::ReadLedgers &Each) {
-                            readLedgers(Each.Contracts_);
+  TimePoint Now = SchedulerClock::now();
+  for (const membership::ShareAction &Action : Shares_.handle(Event, Now))
+    std::visit(Overloaded{[&](const membership::ReadLedgers &Each) {
+                            readLedgers(Each.Contracts_, Now);
                           },
                           [this](const membership::CommitLedger &Each) {
                             commitLedger(Each.Request_);
@@ -149,8 +149,8 @@
                Action);
 }
 
-void ShareFollower::readLedgers(const std::vector<ContractName> &Contracts) {
-  TimePoint SentAt = SchedulerClock::now();
+void ShareFollower::readLedgers(const std::vector<ContractName> &Contracts,
+                                TimePoint SentAt) {
   std::vector<RowKey> Keys;
   for (const ContractName &Each : Contracts)
     Keys.push_back({RowKind::ShareLedger, Each.str()});
--- a/packages/entry/src/desks/share_follower.h
+++ b/packages/entry/src/desks/share_follower.h
@@ -40,7 +40,8 @@
   void commitHeartbeat(const Transaction &Request);
   void readOwnHeartbeat();
   void scanHeartbeats();
-  void readLedgers(const std::vector<ContractName> &Contracts);
+  void readLedgers(const std::vector<ContractName> &Contracts,
+                   TimePoint SentAt);
   void commitLedger(const Transaction &Request);
   void sampleDemand(TimePoint Now);
   void publishGrants(TimePoint Now);
