One parser of addresses; a listed instance needs its HTTP address

The config package reads addresses already. The test showed that an empty HTTP address of a listed instance was accepted; only that of a peer may be empty.

--- a/packages/platform/include/filbertspring/platform/instance_codec.h
+++ b/packages/platform/include/filbertspring/platform/instance_codec.h
@@ -21,10 +21,6 @@
   Findings Findings_;
 };
 
-/// Parses "HOST:PORT" with a numeric IPv4 host and a port from 1 to 65535.
-/// Errors: InvalidInput.
-Result<Address> decodeAddress(std::string_view Text);
-
 /// Returns the JSON document of one instance. Errors: InvalidInput for text
 /// that is not UTF-8.
 Result<std::string> encodeInstance(const ListedInstance &Instance);
--- a/packages/platform/src/instance_codec.cpp
+++ b/packages/platform/src/instance_codec.cpp
@@ -1,9 +1,10 @@
 #include "filbertspring/platform/instance_codec.h"
 
 #include "domain_fields.h"
+#include "filbertspring/config/address_text.h"
 
-#include <charconv>
 #include <fmt/format.h>
+#include <optional>
 
 namespace filbertspring {
 
@@ -12,33 +13,14 @@
 
 namespace {
 
-constexpr int OctetCount = 4;
-constexpr int MaxOctet = 255;
-
-/// Parses a whole decimal number from 0 to \p Max.
-std::optional<int> parseDecimal(std::string_view Text, int Max) {
-  int Value = 0;
-  const char *End = Text.data() + Text.size();
-  auto [Rest, Error] = std::from_chars(Text.data(), End, Value);
-  if (Error != std::errc() || Rest != End || Value < 0 || Value > Max)
-    return std::nullopt;
-  return Value;
-}
-
-bool isNumericHost(std::string_view Host) {
-  for (int Octet = 1; Octet < OctetCount; ++Octet) {
-    std::size_t Dot = Host.find('.');
-    if (Dot == std::string_view::npos ||
-        !parseDecimal(Host.substr(0, Dot), MaxOctet))
-      return false;
-    Host.remove_prefix(Dot + 1);
-  }
-  return parseDecimal(Host, MaxOctet).has_value();
-}
-
-/// An address in the form "HOST:PORT"; empty text stands for none.
-template <typename Self> struct AddressText { Self &Address_; };
+/// An address in the form "IP:PORT".
+template <typename Self> struct AddressText {
+  Self &Address_;
+  /// Whether empty text stands for no address.
+  bool MayBeEmpty_ = false;
+};
 template <typename Self> AddressText(Self &) -> AddressText<Self>;
+template <typename Self> AddressText(Self &, bool) -> AddressText<Self>;
 
 template <typename Self> Json toField(const AddressText<Self> &Value) {
   bool Empty = Value.Address_ == Address();
@@ -50,8 +32,8 @@
   if (!Text)
     return false;
   if (Text->empty())
-    return true;
-  Result<Address> Parsed = decodeAddress(*Text);
+    return Value.MayBeEmpty_;
+  std::optional<Address> Parsed = parseAddress(*Text);
   Value.Address_ = Parsed.value_or(Address());
   return Parsed.has_value();
 }
@@ -69,19 +51,7 @@
   Fields.optional("slots", Value.Slots_);
   Fields.optional("capacity", Value.Capacity_);
   Fields("http", AddressText{Value.Http_});
-  Fields.optional("peer", AddressText{Value.Peer_});
-}
-
-Result<Address> decodeAddress(std::string_view Text) {
-  constexpr int MaxPort = 65535;
-  std::size_t Colon = Text.rfind(':');
-  if (Colon == std::string_view::npos || !isNumericHost(Text.substr(0, Colon)))
-    return fail(Errc::InvalidInput);
-  std::optional<int> Port = parseDecimal(Text.substr(Colon + 1), MaxPort);
-  if (!Port || *Port == 0)
-    return fail(Errc::InvalidInput);
-  return Address{std::string(Text.substr(0, Colon)),
-                 static_cast<std::uint16_t>(*Port)};
+  Fields.optional("peer", AddressText{Value.Peer_, /*MayBeEmpty=*/true});
 }
 
 Result<std::string> encodeInstance(const ListedInstance &Instance) {
--- a/packages/platform/tests/message_codec_test.cpp
+++ b/packages/platform/tests/message_codec_test.cpp
@@ -87,13 +87,18 @@
 }
 
 BOOST_AUTO_TEST_CASE(holds_numeric_addresses_only) {
+  auto Decode = [](const std::string &Http) {
+    return decodeInstance(R"({"name":"a","role":"entry","state":"live",
+                              "zone":"z","http":")" +
+                          Http + "\"}");
+  };
   BOOST_TEST(
-      (decodeAddress("127.0.0.1:80").value() == Address{"127.0.0.1", 80}));
+      (Decode("127.0.0.1:80").value().Http_ == Address{"127.0.0.1", 80}));
   for (const char *Bad :
        {"", "127.0.0.1", "127.0.0.1:", "127.0.0.1:0", "127.0.0.1:65536",
         "localhost:80", "1.2.3:80", "1.2.3.256:80", "1.2.3.4.5:80",
         "1.2.3.-4:80", "1.2.3.4: 80"})
-    BOOST_TEST((decodeAddress(Bad).error() == Errc::InvalidInput), Bad);
+    BOOST_TEST((Decode(Bad).error() == Errc::InvalidJson), Bad);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/standins/src/executor_main.cpp
+++ b/standins/src/executor_main.cpp
@@ -20,7 +20,7 @@
       cxxopts::value<std::int64_t>()->default_value("8"));
   Add("queue", "requests that may wait for a slot",
       cxxopts::value<std::size_t>()->default_value("8"));
-  Add("platform", "HOST:PORT of the platform", cxxopts::value<Text>());
+  Add("platform", "IP:PORT of the platform", cxxopts::value<Text>());
   Add("service-us", "mean service time in microseconds",
       cxxopts::value<std::int64_t>());
   Add("seed", "seed of the service times",
--- a/standins/src/program.h
+++ b/standins/src/program.h
@@ -5,14 +5,15 @@
 /// What the main functions of the stand-in programs share.
 
 #include "filbertspring/base/result.h"
+#include "filbertspring/config/address_text.h"
 #include "filbertspring/domain/endpoint.h"
-#include "filbertspring/platform/instance_codec.h"
 
 #include <cstdint>
 #include <cstdio>
 #include <exception>
 #include <fmt/format.h>
 #include <functional>
+#include <optional>
 #include <stdexcept>
 #include <string>
 
@@ -42,9 +43,9 @@
 /// Returns the address in the flag called \p Name; throws when it has none.
 inline Address addressFlag(const cxxopts::ParseResult &Flags,
                            const std::string &Name) {
-  Result<Address> Parsed = decodeAddress(Flags[Name].as<std::string>());
+  std::optional<Address> Parsed = parseAddress(Flags[Name].as<std::string>());
   if (!Parsed)
-    throw std::runtime_error(fmt::format("--{} is not HOST:PORT", Name));
+    throw std::runtime_error(fmt::format("--{} is not IP:PORT", Name));
   return *Parsed;
 }
 
--- a/standins/src/relay_main.cpp
+++ b/standins/src/relay_main.cpp
@@ -19,7 +19,7 @@
   cxxopts::Options Options("standin-relay");
   auto Add = Options.add_options();
   Add("listen", "where to listen", cxxopts::value<std::uint16_t>());
-  Add("to", "HOST:PORT of the target", cxxopts::value<std::string>());
+  Add("to", "IP:PORT of the target", cxxopts::value<std::string>());
   Add("control", "where to listen for control",
       cxxopts::value<std::uint16_t>());
   return Options;
--- a/standins/src/worker_main.cpp
+++ b/standins/src/worker_main.cpp
@@ -22,7 +22,7 @@
       cxxopts::value<std::int64_t>()->default_value("0"));
   Add("report-lag-ms", "age of its measurements",
       cxxopts::value<std::int64_t>()->default_value("0"));
-  Add("platform", "HOST:PORT of the platform", cxxopts::value<Text>());
+  Add("platform", "IP:PORT of the platform", cxxopts::value<Text>());
   return Options;
 }
 
