--- /dev/null
+++ b/fuzz/src/row_codec.cpp
@@ -0,0 +1,26 @@
+/// \file
+/// A row value that can be decoded is encoded and decoded without a change.
+/// The first byte of the input, from 'a', chooses the kind of the row.
+
+#include "filbertspring/platform/row_codec.h"
+#include "require.h"
+
+using namespace filbertspring;
+
+extern "C" int LLVMFuzzerTestOneInput( // NOLINT
+    const std::uint8_t *Data, std::size_t Size) {
+  if (Size == 0)
+    return 0;
+  std::size_t Choice = static_cast<std::uint8_t>(Data[0] - 'a');
+  RowKind Kind = RowKindNames[Choice % RowKindNames.size()].Value_;
+  Result<RowValue> Value = decodeRowValue(Kind, toText(Data + 1, Size - 1));
+  if (!Value)
+    return 0;
+  require(kindOf(*Value) == Kind);
+  Result<std::string> Text = encodeRowValue(*Value);
+  require(Text.has_value());
+  Result<RowValue> Again = decodeRowValue(Kind, *Text);
+  require(Again.has_value());
+  require(encodeRowValue(*Again) == Text);
+  return 0;
+}
--- /dev/null
+++ b/fuzz/src/settings.cpp
@@ -0,0 +1,14 @@
+/// \file
+/// Any bytes give settings or findings, never both or neither.
+
+#include "filbertspring/config/settings_document.h"
+#include "require.h"
+
+using namespace filbertspring;
+
+extern "C" int LLVMFuzzerTestOneInput( // NOLINT
+    const std::uint8_t *Data, std::size_t Size) {
+  ParsedSettings Parsed = parseSettings(toText(Data, Size));
+  require(Parsed.Values_.has_value() == Parsed.Found_.empty());
+  return 0;
+}
