--- a/standins/tests/worker_model_test.cpp
+++ b/standins/tests/worker_model_test.cpp
@@ -1,58 +1,14 @@
 #define BOOST_TEST_MODULE worker_model
-#include "filbertspring/standins/worker_model.h"
+#include "worker_model_fixture.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
-#include <rapidcheck.h>
-#include <utility>
 
 using namespace filbertspring;
+using namespace filbertspring::worker_model_test;
 
 namespace {
 
-constexpr WorkerTime RunTime = 1000;
-constexpr WorkerTime LongLease = 1'000'000;
-
-AttemptRef attempt(std::int32_t Number, const char *Job = "j") {
-  return {{JobId(Job), 0}, Number};
-}
-
-StartCommand startOf(const AttemptRef &Ref, std::int64_t Cores = 1) {
-  StartCommand Command;
-  Command.Attempt_ = Ref;
-  Command.Size_ = {Millicores(1000 * Cores), Mebibytes(1), Accelerators(0)};
-  Command.DeclaredRunTime_ = Duration(RunTime);
-  Command.StartBefore_ = LongLease;
-  Command.LeaseUntil_ = LongLease;
-  return Command;
-}
-
-/// The size that the random test gives to an attempt.
-std::int64_t coresOf(const AttemptRef &Ref) { return 1 + Ref.Attempt_ % 3; }
-
-struct Fixture {
-  WorkerModel Worker_{{WorkerName("w"),
-                       {Millicores(4000), Mebibytes(100), Accelerators(0)},
-                       Duration(100)}};
-
-  WorkerCommands commands(std::int64_t Epoch = 1) const {
-    WorkerCommands Commands;
-    Commands.Epoch_ = Epoch;
-    Commands.Boot_ = Worker_.boot();
-    return Commands;
-  }
-  WorkerAnswer start(const StartCommand &Command, WorkerTime Now) {
-    WorkerCommands Commands = commands();
-    Commands.Starts_ = {Command};
-    return Worker_.obey(Commands, Now);
-  }
-  WorkerAnswer stop(const AttemptRef &Ref, bool Checkpoint, WorkerTime Now) {
-    WorkerCommands Commands = commands();
-    Commands.Stops_ = {{Ref, Checkpoint}};
-    return Worker_.obey(Commands, Now);
-  }
-};
-
 AttemptState stateOf(const WorkerReport &Report, const AttemptRef &Ref) {
   auto Found = std::find_if(
       Report.Attempts_.begin(), Report.Attempts_.end(),
@@ -243,37 +199,3 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
-
-BOOST_AUTO_TEST_CASE(no_order_of_commands_runs_an_attempt_twice_or_overfills) {
-  bool Holds = rc::check("runs stay apart and within capacity", [] {
-    Fixture Subject;
-    WorkerTime Now = 0;
-    const int Steps = *rc::gen::inRange(1, 60);
-    for (int Step = 0; Step < Steps; ++Step) {
-      Now += *rc::gen::inRange(0, 700);
-      AttemptRef Ref =
-          attempt(*rc::gen::inRange(1, 6), *rc::gen::element("a", "b"));
-      StartCommand Command = startOf(Ref, coresOf(Ref));
-      Command.LeaseUntil_ = Now + *rc::gen::inRange(-50, 900);
-      WorkerCommands Commands = Subject.commands(*rc::gen::inRange(1, 4));
-      if (*rc::gen::inRange(0, 3) == 0)
-        Commands.Stops_ = {{Ref, true}};
-      if (*rc::gen::inRange(0, 3) == 0)
-        Commands.Acknowledged_ = {Ref};
-      Commands.Renewals_ = {{Ref, Now + 500}};
-      Commands.Starts_ = {Command};
-      WorkerAnswer Answer = Subject.Worker_.obey(Commands, Now);
-      std::int64_t CoresInUse = 0;
-      for (const AttemptReport &Each : Answer.Report_.Attempts_)
-        if (Each.State_ == AttemptState::Running)
-          CoresInUse += coresOf(Each.Attempt_);
-      RC_ASSERT(CoresInUse <= 4);
-    }
-    std::vector<AttemptRef> Seen;
-    for (const RunInterval &Each : Subject.Worker_.runs()) {
-      RC_ASSERT(std::count(Seen.begin(), Seen.end(), Each.Attempt_) == 0);
-      Seen.push_back(Each.Attempt_);
-    }
-  });
-  BOOST_TEST(Holds);
-}
