--- a/benchmark/experiments/routing_cost.cpp
+++ b/benchmark/experiments/routing_cost.cpp
@@ -100,6 +100,7 @@
 double leastOf(const EndpointPolicy &Policy, int Executors,
                const ExperimentOptions &Options) {
   std::vector<double> Times;
+  Times.reserve(Repeats);
   for (int Repeat = 0; Repeat < Repeats; ++Repeat)
     Times.push_back(nanosecondsPerRequest(
         Policy, Executors, Options.Seed_ + static_cast<std::uint64_t>(Repeat),
--- a/benchmark/experiments/routing_retries.cpp
+++ b/benchmark/experiments/routing_retries.cpp
@@ -184,6 +184,7 @@
     std::map<std::string, Spread> During;
     for (const Variant &Case : Variants) {
       std::vector<OutageFigures> Runs;
+      Runs.reserve(static_cast<std::size_t>(Options.Seeds_));
       for (int Index = 0; Index < Options.Seeds_; ++Index)
         Runs.push_back(runOne(
             Case, Kind, Options.Seed_ + static_cast<std::uint64_t>(Index)));
--- a/packages/routing/tests/differential_test.cpp
+++ b/packages/routing/tests/differential_test.cpp
@@ -77,6 +77,7 @@
 public:
   explicit RouterRun(const std::vector<Plan> &Plans) {
     std::vector<ListedInstance> Executors;
+    Executors.reserve(ExecutorCount);
     for (int Index = 0; Index < ExecutorCount; ++Index)
       Executors.push_back(
           executor("e" + std::to_string(Index), "bodrum", SlotsEach));
