--- a/packages/placement/tests/cluster_case.h
+++ b/packages/placement/tests/cluster_case.h
@@ -17,6 +17,7 @@
   PauseNode,
   CrashNode,
   CutNodeFromTable,
+  CutNodeFromWorkers,
   TableDown,
   SilenceWorker,
   RefuseWorker,
@@ -29,7 +30,7 @@
   ReassignRacks
 };
 
-inline constexpr int FaultKindCount = 13;
+inline constexpr int FaultKindCount = 14;
 
 /// One fault, at a time since the start, of a node, worker, zone or job chosen
 /// by Target_.
@@ -47,8 +48,10 @@
   TrustUnknownCommits,
   /// Recovery does not wait for leases of unreachable workers.
   RecoverAtOnce,
-  /// A new owner does not wait for the grace of the old one.
-  IgnoreGrace,
+  /// Waits do not allow for clocks of different rates.
+  IgnoreDrift,
+  /// One instance renews leases for longer than the others wait.
+  RenewBeyondGrace,
   /// Claims do not depend on the zone's row.
   NoZoneGuard,
   /// Workers do not refuse late starts.
--- /dev/null
+++ b/packages/placement/tests/sabotage_test.cpp
@@ -0,0 +1,143 @@
+#define BOOST_TEST_MODULE sabotage
+#include "virtual_cluster.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <initializer_list>
+#include <string_view>
+
+using namespace filbertspring;
+using namespace filbertspring::test;
+
+namespace {
+
+constexpr std::uint64_t MaxSeeds = 40;
+
+/// Draws a case by its seed alone, heavy on the faults in \p Favoured.
+ClusterCase seededCase(std::uint64_t Seed, Sabotage Missing,
+                       std::initializer_list<FaultKind> Favoured) {
+  pcg32 Random(Seed);
+  ClusterCase Case;
+  Case.Seed_ = Seed;
+  Case.Sabotage_ = Missing;
+  Case.Noise_ = 0.05;
+  for (int Index = 0; Index < 24; ++Index) {
+    Fault Each;
+    Each.Kind_ = Index % 2 == 0
+                     ? Favoured.begin()[Random(Favoured.size())]
+                     : static_cast<FaultKind>(Random(FaultKindCount));
+    Each.At_ = std::chrono::milliseconds(Random(50'000));
+    Each.Target_ = Random(64);
+    Each.Length_ = std::chrono::milliseconds(Random(30'000));
+    Case.Faults_.push_back(Each);
+  }
+  return Case;
+}
+
+/// Has the first node lose the table and go on renewing leases, while the one
+/// that takes over loses the workers \p Later after it.
+ClusterCase overlappingOwners(std::uint64_t Seed, Sabotage Missing,
+                              Duration Later) {
+  pcg32 Random(Seed);
+  ClusterCase Case;
+  Case.Seed_ = Seed;
+  Case.Sabotage_ = Missing;
+  Case.Jobs_ = 40;
+  Duration At = std::chrono::milliseconds(6'000 + Random(6'000));
+  Duration Jitter = std::chrono::milliseconds(Random(2'000));
+  Case.Faults_ = {
+      {FaultKind::CutNodeFromTable, At, 0, std::chrono::seconds(45)},
+      {FaultKind::CutNodeFromWorkers, At + Later + Jitter, 1,
+       std::chrono::seconds(40)}};
+  return Case;
+}
+
+/// Returns the first objection that contains \p Text, over the seeds.
+template <typename MakeCase>
+std::string objection(MakeCase Make, Sabotage Missing, std::string_view Text) {
+  for (std::uint64_t Seed = 1; Seed <= MaxSeeds; ++Seed) {
+    ClusterResult Result = VirtualCluster(Make(Seed, Missing)).run();
+    for (const std::string &Each : Result.Objections_)
+      if (Each.find(Text) != std::string::npos) {
+        BOOST_TEST_MESSAGE("seed " << Seed << ": " << Each);
+        return Each;
+      }
+  }
+  return {};
+}
+
+template <typename MakeCase>
+void mustObjectIn(MakeCase Make, Sabotage Missing, std::string_view Text) {
+  BOOST_TEST(!objection(Make, Missing, Text).empty());
+  // The same cases with the mechanism in place are clean.
+  BOOST_TEST(objection(Make, Sabotage::None, "") == "");
+}
+
+void mustObject(Sabotage Missing, std::string_view Text,
+                std::initializer_list<FaultKind> Favoured) {
+  auto Make = [Favoured](std::uint64_t Seed, Sabotage Each) {
+    return seededCase(Seed, Each, Favoured);
+  };
+  mustObjectIn(Make, Missing, Text);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(the_oracle_objects)
+
+BOOST_AUTO_TEST_CASE(when_an_unknown_commit_is_taken_for_committed) {
+  mustObject(Sabotage::TrustUnknownCommits, "started without a claim",
+             {FaultKind::TableDown, FaultKind::CutNodeFromTable});
+}
+
+BOOST_AUTO_TEST_CASE(when_recovery_does_not_wait_for_leases) {
+  mustObject(Sabotage::RecoverAtOnce, " ran until ",
+             {FaultKind::SilenceWorker, FaultKind::RefuseWorker});
+}
+
+BOOST_AUTO_TEST_CASE(when_waits_ignore_that_clocks_differ) {
+  mustObject(Sabotage::IgnoreDrift, " ran until ",
+             {FaultKind::SilenceWorker, FaultKind::SilenceWorker});
+}
+
+BOOST_AUTO_TEST_CASE(when_an_owner_renews_longer_than_others_wait) {
+  auto Make = [](std::uint64_t Seed, Sabotage Each) {
+    return overlappingOwners(Seed, Each, std::chrono::seconds(0));
+  };
+  mustObjectIn(Make, Sabotage::RenewBeyondGrace, " ran until ");
+}
+
+BOOST_AUTO_TEST_CASE(when_claims_do_not_depend_on_the_zone) {
+  mustObject(Sabotage::NoZoneGuard, "after its zone was taken out",
+             {FaultKind::ZoneOut, FaultKind::ZoneIn});
+}
+
+BOOST_AUTO_TEST_CASE(when_workers_accept_late_starts) {
+  mustObject(Sabotage::NoStartBound, "after its zone was taken out",
+             {FaultKind::ZoneOut, FaultKind::PauseNode});
+}
+
+BOOST_AUTO_TEST_CASE(when_workers_obey_old_owners) {
+  auto Make = [](std::uint64_t Seed, Sabotage Each) {
+    return overlappingOwners(Seed, Each, std::chrono::seconds(3));
+  };
+  mustObjectIn(Make, Sabotage::NoEpochs, " ran until ");
+}
+
+BOOST_AUTO_TEST_CASE(when_rack_rows_are_written_blindly) {
+  mustObject(Sabotage::BlindRackWrites, "ran beyond the capacity",
+             {FaultKind::ReassignRacks, FaultKind::PauseNode});
+}
+
+BOOST_AUTO_TEST_CASE(when_ledgers_are_written_blindly) {
+  mustObject(Sabotage::BlindLedgerWrites, "grant",
+             {FaultKind::SubmitJobs, FaultKind::ChangeQuota});
+}
+
+BOOST_AUTO_TEST_CASE(when_ends_are_acknowledged_before_the_table_knows) {
+  mustObject(Sabotage::AcknowledgeAtOnce, "acknowledged before",
+             {FaultKind::ZoneOut, FaultKind::TableDown});
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/packages/placement/tests/virtual_cluster.cpp
+++ b/packages/placement/tests/virtual_cluster.cpp
@@ -11,6 +11,13 @@
 
 using namespace std::chrono_literals;
 
+namespace {
+
+/// Ends a run in which messages breed messages without end.
+constexpr std::size_t MaxSteps = 400'000;
+
+} // namespace
+
 VirtualCluster::VirtualCluster(const ClusterCase &Case,
                                const SchedulerSettings &Settings)
     : Case_(Case), Settings_(Settings), Random_(Case.Seed_),
@@ -31,7 +38,12 @@
   at(Case_.FaultsEnd_, [this] { heal(); });
   Duration End = Case_.FaultsEnd_ + Case_.Settle_;
   bool Ended = false;
+  std::size_t Steps = 0;
   while (!Queue_.empty() && Now_ < End && !Ended) {
+    if (++Steps > MaxSteps) {
+      Oracle_.object("more messages than any sound run needs");
+      break;
+    }
     auto First = Queue_.extract(Queue_.begin());
     Now_ = std::max(Now_, First.key().first);
     First.mapped()();
@@ -128,8 +140,12 @@
   SchedulerSettings Settings = Settings_;
   if (Case_.Sabotage_ == Sabotage::RecoverAtOnce)
     Settings.Leases_.Margin_ = -Settings.Leases_.Lease_;
-  if (Case_.Sabotage_ == Sabotage::IgnoreGrace)
-    Settings.Leases_.Margin_ = -Settings.Leases_.CutOffGrace_;
+  if (Case_.Sabotage_ == Sabotage::IgnoreDrift) {
+    Settings.Leases_.DriftPpm_ = 0;
+    Settings.Leases_.Margin_ = 0s;
+  }
+  if (Case_.Sabotage_ == Sabotage::RenewBeyondGrace && Nodes_.empty())
+    Settings.Leases_.CutOffGrace_ = 60s;
   ++Each.Incarnation_;
   std::uint64_t Seed = Case_.Seed_ * 1000 + Random_(1'000'000);
   Each.Scheduler_ = std::make_unique<Scheduler>(Settings, Each.Name_, Seed);
--- a/packages/placement/tests/virtual_cluster_faults.cpp
+++ b/packages/placement/tests/virtual_cluster_faults.cpp
@@ -36,6 +36,9 @@
     Instance.CutUntil_ = Until;
     Instance.SuspectedUntil_ = Until;
     break;
+  case FaultKind::CutNodeFromWorkers:
+    Instance.WorkersCutUntil_ = Until;
+    break;
   case FaultKind::TableDown:
     TableDownUntil_ = Until;
     break;
--- a/packages/placement/tests/virtual_cluster_io.cpp
+++ b/packages/placement/tests/virtual_cluster_io.cpp
@@ -110,7 +110,8 @@
     return;
   }
   bool Noisy = !Quiet_ && chance(Case_.Noise_);
-  if (Now_ < Target.SilentUntil_ || (Noisy && chance(0.5)))
+  bool Cut = Now_ < Target.SilentUntil_ || Now_ < Each.WorkersCutUntil_;
+  if (Cut || (Noisy && chance(0.5)))
     return;
   at(Now_ + latency(), [this, &Each, Request] { obey(Each, Request, true); });
   if (Noisy) // A copy wanders about.
@@ -132,7 +133,8 @@
     for (const StartCommand &Start : Commands.Starts_)
       if (Target.SeenStarts_.insert(Start.Attempt_).second)
         Oracle_.started(Start);
-  bool Lost = Now_ < Target.SilentUntil_ || (!Quiet_ && chance(Case_.Noise_));
+  bool Lost = Now_ < Target.SilentUntil_ || Now_ < Each.WorkersCutUntil_ ||
+              (!Quiet_ && chance(Case_.Noise_));
   if (!Answered || Lost)
     return;
   std::uint64_t Incarnation = Each.Incarnation_;
--- a/packages/placement/tests/virtual_cluster_parts.h
+++ b/packages/placement/tests/virtual_cluster_parts.h
@@ -77,6 +77,7 @@
   Duration Offset_{};
   Duration PausedUntil_{};
   Duration CutUntil_{};
+  Duration WorkersCutUntil_{};
   Duration SuspectedUntil_{};
   std::optional<Duration> WakeAt_;
   std::deque<PlacementEvent> Inbox_;
