--- a/packages/placement/tests/sabotage_test.cpp
+++ b/packages/placement/tests/sabotage_test.cpp
@@ -8,7 +8,8 @@
 #include <string_view>
 
 using namespace filbertspring;
-using namespace filbertspring::test;
+using namespace filbertspring::placement;
+using namespace filbertspring::placement::test;
 
 namespace {
 
--- a/packages/routing/tests/choice_test.cpp
+++ b/packages/routing/tests/choice_test.cpp
@@ -3,7 +3,8 @@
 #include <boost/test/unit_test.hpp>
 
 using namespace filbertspring;
-using namespace filbertspring::routing_test;
+using namespace filbertspring::routing;
+using namespace filbertspring::routing::routing_test;
 
 namespace {
 
