Workers that fail everything are set aside, and jobs that fail everywhere are not held against them

Weighed: a failure rate of each worker (one poisonous job with many tasks sets a fleet aside), evidence on one side only. Both sides carry evidence now: only failures of different jobs count against a worker, and only failures on workers that have succeeded with something count against a job.

--- a/packages/placement/include/filbertspring/placement/worker_choice.h
+++ b/packages/placement/include/filbertspring/placement/worker_choice.h
@@ -6,6 +6,7 @@
 
 #include "filbertspring/base/id.h"
 #include "filbertspring/base/quantity.h"
+#include "filbertspring/placement/failure_evidence.h"
 
 #include <cstddef>
 #include <optional>
@@ -18,6 +19,8 @@
   WorkerName Name_;
   Resources Capacity_;
   Resources Free_;
+  /// Attempts that it may take beside those it has.
+  std::size_t Allowance_ = UnboundedAllowance;
 };
 
 /// Returns the index of the candidate that has room for \p Size and keeps the
--- a/packages/placement/src/attempt_reconcile.cpp
+++ b/packages/placement/src/attempt_reconcile.cpp
@@ -60,6 +60,23 @@
            Held.StopReason_.empty() ? "stopped" : Held.StopReason_);
 }
 
+/// Takes the first report of an attempt's own end as evidence about its worker
+/// and its job.
+void noteResult(SchedulerCore &Core, const RackState &Rack,
+                const HeldAttempt &Held, bool Failed) {
+  if (Held.State_ == HeldState::Over)
+    return;
+  const AttemptRef &Attempt = Held.Assignment_.Attempt_;
+  bool SetAside = Core.Evidence_.record(Held.Worker_, Attempt.Task_.Job_,
+                                        Failed, Core.Now_);
+  if (!SetAside)
+    return;
+  Core.note(LogEvent::WorkerQuarantined, Attempt, Rack.Name_, Held.Worker_,
+            "it failed several jobs");
+  if (std::optional<TimePoint> Trial = Core.Evidence_.nextTrial(Core.Now_))
+    Core.Timers_.set(TrialTimer, *Trial);
+}
+
 void takeReport(SchedulerCore &Core, RackState &Rack, HeldAttempt &Held,
                 const WorkerState &Worker, const AttemptReport &Report) {
   Held.Progress_ = Report.Progress_;
@@ -70,9 +87,11 @@
     seenRunning(Core, Rack, Held, Worker);
     break;
   case AttemptState::Finished:
+    noteResult(Core, Rack, Held, false);
     markOver(Core, Rack, Held, AttemptEnd::Finished, Report.Reason_);
     break;
   case AttemptState::Failed:
+    noteResult(Core, Rack, Held, true);
     markOver(Core, Rack, Held, AttemptEnd::Failed, Report.Reason_);
     break;
   case AttemptState::Stopped:
--- a/packages/placement/src/scheduler.cpp
+++ b/packages/placement/src/scheduler.cpp
@@ -94,6 +94,14 @@
   Core.dirtyAllRacks();
 }
 
+/// Lets workers that were set aside long enough take a task again.
+void startTrials(SchedulerCore &Core) {
+  Core.Evidence_.forgetOld(Core.Now_);
+  Core.dirtyAllRacks();
+  if (std::optional<TimePoint> Next = Core.Evidence_.nextTrial(Core.Now_))
+    Core.Timers_.set(TrialTimer, *Next);
+}
+
 void readTimeout(SchedulerCore &Core, const std::string &Name) {
   constexpr int Decimal = 10;
   RequestNumber Number = std::strtoull(Name.c_str(), nullptr, Decimal);
@@ -121,6 +129,9 @@
   case TimerKind::Job:
     jobIsEligible(Core, JobId(Key.Name_));
     break;
+  case TimerKind::Trial:
+    startTrials(Core);
+    break;
   }
 }
 
--- a/packages/placement/src/scheduler_core.h
+++ b/packages/placement/src/scheduler_core.h
@@ -10,6 +10,7 @@
 #include "timer_set.h"
 #include "worker_census.h"
 
+#include "filbertspring/placement/failure_evidence.h"
 #include "filbertspring/placement/placement_action.h"
 #include "filbertspring/placement/placement_event.h"
 #include "filbertspring/placement/scheduler_settings.h"
@@ -85,6 +86,7 @@
   std::map<WorkerName, WorkerState> Workers_;
   std::map<AttemptRef, RackName> HeldIn_;
   std::map<ZoneName, ZoneRampLimit> Ramps_;
+  FailureEvidence Evidence_;
   std::vector<InstanceName> Alive_;
   bool PlatformReachable_ = true;
   bool Draining_ = false;
--- a/packages/placement/src/start_planner.cpp
+++ b/packages/placement/src/start_planner.cpp
@@ -44,11 +44,20 @@
         continue;
       bool Fresh = hasFreshReading(Core_, *Worker);
       (Fresh ? Fresh_ : Stale_)
-          .push_back({Each.Name_, Each.Capacity_, Each.free()});
+          .push_back(
+              {Each.Name_, Each.Capacity_, Each.free(), allowanceOf(Each)});
       Total_ += Each.Capacity_;
     }
   }
 
+  /// Returns how many attempts \p Worker may take beside those it has.
+  std::size_t allowanceOf(const RackWorker &Worker) const {
+    std::size_t Allowed = Core_.Evidence_.allowance(Worker.Name_, Core_.Now_);
+    if (Allowed == UnboundedAllowance)
+      return Allowed;
+    return Allowed - std::min(Allowed, Worker.Assignments_.size());
+  }
+
   void runClass(bool Urgent) {
     for (const ContractName &Contract : Core_.Jobs_.turn(Urgent)) {
       Turns_.push_back({Contract, {}, 0});
@@ -164,6 +173,8 @@
     Starts_[Claim.Attempt_] = makeStart(Entry, Claim, Chosen.Name_);
     Taken_[Record.Id_] = Index;
     Chosen.Free_ -= Record.Size_;
+    if (Chosen.Allowance_ != UnboundedAllowance)
+      --Chosen.Allowance_;
     account(Record);
     return std::nullopt;
   }
--- a/packages/placement/src/timer_set.h
+++ b/packages/placement/src/timer_set.h
@@ -16,7 +16,15 @@
 namespace filbertspring::placement {
 
 /// What a timer is for.
-enum class TimerKind { JobScan, ConfigurationScan, Read, Rack, Worker, Job };
+enum class TimerKind {
+  JobScan,
+  ConfigurationScan,
+  Read,
+  Rack,
+  Worker,
+  Job,
+  Trial
+};
 
 /// The key of a timer.
 struct TimerKey {
@@ -26,6 +34,9 @@
   friend auto operator<=>(const TimerKey &, const TimerKey &) = default;
 };
 
+/// The timer of the next trial of a worker that was set aside.
+inline const TimerKey TrialTimer{TimerKind::Trial, {}};
+
 /// Timers ordered by time. All operations are logarithmic.
 class TimerSet {
 public:
--- a/packages/placement/src/worker_choice.cpp
+++ b/packages/placement/src/worker_choice.cpp
@@ -21,7 +21,8 @@
              const Resources &Size) {
   std::optional<std::size_t> Best;
   for (std::size_t Index = 0; Index < Candidates.size(); ++Index) {
-    if (!Size.fitsIn(Candidates[Index].Free_))
+    const WorkerCandidate &Each = Candidates[Index];
+    if (Each.Allowance_ == 0 || !Size.fitsIn(Each.Free_))
       continue;
     if (!Best ||
         orderOf(Candidates[Index], Size) < orderOf(Candidates[*Best], Size))
