Routing: shares given up while a contract is away, silence of any request

Overdue attempts of non-idempotent requests tell of silent connections too, without a hedge. Silence on an old connection no longer makes an endpoint on probation suspect; the existing test of silent connections found that. endpointReports() gives what peers are to be told.

--- a/packages/routing/include/filbertspring/routing/router.h
+++ b/packages/routing/include/filbertspring/routing/router.h
@@ -49,6 +49,12 @@
   /// Returns the time at which a Tick is due, or nothing.
   std::optional<TimePoint> nextWake() const;
 
+  /// Returns what to pass on to peers: the listed endpoints that are leaving,
+  /// and those whose load an answer told within \p MaxAge, in order of their
+  /// names. Linear in the endpoints.
+  std::vector<PeerEndpointReport> endpointReports(TimePoint Now,
+                                                  Duration MaxAge) const;
+
   /// Returns the sizes of the state. O(1).
   RouterCounts counts() const;
 
--- a/packages/routing/src/endpoint_table.cpp
+++ b/packages/routing/src/endpoint_table.cpp
@@ -161,10 +161,10 @@
       break;
     case AttemptResult::Silent:
       // An old connection may be dead while new ones work.
-      if (Node.Health_ == Health::Healthy && !Seen.FreshConnection_)
-        Node.Health_ = Health::Probation;
-      else
+      if (Seen.FreshConnection_)
         markFailure(Id, Node, Now);
+      else if (Node.Health_ == Health::Healthy)
+        Node.Health_ = Health::Probation;
       break;
     case AttemptResult::ConnectFailed:
       suspect(Id, Node, Now);
@@ -210,6 +210,20 @@
   });
 }
 
+std::vector<PeerEndpointReport> EndpointTable::reports(TimePoint Now,
+                                                       Duration MaxAge) const {
+  std::vector<PeerEndpointReport> Found;
+  for (const auto &[Name, Id] : ByName_) {
+    const Endpoint &Node = at(Id);
+    bool Fresh = Node.ToldLoadAt_ && Now - *Node.ToldLoadAt_ <= MaxAge;
+    if (!Node.Listed_ || (!Node.Leaving_ && !Fresh))
+      continue;
+    Duration Age = Node.ToldLoadAt_ ? Now - *Node.ToldLoadAt_ : Duration();
+    Found.push_back({Name, Node.load(), Node.Leaving_, Age});
+  }
+  return Found;
+}
+
 const ServicePool *EndpointTable::findPool(const ServiceName &Service) const {
   auto Found = Pools_.find(Service);
   return Found == Pools_.end() ? nullptr : &Found->second;
@@ -320,6 +334,7 @@
     Node.Slots_ = Load.Slots_;
   Node.Others_ = std::max<std::int64_t>(Load.InFlight_ - Node.Own_, 0);
   Node.ReportedAt_ = Now;
+  Node.ToldLoadAt_ = Now;
 }
 
 void EndpointTable::markSuccess(Endpoint &Node) {
--- a/packages/routing/src/endpoint_table.h
+++ b/packages/routing/src/endpoint_table.h
@@ -56,6 +56,8 @@
   /// Estimate of the requests of other senders, and its time.
   std::int64_t Others_ = 0;
   TimePoint ReportedAt_;
+  /// When it told its load to this router itself.
+  std::optional<TimePoint> ToldLoadAt_;
   TimePoint BusyUntil_;
   /// Whether it refuses requests above its slots instead of queueing them.
   bool Refuses_ = false;
@@ -119,6 +121,10 @@
   /// Takes in that a Reopen or Probation timer is due.
   void timerDue(const Timer &Due, TimePoint Now);
 
+  /// Returns the leaving endpoints, and those that told their load within
+  /// \p MaxAge.
+  std::vector<PeerEndpointReport> reports(TimePoint Now, Duration MaxAge) const;
+
   const Endpoint &at(EndpointId Id) const { return *Endpoints_[Id]; }
   const ServicePool *findPool(const ServiceName &Service) const;
   /// Returns true when \p Contract has an endpoint for \p Service, with room or
--- a/packages/routing/src/router.cpp
+++ b/packages/routing/src/router.cpp
@@ -28,6 +28,11 @@
   return Impl_->Timers_.nextDue();
 }
 
+std::vector<PeerEndpointReport> Router::endpointReports(TimePoint Now,
+                                                        Duration MaxAge) const {
+  return Impl_->Endpoints_.reports(Now, MaxAge);
+}
+
 RouterCounts Router::counts() const {
   return {Impl_->Queued_, Impl_->InFlight_, Impl_->Endpoints_.openCount()};
 }
--- a/packages/routing/src/router_contracts.cpp
+++ b/packages/routing/src/router_contracts.cpp
@@ -30,13 +30,16 @@
 void Router::Impl::on(const ShareChanged &Event) {
   Shares_[Event.Contract_] = std::clamp(Event.Permille_, 0, 1000);
   auto Found = Contracts_.find(Event.Contract_);
-  if (Found == Contracts_.end())
-    return;
-  Found->second->Permille_ = Shares_[Event.Contract_];
-  for (const ServiceTerms &Terms : Found->second->Terms_.Services_) {
-    applyLimits(*Flows_[{Event.Contract_, Terms.Name_}]);
-    dispatch(Terms.Name_);
+  if (Found != Contracts_.end())
+    Found->second->Permille_ = Shares_[Event.Contract_];
+  // Flows that are no longer in force are kept for their units; a share that
+  // was given up takes their tokens away as well.
+  auto Next = Flows_.lower_bound({Event.Contract_, ServiceName()});
+  for (; Next != Flows_.end() && Next->first.first == Event.Contract_; ++Next) {
+    Next->second->Contract_->Permille_ = Shares_[Event.Contract_];
+    applyLimits(*Next->second);
   }
+  dispatchAll();
 }
 
 void Router::Impl::adopt(const Contract &Terms) {
--- a/packages/routing/src/router_dispatch.cpp
+++ b/packages/routing/src/router_dispatch.cpp
@@ -134,15 +134,16 @@
 
 void Router::Impl::armHedge(const Request &Item, AttemptNumber Number) {
   const routing::MovingMean &Usual = Item.Flow_->Latency_;
-  if (!Item.Idempotent_ || !Usual.known())
+  if (!Usual.known())
     return;
   const RetryConfig &Limits = Config_.Retry_;
   auto After = [&](double Factor) {
     Duration Late(static_cast<std::int64_t>(Usual.microseconds() * Factor));
     return std::max(Late, Limits.MinHedgeDelay_);
   };
-  Timers_.add({Now_ + After(Limits.HedgeAfterFactor_), TimerKind::Hedge,
-               Item.Ticket_, Number});
+  if (Item.Idempotent_)
+    Timers_.add({Now_ + After(Limits.HedgeAfterFactor_), TimerKind::Hedge,
+                 Item.Ticket_, Number});
   Timers_.add({Now_ + After(Limits.OverdueFactor_), TimerKind::Overdue,
                Item.Ticket_, Number});
 }
@@ -176,7 +177,8 @@
   const Attempt &Slow = Item.Attempts_[static_cast<std::size_t>(Number) - 1];
   const RetryConfig &Limits = Config_.Retry_;
   const Flow &Member = *Item.Flow_;
-  bool Wanted = Limits.HedgingEnabled_ && Slow.Active_ && !Item.Answered_ &&
+  bool Wanted = Limits.HedgingEnabled_ && Item.Idempotent_ && Slow.Active_ &&
+                !Item.Answered_ &&
                 Number == static_cast<AttemptNumber>(Item.Attempts_.size());
   bool Allowed = Item.unrefused() < Limits.MaxAttempts_ &&
                  Member.InUse_ * HedgeHeadroom <= Member.Limit_ &&
--- a/packages/routing/tests/choice_test.cpp
+++ b/packages/routing/tests/choice_test.cpp
@@ -107,6 +107,14 @@
   BOOST_TEST((Drop.Endpoint_ == Sent.Endpoint_));
 }
 
+BOOST_AUTO_TEST_CASE(tells_so_of_non_idempotent_requests_too) {
+  warmUp({executor("e1", "bodrum"), executor("e2", "bodrum")});
+  SendAttempt Sent = only<SendAttempt>(arrive(1, false));
+  std::vector<RoutingAction> Out = pass(45ms);
+  BOOST_TEST((only<DropConnections>(Out).Endpoint_ == Sent.Endpoint_));
+  BOOST_TEST(allOf<SendAttempt>(Out).empty());
+}
+
 BOOST_AUTO_TEST_CASE(tells_so_although_some_connections_still_answer) {
   warmUp({executor("e1", "bodrum")});
   std::size_t Drops = 0;
--- a/packages/routing/tests/router_test.cpp
+++ b/packages/routing/tests/router_test.cpp
@@ -136,6 +136,28 @@
   BOOST_TEST(isNotRun(only<AnswerCaller>(arrive(1)), NotRunReason::NoEndpoint));
 }
 
+BOOST_AUTO_TEST_CASE(is_reported_to_peers_when_leaving_or_heard_of) {
+  start({executor("e1", "bodrum"), executor("e2", "bodrum"),
+         executor("e3", "bodrum")});
+  SendAttempt Sent = only<SendAttempt>(arrive(1));
+  end(Sent, AttemptResult::Completed, 10ms, ObservedLoad{3, 8, false});
+  EndpointName Left(Sent.Endpoint_.str() == "e1" ? "e2" : "e1");
+  tell(PeerEndpointReports{{{Left, 0, true, 1s}}});
+  pass(100ms);
+  std::vector<PeerEndpointReport> Reports =
+      Router_.endpointReports(Now_, 500ms);
+  BOOST_REQUIRE(Reports.size() == 2U);
+  for (const PeerEndpointReport &Report : Reports) {
+    BOOST_TEST(Report.Leaving_ == (Report.Endpoint_ == Left));
+    if (Report.Leaving_)
+      continue;
+    BOOST_TEST((Report.Endpoint_ == Sent.Endpoint_));
+    BOOST_TEST(Report.InFlight_ == 3);
+    BOOST_TEST((Report.Age_ == 100ms));
+  }
+  BOOST_TEST(Router_.endpointReports(Now_, 50ms).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(that_vanished_while_leaving_is_remembered) {
   ListedInstance Leaving = executor("e1", "bodrum");
   Leaving.State_ = InstanceState::Leaving;
