--- a/packages/placement/tests/cluster_case.h
+++ b/packages/placement/tests/cluster_case.h
@@ -79,6 +79,10 @@
   int Nodes_ = 3;
   int Jobs_ = 20;
   int TasksPerJob_ = 2;
+  /// Run time of each task; zero draws sizes, run times and payloads.
+  Duration RunTime_{};
+  /// The death of a node moves its racks only; otherwise it moves most.
+  bool StableRacks_ = false;
   Duration FaultsEnd_ = std::chrono::seconds(60);
   /// Everything must have ended this long after the faults did.
   Duration Settle_ = std::chrono::seconds(240);
--- a/packages/placement/tests/safety_oracle.h
+++ b/packages/placement/tests/safety_oracle.h
@@ -45,6 +45,7 @@
   void object(std::string Text);
   const std::vector<std::string> &objections() const { return Objections_; }
   const std::map<JobId, JobRecord> &jobs() const { return Jobs_; }
+  const std::map<RackName, RackRecord> &racks() const { return Racks_; }
 
 private:
   void checkRack(const RackRecord &Rack);
--- a/packages/placement/tests/virtual_cluster.cpp
+++ b/packages/placement/tests/virtual_cluster.cpp
@@ -3,6 +3,7 @@
 #include "virtual_cluster_parts.h"
 
 #include "filbertspring/base/overloaded.h"
+#include "filbertspring/placement/job_rank.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -51,7 +52,7 @@
   }
   checkEnd();
   return {Oracle_.objections(), Oracle_.jobs(), realRuns().size(),
-          Table_.counts()};
+          Oracle_.racks(), Use_};
 }
 
 void VirtualCluster::at(Duration When, std::function<void()> Action) {
@@ -73,6 +74,10 @@
   return Late ? pick(10ms, 8s) : pick(200us, 5ms);
 }
 
+TableUse &VirtualCluster::useNow() {
+  return Use_[std::chrono::duration_cast<std::chrono::seconds>(Now_).count()];
+}
+
 void VirtualCluster::commitHere(Transaction Request) {
   Request.Id_ = TransactionId(fmt::format("harness/{}", ++HarnessWrites_));
   apply(std::move(Request));
@@ -105,7 +110,7 @@
         Resources Ample = WorkerCapacity + WorkerCapacity + WorkerCapacity;
         auto Made = std::make_unique<Worker>(
             Worker{Name, zoneName(Zone), Home, WorkerModel({Name, Ample, {}})});
-        Made->Rate_ = clockRate(Random_);
+        Made->Rate_ = clockRate(Random_, Settings_.Leases_);
         Made->Boots_[Made->Model_.boot()] = 0us;
         Workers_.push_back(std::move(Made));
       }
@@ -114,8 +119,8 @@
 void VirtualCluster::makeNodes() {
   for (int Index = 0; Index < Case_.Nodes_; ++Index) {
     auto Made = std::make_unique<Node>();
-    Made->Name_ = InstanceName(fmt::format("entry-{}", Index));
-    Made->Rate_ = clockRate(Random_);
+    Made->Name_ = nodeName(Index);
+    Made->Rate_ = clockRate(Random_, Settings_.Leases_);
     Made->Offset_ = pick(0s, 1000s);
     startNode(*Made);
     Nodes_.push_back(std::move(Made));
@@ -125,6 +130,8 @@
 void VirtualCluster::submitJobs(int Count) {
   for (int Index = 0; Index < Count; ++Index) {
     JobRecord Job = makeJob(++JobCount_, Case_.TasksPerJob_, Random_);
+    if (Case_.RunTime_ > 0s)
+      makePlain(Job, Case_.RunTime_);
     Transaction Rows;
     Rows.Changes_.push_back(
         {{RowKind::Job, Job.Id_.str()}, AbsentVersion, std::move(Job)});
@@ -218,25 +225,31 @@
       Action);
 }
 
+bool VirtualCluster::isAssigned(const Node &Each, const RackName &Rack,
+                                std::size_t Number,
+                                const std::vector<InstanceName> &Alive) {
+  if (ScrambledRacks_)
+    return chance(0.5);
+  if (std::ranges::count(Alive, Each.Name_) == 0)
+    return false;
+  if (Case_.StableRacks_)
+    return jobRank(JobId(Rack.str()), Each.Name_, Alive) == 0;
+  return Alive[Number % Alive.size()] == Each.Name_;
+}
+
 void VirtualCluster::assignRacks() {
-  std::vector<Node *> Alive;
   RacksAssigned Common;
   for (const auto &Each : Nodes_)
-    if (Each->Scheduler_ && Now_ >= Each->SuspectedUntil_) {
-      Alive.push_back(Each.get());
+    if (Each->Scheduler_ && Now_ >= Each->SuspectedUntil_)
       Common.Alive_.push_back(Each->Name_);
-    }
   for (const auto &Each : Nodes_) {
     RacksAssigned Event = Common;
     std::size_t Number = 0;
     for (int Zone = 0; Zone < Case_.Zones_; ++Zone)
       for (int Rack = 0; Rack < Case_.RacksPerZone_; ++Rack) {
-        bool Mine =
-            !Alive.empty() && Alive[Number++ % Alive.size()] == Each.get();
-        if (ScrambledRacks_)
-          Mine = chance(0.5);
-        if (Mine)
-          Event.Racks_.push_back({rackName(Zone, Rack), zoneName(Zone)});
+        RackName Name = rackName(Zone, Rack);
+        if (isAssigned(*Each, Name, Number++, Common.Alive_))
+          Event.Racks_.push_back({Name, zoneName(Zone)});
       }
     deliver(*Each, Event);
   }
--- a/packages/placement/tests/virtual_cluster.h
+++ b/packages/placement/tests/virtual_cluster.h
@@ -22,13 +22,23 @@
 
 namespace filbertspring::test {
 
+/// What the schedulers asked of the table during one second.
+struct TableUse {
+  std::uint64_t Commits_ = 0;
+  std::uint64_t RowsWritten_ = 0;
+  std::uint64_t Reads_ = 0;
+  std::uint64_t RowsRead_ = 0;
+};
+
 /// What is left at the end of a run.
 struct ClusterResult {
   /// Broken rules; empty when all is well.
   std::vector<std::string> Objections_;
   std::map<JobId, JobRecord> Jobs_;
   std::size_t Runs_ = 0;
-  TableCounts Counts_;
+  std::map<RackName, RackRecord> Racks_;
+  /// By seconds since the start.
+  std::map<std::int64_t, TableUse> Use_;
 };
 
 /// Runs one case. Time is real time since the start; each node and worker has
@@ -57,6 +67,7 @@
   void makeWorkers();
   void makeNodes();
   void submitJobs(int Count);
+  TableUse &useNow();
   void commitHere(Transaction Request);
 
   // Nodes.
@@ -66,6 +77,8 @@
   void handle(Node &Each, const PlacementEvent &Event);
   void armWake(Node &Each);
   void send(Node &Each, PlacementAction Action);
+  bool isAssigned(const Node &Each, const RackName &Rack, std::size_t Number,
+                  const std::vector<InstanceName> &Alive);
   void assignRacks();
   void listWorkers();
 
@@ -112,6 +125,7 @@
   bool Quiet_ = false;
   bool ScrambledRacks_ = false;
   int JobCount_ = 0;
+  std::map<std::int64_t, TableUse> Use_;
   int HarnessWrites_ = 0;
 };
 
--- a/packages/placement/tests/virtual_cluster_io.cpp
+++ b/packages/placement/tests/virtual_cluster_io.cpp
@@ -24,6 +24,9 @@
     return;
   }
   at(Now_ + latency(), [this, &Each, Id, Request, Noisy] {
+    TableUse &Use = useNow();
+    ++Use.Commits_;
+    Use.RowsWritten_ += Request.Changes_.size();
     CommitResult Answer = apply(Request);
     answerCommit(Each, Id, Noisy ? CommitResult{} : Answer);
   });
@@ -88,6 +91,8 @@
         else
           Answer.Absent_.push_back(Key);
       }
+      ++useNow().Reads_;
+      useNow().RowsRead_ += Answer.Rows_.size();
       Event = std::move(Answer);
     }
     at(Now_ + latency(), [this, &Each, Event, Incarnation] {
--- a/packages/placement/tests/virtual_cluster_parts.h
+++ b/packages/placement/tests/virtual_cluster_parts.h
@@ -21,13 +21,17 @@
 inline RackName rackName(int Zone, int Rack) {
   return RackName(fmt::format("z{}-r{}", Zone, Rack));
 }
+inline InstanceName nodeName(int Index) {
+  return InstanceName(fmt::format("entry-{}", Index));
+}
 inline ContractName contractName(int Index) {
   return ContractName(fmt::format("customer-{}", Index));
 }
 
 /// Returns a rate within half of the drift that the settings allow.
-inline double clockRate(pcg32 &Random) {
-  constexpr double Spread = 0.048;
+inline double clockRate(pcg32 &Random, const LeaseSettings &Settings) {
+  // A little less than the whole, since two rates are divided by each other.
+  double Spread = 0.96e-6 * static_cast<double>(Settings.DriftPpm_);
   return 1.0 + (Random() / 4294967296.0 - 0.5) * Spread;
 }
 
@@ -68,6 +72,13 @@
   return Job;
 }
 
+/// Makes the tasks of \p Job small, equal and free of faults.
+inline void makePlain(JobRecord &Job, Duration RunTime) {
+  Job.Size_ = {Millicores(1000), Mebibytes(1024), Accelerators(0)};
+  Job.DeclaredRunTime_ = RunTime;
+  Job.Payload_.clear();
+}
+
 /// An entry instance.
 struct VirtualCluster::Node {
   InstanceName Name_;
