Peer digests within a byte budget; the largest giver writes first; experiments

peers-bytes, shares-follow and config-spread join filbertbench. The read of a peer's delta in the entry package follows the view's new signature.

--- a/benchmark/src/registry.cpp
+++ b/benchmark/src/registry.cpp
@@ -1,19 +1,26 @@
+#include "../experiments/peers_bytes.h"
 #include "../experiments/routing_cost.h"
 #include "../experiments/routing_fairness.h"
 #include "../experiments/routing_load.h"
 #include "../experiments/routing_retries.h"
+#include "../experiments/shares_follow.h"
 #include "experiment.h"
 
 namespace filbertspring::benchmark {
 
 std::vector<Experiment> allExperiments() {
   return {
+      {"config-spread", "Time until a change is in force everywhere",
+       runConfigurationSpread},
+      {"peers-bytes", "Bytes and messages between peers", runPeersBytes},
       {"routing-cost", "Time of one routing decision", runRoutingCost},
       {"routing-fairness", "One contract far above its limit",
        runRoutingFairness},
       {"routing-load", "Endpoint policies under load and faults",
        runRoutingLoad},
       {"routing-retries", "An outage of half the executors", runRoutingRetries},
+      {"shares-follow", "How fast shares follow demand, and the writes",
+       runSharesFollow},
   };
 }
 
--- a/packages/entry/src/desks/configuration_follower.cpp
+++ b/packages/entry/src/desks/configuration_follower.cpp
@@ -8,7 +8,6 @@
 namespace {
 
 /// Rows in one answer to a peer; it asks again for the rest.
-constexpr std::size_t MaxRowsPerDelta = 128;
 
 membership::ConfigurationSyncSettings syncSettings(const Settings &Values) {
   membership::ConfigurationSyncSettings Result;
@@ -177,10 +176,11 @@
 
 void ConfigurationFollower::deltaRequested(
     const InstanceName &Peer, const membership::DeltaRequest &Request) {
-  membership::ConfigurationDelta Delta =
-      view().delta(Request.Since_, MaxRowsPerDelta);
-  membership::EncodedDelta Encoded{Delta.Since_, Delta.CompleteTo_, {}};
-  for (const StoredRow &Row : Delta.Rows_) {
+  const auto Delta = view().delta(Request.Since_);
+  if (!Delta)
+    return; // Not ready; the peer asks another.
+  membership::EncodedDelta Encoded{Delta->Since_, Delta->CompleteTo_, {}};
+  for (const StoredRow &Row : Delta->Rows_) {
     Result<std::string> Value = encodeRowValue(Row.Value_);
     if (!Value)
       return; // Without this row the delta would not be complete.
--- a/packages/membership/include/filbertspring/membership/peer_message.h
+++ b/packages/membership/include/filbertspring/membership/peer_message.h
@@ -20,8 +20,8 @@
 /// Bounds of one message; a decoder refuses what exceeds them.
 inline constexpr std::size_t MaxPeerMessageBytes = 256 * 1024;
 inline constexpr std::size_t MaxPeerNameBytes = 128;
-inline constexpr std::size_t MaxDigestEndpoints = 16;
-inline constexpr std::size_t MaxDigestDemands = 64;
+inline constexpr std::size_t MaxDigestEndpoints = 4;
+inline constexpr std::size_t MaxDigestDemands = 10;
 inline constexpr std::size_t MaxDeltaRows = 512;
 
 /// The load of an endpoint as one instance last saw it.
--- a/packages/membership/src/share_allocator.cpp
+++ b/packages/membership/src/share_allocator.cpp
@@ -31,6 +31,8 @@
   std::optional<TimePoint> NeedsReadSince_ = TimePoint::min();
   /// Whether the row was read since the last tick.
   bool FreshlyRead_ = false;
+  /// Whether that read was made in order to write.
+  bool ReadToWrite_ = false;
   /// When to read the row in order to write it.
   std::optional<TimePoint> WriteWantedAt_;
 };
@@ -65,7 +67,9 @@
   void writeDue(const LivenessTracker &Tracker, TimePoint Now, Actions &Out);
   bool mayWrite(const ContractState &State, TimePoint Now) const;
   bool takeWriteSlot(TimePoint Now);
-  void wantWrite(const ContractName &Name, ContractState &State, TimePoint Now);
+  void wantWrite(const ContractName &Name, ContractState &State,
+                 const SharePlan &Plan, TimePoint Now);
+  Duration writeDelay(const ContractName &Name, const SharePlan &Plan) const;
   std::optional<SharePlan> plan(const ContractName &Name,
                                 const ContractState &State,
                                 const LivenessTracker &Tracker,
@@ -254,33 +258,43 @@
     auto Plan = plan(Name, State, Tracker, Members);
     if (!Plan) {
       State.WriteWantedAt_.reset();
+      State.ReadToWrite_ = false;
       continue;
     }
-    if (!FreshlyRead || !takeWriteSlot(Now)) {
-      wantWrite(Name, State, Now);
+    const bool Early = Plan->DeferPermille_ > 0 && !State.ReadToWrite_;
+    if (!FreshlyRead || Early || !takeWriteSlot(Now)) {
+      wantWrite(Name, State, *Plan, Now);
       continue;
     }
     State.WriteWantedAt_.reset();
+    State.ReadToWrite_ = false;
     Out.emplace_back(CommitLedger{send(Name, State, *Plan, Now)});
   }
 }
 
 // Instances that see the same demand would write at the same time, and all but
 // one in vain. So each waits its own part of the spread and reads again.
+Duration ShareAllocator::Impl::writeDelay(const ContractName &Name,
+                                          const SharePlan &Plan) const {
+  const Duration Deferred =
+      Settings_.WriteSpread_ * Plan.DeferPermille_ / WholeLimitPermille;
+  const auto Jitter =
+      static_cast<std::uint64_t>(Settings_.WriteSpread_.count() / 4) + 1;
+  const std::string Draw = Self_.str() + "/" + std::to_string(Serial_);
+  const std::uint64_t Score = rendezvousScore(Name.str(), Draw);
+  return Deferred + Duration(static_cast<Duration::rep>(Score % Jitter));
+}
+
 void ShareAllocator::Impl::wantWrite(const ContractName &Name,
-                                     ContractState &State, TimePoint Now) {
-  if (!State.WriteWantedAt_) {
-    const std::string Draw = Self_.str() + "/" + std::to_string(Serial_);
-    const auto Span =
-        static_cast<std::uint64_t>(Settings_.WriteSpread_.count()) + 1;
-    const std::uint64_t Score = rendezvousScore(Name.str(), Draw);
-    State.WriteWantedAt_ =
-        Now + Duration(static_cast<Duration::rep>(Score % Span));
-  }
+                                     ContractState &State,
+                                     const SharePlan &Plan, TimePoint Now) {
+  if (!State.WriteWantedAt_)
+    State.WriteWantedAt_ = Now + writeDelay(Name, Plan);
   if (*State.WriteWantedAt_ > Now)
     return;
   State.WriteWantedAt_.reset();
   State.NeedsReadSince_ = Now;
+  State.ReadToWrite_ = true;
 }
 
 Actions ShareAllocator::Impl::on(const ShareTick &Event, TimePoint Now) {
--- a/packages/membership/src/share_plan.cpp
+++ b/packages/membership/src/share_plan.cpp
@@ -79,7 +79,9 @@
   void releaseOwn();
 
   bool changed() const { return Changed_; }
-  SharePlan take() { return {std::move(Ledger_), std::move(Guards_)}; }
+  SharePlan take() {
+    return {std::move(Ledger_), std::move(Guards_), DeferPermille_};
+  }
 
 private:
   std::int32_t threshold() const;
@@ -89,6 +91,7 @@
     return Each.HasNone_ || Each.Permille_ >= Threshold_;
   }
   bool anyHungry() const;
+  std::int32_t largestSurplus() const;
   void set(const InstanceName &Name, std::int32_t Permille);
   void assignUpTo(std::int32_t Amount);
 
@@ -98,6 +101,7 @@
   std::int32_t Threshold_;
   std::vector<Guard> Guards_;
   bool Changed_ = false;
+  std::int32_t DeferPermille_ = 0;
 };
 
 std::int32_t Planner::threshold() const {
@@ -166,6 +170,17 @@
     assignUpTo(Free);
 }
 
+std::int32_t Planner::largestSurplus() const {
+  std::int32_t Largest = 0;
+  for (const Member &Each : Input_.Members_) {
+    const InstanceName &Name = Each.Heartbeat_.Instance_;
+    if (receives(Each))
+      Largest = std::max(Largest, Input_.Ledger_.shareOf(Name) -
+                                      targetOf(Targets_, Name));
+  }
+  return Largest;
+}
+
 void Planner::giveSurplus() {
   const std::int32_t Held = Ledger_.shareOf(Input_.Self_);
   const std::int32_t Kept =
@@ -179,6 +194,11 @@
       Wanted += Each.Permille_;
   if (Wanted == 0)
     return;
+  // When the instance with the most to give goes first, the others often need
+  // not write at all.
+  const std::int32_t Largest = std::max(largestSurplus(), Surplus);
+  if (!Changed_)
+    DeferPermille_ = WholeLimitPermille * (Largest - Surplus) / Largest;
   const std::int32_t Given = std::min(Surplus, Wanted);
   set(Input_.Self_, Held - Given);
   assignUpTo(Given);
--- a/packages/membership/src/share_plan.h
+++ b/packages/membership/src/share_plan.h
@@ -34,6 +34,8 @@
 struct SharePlan {
   ShareLedger Ledger_;
   std::vector<Guard> Guards_;
+  /// How long to leave it to others with more to give, from 0 to 1000.
+  std::int32_t DeferPermille_ = 0;
 };
 
 /// Returns the change of the ledger that \p Input asks of this instance, or
--- a/packages/membership/tests/configuration_cluster.h
+++ b/packages/membership/tests/configuration_cluster.h
@@ -110,6 +110,7 @@
   std::uint64_t Order_ = 0;
   std::priority_queue<Scheduled> Queue_;
   std::vector<Node> Nodes_;
+  std::vector<InstancePlace> Places_;
   bool Faulty_ = true;
   std::int64_t Writes_ = 0;
   /// The content of each zone row over time.
