--- a/packages/membership/include/filbertspring/membership/peer_selection.h
+++ b/packages/membership/include/filbertspring/membership/peer_selection.h
@@ -15,9 +15,10 @@
 inline constexpr std::size_t LinksPerZonePair = 2;
 
 /// Returns the peers of \p Self among \p Live in name order: all of its zone,
-/// and those with which rendezvous hashing pairs it across zones. Both ends of
-/// a link select each other when they know the same instances. Quadratic in
-/// the instances of a zone.
+/// and those at the other end of its links across zones. The links are divided
+/// evenly, and by rendezvous hashing where that leaves a choice. Both ends of a
+/// link select each other when they know the same instances. Quadratic in
+/// \p Live; call it when that changes.
 std::vector<InstancePlace> selectPeers(const InstancePlace &Self,
                                        const std::vector<InstancePlace> &Live);
 
--- a/packages/membership/src/peer_selection.cpp
+++ b/packages/membership/src/peer_selection.cpp
@@ -31,51 +31,80 @@
          std::tie(Left.Score_, Right.Low_->Name_, Right.High_->Name_);
 }
 
-/// Returns the best links between two zones. No instance has two of them
-/// unless its zone has no other.
+/// The links that each instance has so far.
+using LinkCounts = std::map<InstanceName, std::size_t>;
+
+bool sharesAnEnd(const ZoneLink &One, const ZoneLink &Other) {
+  return One.Low_ == Other.Low_ || One.High_ == Other.High_;
+}
+
+/// Chooses the links between two zones: between the instances with the fewest
+/// links so far, and by score among these. No instance has two of them unless
+/// its zone has no other.
 std::vector<ZoneLink> linksBetween(const ZoneInstances &One,
-                                   const ZoneInstances &Other) {
-  std::vector<ZoneLink> All;
+                                   const ZoneInstances &Other,
+                                   LinkCounts &Counts) {
+  std::vector<std::pair<std::size_t, ZoneLink>> All;
   for (const InstancePlace *Left : One)
     for (const InstancePlace *Right : Other)
-      All.push_back(makeLink(Left, Right));
-  std::ranges::sort(All, goesBefore);
+      All.emplace_back(Counts[Left->Name_] + Counts[Right->Name_],
+                       makeLink(Left, Right));
+  std::ranges::sort(All, [](const auto &Left, const auto &Right) {
+    if (Left.first != Right.first)
+      return Left.first < Right.first;
+    return goesBefore(Left.second, Right.second);
+  });
+  const bool Scarce = One.size() == 1 || Other.size() == 1;
   std::vector<ZoneLink> Chosen;
-  for (const ZoneLink &Link : All) {
+  for (const auto &[Count, Link] : All) {
     if (Chosen.size() == LinksPerZonePair)
       break;
-    const bool Shares = std::ranges::any_of(Chosen, [&](const ZoneLink &Each) {
-      return Each.Low_ == Link.Low_ || Each.High_ == Link.High_;
-    });
-    const bool Scarce = One.size() == 1 || Other.size() == 1;
-    if (!Shares || Scarce)
-      Chosen.push_back(Link);
+    const bool Shares =
+        std::ranges::any_of(Chosen, [&Link = Link](const ZoneLink &Each) {
+          return sharesAnEnd(Each, Link);
+        });
+    if (Shares && !Scarce)
+      continue;
+    Chosen.push_back(Link);
+    ++Counts[Link.Low_->Name_];
+    ++Counts[Link.High_->Name_];
   }
   return Chosen;
 }
 
+/// Returns the links between all zones; the same at every instance that knows
+/// the same others.
+std::vector<ZoneLink> allLinks(const std::map<ZoneName, ZoneInstances> &Zones) {
+  std::vector<ZoneLink> Links;
+  LinkCounts Counts;
+  for (auto One = Zones.begin(); One != Zones.end(); ++One)
+    for (auto Other = std::next(One); Other != Zones.end(); ++Other)
+      for (const ZoneLink &Link :
+           linksBetween(One->second, Other->second, Counts))
+        Links.push_back(Link);
+  return Links;
+}
+
 } // namespace
 
 std::vector<InstancePlace> selectPeers(const InstancePlace &Self,
                                        const std::vector<InstancePlace> &Live) {
   std::map<ZoneName, ZoneInstances> Zones;
+  Zones[Self.Zone_].push_back(&Self);
   for (const InstancePlace &Each : Live)
     if (Each.Name_ != Self.Name_)
       Zones[Each.Zone_].push_back(&Each);
-  ZoneInstances Own = Zones[Self.Zone_];
-  Zones.erase(Self.Zone_);
 
   std::vector<InstancePlace> Peers;
-  for (const InstancePlace *Each : Own)
-    Peers.push_back(*Each);
-  Own.push_back(&Self);
-  for (const auto &[Zone, Instances] : Zones)
-    for (const ZoneLink &Link : linksBetween(Own, Instances)) {
-      if (Link.Low_ == &Self)
-        Peers.push_back(*Link.High_);
-      if (Link.High_ == &Self)
-        Peers.push_back(*Link.Low_);
-    }
+  for (const InstancePlace *Each : Zones[Self.Zone_])
+    if (Each != &Self)
+      Peers.push_back(*Each);
+  for (const ZoneLink &Link : allLinks(Zones)) {
+    if (Link.Low_ == &Self)
+      Peers.push_back(*Link.High_);
+    if (Link.High_ == &Self)
+      Peers.push_back(*Link.Low_);
+  }
   std::ranges::sort(Peers, {}, &InstancePlace::Name_);
   return Peers;
 }
--- a/packages/membership/src/share_allocator.cpp
+++ b/packages/membership/src/share_allocator.cpp
@@ -33,6 +33,8 @@
   bool FreshlyRead_ = false;
   /// Whether that read was made in order to write.
   bool ReadToWrite_ = false;
+  /// Whether the last write lost against another's.
+  bool Contended_ = false;
   /// When to read the row in order to write it.
   std::optional<TimePoint> WriteWantedAt_;
 };
@@ -69,7 +71,7 @@
   bool takeWriteSlot(TimePoint Now);
   void wantWrite(const ContractName &Name, ContractState &State,
                  const SharePlan &Plan, TimePoint Now);
-  Duration writeDelay(const ContractName &Name, const SharePlan &Plan) const;
+  Duration writeDelay(const ContractName &Name, std::int32_t Defer) const;
   std::optional<SharePlan> plan(const ContractName &Name,
                                 const ContractState &State,
                                 const LivenessTracker &Tracker,
@@ -146,6 +148,7 @@
   for (auto &[Name, State] : Contracts_) {
     if (!State.Replica_.endPending(Event.Id_, Event.Result_))
       continue;
+    State.Contended_ = Event.Result_.Outcome_ == CommitOutcome::Conflict;
     if (Event.Result_.Outcome_ == CommitOutcome::Committed)
       break;
     State.NeedsReadSince_ = Now;
@@ -259,6 +262,7 @@
     if (!Plan) {
       State.WriteWantedAt_.reset();
       State.ReadToWrite_ = false;
+      State.Contended_ = false;
       continue;
     }
     const bool Early = Plan->DeferPermille_ > 0 && !State.ReadToWrite_;
@@ -275,9 +279,8 @@
 // Instances that see the same demand would write at the same time, and all but
 // one in vain. So each waits its own part of the spread and reads again.
 Duration ShareAllocator::Impl::writeDelay(const ContractName &Name,
-                                          const SharePlan &Plan) const {
-  const Duration Deferred =
-      Settings_.WriteSpread_ * Plan.DeferPermille_ / WholeLimitPermille;
+                                          std::int32_t Defer) const {
+  const Duration Deferred = Settings_.WriteSpread_ * Defer / WholeLimitPermille;
   const auto Jitter =
       static_cast<std::uint64_t>(Settings_.WriteSpread_.count() / 4) + 1;
   const std::string Draw = Self_.str() + "/" + std::to_string(Serial_);
@@ -289,7 +292,8 @@
                                      ContractState &State,
                                      const SharePlan &Plan, TimePoint Now) {
   if (!State.WriteWantedAt_)
-    State.WriteWantedAt_ = Now + writeDelay(Name, Plan);
+    State.WriteWantedAt_ =
+        Now + writeDelay(Name, State.Contended_ ? 0 : Plan.DeferPermille_);
   if (*State.WriteWantedAt_ > Now)
     return;
   State.WriteWantedAt_.reset();
