--- a/benchmark/experiments/peers_bytes.cpp
+++ b/benchmark/experiments/peers_bytes.cpp
@@ -22,7 +22,6 @@
 constexpr double TargetBytesPerSecond = 6000;
 /// TCP and IP headers of a message, its answer and their acknowledgements.
 constexpr std::size_t PacketBytesPerMessage = 4 * 52;
-constexpr int OtherZoneInterval = 3; // Seconds between digests across zones.
 constexpr int Contracts = 42;
 
 /// The size of a cluster, and how much changes in it.
@@ -115,7 +114,9 @@
   for (std::size_t From = 0; From < Places_.size(); ++From)
     for (const InstancePlace &Peer : selectPeers(Places_[From], Places_)) {
       const bool SameZone = Peer.Zone_ == Places_[From].Zone_;
-      if (!SameZone && Second % OtherZoneInterval != 0)
+      const Duration Interval = SameZone ? membership::OwnZoneDigestInterval
+                                         : membership::OtherZoneDigestInterval;
+      if (std::chrono::seconds(Second) % Interval != Duration::zero())
         continue;
       const auto Digest = Boards_[From].digestFor(Peer, 123'456'789);
       const std::size_t To = Index_[Peer.Name_];
--- a/packages/membership/include/filbertspring/membership/digest_board.h
+++ b/packages/membership/include/filbertspring/membership/digest_board.h
@@ -4,6 +4,7 @@
 /// \file
 /// Collects what is to be told to each peer, and what peers told.
 
+#include "filbertspring/base/time.h"
 #include "filbertspring/membership/peer_message.h"
 #include "filbertspring/membership/rack_assignment.h"
 
@@ -13,6 +14,10 @@
 
 namespace filbertspring::membership {
 
+/// Time between two digests to a peer of the own zone, and of another one.
+inline constexpr Duration OwnZoneDigestInterval = std::chrono::seconds(2);
+inline constexpr Duration OtherZoneDigestInterval = std::chrono::seconds(4);
+
 /// How far a value must move before it is told again.
 struct DigestSettings {
   std::int32_t DemandStepPermille_ = 20;
--- a/packages/membership/include/filbertspring/membership/peer_message.h
+++ b/packages/membership/include/filbertspring/membership/peer_message.h
@@ -20,8 +20,8 @@
 /// Bounds of one message; a decoder refuses what exceeds them.
 inline constexpr std::size_t MaxPeerMessageBytes = 256 * 1024;
 inline constexpr std::size_t MaxPeerNameBytes = 128;
-inline constexpr std::size_t MaxDigestEndpoints = 4;
-inline constexpr std::size_t MaxDigestDemands = 10;
+inline constexpr std::size_t MaxDigestEndpoints = 6;
+inline constexpr std::size_t MaxDigestDemands = 12;
 inline constexpr std::size_t MaxDeltaRows = 512;
 
 /// The load of an endpoint as one instance last saw it.
@@ -41,7 +41,7 @@
   std::uint64_t Sequence_ = 0;
 };
 
-/// What an instance tells its peers about once a second.
+/// What an instance tells its peers at each digest interval.
 struct PeerDigest {
   /// Up to which version the sender's configuration is complete.
   RowVersion CompleteTo_ = AbsentVersion;
--- a/packages/membership/tests/share_cluster.cpp
+++ b/packages/membership/tests/share_cluster.cpp
@@ -149,8 +149,12 @@
       drawFaults();
     exchangeDemands();
   }
-  if (Now_.count() % Pace_.Tick_.count() == 0)
-    for (std::size_t Index = 0; Index < Processes_.size(); ++Index)
+  // Processes do not tick in step with each other.
+  const auto Phases =
+      static_cast<std::size_t>(std::max<Duration::rep>(1, Pace_.Tick_ / Step));
+  const auto Present = static_cast<std::size_t>(Now_ / Step) % Phases;
+  for (std::size_t Index = 0; Index < Processes_.size(); ++Index)
+    if (Index % Phases == Present)
       tick(*Processes_[Index]);
   checkOracle();
 }
