--- a/packages/placement/tests/job_rank_test.cpp
+++ b/packages/placement/tests/job_rank_test.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 using namespace filbertspring;
+using namespace filbertspring::placement;
 
 namespace {
 
--- a/packages/placement/tests/naive_scheduler_test.cpp
+++ b/packages/placement/tests/naive_scheduler_test.cpp
@@ -6,7 +6,8 @@
 #include <map>
 
 using namespace filbertspring;
-using namespace filbertspring::test;
+using namespace filbertspring::placement;
+using namespace filbertspring::placement::test;
 
 namespace {
 
--- a/packages/placement/tests/scheduler_test.cpp
+++ b/packages/placement/tests/scheduler_test.cpp
@@ -9,6 +9,7 @@
 #include <deque>
 
 using namespace filbertspring;
+using namespace filbertspring::placement;
 using namespace std::chrono_literals;
 
 namespace {
--- a/packages/placement/tests/table_cost.cpp
+++ b/packages/placement/tests/table_cost.cpp
@@ -6,7 +6,7 @@
 
 #include <algorithm>
 
-namespace filbertspring::test {
+namespace filbertspring::placement::test {
 namespace {
 
 using namespace std::chrono_literals;
@@ -92,4 +92,4 @@
   return Cost;
 }
 
-} // namespace filbertspring::test
+} // namespace filbertspring::placement::test
--- a/packages/placement/tests/table_cost.h
+++ b/packages/placement/tests/table_cost.h
@@ -6,7 +6,7 @@
 
 #include "virtual_cluster.h"
 
-namespace filbertspring::test {
+namespace filbertspring::placement::test {
 
 /// What a burst of starts costs.
 struct StartCost {
@@ -31,6 +31,6 @@
 RecoveryCost costOfRecovery(int Zones, int RacksPerZone, int WorkersPerRack,
                             int Nodes);
 
-} // namespace filbertspring::test
+} // namespace filbertspring::placement::test
 
 #endif // FILBERTSPRING_PLACEMENT_TESTS_TABLE_COST_H
--- a/packages/placement/tests/table_cost_test.cpp
+++ b/packages/placement/tests/table_cost_test.cpp
@@ -4,7 +4,8 @@
 #include <boost/test/unit_test.hpp>
 
 using namespace filbertspring;
-using namespace filbertspring::test;
+using namespace filbertspring::placement;
+using namespace filbertspring::placement::test;
 
 namespace {
 
--- a/packages/placement/tests/worker_choice_test.cpp
+++ b/packages/placement/tests/worker_choice_test.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 using namespace filbertspring;
+using namespace filbertspring::placement;
 
 namespace {
 
--- a/packages/placement/tests/zone_ramp_limit_test.cpp
+++ b/packages/placement/tests/zone_ramp_limit_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 using namespace filbertspring;
+using namespace filbertspring::placement;
 using namespace std::chrono_literals;
 
 namespace {
