--- /dev/null
+++ b/benchmark/experiments/colocation_world.cpp
@@ -0,0 +1,326 @@
+#include "colocation_world.h"
+
+#include "filbertspring/base/overloaded.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <deque>
+#include <fmt/format.h>
+#include <numbers>
+#include <pcg_random.hpp>
+#include <random>
+
+namespace filbertspring::benchmark {
+namespace {
+
+using namespace filbertspring::placement;
+
+constexpr int ServiceWorkers = 30;
+constexpr int BatchWorkers = 10;
+constexpr double WorkerCores = 60.0;
+constexpr double ServiceCores = 20.0;
+constexpr double TaskCores = 4.0;
+constexpr double MeanRunSeconds = 300.0;
+constexpr double TasksPerSecond = 1.0;
+constexpr double AloneMs = 110.0;
+constexpr double TargetMs = 250.0;
+constexpr double AllowedBad = 0.01;
+constexpr int CheckpointSeconds = 60;
+constexpr std::int64_t Second = 1'000'000;
+/// Actual run times are up to about this factor off, either way.
+constexpr double RunTimeFactor = 3.0;
+constexpr int WaveSeconds = 900;
+constexpr int NoisySeconds = 90;
+
+const ServiceName Service("booking-check");
+
+/// A kind of batch work and its hidden effect: the logarithm of the service's
+/// slowdown when the kind fills a worker.
+struct Kind {
+  const char *Name_;
+  double Slowdown_;
+};
+constexpr std::array<Kind, 5> Kinds{{{"album", 2.6},
+                                     {"calibration", 1.4},
+                                     {"thumbnails", 0.35},
+                                     {"index", 0.12},
+                                     {"filing", 0.04}}};
+
+struct SimTask {
+  int Number_ = 0;
+  std::size_t Kind_ = 0;
+  double LeftSeconds_ = 0.0;
+  double SinceCheckpoint_ = 0.0;
+  double Speed_ = 1.0;
+  std::int32_t Attempt_ = 0;
+
+  AttemptRef ref() const {
+    return {{JobId(std::to_string(Number_)), 0}, Attempt_};
+  }
+};
+
+struct Measurement {
+  std::int64_t At_ = 0;
+  double TailMs_ = 0.0;
+  double Load_ = 0.0;
+};
+
+struct SimWorker {
+  WorkerName Name_;
+  bool HasService_ = false;
+  double Phase_ = 0.0;
+  std::vector<SimTask> Tasks_;
+  std::deque<Measurement> Measured_;
+
+  double freeCores() const {
+    double Reserved = HasService_ ? ServiceCores : 0.0;
+    return WorkerCores - Reserved -
+           TaskCores * static_cast<double>(Tasks_.size());
+  }
+};
+
+class World {
+public:
+  explicit World(const ColocationShape &Shape)
+      : Shape_(Shape), Random_(Shape.Seed_) {
+    for (int Index = 0; Index < ServiceWorkers + BatchWorkers; ++Index)
+      Workers_.push_back({WorkerName(fmt::format("w{}", Index)),
+                          Index < ServiceWorkers,
+                          uniform() * 2 * std::numbers::pi,
+                          {},
+                          {}});
+    std::chrono::duration<double, std::milli> Target(TargetMs);
+    Colocation_.setTargets(
+        {{Service, std::chrono::duration_cast<Duration>(Target)}});
+  }
+
+  ColocationOutcome run() {
+    for (Now_ = 0; Now_ < Shape_.Seconds_; ++Now_) {
+      arrive();
+      measure();
+      if (Now_ % ReportSeconds == 0)
+        react();
+      place();
+      progress();
+    }
+    Outcome_.MeanTailMs_ = TailSum_ / TailCount_;
+    Outcome_.Burn_ = BadSeconds_ / TailCount_ / AllowedBad;
+    Outcome_.LostCoreHours_ /= 3600.0;
+    return Outcome_;
+  }
+
+private:
+  static constexpr int ReportSeconds = 5;
+
+  double uniform() {
+    return std::uniform_real_distribution<double>(0.0, 1.0)(Random_);
+  }
+  double normal() { return std::normal_distribution<double>()(Random_); }
+
+  /// Noisy tasks come in waves.
+  double noise() const { return Now_ % WaveSeconds < NoisySeconds ? 1.5 : 1.0; }
+
+  void arrive() {
+    std::poisson_distribution<int> Count(TasksPerSecond);
+    for (int Left = Count(Random_); Left > 0; --Left) {
+      SimTask Task;
+      Task.Number_ = ++LastTask_;
+      Task.Kind_ = static_cast<std::size_t>(uniform() * Kinds.size());
+      double Off = std::pow(RunTimeFactor, 2.0 * uniform() - 1.0);
+      Task.LeftSeconds_ = MeanRunSeconds * Off;
+      Waiting_.push_back(Task);
+    }
+  }
+
+  double loadOf(const SimWorker &Worker) const {
+    constexpr double Mean = 50.0;
+    constexpr double Swing = 0.4;
+    constexpr double Period = 1800.0;
+    double Angle = 2 * std::numbers::pi * Now_ / Period + Worker.Phase_;
+    return Mean * (1.0 + Swing * std::sin(Angle));
+  }
+
+  double tailOf(const SimWorker &Worker) const {
+    double Load = loadOf(Worker);
+    double Slowdown = 0.0;
+    for (const SimTask &Task : Worker.Tasks_)
+      Slowdown +=
+          Kinds[Task.Kind_].Slowdown_ * Task.Speed_ * TaskCores / WorkerCores;
+    return AloneMs * (1.0 + Load / 200.0) * std::exp(Slowdown * noise());
+  }
+
+  void measure() {
+    constexpr double NoiseDeviation = 0.15;
+    constexpr std::size_t Kept = 128;
+    for (SimWorker &Worker : Workers_) {
+      if (!Worker.HasService_)
+        continue;
+      double Tail = tailOf(Worker) * std::exp(NoiseDeviation * normal());
+      Worker.Measured_.push_back({Now_, Tail, loadOf(Worker)});
+      if (Worker.Measured_.size() > Kept)
+        Worker.Measured_.pop_front();
+      TailSum_ += Tail;
+      TailCount_ += 1.0;
+      BadSeconds_ += Tail > TargetMs ? 1.0 : 0.0;
+    }
+  }
+
+  /// Returns the newest measurement that the lag lets through.
+  std::optional<Measurement> reported(const SimWorker &Worker) const {
+    std::int64_t Latest = Now_ - Shape_.ReportLagSeconds_;
+    for (auto Each = Worker.Measured_.rbegin(); Each != Worker.Measured_.rend();
+         ++Each)
+      if (Each->At_ <= Latest)
+        return *Each;
+    return std::nullopt;
+  }
+
+  void react() {
+    std::visit(Overloaded{[](const FirstFit &) {}, [](const NeverColocate &) {},
+                          [this](const FixedThreshold &) { reactFixed(); },
+                          [this](const Interference &) { reactModel(); }},
+               Shape_.Policy_);
+  }
+
+  void reactFixed() {
+    for (SimWorker &Worker : Workers_) {
+      std::optional<Measurement> Latest = reported(Worker);
+      if (Latest && Latest->TailMs_ > TargetMs && !Worker.Tasks_.empty())
+        evict(Worker, Worker.Tasks_.size() - 1);
+    }
+  }
+
+  ColocationReport reportOf(const SimWorker &Worker) const {
+    ColocationReport Report;
+    Report.Worker_ = Worker.Name_;
+    Report.Clock_ = (Now_ + 1) * Second;
+    if (std::optional<Measurement> Latest = reported(Worker)) {
+      std::chrono::duration<double, std::milli> Tail(Latest->TailMs_);
+      Report.Services_ = {{Service, std::chrono::duration_cast<Duration>(Tail),
+                           Latest->Load_, (Latest->At_ + 1) * Second}};
+    }
+    for (const SimTask &Task : Worker.Tasks_) {
+      std::chrono::duration<double> AtRisk(Task.SinceCheckpoint_ * TaskCores);
+      Report.Tasks_.push_back({Task.ref(), kindName(Task.Kind_),
+                               TaskCores / WorkerCores,
+                               std::chrono::duration_cast<Duration>(AtRisk)});
+    }
+    return Report;
+  }
+
+  static BatchKindName kindName(std::size_t Index) {
+    return BatchKindName(Kinds[Index].Name_);
+  }
+
+  void reactModel() {
+    for (SimWorker &Worker : Workers_)
+      for (const ColocationAction &Action :
+           Colocation_.observe(reportOf(Worker)))
+        perform(Worker, Action);
+  }
+
+  void perform(SimWorker &Worker, const ColocationAction &Action) {
+    auto IndexOf = [&Worker](const AttemptRef &Attempt) {
+      auto Found =
+          std::ranges::find_if(Worker.Tasks_, [&](const SimTask &Task) {
+            return Task.ref() == Attempt;
+          });
+      return static_cast<std::size_t>(Found - Worker.Tasks_.begin());
+    };
+    std::visit(Overloaded{[&](const ThrottleTask &Each) {
+                            std::size_t Index = IndexOf(Each.Attempt_);
+                            Worker.Tasks_[Index].Speed_ = Each.Fraction_;
+                          },
+                          [&](const EvictTask &Each) {
+                            evict(Worker, IndexOf(Each.Attempt_));
+                          }},
+               Action);
+  }
+
+  void evict(SimWorker &Worker, std::size_t Index) {
+    SimTask Task = Worker.Tasks_[Index];
+    Worker.Tasks_.erase(Worker.Tasks_.begin() +
+                        static_cast<std::ptrdiff_t>(Index));
+    ++Outcome_.Evictions_;
+    Outcome_.LostCoreHours_ += Task.SinceCheckpoint_ * TaskCores;
+    Task.LeftSeconds_ += Task.SinceCheckpoint_;
+    Task.SinceCheckpoint_ = 0.0;
+    Task.Speed_ = 1.0;
+    Waiting_.push_front(Task);
+  }
+
+  bool allowed(const SimWorker &Worker, const SimTask &Task) const {
+    constexpr double PlaceBelow = 0.8;
+    return std::visit(
+        Overloaded{[](const FirstFit &) { return true; },
+                   [&](const NeverColocate &) { return !Worker.HasService_; },
+                   [&](const FixedThreshold &) {
+                     std::optional<Measurement> Latest = reported(Worker);
+                     return !Worker.HasService_ ||
+                            (Latest && Latest->TailMs_ < PlaceBelow * TargetMs);
+                   },
+                   [&](const Interference &) {
+                     return Colocation_.admits(Worker.Name_,
+                                               kindName(Task.Kind_),
+                                               TaskCores / WorkerCores);
+                   }},
+        Shape_.Policy_);
+  }
+
+  void place() {
+    std::deque<SimTask> Left;
+    for (SimTask &Task : Waiting_)
+      if (!placeTask(Task))
+        Left.push_back(Task);
+    Waiting_.swap(Left);
+  }
+
+  bool placeTask(SimTask &Task) {
+    for (SimWorker &Worker : Workers_) {
+      if (Worker.freeCores() < TaskCores || !allowed(Worker, Task))
+        continue;
+      ++Task.Attempt_;
+      Worker.Tasks_.push_back(Task);
+      Colocation_.placed(Worker.Name_, kindName(Task.Kind_),
+                         TaskCores / WorkerCores);
+      return true;
+    }
+    return false;
+  }
+
+  void progress() {
+    for (SimWorker &Worker : Workers_) {
+      for (SimTask &Task : Worker.Tasks_) {
+        Task.LeftSeconds_ -= Task.Speed_;
+        Task.SinceCheckpoint_ += Task.Speed_;
+        if (Task.SinceCheckpoint_ >= CheckpointSeconds)
+          Task.SinceCheckpoint_ = 0.0;
+      }
+      Outcome_.Finished_ += static_cast<double>(
+          std::erase_if(Worker.Tasks_, [](const SimTask &Task) {
+            return Task.LeftSeconds_ <= 0.0;
+          }));
+    }
+  }
+
+  ColocationShape Shape_;
+  pcg64 Random_;
+  std::int64_t Now_ = 0;
+  int LastTask_ = 0;
+  std::vector<SimWorker> Workers_;
+  std::deque<SimTask> Waiting_;
+  ColocationPolicy Colocation_;
+  ColocationOutcome Outcome_;
+  double TailSum_ = 0.0;
+  double TailCount_ = 0.0;
+  double BadSeconds_ = 0.0;
+};
+
+} // namespace
+
+ColocationOutcome runColocationWorld(const ColocationShape &Shape) {
+  return World(Shape).run();
+}
+
+} // namespace filbertspring::benchmark
--- a/benchmark/src/registry.cpp
+++ b/benchmark/src/registry.cpp
@@ -1,3 +1,4 @@
+#include "../experiments/colocation.h"
 #include "../experiments/peers_bytes.h"
 #include "../experiments/routing_cost.h"
 #include "../experiments/routing_fairness.h"
@@ -10,6 +11,7 @@
 
 std::vector<Experiment> allExperiments() {
   return {
+      {"colocation", "Batch work beside services", runColocation},
       {"config-spread", "Time until a change is in force everywhere",
        runConfigurationSpread},
       {"peers-bytes", "Bytes and messages between peers", runPeersBytes},
