--- a/benchmark/experiments/routing_runs.h
+++ b/benchmark/experiments/routing_runs.h
@@ -11,6 +11,8 @@
 
 namespace filbertspring::benchmark {
 
+using namespace routing;
+
 /// A router configuration with a name.
 struct NamedPolicy {
   std::string Name_;
--- a/benchmark/experiments/routing_world.h
+++ b/benchmark/experiments/routing_world.h
@@ -20,6 +20,8 @@
 
 namespace filbertspring::benchmark {
 
+using namespace routing;
+
 /// One contract's Poisson arrivals.
 struct CallerStream {
   ContractName Contract_;
