--- a/packages/placement/src/rack_commits.cpp
+++ b/packages/placement/src/rack_commits.cpp
@@ -10,10 +10,12 @@
 void setLock(SchedulerCore &Core, const RowKey &Key, bool Locked) {
   if (Key.Kind_ == RowKind::QuotaLedger) {
     ContractName Name(Key.Name_);
-    if (Locked)
+    if (Locked) {
       Core.LockedLedgers_.insert(Name);
-    else
+    } else {
       Core.LockedLedgers_.erase(Name);
+      Core.dirtyAllRacks();
+    }
     return;
   }
   if (Key.Kind_ != RowKind::Job)
@@ -43,7 +45,9 @@
   Core.Commits_.erase(Pending.Transaction_.Id_);
   for (const Change &Each : Pending.Transaction_.Changes_)
     setLock(Core, Each.Key_, false);
-  Core.dirtyAllRacks();
+  // Other racks may have waited for these jobs.
+  for (const auto &[Name, Other] : Core.Racks_)
+    Core.dirty(Name);
   return Pending;
 }
 
--- a/packages/placement/src/rack_ownership.cpp
+++ b/packages/placement/src/rack_ownership.cpp
@@ -3,6 +3,7 @@
 #include "rack_commits.h"
 #include "row_intake.h"
 #include "table_reads.h"
+#include "worker_roster.h"
 
 #include <algorithm>
 
@@ -17,9 +18,8 @@
 
 /// Drops what belongs to an epoch that is over.
 void resetWorkers(SchedulerCore &Core, const RackName &Rack) {
-  for (auto &[Name, Worker] : Core.Workers_) {
-    if (Worker.Rack_ != Rack)
-      continue;
+  for (const WorkerName &Name : workersOf(Core, Rack)) {
+    WorkerState &Worker = *Core.findWorker(Name);
     Worker.InFlight_.reset();
     Worker.ObeyedEpoch_ = 0;
     Worker.Acknowledge_.clear();
@@ -60,8 +60,7 @@
                          const WorkerName &Name) {
   WorkerState &Worker = Core.Workers_[Name];
   Worker.Name_ = Name;
-  Worker.Rack_ = Rack.Name_;
-  Worker.Zone_ = Rack.Zone_;
+  placeWorker(Core, Worker, Rack.Name_, Rack.Zone_);
   return Worker;
 }
 
--- a/packages/placement/src/rack_service.cpp
+++ b/packages/placement/src/rack_service.cpp
@@ -6,39 +6,13 @@
 #include "rack_commits.h"
 #include "start_planner.h"
 #include "table_reads.h"
+#include "worker_roster.h"
 
 #include <algorithm>
 
 namespace filbertspring {
 namespace {
 
-/// Adds workers that the platform lists, and removes those that left it.
-void planWorkers(const SchedulerCore &Core, const RackState &Rack,
-                 RackDraft &Draft) {
-  for (const auto &[Name, Worker] : Core.Workers_) {
-    if (Worker.Rack_ != Rack.Name_ || !Worker.ListedAt_)
-      continue;
-    const RackWorker *Known = Draft.rack().findWorker(Name);
-    if (Known != nullptr && Known->Capacity_ == Worker.Capacity_)
-      continue;
-    Resources Reserved = Known == nullptr ? Resources{} : Known->Reserved_;
-    Draft.rack().upsertWorker(Name, Worker.Capacity_, Reserved);
-    Draft.touch();
-  }
-}
-
-bool workersDiffer(const SchedulerCore &Core, const RackState &Rack) {
-  return std::ranges::any_of(Core.Workers_, [&](const auto &Item) {
-    const WorkerState &Worker = Item.second;
-    if (Worker.Rack_ != Rack.Name_ || !Worker.ListedAt_)
-      return false;
-    auto Known =
-        std::ranges::find(Rack.Row_.Workers_, Worker.Name_, &RackWorker::Name_);
-    return Known == Rack.Row_.Workers_.end() ||
-           Known->Capacity_ != Worker.Capacity_;
-  });
-}
-
 std::size_t takeoversUnderWay(const SchedulerCore &Core) {
   return std::ranges::count_if(Core.Racks_, [](const auto &Item) {
     return Item.second.Pending_ && Item.second.Pending_->Takeover_;
@@ -68,7 +42,7 @@
   bool Starts =
       Core.Jobs_.anyQueued() && Rack.BlockedAt_ != Core.Jobs_.generation();
   return Starts || hasEnds(Rack) || grantsDue(Core, Rack) ||
-         workersDiffer(Core, Rack);
+         rosterDiffers(Core, Rack);
 }
 
 void commitWork(SchedulerCore &Core, RackState &Rack) {
--- a/packages/placement/src/row_intake.cpp
+++ b/packages/placement/src/row_intake.cpp
@@ -106,8 +106,8 @@
   const Task &Entry = Job.Tasks_[Index];
   if (Entry.Attempt_ < Attempt.Attempt_)
     return AttemptStanding::NotSeenYet;
-  bool Claimed = Entry.State_ == TaskState::Claimed &&
-                 Entry.Attempt_ == Attempt.Attempt_;
+  bool Claimed =
+      Entry.State_ == TaskState::Claimed && Entry.Attempt_ == Attempt.Attempt_;
   return Claimed ? AttemptStanding::Claimed : AttemptStanding::Disowned;
 }
 
--- a/packages/placement/src/scheduler_core.h
+++ b/packages/placement/src/scheduler_core.h
@@ -83,6 +83,8 @@
   WorkerCensus Census_;
   std::map<RackName, RackState> Racks_;
   std::map<WorkerName, WorkerState> Workers_;
+  /// The names of the workers by their racks; see worker_roster.h.
+  std::map<RackName, std::set<WorkerName>> WorkersOf_;
   std::map<AttemptRef, RackName> HeldIn_;
   std::map<ZoneName, ZoneRampLimit> Ramps_;
   std::vector<InstanceName> Alive_;
--- a/packages/placement/src/worker_exchange.cpp
+++ b/packages/placement/src/worker_exchange.cpp
@@ -3,6 +3,7 @@
 #include "attempt_reconcile.h"
 #include "rack_ownership.h"
 #include "table_reads.h"
+#include "worker_roster.h"
 
 #include <algorithm>
 
@@ -157,10 +158,8 @@
     WorkerState &Worker = Core.Workers_[Name];
     Worker.Name_ = Name;
     bool Moved = Worker.Rack_ != Each.Rack_ && !inOwnedRow(Core, Worker);
-    if (Moved) {
-      Worker.Rack_ = Each.Rack_;
-      Worker.Zone_ = Each.Zone_;
-    }
+    if (Moved)
+      placeWorker(Core, Worker, Each.Rack_, Each.Zone_);
     Worker.Address_ = Each.Http_;
     Worker.Capacity_ = Each.Capacity_;
     Worker.Leaving_ = Each.State_ == InstanceState::Leaving;
--- /dev/null
+++ b/packages/placement/src/worker_roster.h
@@ -0,0 +1,30 @@
+#ifndef FILBERTSPRING_PLACEMENT_WORKER_ROSTER_H
+#define FILBERTSPRING_PLACEMENT_WORKER_ROSTER_H
+
+/// \file
+/// Which workers belong to which rack, by the platform's list and by the rows.
+
+#include "rack_draft.h"
+#include "scheduler_core.h"
+
+namespace filbertspring {
+
+/// Puts \p Worker, whose name is set, into \p Rack.
+void placeWorker(SchedulerCore &Core, WorkerState &Worker, const RackName &Rack,
+                 const ZoneName &Zone);
+
+/// Returns the workers of \p Rack; \p Core owns the set.
+const std::set<WorkerName> &workersOf(const SchedulerCore &Core,
+                                      const RackName &Rack);
+
+/// Returns true when planWorkers() would change the row. Linear in the rack.
+bool rosterDiffers(const SchedulerCore &Core, const RackState &Rack);
+
+/// Adds listed workers to the rack's row, takes over their capacities, and
+/// removes those that have no assignment and left the list long ago.
+void planWorkers(const SchedulerCore &Core, const RackState &Rack,
+                 RackDraft &Draft);
+
+} // namespace filbertspring
+
+#endif // FILBERTSPRING_PLACEMENT_WORKER_ROSTER_H
--- a/packages/placement/tests/scheduler_test.cpp
+++ b/packages/placement/tests/scheduler_test.cpp
@@ -166,6 +166,50 @@
   BOOST_TEST(Subject.Scheduler_.snapshot().Workers_.at(0).Attempts_ == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(is_evicted_when_a_policy_asks) {
+  Site Subject;
+  Subject.begin();
+  Subject.submit("a", Small);
+  Subject.passTime(20s);
+  Subject.tell(EvictRequested{{{JobId("a"), 0}, 1}, "too noisy"});
+  Subject.passTime(5s);
+  Task Resumed = Subject.task("a");
+  BOOST_TEST((Resumed.State_ == TaskState::Claimed));
+  BOOST_TEST(Resumed.Attempt_ == 2);
+  BOOST_TEST(Resumed.Evictions_ == 1);
+  BOOST_TEST(!Resumed.Checkpoint_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(runs_longer_when_a_policy_throttles_it) {
+  Site Subject;
+  Subject.begin();
+  Subject.submit("a", Small);
+  Subject.passTime(6s);
+  Subject.tell(ThrottleRequested{{{JobId("a"), 0}, 1}, 0.5});
+  Subject.passTime(70s);
+  BOOST_TEST((Subject.task("a").State_ == TaskState::Claimed));
+  Subject.passTime(60s);
+  BOOST_TEST((Subject.task("a").State_ == TaskState::Finished));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(an_instance_that_drains)
+
+BOOST_AUTO_TEST_CASE(claims_nothing_more_and_keeps_what_runs) {
+  Site Subject;
+  Subject.begin();
+  Subject.submit("a", Small);
+  Subject.passTime(6s);
+  Subject.tell(DrainStarted{});
+  Subject.submit("b", Small);
+  Subject.passTime(70s);
+  BOOST_TEST((Subject.task("a").State_ == TaskState::Finished));
+  BOOST_TEST((Subject.task("b").State_ == TaskState::Waiting));
+  BOOST_TEST(Subject.why("b") == "this instance is draining");
+  BOOST_TEST(Subject.Scheduler_.snapshot().Drained_);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(a_job_that_must_wait)
@@ -193,6 +237,18 @@
   BOOST_TEST((Subject.task("b").State_ == TaskState::Waiting));
 }
 
+BOOST_AUTO_TEST_CASE(waits_while_the_platform_is_unreachable) {
+  Site Subject;
+  Subject.begin();
+  Subject.submit("a", Small);
+  Subject.tell(PlatformState{false});
+  Subject.passTime(2s);
+  BOOST_TEST((Subject.task("a").State_ == TaskState::Waiting));
+  Subject.tell(PlatformState{true});
+  Subject.passTime(6s);
+  BOOST_TEST((Subject.task("a").State_ == TaskState::Claimed));
+}
+
 BOOST_AUTO_TEST_CASE(waits_for_its_zone) {
   Site Subject;
   Subject.begin();
