--- a/packages/placement/tests/safety_oracle.cpp
+++ b/packages/placement/tests/safety_oracle.cpp
@@ -189,7 +189,7 @@
 }
 
 void SafetyOracle::checkLoad(const WorkerName &Worker,
-                             std::vector<RealRun> Runs,
+                             const std::vector<RealRun> &Runs,
                              const Resources &Capacity) {
   for (const RealRun &Each : Runs) {
     Resources Sum;
@@ -221,8 +221,8 @@
     if (Ended != EndedAt_.end() && !Cancelled && Run.From_ > Ended->second)
       object("an ended task ran again: " + nameOfAttempt(Run.Attempt_));
   }
-  for (auto &[Worker, Each] : ByWorker)
-    checkLoad(Worker, std::move(Each), Capacities.at(Worker));
+  for (const auto &[Worker, Each] : ByWorker)
+    checkLoad(Worker, Each, Capacities.at(Worker));
 }
 
 } // namespace filbertspring::test
--- a/packages/placement/tests/safety_oracle.h
+++ b/packages/placement/tests/safety_oracle.h
@@ -56,7 +56,7 @@
   void checkQuota(const ContractName &Contract);
   void checkOverlap(const RealRun &Earlier, const RealRun &Later);
   void checkZone(const RealRun &Run);
-  void checkLoad(const WorkerName &Worker, std::vector<RealRun> Runs,
+  void checkLoad(const WorkerName &Worker, const std::vector<RealRun> &Runs,
                  const Resources &Capacity);
 
   Duration StartBound_;
--- a/packages/placement/tests/scheduler_test.cpp
+++ b/packages/placement/tests/scheduler_test.cpp
@@ -16,6 +16,7 @@
 const Resources Capacity{Millicores(4000), Mebibytes(8192), Accelerators(1)};
 const Resources Small{Millicores(1000), Mebibytes(1024), Accelerators(0)};
 const ContractName Customer("denizkul");
+const ContractName Heavier("luneta");
 const BatchKindName Filing("filing");
 const ZoneName Home("bodrum");
 const WorkerName Machine("w1");
@@ -31,6 +32,9 @@
     Contract.Terms_.Name_ = Customer;
     Contract.Terms_.Batch_ = BatchTerms{Capacity, 100, {{Filing}}};
     write({RowKind::Contract, Customer.str()}, Contract);
+    Contract.Terms_.Name_ = Heavier;
+    Contract.Terms_.Weight_ = 3;
+    write({RowKind::Contract, Heavier.str()}, Contract);
   }
 
   void begin() {
@@ -43,10 +47,13 @@
     Request.Changes_ = {{Key, Row ? Row->Version_ : AbsentVersion, Value}};
     BOOST_REQUIRE(Table_.commit(Request).Outcome_ == CommitOutcome::Committed);
   }
-  void submit(const char *Name, const Resources &Size, bool Urgent = false) {
+  void submit(const std::string &Name, const Resources &Size,
+              bool Urgent = false, const ContractName &Contract = Customer,
+              const std::vector<ZoneName> &Zones = {}) {
     JobRecord Job;
     Job.Id_ = JobId(Name);
-    Job.Contract_ = Customer;
+    Job.Contract_ = Contract;
+    Job.Zones_ = Zones;
     Job.Kind_ = Filing;
     Job.Size_ = Size;
     Job.Urgent_ = Urgent;
@@ -237,6 +244,39 @@
   BOOST_TEST((Subject.task("b").State_ == TaskState::Waiting));
 }
 
+BOOST_AUTO_TEST_CASE(takes_turns_by_the_weights_of_the_contracts) {
+  Site Subject;
+  Subject.begin();
+  for (int Number = 0; Number < 40; ++Number) {
+    Subject.submit("light-" + std::to_string(Number), Small);
+    Subject.submit("heavy-" + std::to_string(Number), Small, false, Heavier);
+  }
+  Subject.passTime(8min);
+  auto Heavy =
+      std::ranges::count_if(Subject.Worker_.runs(), [](const RunInterval &Run) {
+        return Run.Attempt_.Task_.Job_.str().starts_with("heavy");
+      });
+  auto Runs = static_cast<std::ptrdiff_t>(Subject.Worker_.runs().size());
+  BOOST_TEST(Runs >= 20);
+  // Three quarters, give or take one round of the worker's four places.
+  BOOST_TEST(std::abs(4 * Heavy - 3 * Runs) <= 4 * 4);
+}
+
+BOOST_AUTO_TEST_CASE(is_not_blocked_by_many_that_wait_for_another_zone) {
+  Site Subject;
+  AvailabilityZone Other;
+  Other.Name_ = ZoneName("marmaris");
+  Subject.write({RowKind::Zone, Other.Name_.str()}, Other);
+  Subject.begin();
+  for (int Number = 0; Number < 60; ++Number)
+    Subject.submit("far-" + std::to_string(Number), Small, false, Customer,
+                   {Other.Name_});
+  Subject.submit("near", Small);
+  Subject.passTime(20s);
+  BOOST_TEST((Subject.task("near").State_ == TaskState::Claimed));
+  BOOST_TEST(Subject.why("far-1") == "zone not allowed");
+}
+
 BOOST_AUTO_TEST_CASE(waits_while_the_platform_is_unreachable) {
   Site Subject;
   Subject.begin();
