--- a/packages/placement/tests/table_cost.cpp
+++ b/packages/placement/tests/table_cost.cpp
@@ -34,6 +34,7 @@
 /// Returns the number of the node that schedules most racks.
 std::uint32_t busiestNode(const ClusterCase &Case) {
   std::vector<InstanceName> Alive;
+  Alive.reserve(Case.Nodes_);
   for (int Node = 0; Node < Case.Nodes_; ++Node)
     Alive.push_back(nodeName(Node));
   std::vector<int> Racks(Alive.size());
--- a/packages/placement/tests/virtual_cluster.cpp
+++ b/packages/placement/tests/virtual_cluster.cpp
@@ -216,8 +216,8 @@
     return;
   }
   std::visit(
-      Overloaded{[&](CommitRows &Request) {
-                   commit(Each, std::move(Request.Transaction_));
+      Overloaded{[&](const CommitRows &Request) {
+                   commit(Each, Request.Transaction_);
                  },
                  [&](const ReadRows &Request) { read(Each, Request); },
                  [&](const SendCommands &Request) { exchange(Each, Request); },
--- a/packages/placement/tests/virtual_cluster.h
+++ b/packages/placement/tests/virtual_cluster.h
@@ -84,7 +84,7 @@
 
   // Table.
   bool tableReachable(const Node &Each) const;
-  void commit(Node &Each, Transaction Request);
+  void commit(Node &Each, const Transaction &Request);
   void answerCommit(Node &Each, const TransactionId &Id, CommitResult Answer);
   CommitResult apply(Transaction Request);
   void sabotageTransaction(Transaction &Request);
--- a/packages/placement/tests/virtual_cluster_io.cpp
+++ b/packages/placement/tests/virtual_cluster_io.cpp
@@ -6,7 +6,7 @@
 
 using namespace std::chrono_literals;
 
-void VirtualCluster::commit(Node &Each, Transaction Request) {
+void VirtualCluster::commit(Node &Each, const Transaction &Request) {
   TransactionId Id = Request.Id_;
   bool Noisy = !Quiet_ && chance(Case_.Noise_ * 4);
   std::uint32_t Kind = Random_(4);
