--- a/packages/placement/tests/scheduler_test.cpp
+++ b/packages/placement/tests/scheduler_test.cpp
@@ -17,6 +17,7 @@
 const Resources Capacity{Millicores(4000), Mebibytes(8192), Accelerators(1)};
 const Resources Small{Millicores(1000), Mebibytes(1024), Accelerators(0)};
 const ContractName Customer("denizkul");
+const ContractName Heavier("luneta");
 const BatchKindName Filing("filing");
 const ZoneName Home("bodrum");
 const WorkerName Machine("w1");
@@ -32,6 +33,9 @@
     Contract.Terms_.Name_ = Customer;
     Contract.Terms_.Batch_ = BatchTerms{Capacity, 100, {{Filing}}};
     write({RowKind::Contract, Customer.str()}, Contract);
+    Contract.Terms_.Name_ = Heavier;
+    Contract.Terms_.Weight_ = 3;
+    write({RowKind::Contract, Heavier.str()}, Contract);
   }
 
   void begin() {
@@ -44,10 +48,13 @@
     Request.Changes_ = {{Key, Row ? Row->Version_ : AbsentVersion, Value}};
     BOOST_REQUIRE(Table_.commit(Request).Outcome_ == CommitOutcome::Committed);
   }
-  void submit(const char *Name, const Resources &Size, bool Urgent = false) {
+  void submit(const std::string &Name, const Resources &Size,
+              bool Urgent = false, const ContractName &Contract = Customer,
+              const std::vector<ZoneName> &Zones = {}) {
     JobRecord Job;
     Job.Id_ = JobId(Name);
-    Job.Contract_ = Customer;
+    Job.Contract_ = Contract;
+    Job.Zones_ = Zones;
     Job.Kind_ = Filing;
     Job.Size_ = Size;
     Job.Urgent_ = Urgent;
@@ -167,6 +174,50 @@
   BOOST_TEST(Subject.Scheduler_.snapshot().Workers_.at(0).Attempts_ == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(is_evicted_when_a_policy_asks) {
+  Site Subject;
+  Subject.begin();
+  Subject.submit("a", Small);
+  Subject.passTime(20s);
+  Subject.tell(EvictRequested{{{JobId("a"), 0}, 1}, "too noisy"});
+  Subject.passTime(5s);
+  Task Resumed = Subject.task("a");
+  BOOST_TEST((Resumed.State_ == TaskState::Claimed));
+  BOOST_TEST(Resumed.Attempt_ == 2);
+  BOOST_TEST(Resumed.Evictions_ == 1);
+  BOOST_TEST(!Resumed.Checkpoint_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(runs_longer_when_a_policy_throttles_it) {
+  Site Subject;
+  Subject.begin();
+  Subject.submit("a", Small);
+  Subject.passTime(6s);
+  Subject.tell(ThrottleRequested{{{JobId("a"), 0}, 1}, 0.5});
+  Subject.passTime(70s);
+  BOOST_TEST((Subject.task("a").State_ == TaskState::Claimed));
+  Subject.passTime(60s);
+  BOOST_TEST((Subject.task("a").State_ == TaskState::Finished));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(an_instance_that_drains)
+
+BOOST_AUTO_TEST_CASE(claims_nothing_more_and_keeps_what_runs) {
+  Site Subject;
+  Subject.begin();
+  Subject.submit("a", Small);
+  Subject.passTime(6s);
+  Subject.tell(DrainStarted{});
+  Subject.submit("b", Small);
+  Subject.passTime(70s);
+  BOOST_TEST((Subject.task("a").State_ == TaskState::Finished));
+  BOOST_TEST((Subject.task("b").State_ == TaskState::Waiting));
+  BOOST_TEST(Subject.why("b") == "this instance is draining");
+  BOOST_TEST(Subject.Scheduler_.snapshot().Drained_);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(a_job_that_must_wait)
@@ -194,6 +245,51 @@
   BOOST_TEST((Subject.task("b").State_ == TaskState::Waiting));
 }
 
+BOOST_AUTO_TEST_CASE(takes_turns_by_the_weights_of_the_contracts) {
+  Site Subject;
+  Subject.begin();
+  for (int Number = 0; Number < 40; ++Number) {
+    Subject.submit("light-" + std::to_string(Number), Small);
+    Subject.submit("heavy-" + std::to_string(Number), Small, false, Heavier);
+  }
+  Subject.passTime(8min);
+  auto Heavy =
+      std::ranges::count_if(Subject.Worker_.runs(), [](const RunInterval &Run) {
+        return Run.Attempt_.Task_.Job_.str().starts_with("heavy");
+      });
+  auto Runs = static_cast<std::ptrdiff_t>(Subject.Worker_.runs().size());
+  BOOST_TEST(Runs >= 20);
+  // Three quarters, give or take one round of the worker's four places.
+  BOOST_TEST(std::abs(4 * Heavy - 3 * Runs) <= 4 * 4);
+}
+
+BOOST_AUTO_TEST_CASE(is_not_blocked_by_many_that_wait_for_another_zone) {
+  Site Subject;
+  AvailabilityZone Other;
+  Other.Name_ = ZoneName("marmaris");
+  Subject.write({RowKind::Zone, Other.Name_.str()}, Other);
+  Subject.begin();
+  for (int Number = 0; Number < 60; ++Number)
+    Subject.submit("far-" + std::to_string(Number), Small, false, Customer,
+                   {Other.Name_});
+  Subject.submit("near", Small);
+  Subject.passTime(20s);
+  BOOST_TEST((Subject.task("near").State_ == TaskState::Claimed));
+  BOOST_TEST(Subject.why("far-1") == "zone not allowed");
+}
+
+BOOST_AUTO_TEST_CASE(waits_while_the_platform_is_unreachable) {
+  Site Subject;
+  Subject.begin();
+  Subject.submit("a", Small);
+  Subject.tell(PlatformState{false});
+  Subject.passTime(2s);
+  BOOST_TEST((Subject.task("a").State_ == TaskState::Waiting));
+  Subject.tell(PlatformState{true});
+  Subject.passTime(6s);
+  BOOST_TEST((Subject.task("a").State_ == TaskState::Claimed));
+}
+
 BOOST_AUTO_TEST_CASE(waits_for_its_zone) {
   Site Subject;
   Subject.begin();
