--- a/benchmark/experiments/peers_bytes.cpp
+++ b/benchmark/experiments/peers_bytes.cpp
@@ -22,6 +22,9 @@
 constexpr double TargetBytesPerSecond = 6000;
 /// TCP and IP headers of a message, its answer and their acknowledgements.
 constexpr std::size_t PacketBytesPerMessage = 4 * 52;
+/// A PING frame and its answer; one is sent between two digests on a link
+/// whose digests are further apart than the ping interval.
+constexpr std::size_t PingBytes = 2 * 17 + PacketBytesPerMessage;
 constexpr int Contracts = 42;
 
 /// The size of a cluster, and how much changes in it.
@@ -118,13 +121,14 @@
                                          : membership::OtherZoneDigestInterval;
       if (std::chrono::seconds(Second) % Interval != Duration::zero())
         continue;
+      const bool Pinged = Interval > PeerLinksSettings{}.PingInterval_;
       const auto Digest = Boards_[From].digestFor(Peer, 123'456'789);
       const std::size_t To = Index_[Peer.Name_];
       Boards_[To].adopt(Places_[From], Digest);
       const double Bytes =
           static_cast<double>(membership::encodePeerPayload(Digest).size() +
                               PacketBytesPerMessage) +
-          Framing;
+          Framing + static_cast<double>(Pinged ? PingBytes : 0);
       Bytes_[From] += Bytes;
       Bytes_[To] += Bytes;
       Messages_ += 2;
--- a/packages/transport/include/filbertspring/transport/peer_links.h
+++ b/packages/transport/include/filbertspring/transport/peer_links.h
@@ -18,8 +18,8 @@
 
 /// Times and bounds of the links.
 struct PeerLinksSettings {
-  /// Time between two PING frames on a connection.
-  Duration PingInterval_ = std::chrono::seconds(2);
+  /// A connection on which nothing arrived for this long is sent a PING frame.
+  Duration PingInterval_ = std::chrono::seconds(3);
   /// A connection on which nothing arrived for this long is closed.
   Duration SilenceLimit_ = std::chrono::seconds(6);
   /// The first and the longest delay before a connection is tried again.
--- a/packages/transport/src/peer_links.cpp
+++ b/packages/transport/src/peer_links.cpp
@@ -19,6 +19,8 @@
 
 /// Messages sent and not acknowledged, per connection.
 constexpr std::size_t MaxUnacknowledged = 8;
+/// Checks for silence within the time after which a PING is sent.
+constexpr int ChecksPerPing = 4;
 constexpr std::uint32_t NoStreamsFromServer = 0;
 
 /// What other threads share of one link; guarded by the mutex of the links.
@@ -202,7 +204,7 @@
 }
 
 void PeerLinks::Impl::watch(const LinkPtr &Each) {
-  Each->Ping_.expires_after(Settings_.PingInterval_);
+  Each->Ping_.expires_after(Settings_.PingInterval_ / ChecksPerPing);
   Each->Ping_.async_wait([this, Each](std::error_code Error) {
     if (Error || Each->Ended_)
       return;
@@ -223,7 +225,9 @@
     Each->Connection_->close();
     return;
   }
-  Each->Connection_->ping();
+  const TimePoint Quiet = SchedulerClock::now() - Settings_.PingInterval_;
+  if (Each->Connection_->lastReceived() <= Quiet)
+    Each->Connection_->ping();
 }
 
 void PeerLinks::Impl::sendQueued(const LinkPtr &Each) {
