--- a/packages/membership/include/filbertspring/membership/heartbeat_keeper.h
+++ b/packages/membership/include/filbertspring/membership/heartbeat_keeper.h
@@ -51,7 +51,7 @@
 public:
   /// \p Boot is unique to this process; it makes its transactions
   /// recognisable.
-  HeartbeatKeeper(HeartbeatRecord Self, std::string Boot,
+  HeartbeatKeeper(HeartbeatRecord Self, const std::string &Boot,
                   LeaseSettings Settings = {});
   ~HeartbeatKeeper();
   HeartbeatKeeper(HeartbeatKeeper &&) noexcept;
--- a/packages/membership/src/heartbeat_keeper.cpp
+++ b/packages/membership/src/heartbeat_keeper.cpp
@@ -161,7 +161,7 @@
   return CanWrite ? write(Now) : Actions{};
 }
 
-HeartbeatKeeper::HeartbeatKeeper(HeartbeatRecord Self, std::string Boot,
+HeartbeatKeeper::HeartbeatKeeper(HeartbeatRecord Self, const std::string &Boot,
                                  LeaseSettings Settings)
     : Impl_(std::make_unique<Impl>()) {
   Impl_->Self_ = std::move(Self);
--- a/packages/membership/tests/peers_test.cpp
+++ b/packages/membership/tests/peers_test.cpp
@@ -14,6 +14,7 @@
 
 std::vector<InstancePlace> instances(int Count, int Zones) {
   std::vector<InstancePlace> All;
+  All.reserve(static_cast<std::size_t>(Count));
   for (int Number = 0; Number < Count; ++Number)
     All.push_back({InstanceName("entry-" + std::to_string(Number)),
                    ZoneName("zone-" + std::to_string(Number % Zones))});
@@ -262,6 +263,7 @@
     const auto Step = *rc::gen::inRange(1, 200);
     const auto Count = *rc::gen::inRange(1, 31);
     std::vector<InstanceDemand> Demands;
+    Demands.reserve(static_cast<std::size_t>(Count));
     for (int Number = 0; Number < Count; ++Number)
       Demands.push_back(
           {InstanceName(std::to_string(Number)), *rc::gen::inRange(0, 2000)});
--- a/packages/membership/tests/share_allocator_test.cpp
+++ b/packages/membership/tests/share_allocator_test.cpp
@@ -16,8 +16,8 @@
 constexpr std::int32_t Floor = WholeLimitPermille / (4 * Instances);
 
 struct Settled {
-  Settled() : Cluster(Instances, 7, FaultRates{}) { Cluster.run(30s); }
-  ShareCluster Cluster;
+  Settled() : Cluster_(Instances, 7, FaultRates{}) { Cluster_.run(30s); }
+  ShareCluster Cluster_;
 };
 
 } // namespace
@@ -25,37 +25,37 @@
 BOOST_AUTO_TEST_SUITE(shares_of_a_limit)
 
 BOOST_FIXTURE_TEST_CASE(are_even_without_demand, Settled) {
-  BOOST_TEST(Cluster.largestDeficit() < Hysteresis);
-  BOOST_TEST(Cluster.largestSum() <= WholeLimitPermille);
+  BOOST_TEST(Cluster_.largestDeficit() < Hysteresis);
+  BOOST_TEST(Cluster_.largestSum() <= WholeLimitPermille);
 }
 
 BOOST_FIXTURE_TEST_SUITE(when_demand_moves, Settled)
 
 BOOST_AUTO_TEST_CASE(follow_it_within_seconds_and_few_writes) {
-  const auto Before = Cluster.ledgerWrites();
-  Cluster.setDemand(0, 800);
-  Cluster.run(FollowLimit);
-  BOOST_TEST(Cluster.largestDeficit() < Hysteresis);
-  BOOST_TEST(Cluster.usable(0) > 700);
+  const auto Before = Cluster_.ledgerWrites();
+  Cluster_.setDemand(0, 800);
+  Cluster_.run(FollowLimit);
+  BOOST_TEST(Cluster_.largestDeficit() < Hysteresis);
+  BOOST_TEST(Cluster_.usable(0) > 700);
   // Each of the others gives once; conflicts may double that.
-  BOOST_TEST(Cluster.ledgerWrites() - Before <= 2 * Instances);
+  BOOST_TEST(Cluster_.ledgerWrites() - Before <= 2 * Instances);
 }
 
 BOOST_AUTO_TEST_CASE(leave_a_floor_to_the_others) {
-  Cluster.setDemand(0, 1000);
-  Cluster.run(60s);
+  Cluster_.setDemand(0, 1000);
+  Cluster_.run(60s);
   for (int Index = 1; Index < Instances; ++Index)
-    BOOST_TEST(Cluster.usable(Index) >= Floor);
+    BOOST_TEST(Cluster_.usable(Index) >= Floor);
 }
 
 BOOST_AUTO_TEST_CASE(ignore_noise) {
-  Cluster.setDemand(0, 500);
-  Cluster.setDemand(1, 500);
-  Cluster.run(30s);
-  const auto Before = Cluster.ledgerWrites();
-  Cluster.setDemand(0, 510);
-  Cluster.run(30s);
-  BOOST_TEST(Cluster.ledgerWrites() == Before);
+  Cluster_.setDemand(0, 500);
+  Cluster_.setDemand(1, 500);
+  Cluster_.run(30s);
+  const auto Before = Cluster_.ledgerWrites();
+  Cluster_.setDemand(0, 510);
+  Cluster_.run(30s);
+  BOOST_TEST(Cluster_.ledgerWrites() == Before);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -63,40 +63,40 @@
 BOOST_FIXTURE_TEST_SUITE(when_a_holder_fails, Settled)
 
 BOOST_AUTO_TEST_CASE(are_reclaimed_after_a_kill) {
-  Cluster.kill(2);
-  Cluster.run(ReclaimLimit);
-  BOOST_TEST(Cluster.largestDeficit() < Hysteresis);
+  Cluster_.kill(2);
+  Cluster_.run(ReclaimLimit);
+  BOOST_TEST(Cluster_.largestDeficit() < Hysteresis);
 }
 
 BOOST_AUTO_TEST_CASE(stay_in_use_while_the_cut_is_short) {
-  Cluster.cut(2, 5s);
-  Cluster.run(5s);
-  BOOST_TEST(Cluster.usable(2) > 0);
+  Cluster_.cut(2, 5s);
+  Cluster_.run(5s);
+  BOOST_TEST(Cluster_.usable(2) > 0);
 }
 
 BOOST_AUTO_TEST_CASE(are_not_used_by_a_holder_that_is_cut_off_for_long) {
-  Cluster.cut(2, 60s);
-  Cluster.run(15s);
-  BOOST_TEST(Cluster.usable(2) == 0);
-  Cluster.run(60s + ReclaimLimit);
-  BOOST_TEST(Cluster.usable(2) > 0);
-  BOOST_TEST(Cluster.largestSum() <= WholeLimitPermille);
+  Cluster_.cut(2, 60s);
+  Cluster_.run(15s);
+  BOOST_TEST(Cluster_.usable(2) == 0);
+  Cluster_.run(60s + ReclaimLimit);
+  BOOST_TEST(Cluster_.usable(2) > 0);
+  BOOST_TEST(Cluster_.largestSum() <= WholeLimitPermille);
 }
 
 BOOST_AUTO_TEST_CASE(are_not_doubled_by_a_restart_under_the_same_name) {
-  Cluster.restart(2);
-  Cluster.run(ReclaimLimit);
-  BOOST_TEST(Cluster.usable(2) > 0);
-  BOOST_TEST(Cluster.largestSum() <= WholeLimitPermille);
+  Cluster_.restart(2);
+  Cluster_.run(ReclaimLimit);
+  BOOST_TEST(Cluster_.usable(2) > 0);
+  BOOST_TEST(Cluster_.largestSum() <= WholeLimitPermille);
 }
 
 BOOST_AUTO_TEST_CASE(are_divided_again_when_the_ledger_row_vanishes) {
   const RowKey Key{RowKind::ShareLedger, "booking"};
-  const RowVersion Version = Cluster.table().read(Key)->Version_;
-  Cluster.table().commit(
+  const RowVersion Version = Cluster_.table().read(Key)->Version_;
+  Cluster_.table().commit(
       {TransactionId("operator"), {}, {{Key, Version, std::nullopt}}});
-  Cluster.run(ReclaimLimit);
-  BOOST_TEST(Cluster.largestDeficit() < Hysteresis);
+  Cluster_.run(ReclaimLimit);
+  BOOST_TEST(Cluster_.largestDeficit() < Hysteresis);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
