--- a/packages/membership/include/filbertspring/membership/configuration_sync.h
+++ b/packages/membership/include/filbertspring/membership/configuration_sync.h
@@ -18,8 +18,8 @@
   Duration PollInterval_ = std::chrono::seconds(1);
   /// After this time an operation counts as failed.
   Duration AnswerTimeout_ = std::chrono::seconds(2);
-  /// How long a peer may be ahead before it is asked; the table usually
-  /// answers before that.
+  /// How long a peer may be ahead before it is asked, while the table answers.
+  /// Once it does not, a peer is asked at once.
   Duration PeerGrace_ = std::chrono::seconds(2);
 };
 
--- a/packages/membership/src/configuration_sync.cpp
+++ b/packages/membership/src/configuration_sync.cpp
@@ -26,6 +26,8 @@
   /// When the table operation under way was sent.
   std::optional<TimePoint> TableBusySince_;
   std::optional<TimePoint> LastPoll_;
+  /// Whether the last table operation was answered.
+  bool TableAnswers_ = true;
   /// The head whose scan is under way.
   std::optional<HeadAnswered> ScannedHead_;
   std::optional<TimePoint> RequestSince_;
@@ -40,6 +42,7 @@
   Actions on(const DeltaReceived &Answer, TimePoint Now);
 
   bool timedOut(std::optional<TimePoint> SentAt, TimePoint Now) const;
+  void tableFailed();
   void pollTable(TimePoint Now, Actions &Out);
   void askPeer(TimePoint Now, Actions &Out);
   void requestFrom(const InstanceName &Peer, TimePoint Now, Actions &Out);
@@ -51,11 +54,15 @@
   return SentAt && Now - *SentAt >= Settings_.AnswerTimeout_;
 }
 
+void ConfigurationSync::Impl::tableFailed() {
+  TableBusySince_.reset();
+  ScannedHead_.reset();
+  TableAnswers_ = false;
+}
+
 void ConfigurationSync::Impl::pollTable(TimePoint Now, Actions &Out) {
-  if (timedOut(TableBusySince_, Now)) {
-    TableBusySince_.reset();
-    ScannedHead_.reset();
-  }
+  if (timedOut(TableBusySince_, Now))
+    tableFailed();
   if (TableBusySince_)
     return;
   if (LastPoll_ && Now - *LastPoll_ < Settings_.PollInterval_)
@@ -79,8 +86,10 @@
   }
   if (RequestSince_)
     return;
+  const Duration Grace =
+      TableAnswers_ ? Settings_.PeerGrace_ : Duration::zero();
   for (const auto &[Peer, Entry] : Ahead_) {
-    if (Now - Entry.Since_ < Settings_.PeerGrace_)
+    if (Now - Entry.Since_ < Grace)
       continue;
     requestFrom(Peer, Now, Out);
     return;
@@ -106,6 +115,7 @@
   if (TableBusySince_ != Answer.SentAt_ || ScannedHead_)
     return {};
   TableBusySince_.reset();
+  TableAnswers_ = true;
   if (Current)
     return {};
   ScannedHead_ = Answer;
@@ -125,8 +135,7 @@
 }
 
 Actions ConfigurationSync::Impl::on(const TableReadFailed &, TimePoint) {
-  TableBusySince_.reset();
-  ScannedHead_.reset();
+  tableFailed();
   return {};
 }
 
--- a/packages/membership/tests/configuration_cluster.cpp
+++ b/packages/membership/tests/configuration_cluster.cpp
@@ -243,6 +243,11 @@
     const PeerCompleteTo Event{InstanceName(std::to_string(From)),
                                View.completeTo()};
     for (const InstancePlace &Peer : selectPeers(Places_[From], Places_)) {
+      const Duration Interval = Peer.Zone_ == Places_[From].Zone_
+                                    ? OwnZoneDigestInterval
+                                    : OtherZoneDigestInterval;
+      if (Now_ % Interval != Duration::zero())
+        continue;
       const auto To = static_cast<std::size_t>(std::stoi(Peer.Name_.str()));
       if (!(Faulty_ && chance(Faults_.Lost_)))
         schedule(delay(), [this, To, Event] { feed(To, Event); });
