--- a/packages/placement/src/worker_roster.cpp
+++ b/packages/placement/src/worker_roster.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace filbertspring {
+namespace filbertspring::placement {
 namespace {
 
 enum class RosterChange { None, Upsert, Remove };
@@ -71,4 +71,4 @@
   }
 }
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
--- a/packages/placement/src/worker_roster.h
+++ b/packages/placement/src/worker_roster.h
@@ -7,7 +7,7 @@
 #include "rack_draft.h"
 #include "scheduler_core.h"
 
-namespace filbertspring {
+namespace filbertspring::placement {
 
 /// Puts \p Worker, whose name is set, into \p Rack.
 void placeWorker(SchedulerCore &Core, WorkerState &Worker, const RackName &Rack,
@@ -25,6 +25,6 @@
 void planWorkers(const SchedulerCore &Core, const RackState &Rack,
                  RackDraft &Draft);
 
-} // namespace filbertspring
+} // namespace filbertspring::placement
 
 #endif // FILBERTSPRING_PLACEMENT_WORKER_ROSTER_H
