--- a/packages/entry/src/desks/placement_desk.cpp
+++ b/packages/entry/src/desks/placement_desk.cpp
@@ -21,6 +21,7 @@
   Result.Leases_.DriftPpm_ =
       static_cast<std::int64_t>(Values.Leases_.ClockDrift_ * PartsPerMillion);
   Result.Leases_.Margin_ = Values.Leases_.Margin_;
+  Result.Interference_ = Values.Batch_.Interference_ == Toggle::On;
   Result.Pace_.WorkerPoll_ = Values.Leases_.RenewEvery_;
   return Result;
 }
--- a/packages/placement/include/filbertspring/placement/scheduler_settings.h
+++ b/packages/placement/include/filbertspring/placement/scheduler_settings.h
@@ -96,6 +96,8 @@
 
 /// All settings of a scheduler.
 struct SchedulerSettings {
+  /// Whether placement and eviction follow the measured interference.
+  bool Interference_ = true;
   LeaseSettings Leases_;
   PaceSettings Pace_;
   BatchSettings Batch_;
--- a/packages/placement/include/filbertspring/placement/scheduler_view.h
+++ b/packages/placement/include/filbertspring/placement/scheduler_view.h
@@ -30,11 +30,12 @@
   QuotaUsed,
   NoRoom,
   NoFreshWorker,
+  SlowsService,
   CommitUnderWay,
   Draining
 };
 
-inline constexpr EnumTable<WaitReason, 13> WaitReasonNames{
+inline constexpr EnumTable<WaitReason, 14> WaitReasonNames{
     {{WaitReason::NotConsidered, "not considered yet"},
      {WaitReason::LeftToPeer, "left to another entry instance"},
      {WaitReason::PlatformUnreachable, "platform unreachable"},
@@ -46,6 +47,7 @@
      {WaitReason::QuotaUsed, "quota used up"},
      {WaitReason::NoRoom, "no worker has room"},
      {WaitReason::NoFreshWorker, "no fresh report of a worker with room"},
+     {WaitReason::SlowsService, "would slow a service beside it"},
      {WaitReason::CommitUnderWay, "commit under way"},
      {WaitReason::Draining, "this instance is draining"}}};
 
--- a/packages/placement/include/filbertspring/placement/worker_choice.h
+++ b/packages/placement/include/filbertspring/placement/worker_choice.h
@@ -9,6 +9,7 @@
 #include "filbertspring/placement/failure_evidence.h"
 
 #include <cstddef>
+#include <functional>
 #include <optional>
 #include <span>
 
@@ -25,10 +26,11 @@
 
 /// Returns the index of the candidate that has room for \p Size and keeps the
 /// least room afterwards, the first of equals; nothing when none has room.
-/// Workers with accelerators come last for a task that needs none. Linear.
+/// Workers with accelerators come last for a task that needs none. Those for
+/// which \p Admits returns false are passed over. Linear.
 std::optional<std::size_t>
-chooseWorker(std::span<const WorkerCandidate> Candidates,
-             const Resources &Size);
+chooseWorker(std::span<const WorkerCandidate> Candidates, const Resources &Size,
+             const std::function<bool(const WorkerCandidate &)> &Admits = {});
 
 } // namespace filbertspring::placement
 
--- /dev/null
+++ b/packages/placement/src/attempt_wishes.h
@@ -0,0 +1,19 @@
+#ifndef FILBERTSPRING_PLACEMENT_ATTEMPT_WISHES_H
+#define FILBERTSPRING_PLACEMENT_ATTEMPT_WISHES_H
+
+/// \file
+/// Wishes about running attempts, carried out with the next exchange.
+
+#include "scheduler_core.h"
+
+namespace filbertspring::placement {
+
+/// Has a running attempt stopped with a checkpoint.
+void evictAttempt(SchedulerCore &Core, const EvictRequested &Event);
+
+/// Has the processor time of a running attempt limited.
+void throttleAttempt(SchedulerCore &Core, const ThrottleRequested &Event);
+
+} // namespace filbertspring::placement
+
+#endif // FILBERTSPRING_PLACEMENT_ATTEMPT_WISHES_H
--- /dev/null
+++ b/packages/placement/src/colocation_link.cpp
@@ -0,0 +1,95 @@
+#include "colocation_link.h"
+
+#include "attempt_wishes.h"
+
+#include "filbertspring/base/overloaded.h"
+
+namespace filbertspring::placement {
+namespace {
+
+double fractionOf(const Resources &Size, const Resources &Capacity) {
+  if (Capacity.Cpu_.count() <= 0)
+    return 0.0;
+  return static_cast<double>(Size.Cpu_.count()) /
+         static_cast<double>(Capacity.Cpu_.count());
+}
+
+/// Returns the processor time that has gone into \p Held so far.
+Duration workDone(const HeldAttempt &Held) {
+  constexpr double MillicoresPerCore = 1000.0;
+  double Cores = static_cast<double>(Held.Assignment_.Size_.Cpu_.count()) /
+                 MillicoresPerCore;
+  double Work = Held.Progress_ * Cores *
+                static_cast<double>(Held.DeclaredRunTime_.count());
+  return Duration(static_cast<Duration::rep>(Work));
+}
+
+/// Returns what the policy must know of the attempts on \p Worker. Those whose
+/// job is not known here are left out.
+std::vector<ColocatedTask> tasksOn(SchedulerCore &Core, const RackState &Rack,
+                                   const WorkerState &Worker) {
+  std::vector<ColocatedTask> Tasks;
+  for (const auto &[Attempt, Held] : Rack.Held_) {
+    bool Runs = Held.Worker_ == Worker.Name_ &&
+                Held.State_ == HeldState::Running &&
+                Held.Stop_ == StopWish::None;
+    const JobEntry *Entry = Core.Jobs_.find(Attempt.Task_.Job_);
+    if (!Runs || Entry == nullptr)
+      continue;
+    double Fraction = fractionOf(Held.Assignment_.Size_, Worker.Capacity_);
+    Tasks.push_back({Attempt, Entry->Record_.Kind_, Fraction, workDone(Held)});
+  }
+  return Tasks;
+}
+
+void perform(SchedulerCore &Core, const ColocationAction &Action) {
+  std::visit(
+      Overloaded{[&Core](const ThrottleTask &Each) {
+                   throttleAttempt(Core, {Each.Attempt_, Each.Fraction_});
+                 },
+                 [&Core](const EvictTask &Each) {
+                   evictAttempt(Core, {Each.Attempt_, "slows a service"});
+                 }},
+      Action);
+}
+
+} // namespace
+
+void refreshTargets(SchedulerCore &Core) {
+  std::map<ServiceName, Duration> Targets;
+  for (const auto &[Name, Row] : Core.Table_.Contracts_) {
+    if (Row.Value_.Removed_)
+      continue;
+    for (const ServiceTerms &Service : Row.Value_.Terms_.Services_) {
+      auto [Entry, Fresh] =
+          Targets.try_emplace(Service.Name_, Service.LatencyTarget_);
+      Entry->second = std::min(Entry->second, Service.LatencyTarget_);
+    }
+  }
+  Core.Colocation_.setTargets(std::move(Targets));
+}
+
+void observeServices(SchedulerCore &Core, const RackState &Rack,
+                     const WorkerState &Worker, const WorkerReport &Report) {
+  if (!Core.Settings_.Interference_ || Report.Services_.empty())
+    return;
+  ColocationReport Seen{Worker.Name_, Report.Services_,
+                        tasksOn(Core, Rack, Worker), Report.Clock_};
+  for (const ColocationAction &Action : Core.Colocation_.observe(Seen))
+    perform(Core, Action);
+}
+
+bool admitsBesideServices(const SchedulerCore &Core,
+                          const WorkerCandidate &Worker, const JobRecord &Job) {
+  return !Core.Settings_.Interference_ ||
+         Core.Colocation_.admits(Worker.Name_, Job.Kind_,
+                                 fractionOf(Job.Size_, Worker.Capacity_));
+}
+
+void countPlaced(SchedulerCore &Core, const WorkerCandidate &Worker,
+                 const JobRecord &Job) {
+  Core.Colocation_.placed(Worker.Name_, Job.Kind_,
+                          fractionOf(Job.Size_, Worker.Capacity_));
+}
+
+} // namespace filbertspring::placement
--- a/packages/placement/src/scheduler.cpp
+++ b/packages/placement/src/scheduler.cpp
@@ -1,5 +1,7 @@
 #include "filbertspring/placement/scheduler.h"
 
+#include "attempt_wishes.h"
+#include "colocation_link.h"
 #include "job_rejection.h"
 #include "rack_commits.h"
 #include "rack_ownership.h"
@@ -21,25 +23,6 @@
 const TimerKey JobScanTimer{TimerKind::JobScan, {}};
 const TimerKey ConfigurationScanTimer{TimerKind::ConfigurationScan, {}};
 
-void evictAttempt(SchedulerCore &Core, const EvictRequested &Event) {
-  HeldAttempt *Held = Core.findHeld(Event.Attempt_);
-  if (Held == nullptr || Held->Stop_ != StopWish::None)
-    return;
-  Held->Stop_ = StopWish::WithCheckpoint;
-  Held->StopReason_ = Event.Reason_;
-  if (WorkerState *Worker = Core.findWorker(Held->Worker_))
-    Core.hurry(*Worker);
-}
-
-void throttleAttempt(SchedulerCore &Core, const ThrottleRequested &Event) {
-  HeldAttempt *Held = Core.findHeld(Event.Attempt_);
-  if (Held == nullptr)
-    return;
-  Held->Throttle_ = Event.Fraction_;
-  if (WorkerState *Worker = Core.findWorker(Held->Worker_))
-    Core.hurry(*Worker);
-}
-
 void setPlatformState(SchedulerCore &Core, const PlatformState &Event) {
   Core.PlatformReachable_ = Event.Reachable_;
   if (Event.Reachable_)
@@ -79,6 +62,7 @@
 
 /// Also probes a platform that does not answer.
 void scanConfiguration(SchedulerCore &Core) {
+  refreshTargets(Core);
   scanRows(Core, RowKind::Zone);
   if (Core.PlatformReachable_)
     scanRows(Core, RowKind::Contract);
--- a/packages/placement/src/scheduler_core.h
+++ b/packages/placement/src/scheduler_core.h
@@ -10,10 +10,12 @@
 #include "timer_set.h"
 #include "worker_census.h"
 
+#include "filbertspring/placement/colocation.h"
 #include "filbertspring/placement/failure_evidence.h"
 #include "filbertspring/placement/placement_action.h"
 #include "filbertspring/placement/placement_event.h"
 #include "filbertspring/placement/scheduler_settings.h"
+#include "filbertspring/placement/worker_choice.h"
 #include "filbertspring/placement/zone_ramp_limit.h"
 
 #include <map>
@@ -89,6 +91,7 @@
   std::map<AttemptRef, RackName> HeldIn_;
   std::map<ZoneName, ZoneRampLimit> Ramps_;
   FailureEvidence Evidence_;
+  ColocationPolicy Colocation_;
   std::vector<InstanceName> Alive_;
   bool PlatformReachable_ = true;
   bool Draining_ = false;
--- a/packages/placement/src/start_planner.cpp
+++ b/packages/placement/src/start_planner.cpp
@@ -1,5 +1,6 @@
 #include "start_planner.h"
 
+#include "colocation_link.h"
 #include "grant_planner.h"
 #include "worker_exchange.h"
 
@@ -107,10 +108,13 @@
       return WaitReason::CommitUnderWay;
     if (std::optional<WaitReason> Obstacle = checkTerms(Entry.Record_))
       return Obstacle;
+    const JobRecord &Record = Entry.Record_;
     std::optional<std::size_t> Chosen =
-        chooseWorker(Fresh_, Entry.Record_.Size_);
+        chooseWorker(Fresh_, Record.Size_, [&](const WorkerCandidate &Worker) {
+          return admitsBesideServices(Core_, Worker, Record);
+        });
     if (!Chosen)
-      return askStaleWorker(Entry.Record_.Size_);
+      return obstacleOf(Record.Size_);
     if (auto Obstacle = ensureGrant(Core_, Entry.Record_.Contract_,
                                     Entry.Record_.Size_, Draft_))
       return Obstacle;
@@ -144,6 +148,13 @@
     return std::nullopt;
   }
 
+  /// Returns why no worker was chosen.
+  WaitReason obstacleOf(const Resources &Size) {
+    if (chooseWorker(Fresh_, Size))
+      return WaitReason::SlowsService;
+    return askStaleWorker(Size);
+  }
+
   /// Has a worker with room report now, so that a later round may use it.
   WaitReason askStaleWorker(const Resources &Size) {
     std::optional<std::size_t> Chosen = chooseWorker(Stale_, Size);
@@ -173,6 +184,7 @@
     Starts_[Claim.Attempt_] = makeStart(Entry, Claim, Chosen.Name_);
     Taken_[Record.Id_] = Index;
     Chosen.Free_ -= Record.Size_;
+    countPlaced(Core_, Chosen, Record);
     if (Chosen.Allowance_ != UnboundedAllowance)
       --Chosen.Allowance_;
     account(Record);
--- a/packages/placement/src/worker_choice.cpp
+++ b/packages/placement/src/worker_choice.cpp
@@ -17,15 +17,16 @@
 } // namespace
 
 std::optional<std::size_t>
-chooseWorker(std::span<const WorkerCandidate> Candidates,
-             const Resources &Size) {
+chooseWorker(std::span<const WorkerCandidate> Candidates, const Resources &Size,
+             const std::function<bool(const WorkerCandidate &)> &Admits) {
   std::optional<std::size_t> Best;
   for (std::size_t Index = 0; Index < Candidates.size(); ++Index) {
     const WorkerCandidate &Each = Candidates[Index];
     if (Each.Allowance_ == 0 || !Size.fitsIn(Each.Free_))
       continue;
-    if (!Best ||
-        orderOf(Candidates[Index], Size) < orderOf(Candidates[*Best], Size))
+    bool Better =
+        !Best || orderOf(Each, Size) < orderOf(Candidates[*Best], Size);
+    if (Better && (!Admits || Admits(Each)))
       Best = Index;
   }
   return Best;
--- a/packages/placement/src/worker_exchange.cpp
+++ b/packages/placement/src/worker_exchange.cpp
@@ -1,6 +1,7 @@
 #include "worker_exchange.h"
 
 #include "attempt_reconcile.h"
+#include "colocation_link.h"
 #include "rack_ownership.h"
 #include "table_reads.h"
 #include "worker_roster.h"
@@ -203,6 +204,7 @@
       Held->Throttle_.reset();
   Worker->NextExchange_ = Core.Now_ + pollInterval(Core, *Rack, *Worker);
   reconcile(Core, *Rack, *Worker, Flight, Event.Answer_);
+  observeServices(Core, *Rack, *Worker, Report);
 }
 
 void workerUnreachable(SchedulerCore &Core, const WorkerUnreachable &Event) {
