Settings without an effect are gone; shares lapse after hours

silent_after and floor_fraction were read and never used: the router judges silence by each attempt's own time limit, and the floor of a share follows from the number of instances. Their checks went with them.

A share that lapses after two minutes would stop every service in a platform outage that lasts longer, since nobody can renew.

--- a/packages/config/include/filbertspring/config/settings.h
+++ b/packages/config/include/filbertspring/config/settings.h
@@ -27,10 +27,8 @@
 inline constexpr Duration DefaultStartBound = std::chrono::seconds(3);
 inline constexpr std::int64_t DefaultQueueLimit = 1000;
 inline constexpr double DefaultRetryBudget = 0.1;
-inline constexpr Duration DefaultSilentAfter = std::chrono::seconds(1);
 inline constexpr Duration DefaultIdleReuse = std::chrono::seconds(5);
-inline constexpr double DefaultFloorFraction = 0.5;
-inline constexpr Duration DefaultShareLapse = std::chrono::seconds(120);
+inline constexpr Duration DefaultShareLapse = std::chrono::hours(6);
 inline constexpr Duration DefaultRebalanceInterval = std::chrono::seconds(1);
 inline constexpr Duration DefaultPollInterval = std::chrono::seconds(1);
 inline constexpr Duration DefaultDrainLimit = std::chrono::seconds(30);
@@ -88,8 +86,6 @@
   std::int64_t QueueLimit_ = DefaultQueueLimit;
   /// Retries as a fraction of first tries.
   double RetryBudget_ = DefaultRetryBudget;
-  /// A connection without an answer for so long is suspect.
-  Duration SilentAfter_ = DefaultSilentAfter;
   /// A connection idle for longer is not reused for a request that is not
   /// idempotent.
   Duration IdleReuse_ = DefaultIdleReuse;
@@ -97,8 +93,6 @@
 
 /// How instances share the request limits of contracts.
 struct ShareSettings {
-  /// The part of a limit that is divided evenly, whatever the demand.
-  double FloorFraction_ = DefaultFloorFraction;
   /// A share that is not renewed for so long is given to others.
   Duration Lapse_ = DefaultShareLapse;
   /// How often shares follow the demand.
--- a/packages/config/src/settings_document.cpp
+++ b/packages/config/src/settings_document.cpp
@@ -19,7 +19,7 @@
 constexpr DurationBounds MarginBounds{1ms, 10s};
 constexpr DurationBounds StartBoundBounds{100ms, 30s};
 constexpr DurationBounds SilenceBounds{10ms, 1min};
-constexpr DurationBounds LapseBounds{1s, 1h};
+constexpr DurationBounds LapseBounds{1s, 24h};
 constexpr DurationBounds DrainBounds{100ms, 10min};
 constexpr config_detail::Bounds<std::int64_t> ConnectionBounds{8, 10000};
 constexpr config_detail::Bounds<std::int64_t> QueueBounds{1, 60000};
@@ -60,15 +60,11 @@
                      Presence::Optional);
   Reader.readFraction("retry_budget", Into.RetryBudget_, FractionBounds,
                       Presence::Optional);
-  Reader.readDuration("silent_after", Into.SilentAfter_, SilenceBounds,
-                      Presence::Optional);
   Reader.readDuration("idle_reuse", Into.IdleReuse_, SilenceBounds,
                       Presence::Optional);
 }
 
 void readShares(ObjectReader &Reader, ShareSettings &Into) {
-  Reader.readFraction("floor_fraction", Into.FloorFraction_, FractionBounds,
-                      Presence::Optional);
   Reader.readDuration("lapse", Into.Lapse_, LapseBounds, Presence::Optional);
   Reader.readDuration("rebalance_every", Into.RebalanceEvery_, IntervalBounds,
                       Presence::Optional);
