--- a/packages/placement/tests/sabotage_test.cpp
+++ b/packages/placement/tests/sabotage_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <initializer_list>
+#include <map>
 #include <string_view>
 
 using namespace filbertspring;
@@ -84,6 +85,40 @@
 
 } // namespace
 
+BOOST_AUTO_TEST_SUITE(the_cases)
+
+BOOST_AUTO_TEST_CASE(reach_what_the_rules_are_about) {
+  std::map<TaskState, int> Ends;
+  int Evictions = 0;
+  int Retries = 0;
+  std::int64_t Takeovers = 0;
+  constexpr std::uint64_t Seeds = 10;
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    ClusterCase Case = seededCase(Seed, Sabotage::None,
+                                  {FaultKind::ZoneOut, FaultKind::PauseNode});
+    ClusterResult Result = VirtualCluster(Case).run();
+    for (const auto &[Name, Rack] : Result.Racks_)
+      Takeovers += Rack.Epoch_ - 1;
+    for (const auto &[Name, Job] : Result.Jobs_)
+      for (const Task &Each : Job.Tasks_) {
+        ++Ends[Each.State_];
+        Evictions += Each.Evictions_;
+        Retries += std::max(0, Each.Attempt_ - 1 - Each.Failures_);
+      }
+  }
+  BOOST_TEST_MESSAGE(Takeovers << " takeovers, " << Evictions << " evictions, "
+                               << Retries << " later attempts");
+  BOOST_TEST(Ends[TaskState::Finished] > 0);
+  BOOST_TEST(Ends[TaskState::Failed] > 0);
+  BOOST_TEST(Ends[TaskState::Impossible] > 0);
+  BOOST_TEST(Ends[TaskState::Cancelled] > 0);
+  BOOST_TEST(Takeovers > 0);
+  BOOST_TEST(Evictions > 0);
+  BOOST_TEST(Retries > Evictions);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(the_oracle_objects)
 
 BOOST_AUTO_TEST_CASE(when_an_unknown_commit_is_taken_for_committed) {
