--- a/packages/entry/src/desks/peer_follower.cpp
+++ b/packages/entry/src/desks/peer_follower.cpp
@@ -10,7 +10,7 @@
 namespace filbertspring {
 namespace {
 
-constexpr Duration TellInterval = std::chrono::seconds(1);
+constexpr Duration ChooseInterval = std::chrono::seconds(1);
 
 std::uint64_t seedOf(const InstanceName &Self) {
   return XXH3_64bits(Self.str().data(), Self.str().size());
@@ -50,11 +50,11 @@
                         RowVersion CompleteTo, TimePoint Now) {
   while (std::optional<PeerMessage> Message = Received_.tryPop())
     receive(*Message);
-  if (Now - LastTold_ < TellInterval)
+  if (Now - LastChoice_ < ChooseInterval)
     return;
-  LastTold_ = Now;
+  LastChoice_ = Now;
   choosePeers(Members);
-  tellPeers(CompleteTo);
+  tellPeers(CompleteTo, Now);
   showPeers();
 }
 
@@ -87,14 +87,22 @@
   Links_->setPeers(std::move(Links));
 }
 
-void PeerFollower::tellPeers(RowVersion CompleteTo) {
+void PeerFollower::tellPeers(RowVersion CompleteTo, TimePoint Now) {
   for (const PeerLinkStatus &Link : Links_->status()) {
     if (Connects_[Link.Name_] != Link.Connects_)
       Digests_.resend(Link.Name_);
     Connects_[Link.Name_] = Link.Connects_;
     auto Found = Peers_.find(Link.Name_);
-    if (Link.Connected_ && Found != Peers_.end())
-      send(Link.Name_, Digests_.digestFor(Found->second, CompleteTo));
+    if (!Link.Connected_ || Found == Peers_.end())
+      continue;
+    bool SameZone = Found->second.Zone_ == Thread_.Values_.Zone_;
+    Duration Interval = SameZone ? membership::OwnZoneDigestInterval
+                                 : membership::OtherZoneDigestInterval;
+    TimePoint &Told = LastTold_[Link.Name_];
+    if (Now - Told < Interval)
+      continue;
+    Told = Now;
+    send(Link.Name_, Digests_.digestFor(Found->second, CompleteTo));
   }
 }
 
--- a/packages/entry/src/desks/peer_follower.h
+++ b/packages/entry/src/desks/peer_follower.h
@@ -37,7 +37,7 @@
 
   /// Starts to listen. Errors: those of binding the address.
   Status start();
-  /// Reads what has arrived, and once a second tells the peers.
+  /// Reads what has arrived, and tells the peers when it is time.
   void tick(const std::vector<membership::Member> &Members,
             RowVersion CompleteTo, TimePoint Now);
   void send(const InstanceName &Peer, const membership::PeerPayload &Payload);
@@ -45,7 +45,7 @@
 
 private:
   void choosePeers(const std::vector<membership::Member> &Members);
-  void tellPeers(RowVersion CompleteTo);
+  void tellPeers(RowVersion CompleteTo, TimePoint Now);
   void receive(const PeerMessage &Message);
   void receiveDigest(const membership::InstancePlace &From,
                      const membership::PeerDigest &Digest);
@@ -62,7 +62,8 @@
   std::map<InstanceName, membership::InstancePlace> Peers_;
   std::map<InstanceName, RowVersion> Heads_;
   std::map<InstanceName, std::uint64_t> Connects_;
-  TimePoint LastTold_{};
+  std::map<InstanceName, TimePoint> LastTold_;
+  TimePoint LastChoice_{};
 };
 
 } // namespace filbertspring
