A leaving endpoint is told to all peers at once; an empty list is not believed

request_system_test showed one more request to an endpoint that was leaving, 3 s after it had refused others. Cause: the executor stand-in did not repeat the request's identifier on a refusal, so the exchange took it for a foreign answer and nobody learnt that it leaves. Ruled out: the digests (they carry it across zones) and the router (it keeps the mark). Mended in the stand-in; besides, an instance that learns of it tells its peers with the next tick instead of after up to 4 s.

When the platform's list showed nothing, every request was refused for want of an endpoint (50 of 50).

--- a/packages/entry/src/desks/membership_desk.cpp
+++ b/packages/entry/src/desks/membership_desk.cpp
@@ -5,6 +5,7 @@
 #include "peer_follower.h"
 #include "share_follower.h"
 
+#include "filbertspring/base/log.h"
 #include "filbertspring/membership/rack_assignment.h"
 #include "filbertspring/platform/instance_list_client.h"
 
@@ -29,6 +30,7 @@
 
   void run();
   void tick(TimePoint Now);
+  void takeLoads();
   void followContracts();
   void assignRacks(TimePoint Now);
   void readLists();
@@ -41,6 +43,7 @@
   ConfigurationFollower Configuration_;
   membership::TakeoverPacer Pacer_;
   std::set<RackName> Granted_;
+  std::set<EndpointName> Leaving_;
   RowVersion ContractsVersion_ = -1;
   TimePoint LastAssign_{};
   std::atomic<bool> Stopping_{false};
@@ -93,9 +96,7 @@
   followContracts();
   Shares_.tick(Now);
   Peers_.tick(Shares_.members(), Configuration_.view().completeTo(), Now);
-  for (const auto &[Endpoint, Load] : Thread_.Partners_.Routes_.takeLoads())
-    Digests_.setLoad(
-        {Endpoint, static_cast<std::int32_t>(Load.InFlight_), Load.Leaving_});
+  takeLoads();
   if (Now - LastAssign_ >= AssignInterval) {
     LastAssign_ = Now;
     assignRacks(Now);
@@ -103,6 +104,21 @@
   }
 }
 
+/// Passes on what the endpoints said. One that is leaving is told at once, so
+/// that no instance goes on sending to it while the platform's list lags.
+void MembershipDesk::Impl::takeLoads() {
+  for (const auto &[Endpoint, Load] : Thread_.Partners_.Routes_.takeLoads()) {
+    Digests_.setLoad(
+        {Endpoint, static_cast<std::int32_t>(Load.InFlight_), Load.Leaving_});
+    if (!Load.Leaving_) {
+      Leaving_.erase(Endpoint);
+    } else if (Leaving_.insert(Endpoint).second) {
+      logEvent(LogEvent::EndpointLeft, {{"endpoint", Endpoint.str()}});
+      Peers_.tellSoon();
+    }
+  }
+}
+
 void MembershipDesk::Impl::followContracts() {
   RowVersion Version = Configuration_.view().completeTo();
   if (Version == ContractsVersion_)
@@ -158,7 +174,11 @@
   }
 }
 
+/// A list that shows nothing at all, after one that did, is taken for a fault
+/// of the platform: acting on it would stop every service.
 void MembershipDesk::Impl::adoptList(const InstanceList &List) {
+  if (List.Instances_.empty())
+    return;
   Thread_.Shown_.Listed_ = List.Instances_;
   Thread_.Partners_.Routes_.post(routing::EndpointsListed{List.Instances_});
   Thread_.Partners_.Placement_.post(placement::WorkersListed{List.Instances_});
--- a/packages/entry/src/desks/peer_follower.cpp
+++ b/packages/entry/src/desks/peer_follower.cpp
@@ -106,6 +106,11 @@
   }
 }
 
+void PeerFollower::tellSoon() {
+  LastTold_.clear();
+  LastChoice_ = TimePoint();
+}
+
 void PeerFollower::send(const InstanceName &Peer,
                         const membership::PeerPayload &Payload) {
   Links_->send(Peer, membership::encodePeerPayload(Payload));
@@ -136,9 +141,12 @@
   Handlers_.CompleteTo_(From.Name_, Digest.CompleteTo_);
   Handlers_.Demands_(Digests_.adopt(From, Digest));
   routing::PeerEndpointReports Reports;
-  for (const membership::EndpointLoad &Each : Digest.Endpoints_)
+  for (const membership::EndpointLoad &Each : Digest.Endpoints_) {
+    if (Each.Leaving_)
+      tellSoon(); // Other zones may know it only through this instance.
     Reports.Reports_.push_back(
         {Each.Endpoint_, Each.InFlight_, Each.Leaving_, Duration::zero()});
+  }
   if (!Reports.Reports_.empty())
     Thread_.Partners_.Routes_.post(std::move(Reports));
 }
--- a/packages/entry/src/desks/peer_follower.h
+++ b/packages/entry/src/desks/peer_follower.h
@@ -40,6 +40,8 @@
   /// Reads what has arrived, and tells the peers when it is time.
   void tick(const std::vector<membership::Member> &Members,
             RowVersion CompleteTo, TimePoint Now);
+  /// Tells all peers with the next tick, whatever the interval.
+  void tellSoon();
   void send(const InstanceName &Peer, const membership::PeerPayload &Payload);
   void stop();
 
--- a/standins/src/executor_server.cpp
+++ b/standins/src/executor_server.cpp
@@ -88,7 +88,8 @@
   void startNext();
   void releaseHeld();
   void markLeaving();
-  LoopbackReply refusal(std::string_view Reason) const;
+  LoopbackReply refusal(const LoopbackRequest &Request,
+                        std::string_view Reason) const;
   LoopbackReply completed(const LoopbackRequest &Request);
   void addState(LoopbackReply &Reply) const;
   Duration drawServiceTime();
@@ -146,7 +147,7 @@
     return Work.Send_({400, R"({"error":"x-request-id is missing"})"});
   if (Faults_.Leaving_) {
     ++Counts_.RefusedLeaving_;
-    return Work.Send_(refusal("leaving"));
+    return Work.Send_(refusal(Work.Request_, "leaving"));
   }
   if (InFlight_ < Settings_.Listing_.Slots_)
     return start(std::move(Work));
@@ -155,7 +156,7 @@
     return;
   }
   ++Counts_.RefusedBusy_;
-  Work.Send_(refusal("busy"));
+  Work.Send_(refusal(Work.Request_, "busy"));
 }
 
 void ExecutorServer::Impl::start(Pending Work) {
@@ -196,9 +197,12 @@
     (void)registerInstance(*Settings_.Platform_, Settings_.Listing_);
 }
 
-LoopbackReply ExecutorServer::Impl::refusal(std::string_view Reason) const {
+LoopbackReply ExecutorServer::Impl::refusal(const LoopbackRequest &Request,
+                                            std::string_view Reason) const {
   LoopbackReply Reply{503, R"({"error":"not run"})"};
-  Reply.Fields_ = {{"x-outcome", "not-run"}, {"x-reason", std::string(Reason)}};
+  Reply.Fields_ = {{std::string(RequestIdField), Request.field(RequestIdField)},
+                   {"x-outcome", "not-run"},
+                   {"x-reason", std::string(Reason)}};
   addState(Reply);
   return Reply;
 }
