--- a/benchmark/experiments/colocation_world.cpp
+++ b/benchmark/experiments/colocation_world.cpp
@@ -169,11 +169,12 @@
   /// Returns the newest measurement that the lag lets through.
   std::optional<Measurement> reported(const SimWorker &Worker) const {
     std::int64_t Latest = Now_ - Shape_.ReportLagSeconds_;
-    for (auto Each = Worker.Measured_.rbegin(); Each != Worker.Measured_.rend();
-         ++Each)
-      if (Each->At_ <= Latest)
-        return *Each;
-    return std::nullopt;
+    auto Found = std::find_if(
+        Worker.Measured_.rbegin(), Worker.Measured_.rend(),
+        [Latest](const Measurement &Each) { return Each.At_ <= Latest; });
+    if (Found == Worker.Measured_.rend())
+      return std::nullopt;
+    return *Found;
   }
 
   void react() {
--- a/packages/entry/src/desks/configuration_follower.cpp
+++ b/packages/entry/src/desks/configuration_follower.cpp
@@ -69,7 +69,7 @@
       createMissingZones();
   };
   Thread_.Partners_.Table_.post(
-      TableRead{{HeadKey}, [this, Handle](Result<RowBatch> Answer) {
+      TableRead{{HeadKey}, [this, Handle](const Result<RowBatch> &Answer) {
                   Thread_.post([Handle, Answer] { Handle(Answer); });
                 }});
 }
@@ -80,14 +80,14 @@
       return handle(membership::TableReadFailed{});
     scanZones(SentAt, Answer->Rows_);
   };
-  Thread_.Partners_.Table_.post(
-      TableScan{RowKind::Contract, {}, [this, Handle](Result<RowBatch> Answer) {
-                  Thread_.post([Handle, Answer] { Handle(Answer); });
-                }});
+  Thread_.Partners_.Table_.post(TableScan{
+      RowKind::Contract, {}, [this, Handle](const Result<RowBatch> &Answer) {
+        Thread_.post([Handle, Answer] { Handle(Answer); });
+      }});
 }
 
 void ConfigurationFollower::scanZones(TimePoint SentAt,
-                                      std::vector<StoredRow> Rows) {
+                                      const std::vector<StoredRow> &Rows) {
   auto Handle = [this, SentAt, Rows](const Result<RowBatch> &Answer) {
     if (!Answer || !Answer->Findings_.empty())
       return handle(membership::TableReadFailed{});
@@ -96,10 +96,10 @@
     handle(membership::ScanAnswered{std::move(All), SentAt});
     createMissingZones();
   };
-  Thread_.Partners_.Table_.post(
-      TableScan{RowKind::Zone, {}, [this, Handle](Result<RowBatch> Answer) {
-                  Thread_.post([Handle, Answer] { Handle(Answer); });
-                }});
+  Thread_.Partners_.Table_.post(TableScan{
+      RowKind::Zone, {}, [this, Handle](const Result<RowBatch> &Answer) {
+        Thread_.post([Handle, Answer] { Handle(Answer); });
+      }});
 }
 
 /// Stores the zones of the settings that the table does not know, in service.
@@ -113,12 +113,12 @@
     return;
   CreatingZones_ = true;
   auto Ended = [this] { Thread_.post([this] { CreatingZones_ = false; }); };
-  auto Create = [this, Missing, Ended](Result<RowBatch> Head) {
+  auto Create = [this, Missing, Ended](const Result<RowBatch> &Head) {
     if (!Head)
       return Ended();
     Thread_.Partners_.Table_.post(
         TableCommit{zoneCreation(Missing, Head->Rows_),
-                    [Ended](CommitResult) { Ended(); }});
+                    [Ended](const CommitResult &) { Ended(); }});
   };
   Thread_.Partners_.Table_.post(TableRead{{HeadKey}, std::move(Create)});
 }
--- a/packages/entry/src/desks/configuration_follower.h
+++ b/packages/entry/src/desks/configuration_follower.h
@@ -40,7 +40,7 @@
   void perform(const membership::ConfigurationAction &Action, TimePoint Now);
   void readHead(TimePoint SentAt);
   void scan(TimePoint SentAt);
-  void scanZones(TimePoint SentAt, std::vector<StoredRow> Rows);
+  void scanZones(TimePoint SentAt, const std::vector<StoredRow> &Rows);
   void publish(const membership::ConfigurationChange &Change);
   void platformAnswered(bool Reachable);
   void createMissingZones();
--- a/packages/entry/src/desks/membership_desk.cpp
+++ b/packages/entry/src/desks/membership_desk.cpp
@@ -26,7 +26,7 @@
 } // namespace
 
 struct MembershipDesk::Impl {
-  Impl(const Settings &Values, MembershipPartners Partners);
+  Impl(const Settings &Values, const MembershipPartners &Partners);
 
   void run();
   void tick(TimePoint Now);
@@ -51,7 +51,8 @@
   std::thread Lister_;
 };
 
-MembershipDesk::Impl::Impl(const Settings &Values, MembershipPartners Partners)
+MembershipDesk::Impl::Impl(const Settings &Values,
+                           const MembershipPartners &Partners)
     : Thread_(Values, Partners),
       Digests_(Thread_.Place_, static_cast<std::uint64_t>(wallMilliseconds())),
       Shares_(Thread_, Digests_),
@@ -185,7 +186,7 @@
 }
 
 MembershipDesk::MembershipDesk(const Settings &Values,
-                               MembershipPartners Partners)
+                               const MembershipPartners &Partners)
     : Impl_(std::make_unique<Impl>(Values, Partners)) {}
 
 MembershipDesk::~MembershipDesk() { stop(); }
--- a/packages/entry/src/desks/membership_desk.h
+++ b/packages/entry/src/desks/membership_desk.h
@@ -33,7 +33,7 @@
 /// Owns the membership thread and the streams to peers.
 class MembershipDesk {
 public:
-  MembershipDesk(const Settings &Values, MembershipPartners Partners);
+  MembershipDesk(const Settings &Values, const MembershipPartners &Partners);
   ~MembershipDesk();
   MembershipDesk(const MembershipDesk &) = delete;
   MembershipDesk &operator=(const MembershipDesk &) = delete;
--- a/packages/entry/src/desks/membership_thread.cpp
+++ b/packages/entry/src/desks/membership_thread.cpp
@@ -22,7 +22,7 @@
 } // namespace
 
 MembershipThread::MembershipThread(const Settings &Values,
-                                   MembershipPartners Partners)
+                                   const MembershipPartners &Partners)
     : Values_(Values), Partners_(Partners), Self_(Partners.Self_),
       Boot_(Self_.str()), Place_{Self_, Values.Zone_},
       Lease_(leaseSettings(Values)), Tasks_(RingCapacity) {}
--- a/packages/entry/src/desks/membership_thread.h
+++ b/packages/entry/src/desks/membership_thread.h
@@ -21,7 +21,7 @@
 /// What the parts of the membership thread share. Only \c Tasks_ is used by
 /// other threads.
 struct MembershipThread {
-  MembershipThread(const Settings &Values, MembershipPartners Partners);
+  MembershipThread(const Settings &Values, const MembershipPartners &Partners);
 
   /// Gives \p Task to the membership thread. A full ring drops it; whoever
   /// waits for an answer gives up after a time.
--- a/packages/entry/src/desks/placement_desk.cpp
+++ b/packages/entry/src/desks/placement_desk.cpp
@@ -112,15 +112,14 @@
 }
 
 void PlacementDesk::perform(placement::PlacementAction &Action) {
-  std::visit(Overloaded{[this](placement::CommitRows &Each) {
-                          commit(std::move(Each.Transaction_));
-                        },
-                        [this](placement::ReadRows &Each) { read(Each); },
-                        [this](placement::SendCommands &Each) {
-                          Workers_.send(std::move(Each));
-                        },
-                        [](placement::TaskNote &Each) { logNote(Each); }},
-             Action);
+  std::visit(
+      Overloaded{[this](placement::CommitRows &Each) {
+                   commit(std::move(Each.Transaction_));
+                 },
+                 [this](placement::ReadRows &Each) { read(Each); },
+                 [this](placement::SendCommands &Each) { Workers_.send(Each); },
+                 [](placement::TaskNote &Each) { logNote(Each); }},
+      Action);
 }
 
 void PlacementDesk::commit(Transaction Request) {
--- a/packages/entry/src/desks/share_follower.cpp
+++ b/packages/entry/src/desks/share_follower.cpp
@@ -104,7 +104,7 @@
     handleHeartbeat(membership::HeartbeatCommitEnded{Id, Result});
   };
   Thread_.Partners_.Table_.post(
-      TableCommit{Request, [this, Handle](CommitResult Result) {
+      TableCommit{Request, [this, Handle](const CommitResult &Result) {
                     Thread_.post([Handle, Result] { Handle(Result); });
                   }});
 }
@@ -120,7 +120,7 @@
   };
   RowKey Key{RowKind::Heartbeat, Thread_.Self_.str()};
   Thread_.Partners_.Table_.post(
-      TableRead{{Key}, [this, Handle](Result<RowBatch> Answer) {
+      TableRead{{Key}, [this, Handle](const Result<RowBatch> &Answer) {
                   Thread_.post([Handle, Answer] { Handle(Answer); });
                 }});
 }
@@ -132,7 +132,7 @@
       Liveness_.handle({SentAt, Answer->Rows_}, SchedulerClock::now());
   };
   Thread_.Partners_.Table_.post(TableScan{
-      RowKind::Heartbeat, {}, [this, Handle](Result<RowBatch> Answer) {
+      RowKind::Heartbeat, {}, [this, Handle](const Result<RowBatch> &Answer) {
         Thread_.post([Handle, Answer] { Handle(Answer); });
       }});
 }
@@ -152,16 +152,17 @@
 void ShareFollower::readLedgers(const std::vector<ContractName> &Contracts,
                                 TimePoint SentAt) {
   std::vector<RowKey> Keys;
+  Keys.reserve(Contracts.size());
   for (const ContractName &Each : Contracts)
     Keys.push_back({RowKind::ShareLedger, Each.str()});
   auto Handle = [this, SentAt, Contracts](const Result<RowBatch> &Answer) {
     if (Answer && Answer->Findings_.empty())
       handleShare(membership::LedgersRead{SentAt, Contracts, Answer->Rows_});
   };
-  Thread_.Partners_.Table_.post(
-      TableRead{std::move(Keys), [this, Handle](Result<RowBatch> Answer) {
-                  Thread_.post([Handle, Answer] { Handle(Answer); });
-                }});
+  Thread_.Partners_.Table_.post(TableRead{
+      std::move(Keys), [this, Handle](const Result<RowBatch> &Answer) {
+        Thread_.post([Handle, Answer] { Handle(Answer); });
+      }});
 }
 
 void ShareFollower::commitLedger(const Transaction &Request) {
@@ -169,7 +170,7 @@
     handleShare(membership::LedgerCommitEnded{Id, Result});
   };
   Thread_.Partners_.Table_.post(
-      TableCommit{Request, [this, Handle](CommitResult Result) {
+      TableCommit{Request, [this, Handle](const CommitResult &Result) {
                     Thread_.post([Handle, Result] { Handle(Result); });
                   }});
 }
@@ -208,8 +209,9 @@
       continue;
     RowKey Key{RowKind::Heartbeat, Each.Heartbeat_.Instance_.str()};
     TransactionId Id("heartbeat-delete-" + Key.Name_);
-    Thread_.Partners_.Table_.post(TableCommit{
-        {Id, {}, {{Key, Each.Version_, std::nullopt}}}, [](CommitResult) {}});
+    Thread_.Partners_.Table_.post(
+        TableCommit{{Id, {}, {{Key, Each.Version_, std::nullopt}}},
+                    [](const CommitResult &) {}});
   }
 }
 
--- a/packages/entry/src/desks/worker_desk.cpp
+++ b/packages/entry/src/desks/worker_desk.cpp
@@ -33,7 +33,7 @@
 
 WorkerDesk::~WorkerDesk() { stop(); }
 
-void WorkerDesk::send(placement::SendCommands Commands) {
+void WorkerDesk::send(const placement::SendCommands &Commands) {
   if (!Commands_.tryPush(Commands))
     OnAnswered_(failureOf(Commands, true));
 }
--- a/packages/entry/src/desks/worker_desk.h
+++ b/packages/entry/src/desks/worker_desk.h
@@ -33,7 +33,7 @@
 
   /// Queues \p Commands; when the ring is full the failure is reported at once
   /// on this thread.
-  void send(placement::SendCommands Commands);
+  void send(const placement::SendCommands &Commands);
   /// Waits for the queued commands and joins the threads.
   void stop();
 
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -13,8 +13,6 @@
 #include <unistd.h>
 #include <utility>
 
-extern char **environ;
-
 namespace filbertspring::tests {
 
 Process::Process(const std::string &Program, std::vector<std::string> Arguments,
