Shares: what no instance asks for is divided evenly

Cause: with demand far below the limit, shares followed the ratio of small, noisy demands, and an instance without demand kept a quarter of an even share; its load came back to 429 answers (demo: 72 of 612 and 55 of 783 rate-limited). Ruled out: the limit itself (120/s of 400/s) and slow ledger writes.

--- a/packages/membership/src/share_targets.cpp
+++ b/packages/membership/src/share_targets.cpp
@@ -24,17 +24,24 @@
   return Order;
 }
 
-/// Adds \p Rest steps to \p Result in proportion to the demands.
-void distribute(const std::vector<InstanceDemand> &Demands, std::int64_t Rest,
-                Steps &Result) {
-  std::int64_t Total = 0;
+/// Adds \p Rest steps to \p Result: in proportion to the demands when they ask
+/// for more, else what each asks for and an even part of what is left, so that
+/// an instance whose load comes back finds room at once.
+void distribute(const std::vector<InstanceDemand> &Demands,
+                std::int32_t StepPermille, std::int64_t Rest, Steps &Result) {
+  Steps Wanted;
+  Wanted.reserve(Demands.size());
   for (const InstanceDemand &Each : Demands)
-    Total += std::max(Each.Permille_, 0);
+    Wanted.push_back((std::max(Each.Permille_, 0) + StepPermille - 1) /
+                     StepPermille);
+  const std::int64_t Total =
+      std::accumulate(Wanted.begin(), Wanted.end(), std::int64_t{0});
   const auto Count = static_cast<std::int64_t>(Demands.size());
+  const bool Scarce = Total > Rest;
   std::int64_t Left = Rest;
   for (std::size_t Index = 0; Index < Demands.size(); ++Index) {
-    const std::int64_t Demand = std::max(Demands[Index].Permille_, 0);
-    const std::int64_t Part = Total > 0 ? Rest * Demand / Total : Rest / Count;
+    const std::int64_t Part = Scarce ? Rest * Wanted[Index] / Total
+                                     : Wanted[Index] + (Rest - Total) / Count;
     Result[Index] += Part;
     Left -= Part;
   }
@@ -62,7 +69,7 @@
     const std::int64_t Floor =
         std::max<std::int64_t>(1, Available / (FloorDivisor * Count));
     std::ranges::fill(Result, Floor);
-    distribute(Demands, Available - Floor * Count, Result);
+    distribute(Demands, StepPermille, Available - Floor * Count, Result);
   }
   std::vector<InstanceShare> Shares;
   for (std::size_t Index = 0; Index < Demands.size(); ++Index)
