--- a/packages/entry/src/desks/placement_desk.cpp
+++ b/packages/entry/src/desks/placement_desk.cpp
@@ -1,10 +1,11 @@
 #include "placement_desk.h"
 
+#include "../process_name.h"
+
 #include "filbertspring/base/log.h"
 #include "filbertspring/base/overloaded.h"
 
 #include <algorithm>
-#include <random>
 #include <set>
 
 namespace filbertspring {
@@ -26,11 +27,6 @@
   return Result;
 }
 
-std::uint64_t freshSeed() {
-  std::random_device Device;
-  return (static_cast<std::uint64_t>(Device()) << 32U) | Device();
-}
-
 /// Returns those of \p Asked that are neither among \p Found's rows nor among
 /// those that could not be decoded.
 std::vector<RowKey> absentKeys(const std::vector<RowKey> &Asked,
--- a/packages/entry/src/desks/route_desk.cpp
+++ b/packages/entry/src/desks/route_desk.cpp
@@ -1,12 +1,13 @@
 #include "route_desk.h"
 
+#include "../process_name.h"
+
 #include "filbertspring/base/enum_table.h"
 #include "filbertspring/base/log.h"
 #include "filbertspring/base/overloaded.h"
 
 #include <algorithm>
 #include <fmt/format.h>
-#include <random>
 
 namespace filbertspring {
 namespace {
@@ -22,11 +23,6 @@
   return Config;
 }
 
-std::uint64_t freshSeed() {
-  std::random_device Device;
-  return (static_cast<std::uint64_t>(Device()) << 32U) | Device();
-}
-
 } // namespace
 
 RouteDesk::RouteDesk(const Settings &Values, TicketDesk &Tickets,
--- a/packages/entry/src/process_name.cpp
+++ b/packages/entry/src/process_name.cpp
@@ -11,6 +11,12 @@
       fmt::format("{}.{:08x}{:08x}", Instance.str(), Device(), Device()));
 }
 
+std::uint64_t freshSeed() {
+  constexpr unsigned HalfBits = 32;
+  std::random_device Device;
+  return (static_cast<std::uint64_t>(Device()) << HalfBits) | Device();
+}
+
 std::string NameMaker::next(const char *Kind) {
   return fmt::format("{}-{}-{}", Kind, Process_.str(), ++Last_);
 }
--- a/packages/entry/src/process_name.h
+++ b/packages/entry/src/process_name.h
@@ -15,6 +15,9 @@
 /// Makes a name for a process of \p Instance that no other process has had.
 InstanceName processName(const InstanceName &Instance);
 
+/// Returns a random seed for the decisions of this process.
+std::uint64_t freshSeed();
+
 /// Makes names that are unique among all processes. Thread-safe.
 class NameMaker {
 public:
