--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -13,6 +13,9 @@
 # Declares one Boost.Test program and registers it with CTest.
 #   filbertspring_test(NAME SOURCES a.cpp ... LIBS target ...)
 function(filbertspring_test NAME)
+  if(NOT FILBERTSPRING_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "SOURCES;LIBS" ${ARGN})
   add_executable(${NAME} ${ARG_SOURCES})
   target_link_libraries(${NAME} PRIVATE ${ARG_LIBS}
--- a/packages/base/include/filbertspring/base/log.h
+++ b/packages/base/include/filbertspring/base/log.h
@@ -2,12 +2,13 @@
 #define FILBERTSPRING_BASE_LOG_H
 
 /// \file
-/// Structured logs on standard error, one line for each event.
+/// Structured logs on standard output, one line for each event.
 
 #include "filbertspring/base/log_event.h"
 
 #include <cstdint>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -29,12 +30,16 @@
 void setLogProcessName(std::string Name);
 
 /// Writes one line: time, level, number, name, then \p Fields. Thread-safe;
-/// the line is written by one call and does not mix with others.
+/// the line is written by one call and does not mix with others. Never waits:
+/// a line that standard output does not take at once is dropped and counted.
+void logEvent(LogEvent Event, std::span<const LogField> Fields);
 void logEvent(LogEvent Event, std::initializer_list<LogField> Fields = {});
 
 /// Returns the text of a line without its time, for tests and for logEvent.
-std::string formatLogLine(LogEvent Event,
-                          std::initializer_list<LogField> Fields);
+std::string formatLogLine(LogEvent Event, std::span<const LogField> Fields);
+
+/// Returns how many lines were dropped since the start.
+std::uint64_t droppedLogLines();
 
 } // namespace filbertspring
 
--- a/packages/base/include/filbertspring/base/log_event.h
+++ b/packages/base/include/filbertspring/base/log_event.h
@@ -23,6 +23,8 @@
   SettingsRejected = 1005,
   ConfigurationAdopted = 1006,
   ThreadFailed = 1007,
+  SettingsReloaded = 1008,
+  ZoneChanged = 1009,
 
   RequestShed = 2001,
   RequestOutcomeUnknown = 2002,
@@ -40,14 +42,26 @@
   TaskRecovered = 3009,
   StartRefused = 3010,
   JobCancelled = 3011,
+  JobFinished = 3012,
+  TaskFailed = 3013,
+  WorkerRunsLost = 3014,
+  WorkerUnreachable = 3015,
+  UnwantedRunStopped = 3016,
+  JobRefused = 3017,
+  JobOutcomeUnknown = 3018,
+  StopRequested = 3019,
 
   PeerConnected = 4001,
   PeerLost = 4002,
+  CellOwned = 4003,
+  CellLoaded = 4004,
+  CellLost = 4005,
 
   PlatformUnavailable = 5001,
   PlatformRecovered = 5002,
   CommitUnknown = 5003,
   CommitConflict = 5004,
+  ForeignRow = 5005,
 
   CallerRejected = 6001,
 };
--- a/packages/base/src/log.cpp
+++ b/packages/base/src/log.cpp
@@ -3,8 +3,10 @@
 #include "filbertspring/base/enum_table.h"
 #include "filbertspring/base/time.h"
 
-#include <cstdio>
+#include <atomic>
 #include <fmt/format.h>
+#include <poll.h>
+#include <unistd.h>
 
 namespace filbertspring {
 namespace {
@@ -13,6 +15,15 @@
                                              {LogLevel::Warning, "warning"},
                                              {LogLevel::Error, "error"}}};
 
+std::atomic<std::uint64_t> DroppedLines{0};
+
+/// Returns whether standard output takes a line without waiting: a pipe is
+/// writable only while it takes PIPE_BUF bytes at once.
+bool isWritable() {
+  pollfd Output{STDOUT_FILENO, POLLOUT, 0};
+  return ::poll(&Output, 1, 0) > 0 && (Output.revents & POLLOUT) != 0;
+}
+
 std::string &processName() {
   static std::string Name = "-";
   return Name;
@@ -43,8 +54,7 @@
 
 void setLogProcessName(std::string Name) { processName() = std::move(Name); }
 
-std::string formatLogLine(LogEvent Event,
-                          std::initializer_list<LogField> Fields) {
+std::string formatLogLine(LogEvent Event, std::span<const LogField> Fields) {
   const LogEventInfo &Info = logEventInfo(Event);
   std::string Line = fmt::format(
       "level={} event={} name={} process={}", nameOf(LevelNames, Info.Level_),
@@ -56,10 +66,21 @@
   return Line;
 }
 
-void logEvent(LogEvent Event, std::initializer_list<LogField> Fields) {
+void logEvent(LogEvent Event, std::span<const LogField> Fields) {
   std::string Line = fmt::format("time_ms={} {}\n", wallMilliseconds(),
                                  formatLogLine(Event, Fields));
-  std::fwrite(Line.data(), 1, Line.size(), stderr);
+  if (!isWritable())
+    DroppedLines.fetch_add(1, std::memory_order_relaxed);
+  else if (::write(STDOUT_FILENO, Line.data(), Line.size()) < 0)
+    DroppedLines.fetch_add(1, std::memory_order_relaxed);
+}
+
+void logEvent(LogEvent Event, std::initializer_list<LogField> Fields) {
+  logEvent(Event, std::span<const LogField>(Fields.begin(), Fields.size()));
+}
+
+std::uint64_t droppedLogLines() {
+  return DroppedLines.load(std::memory_order_relaxed);
 }
 
 } // namespace filbertspring
--- /dev/null
+++ b/packages/node/src/cell_owner.cpp
@@ -0,0 +1,553 @@
+#include "cell_owner.h"
+
+#include "filbertspring/base/log.h"
+#include "filbertspring/scheduling/progress_codec.h"
+#include "platform/worker_codec.h"
+#include "rows.h"
+
+namespace filbertspring::node {
+namespace {
+
+using scheduling::CommitOutcome;
+using scheduling::CommitResult;
+using scheduling::OwnerRecord;
+using scheduling::PendingWrites;
+using scheduling::Row;
+using scheduling::RowPage;
+using scheduling::RowTransaction;
+
+/// The longest wait for one call of the store; a lost answer is noticed well
+/// before candidates take the cell over.
+constexpr Duration StoreTimeout = std::chrono::milliseconds(900);
+/// How long a candidate's feed waits for a change of the owner's row.
+constexpr Duration OwnerFeedWait = std::chrono::milliseconds(800);
+/// How long the owner's feeds wait for a change.
+constexpr Duration FeedWait = std::chrono::milliseconds(1500);
+/// The pause after a call that the store refused or lost.
+constexpr Duration RetryPause = std::chrono::milliseconds(150);
+/// Registrations change all the time; a drain has to be seen within seconds.
+constexpr Duration WorkerFeedPause = std::chrono::milliseconds(250);
+/// The shortest time between two transactions of the owner: each is a call,
+/// and ends of tasks come in groups.
+constexpr Duration WritePause = std::chrono::milliseconds(30);
+/// How often the counts of queues are stored at most.
+constexpr Duration CountsPause = std::chrono::milliseconds(800);
+/// The owner's tick: leases and waits have hundreds of milliseconds.
+constexpr Duration TickPause = std::chrono::milliseconds(50);
+/// Events within this time are followed by one decision.
+constexpr Duration PumpDelay = std::chrono::milliseconds(2);
+/// Rows of one transaction that are left for progress beside the owner's row
+/// and the counts.
+constexpr std::size_t MaxProgressRows = platform::MaxTransactionRows - 10;
+
+platform::RowRange wholeTable(const char *Table, const char *Partition) {
+  platform::RowRange Range;
+  Range.Table_ = Table;
+  Range.Partition_ = Partition;
+  return Range;
+}
+
+Row makeRow(scheduling::RowKey Key, std::string Value) {
+  Row Made;
+  Made.Key_ = std::move(Key);
+  Made.Value_ = std::move(Value);
+  return Made;
+}
+
+std::int64_t count(std::size_t Value) {
+  return static_cast<std::int64_t>(Value);
+}
+
+} // namespace
+
+CellOwner::CellOwner(EventLoop &Loop, StoreClient &Store,
+                     CounterRegistry &Counters, const NodeSettings &Settings,
+                     std::string Nonce)
+    : Loop_(Loop), Store_(Store), Counters_(Counters), Settings_(Settings),
+      Lease_(Settings.Instance_, std::move(Nonce), {}) {}
+
+void CellOwner::start() {
+  watch();
+  tick();
+}
+
+void CellOwner::configure(
+    std::shared_ptr<const scheduling::QueueTable> Queues) {
+  Queues_ = std::move(Queues);
+  if (!Tenure_)
+    return;
+  Tenure_->Scheduler_.configure(Queues_);
+  schedulePump();
+}
+
+void CellOwner::setClosedZones(std::set<std::string> Zones) {
+  ClosedZones_ = std::move(Zones);
+  if (!Tenure_)
+    return;
+  Tenure_->Scheduler_.setClosedZones(ClosedZones_);
+  schedulePump();
+}
+
+// Watching and taking over.
+
+/// The only loop that reads the owner's row while no tenure runs.
+void CellOwner::watch() {
+  if (IsReleased_)
+    return;
+  if (Tenure_ || IsTakingOver_)
+    return Loop_.after(TickPause, [this] { watch(); });
+  if (MustReadRow_)
+    return readOwnerRow();
+  followOwnerRow();
+}
+
+void CellOwner::readOwnerRow() {
+  TimePoint SentAt = SchedulerClock::now();
+  platform::RowRange Range = wholeTable(CellTable, CellPartition);
+  Range.From_ = OwnerKey;
+  Range.Limit_ = 1;
+  Store_.read(Range, StoreTimeout, [this, SentAt](const Result<RowPage> &Page) {
+    ownerRowRead(Page, SentAt);
+    if (!Page)
+      return Loop_.after(RetryPause, [this] { watch(); });
+    MustReadRow_ = false;
+    considerTakeover();
+    watch();
+  });
+}
+
+void CellOwner::ownerRowRead(const Result<RowPage> &Page, TimePoint SentAt) {
+  if (!Page)
+    return Lease_.readFailed(SchedulerClock::now());
+  bool IsPresent =
+      !Page->Rows_.empty() && Page->Rows_.front().Key_.Key_ == OwnerKey;
+  if (IsPresent)
+    Lease_.rowSeen(scheduling::decodeOwnerRecord(Page->Rows_.front().Value_),
+                   Page->Rows_.front().Version_, SentAt);
+  else
+    Lease_.rowSeen({}, 0, SentAt);
+  if (Tenure_ && !Lease_.isOwner())
+    endTenure("another owner's row was read");
+}
+
+/// Waits for changes of the owner's row while another instance owns the cell.
+void CellOwner::followOwnerRow() {
+  Store_.feed(CellTable, Lease_.version(), OwnerFeedWait,
+              [this](const Result<RowPage> &Page) {
+                TimePoint Now = SchedulerClock::now();
+                if (!Page) {
+                  Lease_.readFailed(Now);
+                  MustReadRow_ = true;
+                  return Loop_.after(RetryPause, [this] { watch(); });
+                }
+                Lease_.rowUnchanged(Now);
+                for (const Row &Changed : Page->Rows_)
+                  if (Changed.Key_.Key_ == OwnerKey)
+                    Lease_.rowSeen(
+                        scheduling::decodeOwnerRecord(Changed.Value_),
+                        Changed.IsRemoved_ ? 0 : Changed.Version_, Now);
+                considerTakeover();
+                watch();
+              });
+}
+
+void CellOwner::considerTakeover() {
+  if (IsReleased_ || IsTakingOver_ || Tenure_ || !Queues_ ||
+      !(Lease_.isOwner() || Lease_.shouldTakeOver(SchedulerClock::now())))
+    return;
+  // A row that is mine without a tenure is a takeover whose answer was lost.
+  takeOver();
+}
+
+void CellOwner::takeOver() {
+  IsTakingOver_ = true;
+  TimePoint SentAt = SchedulerClock::now();
+  OwnerRecord Mine = Lease_.takeoverRecord();
+  RowTransaction Takeover;
+  Takeover.Conditions_.push_back({ownerKey(), Lease_.version()});
+  Takeover.Writes_.push_back(
+      makeRow(ownerKey(), scheduling::encodeOwnerRecord(Mine)));
+  Store_.commit(Takeover, StoreTimeout,
+                [this, Mine, SentAt](const CommitResult &Outcome) {
+                  IsTakingOver_ = false;
+                  MustReadRow_ = true;
+                  if (Outcome.Outcome_ != CommitOutcome::Committed)
+                    return;
+                  Lease_.rowWritten(Mine, Outcome.Version_, SentAt);
+                  beginTenure();
+                });
+}
+
+void CellOwner::beginTenure() {
+  scheduling::SchedulerSettings Settings;
+  // The store's version counter never goes back.
+  Settings.FencingToken_ = Lease_.version();
+  Settings.Tenure_ = Lease_.record().Tenure_ - 1;
+  Settings.Grant_ = std::min(Settings.Grant_, Settings_.MaxLease_);
+  Settings.KillTimeout_ = Settings_.KillTimeout_;
+  Settings.StateKept_ = Settings_.StateKept_;
+  Settings.FarFactor_ = Settings_.FarFactor_;
+  Tenure_ = std::make_shared<Tenure>(Loop_, Counters_, Settings,
+                                     SchedulerClock::now(),
+                                     [this] { schedulePump(); });
+  Tenure_->Scheduler_.configure(Queues_);
+  Tenure_->Scheduler_.setClosedZones(ClosedZones_);
+  logEvent(LogEvent::CellOwned,
+           {{"token", static_cast<std::int64_t>(Settings.FencingToken_)},
+            {"tenure", static_cast<std::int64_t>(Settings.Tenure_)}});
+  load(Tenure_);
+}
+
+void CellOwner::endTenure(const char *Cause) {
+  logEvent(LogEvent::CellLost, {{"cause", Cause}});
+  // The caller may be inside a callback of this tenure.
+  Loop_.after(Duration::zero(), [Ended = std::move(Tenure_)] {});
+  Tenure_ = nullptr;
+  Listed_.clear();
+  MustReadRow_ = true;
+}
+
+void CellOwner::release() {
+  IsReleased_ = true;
+  if (!Tenure_)
+    return;
+  RowTransaction Release;
+  Release.Conditions_.push_back({ownerKey(), Lease_.version()});
+  Release.Writes_.push_back(makeRow(
+      ownerKey(), scheduling::encodeOwnerRecord(Lease_.releaseRecord())));
+  endTenure("this instance stops");
+  Store_.commit(Release, StoreTimeout, [](const CommitResult &Outcome) {
+    // Candidates notice the silent row after a while in any case.
+    if (Outcome.Outcome_ != CommitOutcome::Committed)
+      logEvent(LogEvent::CommitUnknown, {{"row", OwnerKey}});
+  });
+}
+
+// Loading.
+
+void CellOwner::retryLoad(const TenureRef &Of) {
+  Loop_.after(RetryPause, [this, Of] { load(Of); });
+}
+
+/// Reads the workers that the tenure before may have used, then the jobs and
+/// their progress, then the registrations.
+void CellOwner::load(const TenureRef &Of) {
+  if (Of.expired())
+    return;
+  Store_.readAll(wholeTable(KnownWorkerTable, CellPartition), StoreTimeout,
+                 [this, Of](const Result<RowPage> &Page) {
+                   std::shared_ptr<Tenure> Now = Of.lock();
+                   if (!Now)
+                     return;
+                   if (!Page)
+                     return retryLoad(Of);
+                   for (const Row &Known : Page->Rows_) {
+                     auto Entry = scheduling::decodeKnownWorker(Known.Value_);
+                     if (!Entry)
+                       continue;
+                     Entry->Id_ = Known.Key_.Key_;
+                     Now->Scheduler_.restoreWorker(*Entry,
+                                                   SchedulerClock::now());
+                   }
+                   loadJobs(Of);
+                 });
+}
+
+void CellOwner::loadJobs(const TenureRef &Of) {
+  Store_.readAll(wholeTable(JobTable, CellPartition), StoreTimeout,
+                 [this, Of](const Result<RowPage> &Page) {
+                   if (Of.expired())
+                     return;
+                   if (!Page)
+                     return retryLoad(Of);
+                   for (const Row &Seen : Page->Rows_)
+                     jobRowSeen(Seen, true);
+                   loadProgress(Of, Page->Version_);
+                 });
+}
+
+void CellOwner::loadProgress(const TenureRef &Of, std::uint64_t JobsVersion) {
+  Store_.readAll(
+      wholeTable(ProgressTable, CellPartition), StoreTimeout,
+      [this, Of, JobsVersion](const Result<RowPage> &Page) {
+        std::shared_ptr<Tenure> Now = Of.lock();
+        if (!Now)
+          return;
+        if (!Page)
+          return retryLoad(Of);
+        for (const Row &Seen : Page->Rows_) {
+          auto Progress = scheduling::decodeProgress(Seen.Value_);
+          if (Progress)
+            Now->Scheduler_.restoreProgress(Seen.Key_.Key_, *Progress);
+          else
+            logEvent(LogEvent::ForeignRow,
+                     {{"table", ProgressTable}, {"key", Seen.Key_.Key_}});
+        }
+        loadWorkers(Of, JobsVersion);
+      });
+}
+
+void CellOwner::loadWorkers(const TenureRef &Of, std::uint64_t JobsVersion) {
+  Store_.readAll(
+      wholeTable(platform::WorkerTable.data(), ""), StoreTimeout,
+      [this, Of, JobsVersion](const Result<RowPage> &Page) {
+        std::shared_ptr<Tenure> Now = Of.lock();
+        if (!Now)
+          return;
+        if (!Page)
+          return retryLoad(Of);
+        for (const Row &Seen : Page->Rows_)
+          workerRowSeen(Seen);
+        Now->IsLoaded_ = true;
+        scheduling::SchedulerCounts Counts = Now->Scheduler_.counts();
+        logEvent(LogEvent::CellLoaded, {{"jobs", count(Counts.Jobs_)},
+                                        {"workers", count(Counts.Workers_)}});
+        followJobs(Of, JobsVersion);
+        followWorkers(Of, Page->Version_);
+        schedulePump();
+      });
+}
+
+void CellOwner::jobRowSeen(const Row &Seen, bool IsRestored) {
+  if (Seen.IsRemoved_)
+    return;
+  TimePoint Now = SchedulerClock::now();
+  if (auto Cancelled = cancelledJobOf(Seen.Key_.Key_))
+    return Tenure_->Scheduler_.cancelJob(*Cancelled, Now);
+  Result<scheduling::AcceptedJob> Accepted =
+      decodeAcceptance(Seen.Key_.Key_, Seen.Value_);
+  if (!Accepted) {
+    logEvent(LogEvent::ForeignRow,
+             {{"table", JobTable}, {"key", Seen.Key_.Key_}});
+    return;
+  }
+  Tenure_->Scheduler_.addJob(std::move(*Accepted), Now, IsRestored);
+}
+
+void CellOwner::followJobs(const TenureRef &Of, std::uint64_t After) {
+  Store_.feed(JobTable, After, FeedWait,
+              [this, Of, After](const Result<RowPage> &Page) {
+                if (Of.expired())
+                  return;
+                if (!Page && Page.error() == Errc::NotFound)
+                  return rereadJobs(Of);
+                if (!Page)
+                  return Loop_.after(
+                      RetryPause, [this, Of, After] { followJobs(Of, After); });
+                for (const Row &Seen : Page->Rows_)
+                  jobRowSeen(Seen, false);
+                if (!Page->Rows_.empty())
+                  schedulePump();
+                followJobs(Of, std::max(After, Page->Version_));
+              });
+}
+
+void CellOwner::rereadJobs(const TenureRef &Of) {
+  if (Of.expired())
+    return;
+  Store_.readAll(wholeTable(JobTable, CellPartition), StoreTimeout,
+                 [this, Of](const Result<RowPage> &Page) {
+                   if (Of.expired())
+                     return;
+                   if (!Page)
+                     return Loop_.after(RetryPause,
+                                        [this, Of] { rereadJobs(Of); });
+                   for (const Row &Seen : Page->Rows_)
+                     jobRowSeen(Seen, false);
+                   schedulePump();
+                   followJobs(Of, Page->Version_);
+                 });
+}
+
+void CellOwner::workerRowSeen(const Row &Seen) {
+  TimePoint Now = SchedulerClock::now();
+  const std::string &Id = Seen.Key_.Key_;
+  if (Seen.IsRemoved_) {
+    Listed_.erase(Id);
+    return Tenure_->Scheduler_.workerDelisted(Id, Now);
+  }
+  Result<scheduling::WorkerEntry> Entry =
+      platform::decodeWorker(Id, Seen.Value_);
+  if (!Entry) {
+    logEvent(LogEvent::ForeignRow,
+             {{"table", platform::WorkerTable}, {"key", Id}});
+    return;
+  }
+  Listed_.insert(Id);
+  Tenure_->Scheduler_.workerListed(*Entry, Now);
+}
+
+void CellOwner::followWorkers(const TenureRef &Of, std::uint64_t After) {
+  Store_.feed(platform::WorkerTable, After, FeedWait,
+              [this, Of, After](const Result<RowPage> &Page) {
+                if (Of.expired())
+                  return;
+                if (!Page && Page.error() == Errc::NotFound)
+                  return rereadWorkers(Of);
+                std::uint64_t Next = After;
+                if (Page) {
+                  for (const Row &Seen : Page->Rows_)
+                    workerRowSeen(Seen);
+                  Next = std::max(After, Page->Version_);
+                  schedulePump();
+                }
+                Loop_.after(WorkerFeedPause,
+                            [this, Of, Next] { followWorkers(Of, Next); });
+              });
+}
+
+void CellOwner::rereadWorkers(const TenureRef &Of) {
+  if (Of.expired())
+    return;
+  Store_.readAll(
+      wholeTable(platform::WorkerTable.data(), ""), StoreTimeout,
+      [this, Of](const Result<RowPage> &Page) {
+        std::shared_ptr<Tenure> Now = Of.lock();
+        if (!Now)
+          return;
+        if (!Page)
+          return Loop_.after(RetryPause, [this, Of] { rereadWorkers(Of); });
+        std::set<std::string> Before = std::exchange(Listed_, {});
+        for (const Row &Seen : Page->Rows_)
+          workerRowSeen(Seen);
+        for (const std::string &Id : Before)
+          if (!Listed_.contains(Id))
+            Now->Scheduler_.workerDelisted(Id, SchedulerClock::now());
+        schedulePump();
+        followWorkers(Of, Page->Version_);
+      });
+}
+
+// Running.
+
+void CellOwner::tick() {
+  if (Tenure_)
+    pump();
+  Loop_.after(TickPause, [this] { tick(); });
+}
+
+void CellOwner::schedulePump() {
+  if (IsPumpScheduled_)
+    return;
+  IsPumpScheduled_ = true;
+  Loop_.after(PumpDelay, [this] {
+    IsPumpScheduled_ = false;
+    pump();
+  });
+}
+
+void CellOwner::pump() {
+  if (!Tenure_)
+    return;
+  TimePoint Now = SchedulerClock::now();
+  if (Tenure_->IsLoaded_) {
+    Tenure_->Scheduler_.advance(Now, wallMilliseconds(), Lease_.isTrusted(Now));
+    for (const scheduling::Action &Decided : Tenure_->Scheduler_.takeActions())
+      Tenure_->Calls_.carryOut(Decided);
+    logNotes();
+    if (Tenure_->Scheduler_.isFenced()) {
+      return endTenure("a worker has seen a higher fencing token");
+    }
+  }
+  writeIfDue(Now);
+}
+
+void CellOwner::logNotes() {
+  for (const scheduling::Note &One : Tenure_->Scheduler_.takeNotes()) {
+    std::vector<LogField> Fields;
+    for (const auto &[Key, Value] : One.Fields_)
+      Fields.emplace_back(Key, Value);
+    logEvent(One.Event_, Fields);
+  }
+}
+
+void CellOwner::writeIfDue(TimePoint Now) {
+  Tenure &Of = *Tenure_;
+  if (Of.IsWriting_ || Now < Of.NextWriteAt_)
+    return;
+  bool MustRenew = Lease_.shouldRenew(Now) || Of.MustRewrite_;
+  bool HasWrites = Of.IsLoaded_ && Of.Scheduler_.hasWrites();
+  if (!MustRenew && !HasWrites)
+    return;
+  PendingWrites Writes;
+  std::string Counts;
+  if (Of.IsLoaded_) {
+    Writes = Of.Scheduler_.takeWrites(MaxProgressRows);
+    if (Now >= Of.NextCountsAt_)
+      Counts = encodeCounts(Of.Scheduler_.pendingByQueue());
+    if (Counts == Of.StoredCounts_)
+      Counts.clear();
+  }
+  if (!MustRenew && Writes.empty() && Counts.empty())
+    return Of.Scheduler_.writesStored(Writes, Now);
+
+  RowTransaction Changes;
+  Changes.Conditions_.push_back({ownerKey(), Lease_.version()});
+  if (MustRenew)
+    Changes.Writes_.push_back(
+        makeRow(ownerKey(), scheduling::encodeOwnerRecord(Lease_.record())));
+  if (!Counts.empty())
+    Changes.Writes_.push_back(makeRow(queueCountsKey(), Counts));
+  for (const auto &[Job, Progress] : Writes.Progress_)
+    Changes.Writes_.push_back(
+        makeRow(progressKey(Job), scheduling::encodeProgress(Progress)));
+  for (const scheduling::WorkerEntry &Entry : Writes.KnownWorkers_)
+    Changes.Writes_.push_back(makeRow(knownWorkerKey(Entry.Id_),
+                                      scheduling::encodeKnownWorker(Entry)));
+  for (const std::string &Id : Writes.ForgottenWorkers_)
+    Changes.Removals_.push_back(knownWorkerKey(Id));
+  for (const std::string &Job : Writes.RemovedJobs_) {
+    Changes.Removals_.push_back(jobKey(Job));
+    Changes.Removals_.push_back(cancelKey(Job));
+    Changes.Removals_.push_back(progressKey(Job));
+  }
+  Of.IsWriting_ = true;
+  Store_.commit(Changes, StoreTimeout,
+                [this, Ref = TenureRef(Tenure_), Writes, MustRenew, Now,
+                 Counts](const CommitResult &Outcome) {
+                  if (Ref.lock() && Ref.lock() == Tenure_)
+                    writeEnded(Writes, Outcome, MustRenew, Now, Counts);
+                });
+}
+
+void CellOwner::writeEnded(const PendingWrites &Writes,
+                           const CommitResult &Outcome, bool HasOwnerRow,
+                           TimePoint SentAt, const std::string &Counts) {
+  Tenure &Of = *Tenure_;
+  TimePoint Now = SchedulerClock::now();
+  Of.IsWriting_ = false;
+  Of.NextWriteAt_ = SentAt + WritePause;
+  if (Outcome.Outcome_ == CommitOutcome::Committed) {
+    if (HasOwnerRow) {
+      Lease_.rowWritten(Lease_.record(), Outcome.Version_, SentAt);
+      Of.MustRewrite_ = false;
+    }
+    if (!Counts.empty()) {
+      Of.StoredCounts_ = Counts;
+      Of.NextCountsAt_ = Now + CountsPause;
+    }
+    Of.Scheduler_.writesStored(Writes, Now);
+    return schedulePump();
+  }
+  Of.Scheduler_.writesFailed(Writes);
+  Of.NextWriteAt_ = Now + RetryPause;
+  if (Outcome.Outcome_ == CommitOutcome::Refused)
+    return;
+  // Either another owner's row is there, or a write of mine landed late.
+  Of.MustRewrite_ = true;
+  Of.IsWriting_ = true;
+  platform::RowRange Range = wholeTable(CellTable, CellPartition);
+  Range.From_ = OwnerKey;
+  Range.Limit_ = 1;
+  Store_.read(
+      Range, StoreTimeout,
+      [this, Ref = TenureRef(Tenure_), Now](const Result<RowPage> &Page) {
+        if (!Ref.lock() || Ref.lock() != Tenure_)
+          return;
+        Tenure_->IsWriting_ = false;
+        if (Page)
+          ownerRowRead(Page, Now);
+      });
+}
+
+} // namespace filbertspring::node
--- /dev/null
+++ b/packages/node/src/cell_owner.h
@@ -0,0 +1,104 @@
+#ifndef FILBERTSPRING_NODE_CELL_OWNER_H
+#define FILBERTSPRING_NODE_CELL_OWNER_H
+
+/// \file
+/// Ownership of a cell: watching the owner's row, taking it over, and running
+/// the scheduler while it is held.
+
+#include "filbertspring/node/node_settings.h"
+#include "filbertspring/scheduling/owner_lease.h"
+#include "filbertspring/scheduling/scheduler.h"
+#include "store_client.h"
+#include "worker_calls.h"
+
+#include <memory>
+#include <set>
+#include <string>
+
+namespace filbertspring::node {
+
+/// One tenure: the scheduler and what feeds it.
+struct Tenure {
+  Tenure(EventLoop &Loop, CounterRegistry &Counters,
+         scheduling::SchedulerSettings Settings, TimePoint Now,
+         std::function<void()> Changed)
+      : Scheduler_(Settings, Now),
+        Calls_(Loop, Counters, Scheduler_, Settings.FencingToken_,
+               std::move(Changed)) {}
+
+  scheduling::Scheduler Scheduler_;
+  WorkerCalls Calls_;
+  bool IsLoaded_ = false;
+  bool IsWriting_ = false;
+  /// A write of unknown outcome may still land: the next one must change the
+  /// owner's row.
+  bool MustRewrite_ = false;
+  TimePoint NextWriteAt_{};
+  std::string StoredCounts_;
+  TimePoint NextCountsAt_{};
+};
+
+/// A candidate for a cell, and its owner while the lease is held.
+class CellOwner {
+public:
+  CellOwner(EventLoop &Loop, StoreClient &Store, CounterRegistry &Counters,
+            const NodeSettings &Settings, std::string Nonce);
+
+  void start();
+  void configure(std::shared_ptr<const scheduling::QueueTable> Queues);
+  void setClosedZones(std::set<std::string> Zones);
+  /// Gives the cell up for another instance and never takes it again.
+  void release();
+  bool isOwner() const { return Tenure_ != nullptr; }
+
+private:
+  void watch();
+  void readOwnerRow();
+  void followOwnerRow();
+  void ownerRowRead(const Result<scheduling::RowPage> &Page, TimePoint SentAt);
+  void considerTakeover();
+  void takeOver();
+  void beginTenure();
+  void endTenure(const char *Cause);
+
+  using TenureRef = std::weak_ptr<Tenure>;
+  void load(const TenureRef &Of);
+  void loadJobs(const TenureRef &Of);
+  void loadProgress(const TenureRef &Of, std::uint64_t JobsVersion);
+  void loadWorkers(const TenureRef &Of, std::uint64_t JobsVersion);
+  void retryLoad(const TenureRef &Of);
+  void followJobs(const TenureRef &Of, std::uint64_t After);
+  void rereadJobs(const TenureRef &Of);
+  void followWorkers(const TenureRef &Of, std::uint64_t After);
+  void rereadWorkers(const TenureRef &Of);
+  void jobRowSeen(const scheduling::Row &Seen, bool IsRestored);
+  void workerRowSeen(const scheduling::Row &Seen);
+
+  void tick();
+  void schedulePump();
+  void pump();
+  void logNotes();
+  void writeIfDue(TimePoint Now);
+  void writeEnded(const scheduling::PendingWrites &Writes,
+                  const scheduling::CommitResult &Outcome, bool HasOwnerRow,
+                  TimePoint SentAt, const std::string &Counts);
+
+  EventLoop &Loop_;
+  StoreClient &Store_;
+  CounterRegistry &Counters_;
+  NodeSettings Settings_;
+  scheduling::OwnerLease Lease_;
+  std::shared_ptr<Tenure> Tenure_;
+  std::shared_ptr<const scheduling::QueueTable> Queues_;
+  std::set<std::string> ClosedZones_;
+  /// Registered workers in the last complete reading.
+  std::set<std::string> Listed_;
+  bool IsTakingOver_ = false;
+  bool MustReadRow_ = true;
+  bool IsReleased_ = false;
+  bool IsPumpScheduled_ = false;
+};
+
+} // namespace filbertspring::node
+
+#endif // FILBERTSPRING_NODE_CELL_OWNER_H
--- /dev/null
+++ b/packages/node/src/configuration_follower.cpp
@@ -0,0 +1,89 @@
+#include "configuration_follower.h"
+
+#include "filbertspring/base/log.h"
+#include "platform/configuration_codec.h"
+
+namespace filbertspring::node {
+namespace {
+
+using scheduling::Row;
+using scheduling::RowPage;
+
+/// How long a feed waits for a change: a connection that went silent delays
+/// a configuration by this at most.
+constexpr Duration FeedWait = std::chrono::milliseconds(1000);
+/// The longest wait for the whole table.
+constexpr Duration ReadTimeout = std::chrono::milliseconds(900);
+/// The pause after a failed call.
+constexpr Duration RetryPause = std::chrono::milliseconds(150);
+
+} // namespace
+
+ConfigurationFollower::ConfigurationFollower(EventLoop &Loop,
+                                             StoreClient &Store,
+                                             QueuesCallback QueuesChanged,
+                                             ZonesCallback ZonesChanged)
+    : Loop_(Loop), Store_(Store), QueuesChanged_(std::move(QueuesChanged)),
+      ZonesChanged_(std::move(ZonesChanged)) {}
+
+void ConfigurationFollower::start() { readAll(); }
+
+void ConfigurationFollower::readAll() {
+  platform::RowRange Range;
+  Range.Table_ = platform::OperatorTable;
+  Store_.readAll(Range, ReadTimeout, [this](const Result<RowPage> &Page) {
+    if (!Page)
+      return Loop_.after(RetryPause, [this] { readAll(); });
+    std::set<std::string> Before = std::exchange(ClosedZones_, {});
+    for (const Row &Seen : Page->Rows_)
+      rowSeen(Seen);
+    if (Before != ClosedZones_)
+      ZonesChanged_(ClosedZones_);
+    follow(Page->Version_);
+  });
+}
+
+void ConfigurationFollower::follow(std::uint64_t After) {
+  Store_.feed(platform::OperatorTable, After, FeedWait,
+              [this, After](const Result<RowPage> &Page) {
+                if (!Page && Page.error() == Errc::NotFound)
+                  return readAll();
+                if (!Page)
+                  return Loop_.after(RetryPause,
+                                     [this, After] { follow(After); });
+                for (const Row &Seen : Page->Rows_)
+                  rowSeen(Seen);
+                follow(std::max(After, Page->Version_));
+              });
+}
+
+void ConfigurationFollower::rowSeen(const Row &Seen) {
+  if (auto Zone = platform::closedZoneOf(Seen.Key_.Key_)) {
+    bool HasChanged = Seen.IsRemoved_ ? ClosedZones_.erase(*Zone) > 0
+                                      : ClosedZones_.insert(*Zone).second;
+    if (!HasChanged)
+      return;
+    logEvent(LogEvent::ZoneChanged,
+             {{"zone", *Zone}, {"open", Seen.IsRemoved_ ? 1 : 0}});
+    return ZonesChanged_(ClosedZones_);
+  }
+  if (Seen.Key_.Key_ != platform::ConfigurationKey || Seen.IsRemoved_)
+    return;
+  Result<scheduling::QueueTable> Table =
+      platform::decodeConfiguration(Seen.Value_);
+  if (!Table) {
+    logEvent(LogEvent::ForeignRow,
+             {{"table", platform::OperatorTable}, {"key", Seen.Key_.Key_}});
+    return;
+  }
+  if (Table->Version_ <= Version_)
+    return;
+  Version_ = Table->Version_;
+  logEvent(LogEvent::ConfigurationAdopted,
+           {{"version", static_cast<std::int64_t>(Version_)},
+            {"queues", static_cast<std::int64_t>(Table->Queues_.size())}});
+  QueuesChanged_(
+      std::make_shared<const scheduling::QueueTable>(std::move(*Table)));
+}
+
+} // namespace filbertspring::node
--- /dev/null
+++ b/packages/node/src/configuration_follower.h
@@ -0,0 +1,47 @@
+#ifndef FILBERTSPRING_NODE_CONFIGURATION_FOLLOWER_H
+#define FILBERTSPRING_NODE_CONFIGURATION_FOLLOWER_H
+
+/// \file
+/// Follows the operators' rows.
+
+#include "filbertspring/scheduling/queue_table.h"
+#include "store_client.h"
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace filbertspring::node {
+
+/// Reports each newer configuration and each change of the availability zones
+/// that are out of service. A lower version is never reported.
+class ConfigurationFollower {
+public:
+  using QueuesCallback =
+      std::function<void(std::shared_ptr<const scheduling::QueueTable>)>;
+  using ZonesCallback = std::function<void(std::set<std::string>)>;
+
+  ConfigurationFollower(EventLoop &Loop, StoreClient &Store,
+                        QueuesCallback QueuesChanged,
+                        ZonesCallback ZonesChanged);
+  void start();
+  /// Whether a configuration is in force.
+  bool isConfigured() const { return Version_ != 0; }
+
+private:
+  void readAll();
+  void follow(std::uint64_t After);
+  void rowSeen(const scheduling::Row &Seen);
+
+  EventLoop &Loop_;
+  StoreClient &Store_;
+  QueuesCallback QueuesChanged_;
+  ZonesCallback ZonesChanged_;
+  std::uint64_t Version_ = 0;
+  std::set<std::string> ClosedZones_;
+};
+
+} // namespace filbertspring::node
+
+#endif // FILBERTSPRING_NODE_CONFIGURATION_FOLLOWER_H
--- /dev/null
+++ b/packages/node/src/rows.cpp
@@ -0,0 +1,89 @@
+#include "rows.h"
+
+#include "platform/caller_codec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace filbertspring::node {
+namespace {
+
+using nlohmann::json;
+using scheduling::AcceptedJob;
+using scheduling::RowKey;
+
+constexpr std::string_view CancelSuffix = ".cancel";
+
+std::string dump(const json &Value) {
+  return Value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+} // namespace
+
+RowKey jobKey(const std::string &Job) { return {JobTable, CellPartition, Job}; }
+
+RowKey cancelKey(const std::string &Job) {
+  return {JobTable, CellPartition, Job + std::string(CancelSuffix)};
+}
+
+RowKey progressKey(const std::string &Job) {
+  return {ProgressTable, CellPartition, Job};
+}
+
+RowKey knownWorkerKey(const std::string &Worker) {
+  return {KnownWorkerTable, CellPartition, Worker};
+}
+
+RowKey ownerKey() { return {CellTable, CellPartition, OwnerKey}; }
+
+RowKey queueCountsKey() { return {CellTable, CellPartition, QueueCountsKey}; }
+
+std::optional<std::string> cancelledJobOf(std::string_view Key) {
+  if (!Key.ends_with(CancelSuffix))
+    return std::nullopt;
+  Key.remove_suffix(CancelSuffix.size());
+  return std::string(Key);
+}
+
+std::string encodeAcceptance(const StoredAcceptance &Accepted) {
+  return dump({{"queue", Accepted.Queue_},
+               {"service", Accepted.Service_},
+               {"accepted_ms", Accepted.AcceptedMs_},
+               {"body", Accepted.Body_}});
+}
+
+Result<AcceptedJob> decodeAcceptance(std::string_view Job,
+                                     std::string_view Text) {
+  try {
+    json Value = json::parse(Text);
+    AcceptedJob Accepted;
+    Accepted.Id_ = Job;
+    Accepted.Queue_ = Value.at("queue").get<std::string>();
+    Accepted.Service_ = Value.at("service").get<std::string>();
+    Accepted.AcceptedMs_ = Value.at("accepted_ms").get<std::int64_t>();
+    Result<scheduling::JobSpec> Spec =
+        platform::decodeJob(Value.at("body").get<std::string>());
+    if (!Spec)
+      return fail(Spec.error());
+    Accepted.Spec_ = std::move(*Spec);
+    return Accepted;
+  } catch (const json::exception &) {
+    return fail(Errc::InvalidJson);
+  }
+}
+
+std::string encodeCounts(const std::map<std::string, std::uint64_t> &Counts) {
+  return dump(Counts);
+}
+
+std::map<std::string, std::uint64_t> decodeCounts(std::string_view Text) {
+  std::map<std::string, std::uint64_t> Counts;
+  json Value = json::parse(Text, nullptr, false);
+  if (!Value.is_object())
+    return Counts;
+  for (const auto &[Name, Count] : Value.items())
+    if (Count.is_number_unsigned())
+      Counts[Name] = Count.get<std::uint64_t>();
+  return Counts;
+}
+
+} // namespace filbertspring::node
--- /dev/null
+++ b/packages/node/src/run_node.cpp
@@ -0,0 +1,210 @@
+#include "filbertspring/node/run_node.h"
+
+#include "callers.h"
+#include "cell_owner.h"
+#include "configuration_follower.h"
+#include "filbertspring/base/log.h"
+#include "filbertspring/node/node_settings.h"
+#include "platform/caller_codec.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <random>
+#include <sstream>
+
+namespace filbertspring::node {
+namespace {
+
+constexpr int ExitOk = 0;
+constexpr int ExitUsage = 1;
+constexpr int ExitFindings = 2;
+constexpr int ExitFailed = 3;
+
+/// The variable that names the settings file where no option does.
+constexpr const char *SettingsVariable = "FILBERTSPRING_BOOT";
+
+/// The balancer stops sending connections after two missed checks, one a
+/// second.
+constexpr Duration BalancerDelay = std::chrono::milliseconds(2500);
+/// Kept of the time between the request to stop and the kill.
+constexpr Duration StopMargin = std::chrono::milliseconds(800);
+/// How often a stopping instance looks for requests in flight.
+constexpr Duration StopPoll = std::chrono::milliseconds(50);
+
+std::optional<std::string> readFile(const std::string &Path) {
+  std::ifstream File(Path, std::ios::binary);
+  if (!File)
+    return std::nullopt;
+  std::ostringstream Text;
+  Text << File.rdbuf();
+  return Text.str();
+}
+
+/// Reads the settings and logs all findings.
+std::optional<NodeSettings> loadSettings(const std::string &Path) {
+  std::optional<std::string> Text = readFile(Path);
+  if (!Text) {
+    logEvent(LogEvent::SettingsRejected,
+             {{"file", Path}, {"findings", "cannot be read"}});
+    return std::nullopt;
+  }
+  ParsedNodeSettings Parsed = parseNodeSettings(*Text);
+  if (Parsed.Found_.empty())
+    return std::move(Parsed.Values_);
+  logEvent(LogEvent::SettingsRejected,
+           {{"file", Path}, {"findings", Parsed.Found_.toText(Path)}});
+  return std::nullopt;
+}
+
+std::string makeNonce() {
+  std::random_device Random;
+  return fmt::format("{:08x}{:08x}", Random(), Random());
+}
+
+/// The parts of an instance and their life.
+class Instance {
+public:
+  Instance(NodeSettings Settings, std::string SettingsPath)
+      : Settings_(std::move(Settings)), SettingsPath_(std::move(SettingsPath)),
+        Store_(Loop_, Settings_.StoreAddress_, Counters_),
+        Owner_(Loop_, Store_, Counters_, Settings_, makeNonce()),
+        Callers_(Loop_, Store_, Counters_),
+        Configuration_(
+            Loop_, Store_,
+            [this](std::shared_ptr<const scheduling::QueueTable> Queues) {
+              Callers_.configure(Queues);
+              Owner_.configure(std::move(Queues));
+            },
+            [this](std::set<std::string> Zones) {
+              Owner_.setClosedZones(std::move(Zones));
+            }),
+        CallerServer_(Loop_, {},
+                      [this](HttpRequest Request, HttpResponder Respond) {
+                        Callers_.handle(std::move(Request), std::move(Respond));
+                      }),
+        ReadinessServer_(Loop_, {},
+                         [this](const HttpRequest &, HttpResponder Respond) {
+                           HttpAnswer Answer;
+                           Answer.Status_ = isReady() ? 200 : 503;
+                           Respond(std::move(Answer));
+                         }),
+        MetricsServer_(Loop_, {},
+                       [this](const HttpRequest &, HttpResponder Respond) {
+                         HttpAnswer Answer;
+                         Answer.ContentType_ = "text/plain; version=0.0.4";
+                         Answer.Body_ = Counters_.toPrometheusText();
+                         Respond(std::move(Answer));
+                       }) {}
+
+  int run() {
+    if (!listen(CallerServer_, Settings_.CallerAddress_) ||
+        !listen(ReadinessServer_, Settings_.ReadinessAddress_))
+      return ExitFailed;
+    // An instance without metrics still serves.
+    if (!Settings_.MetricsAddress_.empty())
+      listen(MetricsServer_, Settings_.MetricsAddress_);
+    Loop_.onSignals({SIGTERM, SIGINT, SIGHUP},
+                    [this](int Signal) { signalled(Signal); });
+    Configuration_.start();
+    Owner_.start();
+    logEvent(LogEvent::ProcessStarted, {{"zone", Settings_.Zone_}});
+    Loop_.run();
+    logEvent(LogEvent::ProcessStopped);
+    return ExitOk;
+  }
+
+private:
+  bool isReady() const { return Configuration_.isConfigured() && !IsStopping_; }
+
+  bool listen(AsyncHttpServer &Server, const std::string &Address) {
+    Status Listening = Server.listen(Address);
+    if (!Listening)
+      logEvent(LogEvent::ThreadFailed,
+               {{"address", Address}, {"error", Listening.error().message()}});
+    return Listening.has_value();
+  }
+
+  void signalled(int Signal) {
+    if (Signal == SIGHUP) {
+      // All settings but addresses are read at the start only.
+      std::optional<NodeSettings> Read = loadSettings(SettingsPath_);
+      logEvent(LogEvent::SettingsReloaded, {{"valid", Read ? 1 : 0}});
+      return;
+    }
+    if (IsStopping_)
+      return;
+    IsStopping_ = true;
+    StopAt_ = SchedulerClock::now();
+    logEvent(LogEvent::ProcessDraining);
+    Owner_.release();
+    CallerServer_.beginDrain();
+    stopWhenIdle();
+  }
+
+  /// Ends when the balancer has turned away and no request is in flight.
+  void stopWhenIdle() {
+    Duration Stopping = SchedulerClock::now() - StopAt_;
+    bool IsIdle = CallerServer_.inFlight() == 0;
+    if ((IsIdle && Stopping >= BalancerDelay) ||
+        Stopping >= Settings_.Grace_ - StopMargin)
+      return Loop_.stop();
+    Loop_.after(StopPoll, [this] { stopWhenIdle(); });
+  }
+
+  NodeSettings Settings_;
+  std::string SettingsPath_;
+  EventLoop Loop_;
+  CounterRegistry Counters_;
+  StoreClient Store_;
+  CellOwner Owner_;
+  Callers Callers_;
+  ConfigurationFollower Configuration_;
+  AsyncHttpServer CallerServer_;
+  AsyncHttpServer ReadinessServer_;
+  AsyncHttpServer MetricsServer_;
+  bool IsStopping_ = false;
+  TimePoint StopAt_{};
+};
+
+} // namespace
+
+int runNode(int ArgumentCount, char **Arguments) {
+  cxxopts::Options Options("filbertspring node",
+                           "Runs an instance on the users' platform.");
+  Options.add_options()("settings", "settings file",
+                        cxxopts::value<std::string>())("help", "this text");
+  std::string Path;
+  try {
+    cxxopts::ParseResult Parsed = Options.parse(ArgumentCount, Arguments);
+    if (Parsed.count("help") != 0) {
+      std::cout << Options.help();
+      return ExitOk;
+    }
+    if (Parsed.count("settings") != 0)
+      Path = Parsed["settings"].as<std::string>();
+  } catch (const cxxopts::exceptions::exception &Error) {
+    std::cerr << Error.what() << "\n";
+    return ExitUsage;
+  }
+  const char *FromEnvironment = std::getenv(SettingsVariable);
+  if (Path.empty() && FromEnvironment)
+    Path = FromEnvironment;
+  if (Path.empty()) {
+    std::cerr << fmt::format("no --settings and no {}\n", SettingsVariable);
+    return ExitUsage;
+  }
+  std::optional<NodeSettings> Settings = loadSettings(Path);
+  if (!Settings)
+    return ExitFindings;
+  setLogProcessName(Settings->Instance_);
+  // A caller that hangs up must not end the process.
+  (void)std::signal(SIGPIPE, SIG_IGN);
+  return Instance(std::move(*Settings), Path).run();
+}
+
+} // namespace filbertspring::node
--- /dev/null
+++ b/packages/scheduling/include/filbertspring/scheduling/owner_lease.h
@@ -0,0 +1,93 @@
+#ifndef FILBERTSPRING_SCHEDULING_OWNER_LEASE_H
+#define FILBERTSPRING_SCHEDULING_OWNER_LEASE_H
+
+/// \file
+/// Who owns a cell: a row in the store that its owner rewrites regularly.
+///
+/// The row carries no time. A candidate takes the row over when it has seen
+/// it unchanged for a while, with a write that holds only if the row still is
+/// what was seen. The owner's other writes name the row's version too, so
+/// nothing is stored by an owner that was replaced.
+
+#include "filbertspring/base/time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace filbertspring::scheduling {
+
+/// The content of the row.
+struct OwnerRecord {
+  /// The instance that owns the cell; empty after it gave the cell up.
+  std::string Holder_;
+  /// Distinguishes the lives of an instance.
+  std::string Nonce_;
+  /// Rises by one with each takeover.
+  std::uint64_t Tenure_ = 0;
+};
+
+std::string encodeOwnerRecord(const OwnerRecord &Record);
+/// An unreadable text is a row that nobody holds.
+OwnerRecord decodeOwnerRecord(std::string_view Text);
+
+/// Times of ownership.
+struct OwnerTimes {
+  /// The owner rewrites the row this often.
+  Duration RenewEvery_ = std::chrono::milliseconds(700);
+  /// A row that is unchanged for this long is taken over.
+  Duration TakeoverAfter_ = std::chrono::milliseconds(2200);
+  /// An owner without a confirmed rewrite for this long gives no orders.
+  Duration TrustedFor_ = std::chrono::milliseconds(8000);
+};
+
+/// The ownership of one cell as one instance sees it. Decides, does no I/O.
+class OwnerLease {
+public:
+  OwnerLease(std::string Instance, std::string Nonce, OwnerTimes Times);
+
+  /// The row was read at \p Version (0: it does not exist), from a read that
+  /// was sent at \p SentAt.
+  void rowSeen(const OwnerRecord &Record, std::uint64_t Version,
+               TimePoint SentAt);
+  /// A read that was sent at \p SentAt proved the row unchanged.
+  void rowUnchanged(TimePoint Now);
+  /// A write of the row that was sent at \p SentAt succeeded.
+  void rowWritten(const OwnerRecord &Record, std::uint64_t Version,
+                  TimePoint SentAt);
+  /// The store could not be read; the time does not count as unchanged.
+  void readFailed(TimePoint Now);
+
+  bool isOwner() const;
+  /// Whether orders may be given at \p Now.
+  bool isTrusted(TimePoint Now) const;
+  /// Whether a takeover should be tried at \p Now.
+  bool shouldTakeOver(TimePoint Now) const;
+  /// Whether the owner should rewrite the row at \p Now.
+  bool shouldRenew(TimePoint Now) const;
+  /// The record of a takeover, of a renewal, or of giving the cell up.
+  OwnerRecord takeoverRecord() const;
+  const OwnerRecord &record() const { return Record_; }
+  OwnerRecord releaseRecord() const;
+  std::uint64_t version() const { return Version_; }
+  /// The cell was given up by its owner, not taken from it.
+  bool wasReleased() const { return Record_.Holder_.empty(); }
+
+private:
+  std::string Instance_;
+  std::string Nonce_;
+  OwnerTimes Times_;
+  OwnerRecord Record_;
+  std::uint64_t Version_ = 0;
+  bool IsKnown_ = false;
+  /// When the row was last seen to change, or the store to be back.
+  TimePoint ChangedAt_{};
+  /// The last moment for which the row is known to be unchanged.
+  TimePoint ProvenAt_{};
+  TimePoint ConfirmedAt_{};
+};
+
+} // namespace filbertspring::scheduling
+
+#endif // FILBERTSPRING_SCHEDULING_OWNER_LEASE_H
--- /dev/null
+++ b/packages/scheduling/include/filbertspring/scheduling/progress_codec.h
@@ -0,0 +1,29 @@
+#ifndef FILBERTSPRING_SCHEDULING_PROGRESS_CODEC_H
+#define FILBERTSPRING_SCHEDULING_PROGRESS_CODEC_H
+
+/// \file
+/// Stored text of progress and of known workers.
+
+#include "filbertspring/base/result.h"
+#include "filbertspring/scheduling/job.h"
+#include "filbertspring/scheduling/worker.h"
+
+#include <string>
+#include <string_view>
+
+namespace filbertspring::scheduling {
+
+/// Returns the stored text of \p Progress.
+std::string encodeProgress(const JobProgress &Progress);
+/// Reads what encodeProgress() returns; Errc::InvalidJson otherwise.
+Result<JobProgress> decodeProgress(std::string_view Text);
+
+/// Returns the stored text of the parts of \p Entry that a new owner needs to
+/// reach the worker.
+std::string encodeKnownWorker(const WorkerEntry &Entry);
+/// Reads what encodeKnownWorker() returns; Errc::InvalidJson otherwise.
+Result<WorkerEntry> decodeKnownWorker(std::string_view Text);
+
+} // namespace filbertspring::scheduling
+
+#endif // FILBERTSPRING_SCHEDULING_PROGRESS_CODEC_H
--- /dev/null
+++ b/packages/scheduling/src/job_spec.cpp
@@ -0,0 +1,69 @@
+#include "filbertspring/scheduling/job_spec.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace filbertspring::scheduling {
+
+namespace {
+
+/// The most tasks of one job; bounds the memory that one caller can claim.
+constexpr std::uint64_t MaxTasksPerJob = 100'000;
+
+} // namespace
+
+Resources &Resources::operator+=(const Resources &Other) {
+  MilliCpu_ += Other.MilliCpu_;
+  MemoryMb_ += Other.MemoryMb_;
+  Accelerators_ += Other.Accelerators_;
+  return *this;
+}
+
+Resources &Resources::operator-=(const Resources &Other) {
+  MilliCpu_ -= Other.MilliCpu_;
+  MemoryMb_ -= Other.MemoryMb_;
+  Accelerators_ -= Other.Accelerators_;
+  return *this;
+}
+
+bool Resources::fits(const Resources &Used, const Resources &Request) const {
+  return Used.MilliCpu_ + Request.MilliCpu_ <= MilliCpu_ &&
+         Used.MemoryMb_ + Request.MemoryMb_ <= MemoryMb_ &&
+         Used.Accelerators_ + Request.Accelerators_ <= Accelerators_;
+}
+
+bool JobSpec::isLasting() const {
+  return std::any_of(Steps_.begin(), Steps_.end(),
+                     [](const StepSpec &Step) { return Step.IsLasting_; });
+}
+
+std::string findSpecError(const JobSpec &Spec) {
+  if (Spec.Steps_.empty())
+    return "a job needs at least one step";
+  std::uint64_t Tasks = 0;
+  for (std::uint32_t Number = 0; Number < Spec.Steps_.size(); ++Number) {
+    const StepSpec &Step = Spec.Steps_[Number];
+    if (Step.Count_ == 0)
+      return fmt::format("step {} has no tasks", Number);
+    Tasks += std::uint64_t{Step.Count_} * Spec.Occurrences_;
+    for (std::uint32_t Earlier : Step.After_)
+      if (Earlier >= Number)
+        return fmt::format("step {} follows step {}, which is not earlier",
+                           Number, Earlier);
+  }
+  if (Tasks > MaxTasksPerJob)
+    return fmt::format("{} tasks are more than {}", Tasks, MaxTasksPerJob);
+  return {};
+}
+
+Duration remainingChain(const JobSpec &Spec, std::uint32_t From) {
+  std::vector<Duration> Chain(Spec.Steps_.size(), Duration::zero());
+  for (std::size_t Number = Spec.Steps_.size(); Number-- > From;) {
+    Chain[Number] += Spec.Steps_[Number].Estimate_;
+    for (std::uint32_t Earlier : Spec.Steps_[Number].After_)
+      Chain[Earlier] = std::max(Chain[Earlier], Chain[Number]);
+  }
+  return From < Chain.size() ? Chain[From] : Duration::zero();
+}
+
+} // namespace filbertspring::scheduling
--- /dev/null
+++ b/packages/scheduling/src/progress_codec.cpp
@@ -0,0 +1,83 @@
+#include "filbertspring/scheduling/progress_codec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace filbertspring::scheduling {
+namespace {
+
+using nlohmann::json;
+
+json encodeTask(const TaskProgress &Progress) {
+  // Most stored tasks are done; they take one number.
+  if (Progress.IsDone_ && Progress.Failures_ == 0)
+    return 1;
+  return json::array({Progress.IsDone_, Progress.Failures_,
+                      Progress.LastFailedRun_, Progress.Checkpoint_});
+}
+
+TaskProgress decodeTask(const json &Value) {
+  TaskProgress Progress;
+  if (Value.is_number()) {
+    Progress.IsDone_ = true;
+    return Progress;
+  }
+  Progress.IsDone_ = Value.at(0).get<bool>();
+  Progress.Failures_ = Value.at(1).get<std::uint32_t>();
+  Progress.LastFailedRun_ = Value.at(2).get<std::uint64_t>();
+  Progress.Checkpoint_ = Value.at(3).get<std::string>();
+  return Progress;
+}
+
+} // namespace
+
+std::string encodeProgress(const JobProgress &Progress) {
+  json Tasks = json::object();
+  for (const auto &[Name, One] : Progress.Tasks_)
+    Tasks[Name] = encodeTask(One);
+  json Value = {{"state", nameOf(JobStateNames, Progress.State_)}};
+  if (!Tasks.empty())
+    Value["tasks"] = std::move(Tasks);
+  return Value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+Result<JobProgress> decodeProgress(std::string_view Text) {
+  try {
+    json Value = json::parse(Text);
+    JobProgress Progress;
+    std::optional<JobState> State =
+        valueOf(JobStateNames, Value.at("state").get<std::string>());
+    if (!State)
+      return fail(Errc::InvalidJson);
+    Progress.State_ = *State;
+    if (Value.contains("tasks"))
+      for (const auto &[Name, One] : Value["tasks"].items())
+        Progress.Tasks_[Name] = decodeTask(One);
+    return Progress;
+  } catch (const json::exception &) {
+    return fail(Errc::InvalidJson);
+  }
+}
+
+std::string encodeKnownWorker(const WorkerEntry &Entry) {
+  json Value = {{"address", Entry.Address_},
+                {"service", Entry.Service_},
+                {"zone", Entry.Zone_},
+                {"born_ms", Entry.BornMs_}};
+  return Value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+Result<WorkerEntry> decodeKnownWorker(std::string_view Text) {
+  try {
+    json Value = json::parse(Text);
+    WorkerEntry Entry;
+    Entry.Address_ = Value.at("address").get<std::string>();
+    Entry.Service_ = Value.at("service").get<std::string>();
+    Entry.Zone_ = Value.at("zone").get<std::string>();
+    Entry.BornMs_ = Value.at("born_ms").get<std::int64_t>();
+    return Entry;
+  } catch (const json::exception &) {
+    return fail(Errc::InvalidJson);
+  }
+}
+
+} // namespace filbertspring::scheduling
--- /dev/null
+++ b/packages/scheduling/src/queue_table.cpp
@@ -0,0 +1,24 @@
+#include "filbertspring/scheduling/queue_table.h"
+
+namespace filbertspring::scheduling {
+
+const Queue *QueueTable::match(std::string_view Host,
+                               std::string_view Path) const {
+  const Queue *Best = nullptr;
+  for (const Queue &Candidate : Queues_) {
+    if (Candidate.Host_ != Host || !Path.starts_with(Candidate.PathPrefix_))
+      continue;
+    if (!Best || Candidate.PathPrefix_.size() > Best->PathPrefix_.size())
+      Best = &Candidate;
+  }
+  return Best;
+}
+
+const Queue *QueueTable::find(std::string_view Name) const {
+  for (const Queue &Candidate : Queues_)
+    if (Candidate.Name_ == Name)
+      return &Candidate;
+  return nullptr;
+}
+
+} // namespace filbertspring::scheduling
--- /dev/null
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -0,0 +1,120 @@
+#ifndef FILBERTSPRING_SCHEDULING_SCHEDULER_IMPL_H
+#define FILBERTSPRING_SCHEDULING_SCHEDULER_IMPL_H
+
+/// \file
+/// State and steps of the scheduler. Reports are in scheduler_reports.cpp,
+/// answers to orders in scheduler_orders.cpp, placement in
+/// scheduler_placement.cpp, storage in scheduler_writes.cpp.
+
+#include "worker_state.h"
+
+#include <map>
+#include <set>
+#include <unordered_map>
+
+namespace filbertspring::scheduling {
+
+/// A job and what the scheduler keeps beside it.
+struct OwnedJob {
+  Job Job_;
+  /// Accepted before this tenure: its tasks may run unseen.
+  bool IsRestored_ = false;
+  /// When it became final.
+  std::optional<TimePoint> FinalAt_;
+
+  OwnedJob(AcceptedJob Accepted, TimePoint Now, bool IsRestored)
+      : Job_(std::move(Accepted), Now), IsRestored_(IsRestored) {}
+};
+
+struct Scheduler::Impl {
+  Impl(SchedulerSettings Settings, TimePoint Now);
+
+  // Jobs.
+  OwnedJob *findJob(const std::string &Id);
+  void jobChanged(OwnedJob &Owned, TimePoint Now);
+  void stopAllRuns(const Job &Stopped, TimePoint Now);
+  std::uint32_t attemptsOf(const Job &Owned) const;
+
+  // Workers.
+  WorkerState *findWorker(const std::string &Id);
+  void beginLife(WorkerState &Worker, const WorkerEntry &Entry);
+  void loseRuns(WorkerState &Worker, TimePoint Now, const char *Cause);
+  void expireWorkers(TimePoint Now);
+  void renewLeases(TimePoint Now, bool MayOrder);
+  void renew(WorkerState &Worker, TimePoint Now, bool MayGrant);
+  void orderStops(TimePoint Now);
+  void pace(WorkerState &Worker);
+
+  // Reports.
+  void noteEnd(WorkerState &Worker, const EndedTask &Ended, TimePoint Now);
+  void noteDone(WorkerState &Worker, OwnedJob &Owned, const EndedTask &Ended,
+                TimePoint Now);
+  void noteFailed(WorkerState &Worker, OwnedJob &Owned, const EndedTask &Ended,
+                  TimePoint Now);
+  void noteInterrupted(WorkerState &Worker, OwnedJob &Owned,
+                       const EndedTask &Ended, TimePoint Now);
+  void noteRunning(WorkerState &Worker, const RunningTask &Running,
+                   TimePoint Now);
+  void adopt(WorkerState &Worker, OwnedJob *Owned, const RunningTask &Running,
+             TimePoint Now);
+  void dropUnlisted(WorkerState &Worker, const std::set<std::string> &Listed,
+                    TimePoint SentAt, TimePoint Now);
+  void observeTails(WorkerState &Worker);
+  /// Puts the task back if \p Run on \p Worker is its present run.
+  void requeueRun(WorkerState &Worker, OwnedJob &Owned, const TaskName &Name,
+                  std::uint64_t Run, TimePoint Now, Duration Delay);
+
+  // Orders.
+  void resendStart(WorkerState &Worker, Run &Ordered, OwnedJob &Owned,
+                   TimePoint Now);
+  void beginStop(Run &Stopped, TimePoint Now);
+  Run makeRun(const Job &Owner, const TaskName &Name,
+              std::uint64_t Number) const;
+
+  // Placement.
+  void openDueSteps(TimePoint Now);
+  void placeWaiting(TimePoint Now);
+  bool placeTask(OwnedJob &Owned, std::uint32_t Slot, TimePoint Now);
+  WorkerState *chooseWorker(const Job &Owner, const TaskName &Name,
+                            const Task &Waiting, TimePoint Now);
+  bool mayUse(const WorkerState &Worker, const Job &Owner, const TaskName &Name,
+              TimePoint Now) const;
+  double costOf(const WorkerState &Worker, const StepSpec &Step) const;
+  void start(WorkerState &Worker, OwnedJob &Owned, const TaskName &Name,
+             Task &Waiting, TimePoint Now);
+  bool allPredecessorsSeen(TimePoint Now) const;
+
+  void note(LogEvent Event,
+            std::vector<std::pair<std::string, std::string>> Fields);
+
+  SchedulerSettings Settings_;
+  TimePoint TenureStart_;
+  std::int64_t WallMs_ = 0;
+  std::shared_ptr<const QueueTable> Queues_;
+  std::set<std::string> ClosedZones_;
+  std::map<std::string, OwnedJob> Jobs_;
+  std::unordered_map<std::string, WorkerState> Workers_;
+  /// Jobs with open steps to look for or tasks to place.
+  std::set<std::string> Unopened_;
+  std::set<std::string> WithWaiting_;
+  std::set<std::string> DirtyJobs_;
+  std::set<std::string> WorkersToStore_;
+  std::set<std::string> WorkersToForget_;
+  std::set<std::string> JobsToRemove_;
+  /// Ends that are stored once the outstanding transaction is.
+  std::map<std::string, std::uint64_t> EndsInFlight_;
+  std::uint64_t WriteSequence_ = 0;
+  std::vector<Action> Actions_;
+  std::vector<Note> Notes_;
+  bool IsFenced_ = false;
+  bool HasNewRoom_ = true;
+  /// Every worker of the tenure before was seen, or its leases are over.
+  bool IsGateOpen_ = false;
+  /// Ends were noted since the last transaction was taken.
+  bool HasNewEnds_ = false;
+  TimePoint NextPlacementAt_{};
+};
+
+} // namespace filbertspring::scheduling
+
+#endif // FILBERTSPRING_SCHEDULING_SCHEDULER_IMPL_H
--- /dev/null
+++ b/packages/scheduling/src/scheduler_orders.cpp
@@ -0,0 +1,121 @@
+#include "scheduler_impl.h"
+
+namespace filbertspring::scheduling {
+namespace {
+
+/// How often a start without an answer is sent: the second finds out whether
+/// the first arrived.
+constexpr std::uint32_t MaxStartsSent = 2;
+/// A worker that refused a start is not used for this long.
+constexpr Duration AvoidAfterRefusal = std::chrono::milliseconds(1000);
+/// Long enough for a report, which corrects the estimate of a clock.
+constexpr Duration AvoidAfterLate = std::chrono::milliseconds(100);
+/// Added to a run number that the worker called old.
+constexpr std::uint64_t RunNumberJump = 1000;
+
+} // namespace
+
+Run Scheduler::Impl::makeRun(const Job &Owner, const TaskName &Name,
+                             std::uint64_t Number) const {
+  const StepSpec &Step = Owner.step(Name);
+  Run Made;
+  Made.Name_ = Name;
+  Made.Number_ = Number;
+  Made.Held_ = Step.Request_;
+  if (Step.IsFiller_)
+    Made.Held_.MilliCpu_ = 0;
+  Made.RequestedMilliCpu_ = Step.Request_.MilliCpu_;
+  Made.IsFiller_ = Step.IsFiller_;
+  Made.IsLasting_ = Step.IsLasting_;
+  Made.TailTarget_ = Step.TailTarget_;
+  return Made;
+}
+
+void Scheduler::startAnswered(const std::string &Id, const TaskName &Name,
+                              std::uint64_t Number, CallOutcome Outcome,
+                              TimePoint Now) {
+  WorkerState *Worker = Impl_->findWorker(Id);
+  if (!Worker)
+    return;
+  if (Worker->OrdersInFlight_ > 0)
+    --Worker->OrdersInFlight_;
+  auto Found = Worker->Runs_.find(Name.text());
+  if (Found == Worker->Runs_.end() || Found->second.Number_ != Number)
+    return;
+  Run &Ordered = Found->second;
+  OwnedJob *Owned = Impl_->findJob(Name.Job_);
+  // The run is not there: the task is free for another worker.
+  auto GiveBack = [&](Duration Avoid) {
+    Worker->AvoidUntil_ = std::max(Worker->AvoidUntil_, Now + Avoid);
+    Worker->dropRun(Name.text());
+    if (Owned)
+      Impl_->requeueRun(*Worker, *Owned, Name, Number, Now, Duration::zero());
+  };
+  switch (Outcome) {
+  case CallOutcome::Accepted:
+    if (Ordered.Phase_ == RunPhase::Ordered) {
+      Ordered.Phase_ = RunPhase::Confirmed;
+      Ordered.ConfirmedAt_ = Now;
+      Impl_->pace(*Worker);
+    }
+    return;
+  case CallOutcome::RejectedFence:
+    Impl_->IsFenced_ = true;
+    return GiveBack(AvoidAfterRefusal);
+  case CallOutcome::RejectedOldRun:
+    if (Task *Known = Owned ? Owned->Job_.find(Name) : nullptr) {
+      GiveBack(Duration::zero());
+      Known->LastRun_ = std::max(Known->LastRun_, Number + RunNumberJump);
+    }
+    return;
+  case CallOutcome::RejectedLate:
+    // The estimate of the worker's clock is off; the next report mends it.
+    return GiveBack(AvoidAfterLate);
+  case CallOutcome::NotSent:
+  case CallOutcome::RejectedNoRoom:
+  case CallOutcome::RejectedOther:
+  case CallOutcome::Unhealthy:
+  case CallOutcome::OtherInstance:
+    return GiveBack(AvoidAfterRefusal);
+  case CallOutcome::NoAnswer:
+    Worker->AvoidUntil_ = Now + AvoidAfterRefusal;
+    if (Ordered.Phase_ != RunPhase::Ordered)
+      return;
+    if (Ordered.StartsSent_ < MaxStartsSent && Owned) {
+      Impl_->resendStart(*Worker, Ordered, *Owned, Now);
+      return;
+    }
+    Impl_->beginStop(Ordered, Now);
+    return;
+  }
+}
+
+void Scheduler::stopAnswered(const std::string &Id, const TaskName &Name,
+                             std::uint64_t Number, CallOutcome Outcome,
+                             TimePoint Now) {
+  WorkerState *Worker = Impl_->findWorker(Id);
+  if (!Worker)
+    return;
+  auto Found = Worker->Runs_.find(Name.text());
+  if (Found == Worker->Runs_.end() || Found->second.Number_ != Number)
+    return;
+  if (Outcome == CallOutcome::Accepted) {
+    Found->second.StopConfirmedAt_ = Now;
+    return;
+  }
+  if (Outcome == CallOutcome::RejectedFence)
+    Impl_->IsFenced_ = true;
+}
+
+void Scheduler::paceFailed(const std::string &Id, const TaskName &Name,
+                           std::uint64_t Number) {
+  constexpr int UnknownPace = -1;
+  WorkerState *Worker = Impl_->findWorker(Id);
+  if (!Worker)
+    return;
+  auto Found = Worker->Runs_.find(Name.text());
+  if (Found != Worker->Runs_.end() && Found->second.Number_ == Number)
+    Found->second.PacedPercent_ = UnknownPace;
+}
+
+} // namespace filbertspring::scheduling
--- /dev/null
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -0,0 +1,255 @@
+#include "scheduler_impl.h"
+
+#include <algorithm>
+
+namespace filbertspring::scheduling {
+namespace {
+
+/// Failures in a row after which a worker gets no starts for a while: three
+/// tasks of a sound worker fail in a row once in some thousand.
+constexpr std::uint32_t QuarantineAfter = 3;
+/// The first quarantine; it doubles with each further failure.
+constexpr Duration FirstQuarantine = std::chrono::seconds(2);
+/// The most doublings, so that a mended worker is used again.
+constexpr std::uint32_t MaxDoublings = 3;
+/// A failed task is not repeated at once: its cause may pass.
+constexpr Duration RetryDelay = std::chrono::milliseconds(50);
+
+} // namespace
+
+void Scheduler::renewalAnswered(const std::string &Id,
+                                const WorkerReport &Report, TimePoint Now) {
+  WorkerState *Worker = Impl_->findWorker(Id);
+  if (!Worker)
+    return;
+  bool IsOtherLife = Report.BornMs_ != 0 && Worker->Entry_.BornMs_ != 0 &&
+                     Report.BornMs_ != Worker->Entry_.BornMs_;
+  if (IsOtherLife) {
+    Impl_->loseRuns(*Worker, Now, "report of a new life");
+    WorkerEntry Entry = Worker->Entry_;
+    Entry.BornMs_ = Report.BornMs_;
+    bool IsListed = Worker->IsListed_;
+    Impl_->beginLife(*Worker, Entry);
+    Worker->IsListed_ = IsListed;
+    Impl_->WorkersToStore_.insert(Id);
+    return;
+  }
+  TimePoint SentAt = Worker->RenewalSentAt_;
+  bool WasReachable = Worker->isReachable() && !Worker->IsOver_;
+  Worker->IsRenewing_ = false;
+  Worker->NextRenewalAt_ = Now;
+  Worker->IsKnown_ = true;
+  Worker->IsOver_ = false;
+  Worker->FailedRenewals_ = 0;
+  Worker->ClockMs_ = Report.ClockMs_;
+  Worker->ClockAt_ = Now;
+  if (!WasReachable)
+    Impl_->HasNewRoom_ = true;
+
+  for (const EndedTask &Ended : Report.Ended_)
+    if (Ended.Number_ > Worker->NotedEnd_) {
+      Impl_->noteEnd(*Worker, Ended, Now);
+      Worker->NotedEnd_ = Ended.Number_;
+      Impl_->HasNewEnds_ = true;
+    }
+  std::set<std::string> Listed;
+  for (const RunningTask &Running : Report.Running_) {
+    Impl_->noteRunning(*Worker, Running, Now);
+    Listed.insert(Running.Name_.text());
+  }
+  Impl_->dropUnlisted(*Worker, Listed, SentAt, Now);
+  if (Worker->Runs_.empty())
+    Worker->LastIdleReport_ = Now;
+  Impl_->observeTails(*Worker);
+}
+
+void Scheduler::Impl::noteEnd(WorkerState &Worker, const EndedTask &Ended,
+                              TimePoint Now) {
+  std::string Text = Ended.Name_.text();
+  auto Found = Worker.Runs_.find(Text);
+  if (Found != Worker.Runs_.end() && Found->second.Number_ == Ended.Run_) {
+    Worker.dropRun(Text);
+    HasNewRoom_ = true;
+  }
+  OwnedJob *Owned = findJob(Ended.Name_.Job_);
+  if (!Owned || !Owned->Job_.find(Ended.Name_))
+    return;
+  switch (Ended.Reason_) {
+  case EndReason::Done:
+    return noteDone(Worker, *Owned, Ended, Now);
+  case EndReason::Failed:
+    return noteFailed(Worker, *Owned, Ended, Now);
+  case EndReason::Stopped:
+  case EndReason::LeaseExpired:
+  case EndReason::GangBroken:
+  case EndReason::GangIncomplete:
+  case EndReason::Unknown:
+    return noteInterrupted(Worker, *Owned, Ended, Now);
+  }
+}
+
+void Scheduler::Impl::noteDone(WorkerState &Worker, OwnedJob &Owned,
+                               const EndedTask &Ended, TimePoint Now) {
+  Worker.FailureStreak_ = 0;
+  if (Owned.Job_.step(Ended.Name_).IsLasting_) {
+    requeueRun(Worker, Owned, Ended.Name_, Ended.Run_, Now, Duration::zero());
+    return;
+  }
+  if (!Owned.Job_.complete(Ended.Name_))
+    return;
+  std::string Text = Ended.Name_.text();
+  // A copy of the task has no more use.
+  for (auto &[Id, Other] : Workers_) {
+    auto Copy = Other.Runs_.find(Text);
+    if (Copy != Other.Runs_.end())
+      beginStop(Copy->second, Now);
+  }
+  if (Owned.Job_.state() == JobState::Completed)
+    note(LogEvent::JobFinished,
+         {{"job", Ended.Name_.Job_}, {"state", "completed"}});
+  jobChanged(Owned, Now);
+}
+
+void Scheduler::Impl::noteFailed(WorkerState &Worker, OwnedJob &Owned,
+                                 const EndedTask &Ended, TimePoint Now) {
+  bool WasFinal = isFinal(Owned.Job_.state());
+  if (Owned.Job_.fail(Ended.Name_, Ended.Run_, Worker.Entry_.Id_,
+                      attemptsOf(Owned.Job_))) {
+    ++Worker.FailureStreak_;
+    note(LogEvent::TaskFailed, {{"task", Ended.Name_.text()},
+                                {"run", std::to_string(Ended.Run_)},
+                                {"worker", Worker.Entry_.Id_}});
+  }
+  if (Worker.FailureStreak_ >= QuarantineAfter) {
+    std::uint32_t Doublings =
+        std::min(Worker.FailureStreak_ - QuarantineAfter, MaxDoublings);
+    Worker.AvoidUntil_ = Now + FirstQuarantine * (1U << Doublings);
+    note(LogEvent::WorkerQuarantined,
+         {{"worker", Worker.Entry_.Id_},
+          {"failures", std::to_string(Worker.FailureStreak_)}});
+  }
+  Owned.Job_.keepCheckpoint(Ended.Name_, Ended.Checkpoint_);
+  requeueRun(Worker, Owned, Ended.Name_, Ended.Run_, Now, RetryDelay);
+  if (!WasFinal && Owned.Job_.state() == JobState::Failed)
+    note(LogEvent::JobFinished, {{"job", Ended.Name_.Job_},
+                                 {"state", "failed"},
+                                 {"task", Ended.Name_.text()}});
+  jobChanged(Owned, Now);
+}
+
+void Scheduler::Impl::noteInterrupted(WorkerState &Worker, OwnedJob &Owned,
+                                      const EndedTask &Ended, TimePoint Now) {
+  if (!Ended.Checkpoint_.empty()) {
+    Owned.Job_.keepCheckpoint(Ended.Name_, Ended.Checkpoint_);
+    DirtyJobs_.insert(Ended.Name_.Job_);
+  }
+  requeueRun(Worker, Owned, Ended.Name_, Ended.Run_, Now, Duration::zero());
+}
+
+void Scheduler::Impl::noteRunning(WorkerState &Worker,
+                                  const RunningTask &Running, TimePoint Now) {
+  OwnedJob *Owned = findJob(Running.Name_.Job_);
+  auto Found = Worker.Runs_.find(Running.Name_.text());
+  if (Found == Worker.Runs_.end() || Found->second.Number_ != Running.Run_) {
+    adopt(Worker, Owned, Running, Now);
+    return;
+  }
+  Run &Known = Found->second;
+  if (Known.Phase_ == RunPhase::Ordered) {
+    Known.Phase_ = RunPhase::Confirmed;
+    Known.ConfirmedAt_ = Now;
+  }
+  if (!Running.Checkpoint_.empty())
+    Known.Checkpoint_ = Running.Checkpoint_;
+  Known.Percent_ = Running.Percent_;
+  Known.Load_ = Running.Load_;
+}
+
+/// Takes over a run of the tenure before, or stops one that is not wanted.
+void Scheduler::Impl::adopt(WorkerState &Worker, OwnedJob *Owned,
+                            const RunningTask &Running, TimePoint Now) {
+  Task *Known = Owned ? Owned->Job_.find(Running.Name_) : nullptr;
+  Run Adopted;
+  if (Known) {
+    Adopted = makeRun(Owned->Job_, Running.Name_, Running.Run_);
+  } else {
+    // Of unknown size: the worker counts as full until it is gone.
+    Adopted.Name_ = Running.Name_;
+    Adopted.Number_ = Running.Run_;
+    Adopted.Held_ = Worker.Entry_.Capacity_;
+  }
+  Adopted.Phase_ = RunPhase::Confirmed;
+  Adopted.ConfirmedAt_ = Now;
+  Adopted.Checkpoint_ = Running.Checkpoint_;
+  bool IsWanted = Known && !isFinal(Owned->Job_.state()) &&
+                  (Known->Phase_ == TaskPhase::Waiting ||
+                   Known->Phase_ == TaskPhase::Blocked);
+  if (IsWanted)
+    Owned->Job_.place(Running.Name_, Running.Run_, Worker.Entry_.Id_);
+  else
+    beginStop(Adopted, Now);
+  if (!IsWanted)
+    note(LogEvent::UnwantedRunStopped, {{"task", Running.Name_.text()},
+                                        {"run", std::to_string(Running.Run_)},
+                                        {"worker", Worker.Entry_.Id_}});
+  Worker.addRun(std::move(Adopted));
+}
+
+/// Drops confirmed runs that a later report does not list.
+void Scheduler::Impl::dropUnlisted(WorkerState &Worker,
+                                   const std::set<std::string> &Listed,
+                                   TimePoint SentAt, TimePoint Now) {
+  std::vector<std::string> Missing;
+  for (const auto &[Text, One] : Worker.Runs_) {
+    if (Listed.contains(Text))
+      continue;
+    bool IsConfirmedBefore =
+        One.Phase_ == RunPhase::Confirmed && One.ConfirmedAt_ < SentAt;
+    bool IsStoppedBefore = One.Phase_ == RunPhase::Stopping &&
+                           One.StopConfirmedAt_ &&
+                           *One.StopConfirmedAt_ < SentAt;
+    if (IsConfirmedBefore || IsStoppedBefore)
+      Missing.push_back(Text);
+  }
+  for (const std::string &Text : Missing) {
+    Run Gone = Worker.Runs_[Text];
+    Worker.dropRun(Text);
+    HasNewRoom_ = true;
+    if (OwnedJob *Owned = findJob(Gone.Name_.Job_)) {
+      Owned->Job_.keepCheckpoint(Gone.Name_, Gone.Checkpoint_);
+      requeueRun(Worker, *Owned, Gone.Name_, Gone.Number_, Now,
+                 Duration::zero());
+    }
+  }
+}
+
+/// Steers the fillers of a worker by the tails of its serving tasks.
+void Scheduler::Impl::observeTails(WorkerState &Worker) {
+  double Highest = -1;
+  for (const auto &[Text, One] : Worker.Runs_) {
+    if (!One.IsLasting_ || One.TailTarget_ <= Duration::zero())
+      continue;
+    double TargetMs =
+        std::chrono::duration<double, std::milli>(One.TailTarget_).count();
+    Highest = std::max(Highest, One.Load_ / TargetMs);
+  }
+  if (Highest < 0)
+    Worker.Pace_.clear();
+  else
+    Worker.Pace_.observe(Highest);
+  pace(Worker);
+}
+
+void Scheduler::Impl::pace(WorkerState &Worker) {
+  int Wanted = Worker.Pace_.percent();
+  for (auto &[Text, One] : Worker.Runs_) {
+    if (!One.IsFiller_ || One.Phase_ != RunPhase::Confirmed ||
+        One.PacedPercent_ == Wanted)
+      continue;
+    One.PacedPercent_ = Wanted;
+    Actions_.emplace_back(PaceTask{Worker.Entry_.Id_, Worker.Entry_.Address_,
+                                   One.Name_, One.Number_, Wanted});
+  }
+}
+
+} // namespace filbertspring::scheduling
--- /dev/null
+++ b/packages/scheduling/src/scheduler_writes.cpp
@@ -0,0 +1,76 @@
+#include "scheduler_impl.h"
+
+namespace filbertspring::scheduling {
+
+bool Scheduler::hasWrites() const {
+  return Impl_->HasNewEnds_ || !Impl_->DirtyJobs_.empty() ||
+         !Impl_->WorkersToStore_.empty() || !Impl_->WorkersToForget_.empty() ||
+         !Impl_->JobsToRemove_.empty();
+}
+
+PendingWrites Scheduler::takeWrites(std::size_t MaxRows) {
+  PendingWrites Writes;
+  Writes.Sequence_ = ++Impl_->WriteSequence_;
+  std::size_t Room = MaxRows;
+  auto Take = [&Room](std::set<std::string> &From, auto &&Add) {
+    while (Room > 0 && !From.empty()) {
+      auto First = From.extract(From.begin());
+      Add(First.value());
+      --Room;
+    }
+  };
+  // New workers first: nothing starts on a worker that is not stored.
+  Take(Impl_->WorkersToStore_, [&](const std::string &Id) {
+    if (WorkerState *Worker = Impl_->findWorker(Id))
+      Writes.KnownWorkers_.push_back(Worker->Entry_);
+  });
+  Take(Impl_->DirtyJobs_, [&](const std::string &Id) {
+    if (OwnedJob *Owned = Impl_->findJob(Id))
+      Writes.Progress_.emplace_back(Id, Owned->Job_.progress());
+  });
+  Take(Impl_->WorkersToForget_,
+       [&](const std::string &Id) { Writes.ForgottenWorkers_.push_back(Id); });
+  Take(Impl_->JobsToRemove_,
+       [&](const std::string &Id) { Writes.RemovedJobs_.push_back(Id); });
+  Impl_->EndsInFlight_.clear();
+  if (!Impl_->DirtyJobs_.empty())
+    return Writes;
+  Impl_->HasNewEnds_ = false;
+  for (const auto &[Id, Worker] : Impl_->Workers_)
+    if (Worker.NotedEnd_ > Worker.StoredEnd_)
+      Impl_->EndsInFlight_[Id] = Worker.NotedEnd_;
+  return Writes;
+}
+
+void Scheduler::writesStored(const PendingWrites &Writes, TimePoint Now) {
+  for (const auto &[Id, End] : Impl_->EndsInFlight_)
+    if (WorkerState *Worker = Impl_->findWorker(Id))
+      // A new life counts its ends afresh.
+      if (Worker->NotedEnd_ >= End)
+        Worker->StoredEnd_ = std::max(Worker->StoredEnd_, End);
+  Impl_->EndsInFlight_.clear();
+  for (const WorkerEntry &Entry : Writes.KnownWorkers_) {
+    WorkerState *Worker = Impl_->findWorker(Entry.Id_);
+    if (!Worker || Worker->Entry_.BornMs_ != Entry.BornMs_)
+      continue;
+    Worker->IsStored_ = true;
+    Worker->NextRenewalAt_ = std::min(Worker->NextRenewalAt_, Now);
+    Impl_->HasNewRoom_ = true;
+  }
+}
+
+void Scheduler::writesFailed(const PendingWrites &Writes) {
+  Impl_->HasNewEnds_ |= !Impl_->EndsInFlight_.empty();
+  Impl_->EndsInFlight_.clear();
+  for (const auto &[Id, Progress] : Writes.Progress_)
+    Impl_->DirtyJobs_.insert(Id);
+  for (const WorkerEntry &Entry : Writes.KnownWorkers_)
+    Impl_->WorkersToStore_.insert(Entry.Id_);
+  for (const std::string &Id : Writes.ForgottenWorkers_)
+    if (!Impl_->findWorker(Id))
+      Impl_->WorkersToForget_.insert(Id);
+  for (const std::string &Id : Writes.RemovedJobs_)
+    Impl_->JobsToRemove_.insert(Id);
+}
+
+} // namespace filbertspring::scheduling
--- /dev/null
+++ b/packages/scheduling/src/worker_state.cpp
@@ -0,0 +1,36 @@
+#include "worker_state.h"
+
+namespace filbertspring::scheduling {
+
+std::optional<std::int64_t> WorkerState::clockAt(TimePoint Now) const {
+  if (!ClockMs_)
+    return std::nullopt;
+  auto Elapsed =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Now - ClockAt_);
+  return *ClockMs_ + Elapsed.count();
+}
+
+void WorkerState::addRun(Run Added) {
+  dropRun(Added.Name_.text());
+  Used_ += Added.Held_;
+  if (Added.IsLasting_)
+    LastingMilliCpu_ += Added.RequestedMilliCpu_;
+  if (Added.IsFiller_)
+    FillerMilliCpu_ += Added.RequestedMilliCpu_;
+  Runs_.insert_or_assign(Added.Name_.text(), std::move(Added));
+}
+
+void WorkerState::dropRun(const std::string &Text) {
+  auto Found = Runs_.find(Text);
+  if (Found == Runs_.end())
+    return;
+  const Run &Dropped = Found->second;
+  Used_ -= Dropped.Held_;
+  if (Dropped.IsLasting_)
+    LastingMilliCpu_ -= Dropped.RequestedMilliCpu_;
+  if (Dropped.IsFiller_)
+    FillerMilliCpu_ -= Dropped.RequestedMilliCpu_;
+  Runs_.erase(Found);
+}
+
+} // namespace filbertspring::scheduling
--- /dev/null
+++ b/packages/scheduling/src/worker_state.h
@@ -0,0 +1,99 @@
+#ifndef FILBERTSPRING_SCHEDULING_WORKER_STATE_H
+#define FILBERTSPRING_SCHEDULING_WORKER_STATE_H
+
+/// \file
+/// The scheduler's picture of one worker.
+
+#include "filbertspring/scheduling/pacing.h"
+#include "filbertspring/scheduling/scheduler.h"
+#include "filbertspring/scheduling/worker.h"
+
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace filbertspring::scheduling {
+
+/// How certain it is that a worker runs a task.
+enum class RunPhase {
+  /// The start was sent; its answer is outstanding.
+  Ordered,
+  /// The worker confirmed the start or listed the run.
+  Confirmed,
+  /// A stop is to be sent or was sent.
+  Stopping,
+};
+
+/// A run that a worker executes, or may execute.
+struct Run {
+  TaskName Name_;
+  std::uint64_t Number_ = 0;
+  RunPhase Phase_ = RunPhase::Ordered;
+  /// What it takes of the worker's capacity.
+  Resources Held_;
+  std::int64_t RequestedMilliCpu_ = 0;
+  bool IsFiller_ = false;
+  bool IsLasting_ = false;
+  Duration TailTarget_{};
+  TimePoint OrderedAt_{};
+  /// A report asked for after this time lists the run if it still runs.
+  TimePoint ConfirmedAt_{};
+  std::optional<TimePoint> StopConfirmedAt_;
+  TimePoint NextStopAt_{};
+  std::uint32_t StartsSent_ = 0;
+  std::string Checkpoint_;
+  double Percent_ = 0;
+  double Load_ = 0;
+  int PacedPercent_ = 100;
+};
+
+/// One life of a worker.
+struct WorkerState {
+  WorkerEntry Entry_;
+  /// Registered now.
+  bool IsListed_ = false;
+  /// Has answered a renewal in this tenure.
+  bool IsKnown_ = false;
+  /// Surely executes nothing of any tenure any more.
+  bool IsOver_ = false;
+  /// A successor can find the worker in the store.
+  bool IsStored_ = false;
+
+  /// The worker's clock at ClockAt_, if it is known.
+  std::optional<std::int64_t> ClockMs_;
+  TimePoint ClockAt_{};
+
+  /// Highest end processed, and highest end whose effect is stored.
+  std::uint64_t NotedEnd_ = 0;
+  std::uint64_t StoredEnd_ = 0;
+
+  bool IsRenewing_ = false;
+  TimePoint RenewalSentAt_{};
+  TimePoint NextRenewalAt_{};
+  std::uint32_t FailedRenewals_ = 0;
+  /// The last report that listed no task.
+  TimePoint LastIdleReport_{};
+  /// Until when tasks may run on under grants of this tenure.
+  TimePoint GrantedUntil_{};
+  /// Not used for starts before this time.
+  TimePoint AvoidUntil_{};
+  std::uint32_t OrdersInFlight_ = 0;
+  std::uint32_t FailureStreak_ = 0;
+
+  std::unordered_map<std::string, Run> Runs_;
+  Resources Used_;
+  std::int64_t LastingMilliCpu_ = 0;
+  std::int64_t FillerMilliCpu_ = 0;
+  FillPace Pace_;
+
+  /// The worker's clock at \p Now; nothing before the first report.
+  std::optional<std::int64_t> clockAt(TimePoint Now) const;
+  bool isReachable() const { return IsKnown_ && FailedRenewals_ == 0; }
+  void addRun(Run Added);
+  /// Forgets the run and frees what it held.
+  void dropRun(const std::string &Text);
+};
+
+} // namespace filbertspring::scheduling
+
+#endif // FILBERTSPRING_SCHEDULING_WORKER_STATE_H
--- /dev/null
+++ b/packages/transport/include/filbertspring/transport/event_loop.h
@@ -0,0 +1,47 @@
+#ifndef FILBERTSPRING_TRANSPORT_EVENT_LOOP_H
+#define FILBERTSPRING_TRANSPORT_EVENT_LOOP_H
+
+/// \file
+/// The loop on which an instance's duties share one core.
+
+#include "filbertspring/base/time.h"
+
+#include <functional>
+#include <initializer_list>
+#include <memory>
+
+namespace asio {
+class io_context;
+} // namespace asio
+
+namespace filbertspring {
+
+/// Runs callbacks one after another on the thread that calls run().
+/// Not thread-safe, but for stop().
+class EventLoop {
+public:
+  EventLoop();
+  ~EventLoop();
+  EventLoop(const EventLoop &) = delete;
+  EventLoop &operator=(const EventLoop &) = delete;
+
+  /// Runs until stop() is called.
+  void run();
+  void stop();
+  /// Calls \p Callback once, \p Delay from now.
+  void after(Duration Delay, std::function<void()> Callback);
+  /// Calls \p Callback with the number of each of \p Signals that arrives.
+  void onSignals(std::initializer_list<int> Signals,
+                 std::function<void(int)> Callback);
+
+  /// For transports on this loop.
+  asio::io_context &context();
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Impl_;
+};
+
+} // namespace filbertspring
+
+#endif // FILBERTSPRING_TRANSPORT_EVENT_LOOP_H
--- /dev/null
+++ b/packages/transport/src/async_http_server.cpp
@@ -0,0 +1,290 @@
+#include "filbertspring/transport/async_http_server.h"
+
+#include "socket_address.h"
+
+#include <array>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <fmt/format.h>
+#include <http_parser.h>
+#include <unordered_set>
+
+namespace filbertspring {
+namespace {
+
+using asio::ip::tcp;
+
+/// Connections that wait to be accepted.
+constexpr int Backlog = 512;
+
+std::string serialize(const HttpAnswer &Answer, bool KeepsOpen) {
+  std::string Bytes =
+      fmt::format("HTTP/1.1 {} {}\r\nContent-Length: {}\r\n", Answer.Status_,
+                  http_status_str(static_cast<http_status>(Answer.Status_)),
+                  Answer.Body_.size());
+  if (!Answer.Body_.empty())
+    Bytes += fmt::format("Content-Type: {}\r\n", Answer.ContentType_);
+  for (const HttpField &Field : Answer.Headers_)
+    Bytes += fmt::format("{}: {}\r\n", Field.Name_, Field.Value_);
+  if (!KeepsOpen)
+    Bytes += "Connection: close\r\n";
+  Bytes += "\r\n";
+  Bytes += Answer.Body_;
+  return Bytes;
+}
+
+} // namespace
+
+struct AsyncHttpServer::Impl {
+  struct Connection;
+
+  Impl(EventLoop &Loop, AsyncServerLimits Limits, HttpHandler Handler)
+      : Loop_(Loop), Limits_(Limits), Handler_(std::move(Handler)),
+        Acceptor_(Loop.context()), RetryTimer_(Loop.context()) {
+    http_parser_settings_init(&Settings_);
+    Settings_.on_url = &Impl::onUrl;
+    Settings_.on_body = &Impl::onBody;
+    Settings_.on_header_field = &Impl::onHeaderField;
+    Settings_.on_header_value = &Impl::onHeaderValue;
+    Settings_.on_message_complete = &Impl::onComplete;
+  }
+
+  static int onUrl(http_parser *Parser, const char *At, std::size_t Size);
+  static int onBody(http_parser *Parser, const char *At, std::size_t Size);
+  static int onHeaderField(http_parser *Parser, const char *At,
+                           std::size_t Size);
+  static int onHeaderValue(http_parser *Parser, const char *At,
+                           std::size_t Size);
+  static int onComplete(http_parser *Parser);
+
+  void accept();
+
+  EventLoop &Loop_;
+  AsyncServerLimits Limits_;
+  HttpHandler Handler_;
+  tcp::acceptor Acceptor_;
+  asio::steady_timer RetryTimer_;
+  http_parser_settings Settings_{};
+  std::unordered_set<std::shared_ptr<Connection>> Connections_;
+  std::size_t InFlight_ = 0;
+  bool IsDraining_ = false;
+  std::shared_ptr<bool> IsAlive_ = std::make_shared<bool>(true);
+};
+
+/// One caller's connection. Bytes of a further request wait until the present
+/// one is answered.
+struct AsyncHttpServer::Impl::Connection
+    : std::enable_shared_from_this<Connection> {
+  Connection(Impl &Owner, tcp::socket Socket)
+      : Owner_(Owner), IsOwnerAlive_(Owner.IsAlive_),
+        Socket_(std::move(Socket)), IdleTimer_(Owner.Loop_.context()) {
+    beginRequest();
+  }
+
+  void beginRequest() {
+    http_parser_init(&Parser_, HTTP_REQUEST);
+    Parser_.data = this;
+    Request_ = {};
+    IsInValue_ = false;
+    IsComplete_ = false;
+  }
+
+  void read() {
+    IdleTimer_.expires_after(Owner_.Limits_.IdleTimeout_);
+    IdleTimer_.async_wait(
+        [Self = shared_from_this()](const std::error_code &Error) {
+          if (!Error && !Self->isClosed() && !Self->IsAnswering_)
+            Self->close();
+        });
+    Socket_.async_read_some(
+        asio::buffer(Buffer_),
+        [Self = shared_from_this()](const std::error_code &Error,
+                                    std::size_t Size) {
+          if (Self->isClosed())
+            return;
+          Self->IdleTimer_.cancel();
+          if (Error)
+            return Self->close();
+          Self->Pending_.append(Self->Buffer_.data(), Size);
+          Self->parse();
+        });
+  }
+
+  void parse() {
+    std::size_t Parsed = http_parser_execute(&Parser_, &Owner_.Settings_,
+                                             Pending_.data(), Pending_.size());
+    if (IsComplete_) {
+      Pending_.erase(0, Parsed);
+      return dispatch();
+    }
+    bool IsBroken = HTTP_PARSER_ERRNO(&Parser_) != HPE_OK;
+    if (IsBroken || Request_.Body_.size() > Owner_.Limits_.MaxBodyBytes_)
+      return reject(IsBroken ? 400 : 413);
+    Pending_.clear();
+    read();
+  }
+
+  void reject(int Status) {
+    HttpAnswer Answer;
+    Answer.Status_ = Status;
+    IsAnswering_ = true;
+    MustClose_ = true;
+    ++Owner_.InFlight_;
+    answer(std::move(Answer));
+  }
+
+  void dispatch() {
+    IsAnswering_ = true;
+    KeepsOpen_ = http_should_keep_alive(&Parser_) != 0;
+    ++Owner_.InFlight_;
+    Request_.Method_ =
+        http_method_str(static_cast<http_method>(Parser_.method));
+    std::size_t Query = Request_.Path_.find('?');
+    if (Query != std::string::npos)
+      Request_.Path_.resize(Query);
+    Owner_.Handler_(std::move(Request_),
+                    [Self = shared_from_this()](HttpAnswer Answer) {
+                      if (!Self->isClosed() && Self->IsAnswering_)
+                        Self->answer(std::move(Answer));
+                    });
+  }
+
+  void answer(HttpAnswer Answer) {
+    bool KeepsOpen = KeepsOpen_ && !MustClose_ && !Owner_.IsDraining_;
+    Output_ = serialize(Answer, KeepsOpen);
+    asio::async_write(Socket_, asio::buffer(Output_),
+                      [Self = shared_from_this(),
+                       KeepsOpen](const std::error_code &Error, std::size_t) {
+                        if (Self->isClosed())
+                          return;
+                        --Self->Owner_.InFlight_;
+                        Self->IsAnswering_ = false;
+                        if (Error || !KeepsOpen)
+                          return Self->close();
+                        Self->beginRequest();
+                        if (Self->Pending_.empty())
+                          Self->read();
+                        else
+                          Self->parse();
+                      });
+  }
+
+  bool isClosed() const { return IsClosed_ || !*IsOwnerAlive_; }
+
+  void close() {
+    IsClosed_ = true;
+    IdleTimer_.cancel();
+    std::error_code Ignored; // Nothing is left to be done with the socket.
+    Socket_.shutdown(tcp::socket::shutdown_send, Ignored);
+    Socket_.close(Ignored);
+    Owner_.Connections_.erase(shared_from_this());
+  }
+
+  Impl &Owner_;
+  std::shared_ptr<bool> IsOwnerAlive_;
+  tcp::socket Socket_;
+  asio::steady_timer IdleTimer_;
+  http_parser Parser_{};
+  HttpRequest Request_;
+  std::string Pending_;
+  std::string Output_;
+  bool IsInValue_ = false;
+  bool IsComplete_ = false;
+  bool IsAnswering_ = false;
+  bool KeepsOpen_ = true;
+  bool MustClose_ = false;
+  bool IsClosed_ = false;
+  std::array<char, 4096> Buffer_{};
+};
+
+int AsyncHttpServer::Impl::onUrl(http_parser *Parser, const char *At,
+                                 std::size_t Size) {
+  static_cast<Connection *>(Parser->data)->Request_.Path_.append(At, Size);
+  return 0;
+}
+
+int AsyncHttpServer::Impl::onBody(http_parser *Parser, const char *At,
+                                  std::size_t Size) {
+  static_cast<Connection *>(Parser->data)->Request_.Body_.append(At, Size);
+  return 0;
+}
+
+int AsyncHttpServer::Impl::onHeaderField(http_parser *Parser, const char *At,
+                                         std::size_t Size) {
+  auto &Of = *static_cast<Connection *>(Parser->data);
+  if (Of.IsInValue_ || Of.Request_.Headers_.empty())
+    Of.Request_.Headers_.emplace_back();
+  Of.IsInValue_ = false;
+  Of.Request_.Headers_.back().Name_.append(At, Size);
+  return 0;
+}
+
+int AsyncHttpServer::Impl::onHeaderValue(http_parser *Parser, const char *At,
+                                         std::size_t Size) {
+  auto &Of = *static_cast<Connection *>(Parser->data);
+  Of.IsInValue_ = true;
+  Of.Request_.Headers_.back().Value_.append(At, Size);
+  return 0;
+}
+
+int AsyncHttpServer::Impl::onComplete(http_parser *Parser) {
+  static_cast<Connection *>(Parser->data)->IsComplete_ = true;
+  // The bytes of a next request stay unread.
+  http_parser_pause(Parser, 1);
+  return 0;
+}
+
+void AsyncHttpServer::Impl::accept() {
+  Acceptor_.async_accept([this, IsAlive = IsAlive_](
+                             const std::error_code &Error, tcp::socket Socket) {
+    if (!*IsAlive || Error == asio::error::operation_aborted)
+      return;
+    if (Error) {
+      // Out of descriptors: connections wait in the backlog for a while.
+      RetryTimer_.expires_after(std::chrono::milliseconds(50));
+      RetryTimer_.async_wait([this, IsAlive](const std::error_code &Aborted) {
+        if (*IsAlive && !Aborted)
+          accept();
+      });
+      return;
+    }
+    if (Connections_.size() < Limits_.MaxConnections_) {
+      std::error_code Ignored; // An optimization only.
+      Socket.set_option(tcp::no_delay(true), Ignored);
+      auto Accepted = std::make_shared<Connection>(*this, std::move(Socket));
+      Connections_.insert(Accepted);
+      Accepted->read();
+    }
+    accept();
+  });
+}
+
+AsyncHttpServer::AsyncHttpServer(EventLoop &Loop, AsyncServerLimits Limits,
+                                 HttpHandler Handler)
+    : Impl_(std::make_unique<Impl>(Loop, Limits, std::move(Handler))) {}
+
+AsyncHttpServer::~AsyncHttpServer() { *Impl_->IsAlive_ = false; }
+
+Status AsyncHttpServer::listen(const std::string &Address) {
+  std::optional<tcp::endpoint> Endpoint = parseAddress(Address);
+  if (!Endpoint)
+    return fail(Errc::InvalidInput);
+  std::error_code Error;
+  Impl_->Acceptor_.open(Endpoint->protocol(), Error);
+  if (!Error)
+    Impl_->Acceptor_.set_option(tcp::acceptor::reuse_address(true), Error);
+  if (!Error)
+    Impl_->Acceptor_.bind(*Endpoint, Error);
+  if (!Error)
+    Impl_->Acceptor_.listen(Backlog, Error);
+  if (Error)
+    return fail(Error);
+  Impl_->accept();
+  return {};
+}
+
+void AsyncHttpServer::beginDrain() { Impl_->IsDraining_ = true; }
+
+std::size_t AsyncHttpServer::inFlight() const { return Impl_->InFlight_; }
+
+} // namespace filbertspring
--- /dev/null
+++ b/packages/transport/src/event_loop.cpp
@@ -0,0 +1,54 @@
+#include "filbertspring/transport/event_loop.h"
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+
+namespace filbertspring {
+
+struct EventLoop::Impl {
+  // One thread: the context needs no locks.
+  asio::io_context Context_{1};
+  std::unique_ptr<asio::signal_set> Signals_;
+
+  void waitForSignal(std::function<void(int)> Callback) {
+    Signals_->async_wait([this, Callback = std::move(Callback)](
+                             const std::error_code &Error, int Signal) mutable {
+      if (Error)
+        return;
+      Callback(Signal);
+      waitForSignal(std::move(Callback));
+    });
+  }
+};
+
+EventLoop::EventLoop() : Impl_(std::make_unique<Impl>()) {}
+EventLoop::~EventLoop() = default;
+
+asio::io_context &EventLoop::context() { return Impl_->Context_; }
+
+void EventLoop::run() {
+  auto Work = asio::make_work_guard(Impl_->Context_);
+  Impl_->Context_.run();
+}
+
+void EventLoop::stop() { Impl_->Context_.stop(); }
+
+void EventLoop::after(Duration Delay, std::function<void()> Callback) {
+  auto Timer = std::make_shared<asio::steady_timer>(Impl_->Context_, Delay);
+  Timer->async_wait(
+      [Timer, Callback = std::move(Callback)](const std::error_code &Error) {
+        if (!Error)
+          Callback();
+      });
+}
+
+void EventLoop::onSignals(std::initializer_list<int> Signals,
+                          std::function<void(int)> Callback) {
+  Impl_->Signals_ = std::make_unique<asio::signal_set>(Impl_->Context_);
+  for (int Signal : Signals)
+    Impl_->Signals_->add(Signal);
+  Impl_->waitForSignal(std::move(Callback));
+}
+
+} // namespace filbertspring
