Fillers are paced and placed by learned interference of images

Change: recursive least squares for each serving image; only fillers with a part in a tail are paced; none is placed where it would harm; serving tasks of one image gather.

--- a/packages/scheduling/include/filbertspring/scheduling/pacing.h
+++ b/packages/scheduling/include/filbertspring/scheduling/pacing.h
@@ -4,24 +4,46 @@
 /// \file
 /// How fast fillers may work beside tasks that serve users.
 
+#include "filbertspring/scheduling/interference.h"
+
+#include <span>
+#include <string_view>
+#include <vector>
+
 namespace filbertspring::scheduling {
 
-/// The share of their speed at which the fillers of one worker may work,
-/// steered by the tail latency of the serving tasks beside them: cut at once
-/// when a tail nears its target, raised slowly when all tails are well below.
-class FillPace {
-public:
-  /// Takes the highest tail on the worker as a fraction of its target.
-  void observe(double TailFraction);
-  /// No serving task is left on the worker.
-  void clear() { Percent_ = 100; }
-  /// 0 to 100.
-  int percent() const { return Percent_; }
-
-private:
+/// A serving task as its worker reported it.
+struct ServingSample {
+  std::string_view Image_;
+  double TailMs_ = 0;
+  double TargetMs_ = 0;
+};
+
+/// A filler on the same worker.
+struct FillerSample {
+  std::string_view Image_;
+  /// Part of the worker's processors that it takes at full speed.
+  double FullShare_ = 0;
+  /// Its present pace.
   int Percent_ = 100;
 };
 
+/// Returns the pace of each filler, 0 to 100, in the order of \p Fillers.
+///
+/// Fillers that are known to lengthen a tail are slowed down as far as the
+/// model asks; while a tail is over its limit, so are those that are not known
+/// to be harmless. Fillers without a part in a tail work at full speed.
+std::vector<int> choosePaces(const InterferenceModel &Model,
+                             std::span<const ServingSample> Serving,
+                             std::span<const FillerSample> Fillers);
+
+/// Returns whether a filler of \p Added may work at full speed beside what
+/// the worker runs, as far as the model knows.
+bool fitsBeside(const InterferenceModel &Model,
+                std::span<const ServingSample> Serving,
+                std::span<const FillerSample> Fillers,
+                const FillerSample &Added);
+
 } // namespace filbertspring::scheduling
 
 #endif // FILBERTSPRING_SCHEDULING_PACING_H
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -79,7 +79,8 @@
                             const Task &Waiting, TimePoint Now);
   bool mayUse(const WorkerState &Worker, const Job &Owner, const TaskName &Name,
               TimePoint Now) const;
-  double costOf(const WorkerState &Worker, const StepSpec &Step) const;
+  std::optional<double> costOf(const WorkerState &Worker,
+                               const StepSpec &Step) const;
   void start(WorkerState &Worker, OwnedJob &Owned, const TaskName &Name,
              Task &Waiting, TimePoint Now);
   bool allPredecessorsSeen(TimePoint Now) const;
@@ -106,6 +107,7 @@
   std::uint64_t WriteSequence_ = 0;
   std::vector<Action> Actions_;
   std::vector<Note> Notes_;
+  InterferenceModel Model_;
   bool IsFenced_ = false;
   bool HasNewRoom_ = true;
   /// Every worker of the tenure before was seen, or its leases are over.
--- a/packages/scheduling/src/scheduler_orders.cpp
+++ b/packages/scheduling/src/scheduler_orders.cpp
@@ -27,6 +27,7 @@
   Made.RequestedMilliCpu_ = Step.Request_.MilliCpu_;
   Made.IsFiller_ = Step.IsFiller_;
   Made.IsLasting_ = Step.IsLasting_;
+  Made.Image_ = Step.Image_;
   Made.TailTarget_ = Step.TailTarget_;
   return Made;
 }
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -15,14 +15,22 @@
 /// Fillers beyond this share of a worker's processors would only slow down
 /// each other.
 constexpr double MaxFillerPressure = 1.0;
-/// Fillers are not added where those present are paced below this.
-constexpr int MinPaceForMore = 70;
-/// Cost of pacing, relative to a full worker: spreads fillers to workers
-/// whose serving tasks leave room.
-constexpr double PaceCost = 0.5;
+/// Cost of a serving task of another image on a worker, relative to a full
+/// worker: tasks of one image gather, so that fillers that harm it find
+/// workers without it.
+constexpr double MixedImagesCost = 0.3;
 /// Cost of a worker away from the data, relative to a full worker.
 constexpr double FarCost = 2.0;
 
+/// Returns the number of serving images on \p Worker other than \p Image.
+std::size_t otherImages(const WorkerState &Worker, const std::string &Image) {
+  std::set<std::string_view> Others;
+  for (const auto &[Text, One] : Worker.Runs_)
+    if (One.IsLasting_ && One.Image_ != Image)
+      Others.insert(One.Image_);
+  return Others.size();
+}
+
 } // namespace
 
 void Scheduler::Impl::openDueSteps(TimePoint Now) {
@@ -142,11 +150,11 @@
   return OfStep < std::int64_t{Step.MaxPerWorker_};
 }
 
-/// Returns how full the worker would be: lower is better.
-double Scheduler::Impl::costOf(const WorkerState &Worker,
-                               const StepSpec &Step) const {
-  auto Capacity = static_cast<double>(
-      std::max<std::int64_t>(1, Worker.Entry_.Capacity_.MilliCpu_));
+/// Returns how full the worker would be: lower is better. Nothing if a filler
+/// would harm what the worker serves.
+std::optional<double> Scheduler::Impl::costOf(const WorkerState &Worker,
+                                              const StepSpec &Step) const {
+  double Capacity = Worker.milliCpu();
   auto Requested = static_cast<double>(Step.Request_.MilliCpu_);
   double Cost = 0;
   if (Step.IsFiller_) {
@@ -154,9 +162,14 @@
     auto Others = static_cast<double>(Worker.Used_.MilliCpu_) - Lasting;
     auto Fillers = static_cast<double>(Worker.FillerMilliCpu_);
     Cost = (LastingLoad * Lasting + Others + Fillers + Requested) / Capacity;
-    Cost += PaceCost * (100 - Worker.Pace_.percent()) / 100.0;
+    if (Cost > MaxFillerPressure ||
+        !fitsBeside(Model_, Worker.servingSamples(), Worker.fillerSamples(),
+                    {Step.Image_, Requested / Capacity, 100}))
+      return std::nullopt;
   } else {
     Cost = (static_cast<double>(Worker.Used_.MilliCpu_) + Requested) / Capacity;
+    if (Step.IsLasting_)
+      Cost += MixedImagesCost * otherImages(Worker, Step.Image_);
   }
   const std::vector<std::string> &Labels = Worker.Entry_.Labels_;
   if (!Step.DataRack_.empty() &&
@@ -174,16 +187,14 @@
   for (auto &[Id, Worker] : Workers_) {
     if (!mayUse(Worker, Owner, Name, Now))
       continue;
-    if (Step.IsFiller_ && Worker.Pace_.percent() < MinPaceForMore)
-      continue;
-    double Cost = costOf(Worker, Step);
-    if (Step.IsFiller_ && Cost > MaxFillerPressure)
+    std::optional<double> Cost = costOf(Worker, Step);
+    if (!Cost)
       continue;
     if (Id == Waiting.FailedOn_)
-      Cost += FarCost;
-    if (!Best || Cost < BestCost) {
+      *Cost += FarCost;
+    if (!Best || *Cost < BestCost) {
       Best = &Worker;
-      BestCost = Cost;
+      BestCost = *Cost;
     }
   }
   return Best;
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -1,6 +1,7 @@
 #include "scheduler_impl.h"
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace filbertspring::scheduling {
 namespace {
@@ -14,6 +15,10 @@
 constexpr std::uint32_t MaxDoublings = 3;
 /// A failed task is not repeated at once: its cause may pass.
 constexpr Duration RetryDelay = std::chrono::milliseconds(50);
+/// Tails are figures of half a second; they are learned from once in it.
+constexpr Duration LearnPause = std::chrono::milliseconds(450);
+/// Changes of a pace by fewer percent are not worth an order.
+constexpr int LeastPaceChange = 10;
 
 } // namespace
 
@@ -223,28 +228,37 @@
   }
 }
 
-/// Steers the fillers of a worker by the tails of its serving tasks.
+/// Learns from the tails of a worker's serving tasks.
 void Scheduler::Impl::observeTails(WorkerState &Worker) {
-  double Highest = -1;
-  for (const auto &[Text, One] : Worker.Runs_) {
-    if (!One.IsLasting_ || One.TailTarget_ <= Duration::zero())
-      continue;
-    double TargetMs =
-        std::chrono::duration<double, std::milli>(One.TailTarget_).count();
-    Highest = std::max(Highest, One.Load_ / TargetMs);
-  }
-  if (Highest < 0)
-    Worker.Pace_.clear();
-  else
-    Worker.Pace_.observe(Highest);
+  std::vector<FillerShare> Fillers;
+  for (const auto &[Text, One] : Worker.Runs_)
+    if (One.IsFiller_ && One.Load_ > 0)
+      Fillers.push_back({One.Image_, One.Load_ / Worker.milliCpu()});
+  // A worker answers often while tasks end; the figures change slowly.
+  if (Worker.LearnedAt_ + LearnPause > Worker.ClockAt_)
+    return;
+  Worker.LearnedAt_ = Worker.ClockAt_;
+  for (const auto &[Text, One] : Worker.Runs_)
+    if (One.IsLasting_ && One.Load_ > 0)
+      Model_.observe(One.Image_, One.Load_, Fillers);
   pace(Worker);
 }
 
+/// Sets the paces of a worker's fillers.
 void Scheduler::Impl::pace(WorkerState &Worker) {
-  int Wanted = Worker.Pace_.percent();
+  std::vector<ServingSample> Serving = Worker.servingSamples();
+  std::vector<FillerSample> Fillers = Worker.fillerSamples();
+  std::vector<int> Paces = choosePaces(Model_, Serving, Fillers);
+  auto Pace = Paces.begin();
   for (auto &[Text, One] : Worker.Runs_) {
-    if (!One.IsFiller_ || One.Phase_ != RunPhase::Confirmed ||
-        One.PacedPercent_ == Wanted)
+    if (!One.IsFiller_)
+      continue;
+    int Wanted = *Pace++;
+    if (One.Phase_ != RunPhase::Confirmed)
+      continue;
+    bool IsSmallChange = Wanted != 0 && Wanted != 100 &&
+                         std::abs(Wanted - One.PacedPercent_) < LeastPaceChange;
+    if (Wanted == One.PacedPercent_ || IsSmallChange)
       continue;
     One.PacedPercent_ = Wanted;
     Actions_.emplace_back(PaceTask{Worker.Entry_.Id_, Worker.Entry_.Address_,
--- a/packages/scheduling/src/worker_state.cpp
+++ b/packages/scheduling/src/worker_state.cpp
@@ -1,5 +1,7 @@
 #include "worker_state.h"
 
+#include <algorithm>
+
 namespace filbertspring::scheduling {
 
 std::optional<std::int64_t> WorkerState::clockAt(TimePoint Now) const {
@@ -33,4 +35,32 @@
   Runs_.erase(Found);
 }
 
+double WorkerState::milliCpu() const {
+  return static_cast<double>(
+      std::max<std::int64_t>(1, Entry_.Capacity_.MilliCpu_));
+}
+
+double WorkerState::fullShare(const Run &Filler) const {
+  return static_cast<double>(Filler.RequestedMilliCpu_) / milliCpu();
+}
+
+std::vector<ServingSample> WorkerState::servingSamples() const {
+  std::vector<ServingSample> Samples;
+  for (const auto &[Text, One] : Runs_)
+    if (One.IsLasting_ && One.TailTarget_ > Duration::zero())
+      Samples.push_back(
+          {One.Image_, One.Load_,
+           std::chrono::duration<double, std::milli>(One.TailTarget_).count()});
+  return Samples;
+}
+
+std::vector<FillerSample> WorkerState::fillerSamples() const {
+  std::vector<FillerSample> Samples;
+  for (const auto &[Text, One] : Runs_)
+    if (One.IsFiller_)
+      Samples.push_back(
+          {One.Image_, fullShare(One), std::max(0, One.PacedPercent_)});
+  return Samples;
+}
+
 } // namespace filbertspring::scheduling
--- a/packages/scheduling/src/worker_state.h
+++ b/packages/scheduling/src/worker_state.h
@@ -34,6 +34,7 @@
   std::int64_t RequestedMilliCpu_ = 0;
   bool IsFiller_ = false;
   bool IsLasting_ = false;
+  std::string Image_;
   Duration TailTarget_{};
   TimePoint OrderedAt_{};
   /// A report asked for after this time lists the run if it still runs.
@@ -71,6 +72,8 @@
   TimePoint RenewalSentAt_{};
   TimePoint NextRenewalAt_{};
   std::uint32_t FailedRenewals_ = 0;
+  /// The last report that tails were learned from.
+  TimePoint LearnedAt_{};
   /// The last report that listed no task.
   TimePoint LastIdleReport_{};
   /// Until when tasks may run on under grants of this tenure.
@@ -84,12 +87,18 @@
   Resources Used_;
   std::int64_t LastingMilliCpu_ = 0;
   std::int64_t FillerMilliCpu_ = 0;
-  FillPace Pace_;
 
   /// The worker's clock at \p Now; nothing before the first report.
   std::optional<std::int64_t> clockAt(TimePoint Now) const;
+  /// At least 1, so that shares of it are finite.
+  double milliCpu() const;
   bool isReachable() const { return IsKnown_ && FailedRenewals_ == 0; }
   void addRun(Run Added);
+  /// The serving tasks with a target; the views live as long as the runs.
+  std::vector<ServingSample> servingSamples() const;
+  std::vector<FillerSample> fillerSamples() const;
+  /// The part of the worker that \p Filler takes at full speed.
+  double fullShare(const Run &Filler) const;
   /// Forgets the run and frees what it held.
   void dropRun(const std::string &Text);
 };
