Trial: a cell for each availability zone

Cause looked for: a zone that is cut off takes the owner of all jobs with it. Change: one owner for each zone's workers, jobs stay in the cell of the zone that accepted them; feeds of cells; notices between instances; expiry of workers only after a confirmed tenure; starts that are answered late.

--- a/packages/node/include/filbertspring/node/node_settings.h
+++ b/packages/node/include/filbertspring/node/node_settings.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace filbertspring::node {
 
@@ -17,10 +18,14 @@
 struct NodeSettings {
   std::string Instance_;
   std::string Zone_;
+  /// All availability zones; each has a cell of its own.
+  std::vector<std::string> Zones_;
   /// "IP:PORT" each.
   std::string CallerAddress_;
   std::string ReadinessAddress_;
   std::string MetricsAddress_;
+  /// For other instances.
+  std::string PeerAddress_;
   std::string StoreAddress_;
   /// Part of a core that the instance may use.
   double CpuShare_ = 1.0;
--- a/packages/node/src/callers.cpp
+++ b/packages/node/src/callers.cpp
@@ -62,6 +62,17 @@
 /// The outcome is unknown; a repeat with the same id finds it out.
 HttpAnswer makeUnknown() { return makeAnswer(504); }
 
+platform::RowRange onlyRow(const scheduling::RowKey &Key) {
+  // Keys of a job go on with a dot, which sorts after a hyphen.
+  platform::RowRange Range;
+  Range.Table_ = Key.Table_;
+  Range.Partition_ = Key.Partition_;
+  Range.From_ = Key.Key_;
+  Range.Until_ = Key.Key_ + "-";
+  Range.Limit_ = 1;
+  return Range;
+}
+
 Duration deadlineOf(const HttpRequest &Request) {
   std::string_view Text = Request.header(platform::DeadlineHeader);
   std::int64_t Milliseconds = 0;
@@ -87,8 +98,15 @@
   bool MayBeStored_ = false;
 };
 
-Callers::Callers(EventLoop &Loop, StoreClient &Store, CounterRegistry &Counters)
-    : Loop_(Loop), Store_(Store), Counters_(Counters) {}
+Callers::Callers(StoreClient &Store, CellDirectory &Cells,
+                 CounterRegistry &Counters,
+                 std::function<void(const Row &)> Accepted)
+    : Store_(Store), Cells_(Cells), Counters_(Counters),
+      Accepted_(std::move(Accepted)) {}
+
+void Callers::setClosedZones(std::set<std::string> Zones) {
+  ClosedZones_ = std::move(Zones);
+}
 
 void Callers::configure(std::shared_ptr<const scheduling::QueueTable> Queues) {
   Queues_ = std::move(Queues);
@@ -128,7 +146,7 @@
   Of->Job_ = Of->Request_.Path_.substr(Found->PathPrefix_.size());
   const std::string &Method = Of->Request_.Method_;
   if (Method == "GET" && Of->Job_.empty())
-    return readCounts(Of);
+    return answerPending(Of);
   if (!isJobId(Of->Job_))
     return Of->Respond_(makeAnswer(404));
   if (Method == "POST")
@@ -149,6 +167,7 @@
     return Of->Respond_(makeAnswer(400));
   }
   StoredAcceptance Accepted;
+  Accepted.Cell_ = Cells_.chooseCell(ClosedZones_);
   Accepted.Queue_ = Of->Queue_.Name_;
   Accepted.Service_ = Of->Queue_.Service_;
   Accepted.AcceptedMs_ = wallMilliseconds();
@@ -172,6 +191,9 @@
   Store_.commit(Insert, Timeout, [this, Of, Insert](CommitResult Outcome) {
     switch (Outcome.Outcome_) {
     case CommitOutcome::Committed:
+      Accepted_(Insert.Writes_.front());
+      Cache_.remember(Of->Job_, Insert.Writes_.front());
+      [[fallthrough]];
     case CommitOutcome::Conflict:
       logEvent(LogEvent::JobAccepted,
                {{"job", Of->Job_},
@@ -195,49 +217,61 @@
 }
 
 void Callers::readState(const ExchangePtr &Of) {
-  Duration Timeout = timeLeft(*Of);
-  scheduling::RowKey Key = progressKey(Of->Job_);
-  Store_.read({Key.Table_, Key.Partition_, Key.Key_, Key.Key_ + "-", 1},
-              Timeout, [this, Of](Result<RowPage> Page) {
-                if (!Page)
-                  return Of->Respond_(makeRefusal());
-                if (Page->Rows_.empty())
-                  return readAcceptance(Of);
-                Result<scheduling::JobProgress> Progress =
-                    scheduling::decodeProgress(Page->Rows_.front().Value_);
-                if (!Progress)
-                  return Of->Respond_(makeRefusal());
-                Of->Respond_(
-                    makeAnswer(200, platform::encodeState(Progress->State_)));
-              });
+  if (std::optional<JobState> Final = Cache_.finalState(Of->Job_))
+    return Of->Respond_(makeAnswer(200, platform::encodeState(*Final)));
+  if (std::optional<std::string> Cell = Cache_.cell(Of->Job_))
+    return readProgress(Of, *Cell);
+  readAcceptance(Of, [this, Of](const Row *Accepted) {
+    if (!Accepted)
+      return Of->Respond_(makeAnswer(410));
+    readProgress(Of, std::string(storedCell(Accepted->Value_)));
+  });
+}
+
+void Callers::readAcceptance(const ExchangePtr &Of,
+                             AcceptanceCallback Callback) {
+  Store_.read(
+      onlyRow(jobKey(Of->Job_)), timeLeft(*Of),
+      [this, Of, Callback = std::move(Callback)](const Result<RowPage> &Page) {
+        if (!Page)
+          return Of->Respond_(makeRefusal());
+        if (Page->Rows_.empty())
+          return Callback(nullptr);
+        Cache_.remember(Of->Job_, Page->Rows_.front());
+        Callback(&Page->Rows_.front());
+      });
 }
 
-void Callers::readAcceptance(const ExchangePtr &Of) {
-  scheduling::RowKey Key = jobKey(Of->Job_);
-  Store_.read({Key.Table_, Key.Partition_, Key.Key_, Key.Key_ + "-", 1},
-              timeLeft(*Of), [Of](Result<RowPage> Page) {
+void Callers::readProgress(const ExchangePtr &Of, const std::string &Cell) {
+  Store_.read(onlyRow(progressKey(Cell, Of->Job_)), timeLeft(*Of),
+              [this, Of](const Result<RowPage> &Page) {
                 if (!Page)
                   return Of->Respond_(makeRefusal());
-                if (Page->Rows_.empty())
-                  return Of->Respond_(makeAnswer(410));
-                Of->Respond_(
-                    makeAnswer(200, platform::encodeState(JobState::Queued)));
+                JobState State = JobState::Queued;
+                if (!Page->Rows_.empty()) {
+                  Result<scheduling::JobProgress> Progress =
+                      scheduling::decodeProgress(Page->Rows_.front().Value_);
+                  if (!Progress)
+                    return Of->Respond_(makeRefusal());
+                  State = Progress->State_;
+                }
+                if (isFinal(State))
+                  Cache_.rememberFinal(Of->Job_, State);
+                Of->Respond_(makeAnswer(200, platform::encodeState(State)));
               });
 }
 
 void Callers::cancel(const ExchangePtr &Of) {
-  scheduling::RowKey Key = jobKey(Of->Job_);
-  Store_.read({Key.Table_, Key.Partition_, Key.Key_, Key.Key_ + "-", 1},
-              timeLeft(*Of), [this, Of](Result<RowPage> Page) {
-                if (!Page)
-                  return Of->Respond_(makeRefusal());
-                if (Page->Rows_.empty())
-                  return Of->Respond_(makeAnswer(410));
-                storeCancel(Of, Page->Rows_.front().Version_);
-              });
+  readAcceptance(Of, [this, Of](const Row *Accepted) {
+    if (!Accepted)
+      return Of->Respond_(makeAnswer(410));
+    storeCancel(Of, std::string(storedCell(Accepted->Value_)),
+                Accepted->Version_);
+  });
 }
 
-void Callers::storeCancel(const ExchangePtr &Of, std::uint64_t Version) {
+void Callers::storeCancel(const ExchangePtr &Of, const std::string &Cell,
+                          std::uint64_t Version) {
   Duration Timeout = timeLeft(*Of);
   if (Timeout <= Duration::zero())
     return Of->Respond_(makeUnknown());
@@ -245,36 +279,30 @@
   Cancel.Conditions_.push_back({jobKey(Of->Job_), Version});
   Row New;
   New.Key_ = cancelKey(Of->Job_);
-  New.Value_ = "{}";
-  Cancel.Writes_.push_back(std::move(New));
-  Store_.commit(Cancel, Timeout, [this, Of, Version](CommitResult Outcome) {
-    switch (Outcome.Outcome_) {
-    case CommitOutcome::Committed:
-      logEvent(LogEvent::StopRequested, {{"job", Of->Job_}});
-      return Of->Respond_(makeAnswer(200));
-    case CommitOutcome::Conflict:
-      // Only removal changes an acceptance.
-      return Of->Respond_(makeAnswer(410));
-    case CommitOutcome::Refused:
-      return Of->Respond_(makeRefusal());
-    case CommitOutcome::Unknown:
-      return storeCancel(Of, Version);
-    }
-  });
+  New.Value_ = encodeCancellation(Cell);
+  Cancel.Writes_.push_back(New);
+  Store_.commit(Cancel, Timeout,
+                [this, Of, Cell, Version, New](CommitResult Outcome) {
+                  switch (Outcome.Outcome_) {
+                  case CommitOutcome::Committed:
+                    logEvent(LogEvent::StopRequested, {{"job", Of->Job_}});
+                    Accepted_(New);
+                    return Of->Respond_(makeAnswer(200));
+                  case CommitOutcome::Conflict:
+                    // Only removal changes an acceptance.
+                    return Of->Respond_(makeAnswer(410));
+                  case CommitOutcome::Refused:
+                    return Of->Respond_(makeRefusal());
+                  case CommitOutcome::Unknown:
+                    return storeCancel(Of, Cell, Version);
+                  }
+                });
 }
 
-void Callers::readCounts(const ExchangePtr &Of) {
-  scheduling::RowKey Key = queueCountsKey();
-  Store_.read({Key.Table_, Key.Partition_, Key.Key_, Key.Key_ + "-", 1},
-              timeLeft(*Of), [Of](Result<RowPage> Page) {
-                if (!Page)
-                  return Of->Respond_(makeRefusal());
-                std::uint64_t Pending = 0;
-                if (!Page->Rows_.empty())
-                  Pending = decodeCounts(
-                      Page->Rows_.front().Value_)[Of->Queue_.Name_];
-                Of->Respond_(makeAnswer(200, platform::encodePending(Pending)));
-              });
+void Callers::answerPending(const ExchangePtr &Of) {
+  std::optional<std::uint64_t> Pending = Cells_.pending(Of->Queue_.Name_);
+  Of->Respond_(Pending ? makeAnswer(200, platform::encodePending(*Pending))
+                       : makeRefusal());
 }
 
 } // namespace filbertspring::node
--- a/packages/node/src/callers.h
+++ b/packages/node/src/callers.h
@@ -5,8 +5,10 @@
 /// Requests of callers: submission, state and cancellation of jobs, and the
 /// length of a queue.
 
+#include "cell_directory.h"
 #include "filbertspring/scheduling/queue_table.h"
 #include "filbertspring/transport/async_http_server.h"
+#include "job_cache.h"
 #include "store_client.h"
 
 #include <memory>
@@ -19,9 +21,12 @@
 /// is the same job.
 class Callers {
 public:
-  Callers(EventLoop &Loop, StoreClient &Store, CounterRegistry &Counters);
+  /// \p Accepted is called with the row of each newly accepted job.
+  Callers(StoreClient &Store, CellDirectory &Cells, CounterRegistry &Counters,
+          std::function<void(const scheduling::Row &)> Accepted);
 
   void configure(std::shared_ptr<const scheduling::QueueTable> Queues);
+  void setClosedZones(std::set<std::string> Zones);
   /// Takes one request and answers it once.
   void handle(HttpRequest Request, HttpResponder Respond);
 
@@ -33,16 +38,23 @@
   void submit(const ExchangePtr &Of);
   void insert(const ExchangePtr &Of, scheduling::RowTransaction Insert);
   void readState(const ExchangePtr &Of);
-  void readAcceptance(const ExchangePtr &Of);
+  void readProgress(const ExchangePtr &Of, const std::string &Cell);
   void cancel(const ExchangePtr &Of);
-  void storeCancel(const ExchangePtr &Of, std::uint64_t Version);
-  void readCounts(const ExchangePtr &Of);
+  void storeCancel(const ExchangePtr &Of, const std::string &Cell,
+                   std::uint64_t Version);
+  void answerPending(const ExchangePtr &Of);
+  using AcceptanceCallback = std::function<void(const scheduling::Row *)>;
+  /// Reads the acceptance; answers itself if the store does not.
+  void readAcceptance(const ExchangePtr &Of, AcceptanceCallback Callback);
   /// The time that is left for store calls on behalf of the caller.
   Duration timeLeft(const Exchange &Of) const;
 
-  EventLoop &Loop_;
   StoreClient &Store_;
+  CellDirectory &Cells_;
   CounterRegistry &Counters_;
+  std::function<void(const scheduling::Row &)> Accepted_;
+  JobCache Cache_;
+  std::set<std::string> ClosedZones_;
   std::shared_ptr<const scheduling::QueueTable> Queues_;
 };
 
--- a/packages/node/src/cell_owner.cpp
+++ b/packages/node/src/cell_owner.cpp
@@ -19,8 +19,6 @@
 /// The longest wait for one call of the store; a lost answer is noticed well
 /// before candidates take the cell over.
 constexpr Duration StoreTimeout = std::chrono::milliseconds(900);
-/// How long a candidate's feed waits for a change of the owner's row.
-constexpr Duration OwnerFeedWait = std::chrono::milliseconds(800);
 /// How long the owner's feeds wait for a change.
 constexpr Duration FeedWait = std::chrono::milliseconds(1500);
 /// The pause after a call that the store refused or lost.
@@ -30,8 +28,8 @@
 /// The shortest time between two transactions of the owner: each is a call,
 /// and ends of tasks come in groups.
 constexpr Duration WritePause = std::chrono::milliseconds(30);
-/// How often the counts of queues are stored at most.
-constexpr Duration CountsPause = std::chrono::milliseconds(800);
+/// How often the status of the cell is stored at most.
+constexpr Duration StatusPause = std::chrono::milliseconds(800);
 /// The owner's tick: leases and waits have hundreds of milliseconds.
 constexpr Duration TickPause = std::chrono::milliseconds(50);
 /// Events within this time are followed by one decision.
@@ -40,10 +38,13 @@
 /// and the counts.
 constexpr std::size_t MaxProgressRows = platform::MaxTransactionRows - 10;
 
-platform::RowRange wholeTable(const char *Table, const char *Partition) {
+/// Accepted jobs come one by one; reading them in small groups saves calls.
+constexpr Duration JobFeedPause = std::chrono::milliseconds(20);
+
+platform::RowRange wholeTable(std::string_view Table, std::string Partition) {
   platform::RowRange Range;
   Range.Table_ = Table;
-  Range.Partition_ = Partition;
+  Range.Partition_ = std::move(Partition);
   return Range;
 }
 
@@ -62,14 +63,11 @@
 
 CellOwner::CellOwner(EventLoop &Loop, StoreClient &Store,
                      CounterRegistry &Counters, const NodeSettings &Settings,
-                     std::string Nonce)
+                     std::string Cell, scheduling::OwnerLease &Lease)
     : Loop_(Loop), Store_(Store), Counters_(Counters), Settings_(Settings),
-      Lease_(Settings.Instance_, std::move(Nonce), {}) {}
+      Cell_(std::move(Cell)), Lease_(Lease) {}
 
-void CellOwner::start() {
-  watch();
-  tick();
-}
+void CellOwner::start() { tick(); }
 
 void CellOwner::configure(
     std::shared_ptr<const scheduling::QueueTable> Queues) {
@@ -88,67 +86,12 @@
   schedulePump();
 }
 
-// Watching and taking over.
-
-/// The only loop that reads the owner's row while no tenure runs.
-void CellOwner::watch() {
-  if (IsReleased_)
-    return;
-  if (Tenure_ || IsTakingOver_)
-    return Loop_.after(TickPause, [this] { watch(); });
-  if (MustReadRow_)
-    return readOwnerRow();
-  followOwnerRow();
-}
-
-void CellOwner::readOwnerRow() {
-  TimePoint SentAt = SchedulerClock::now();
-  platform::RowRange Range = wholeTable(CellTable, CellPartition);
-  Range.From_ = OwnerKey;
-  Range.Limit_ = 1;
-  Store_.read(Range, StoreTimeout, [this, SentAt](const Result<RowPage> &Page) {
-    ownerRowRead(Page, SentAt);
-    if (!Page)
-      return Loop_.after(RetryPause, [this] { watch(); });
-    MustReadRow_ = false;
-    considerTakeover();
-    watch();
-  });
-}
+// Taking over.
 
-void CellOwner::ownerRowRead(const Result<RowPage> &Page, TimePoint SentAt) {
-  if (!Page)
-    return Lease_.readFailed(SchedulerClock::now());
-  bool IsPresent =
-      !Page->Rows_.empty() && Page->Rows_.front().Key_.Key_ == OwnerKey;
-  if (IsPresent)
-    Lease_.rowSeen(scheduling::decodeOwnerRecord(Page->Rows_.front().Value_),
-                   Page->Rows_.front().Version_, SentAt);
-  else
-    Lease_.rowSeen({}, 0, SentAt);
+void CellOwner::leaseChanged() {
   if (Tenure_ && !Lease_.isOwner())
     endTenure("another owner's row was read");
-}
-
-/// Waits for changes of the owner's row while another instance owns the cell.
-void CellOwner::followOwnerRow() {
-  Store_.feed(CellTable, Lease_.version(), OwnerFeedWait,
-              [this](const Result<RowPage> &Page) {
-                TimePoint Now = SchedulerClock::now();
-                if (!Page) {
-                  Lease_.readFailed(Now);
-                  MustReadRow_ = true;
-                  return Loop_.after(RetryPause, [this] { watch(); });
-                }
-                Lease_.rowUnchanged(Now);
-                for (const Row &Changed : Page->Rows_)
-                  if (Changed.Key_.Key_ == OwnerKey)
-                    Lease_.rowSeen(
-                        scheduling::decodeOwnerRecord(Changed.Value_),
-                        Changed.IsRemoved_ ? 0 : Changed.Version_, Now);
-                considerTakeover();
-                watch();
-              });
+  considerTakeover();
 }
 
 void CellOwner::considerTakeover() {
@@ -164,13 +107,12 @@
   TimePoint SentAt = SchedulerClock::now();
   OwnerRecord Mine = Lease_.takeoverRecord();
   RowTransaction Takeover;
-  Takeover.Conditions_.push_back({ownerKey(), Lease_.version()});
+  Takeover.Conditions_.push_back({ownerKey(Cell_), Lease_.version()});
   Takeover.Writes_.push_back(
-      makeRow(ownerKey(), scheduling::encodeOwnerRecord(Mine)));
+      makeRow(ownerKey(Cell_), scheduling::encodeOwnerRecord(Mine)));
   Store_.commit(Takeover, StoreTimeout,
                 [this, Mine, SentAt](const CommitResult &Outcome) {
                   IsTakingOver_ = false;
-                  MustReadRow_ = true;
                   if (Outcome.Outcome_ != CommitOutcome::Committed)
                     return;
                   Lease_.rowWritten(Mine, Outcome.Version_, SentAt);
@@ -193,18 +135,18 @@
   Tenure_->Scheduler_.configure(Queues_);
   Tenure_->Scheduler_.setClosedZones(ClosedZones_);
   logEvent(LogEvent::CellOwned,
-           {{"token", static_cast<std::int64_t>(Settings.FencingToken_)},
+           {{"cell", Cell_},
+            {"token", static_cast<std::int64_t>(Settings.FencingToken_)},
             {"tenure", static_cast<std::int64_t>(Settings.Tenure_)}});
   load(Tenure_);
 }
 
 void CellOwner::endTenure(const char *Cause) {
-  logEvent(LogEvent::CellLost, {{"cause", Cause}});
+  logEvent(LogEvent::CellLost, {{"cell", Cell_}, {"cause", Cause}});
   // The caller may be inside a callback of this tenure.
   Loop_.after(Duration::zero(), [Ended = std::move(Tenure_)] {});
   Tenure_ = nullptr;
   Listed_.clear();
-  MustReadRow_ = true;
 }
 
 void CellOwner::release() {
@@ -212,9 +154,9 @@
   if (!Tenure_)
     return;
   RowTransaction Release;
-  Release.Conditions_.push_back({ownerKey(), Lease_.version()});
+  Release.Conditions_.push_back({ownerKey(Cell_), Lease_.version()});
   Release.Writes_.push_back(makeRow(
-      ownerKey(), scheduling::encodeOwnerRecord(Lease_.releaseRecord())));
+      ownerKey(Cell_), scheduling::encodeOwnerRecord(Lease_.releaseRecord())));
   endTenure("this instance stops");
   Store_.commit(Release, StoreTimeout, [](const CommitResult &Outcome) {
     // Candidates notice the silent row after a while in any case.
@@ -234,8 +176,8 @@
 void CellOwner::load(const TenureRef &Of) {
   if (Of.expired())
     return;
-  Store_.readAll(wholeTable(KnownWorkerTable, CellPartition), StoreTimeout,
-                 [this, Of](const Result<RowPage> &Page) {
+  Store_.readAll(wholeTable(KnownWorkerTable, cellPartition(Cell_)),
+                 StoreTimeout, [this, Of](const Result<RowPage> &Page) {
                    std::shared_ptr<Tenure> Now = Of.lock();
                    if (!Now)
                      return;
@@ -254,7 +196,7 @@
 }
 
 void CellOwner::loadJobs(const TenureRef &Of) {
-  Store_.readAll(wholeTable(JobTable, CellPartition), StoreTimeout,
+  Store_.readAll(wholeTable(JobTable, JobPartition), StoreTimeout,
                  [this, Of](const Result<RowPage> &Page) {
                    if (Of.expired())
                      return;
@@ -268,7 +210,7 @@
 
 void CellOwner::loadProgress(const TenureRef &Of, std::uint64_t JobsVersion) {
   Store_.readAll(
-      wholeTable(ProgressTable, CellPartition), StoreTimeout,
+      wholeTable(ProgressTable, cellPartition(Cell_)), StoreTimeout,
       [this, Of, JobsVersion](const Result<RowPage> &Page) {
         std::shared_ptr<Tenure> Now = Of.lock();
         if (!Now)
@@ -289,7 +231,7 @@
 
 void CellOwner::loadWorkers(const TenureRef &Of, std::uint64_t JobsVersion) {
   Store_.readAll(
-      wholeTable(platform::WorkerTable.data(), ""), StoreTimeout,
+      wholeTable(platform::WorkerTable, ""), StoreTimeout,
       [this, Of, JobsVersion](const Result<RowPage> &Page) {
         std::shared_ptr<Tenure> Now = Of.lock();
         if (!Now)
@@ -311,6 +253,8 @@
 void CellOwner::jobRowSeen(const Row &Seen, bool IsRestored) {
   if (Seen.IsRemoved_)
     return;
+  if (storedCell(Seen.Value_) != Cell_)
+    return;
   TimePoint Now = SchedulerClock::now();
   if (auto Cancelled = cancelledJobOf(Seen.Key_.Key_))
     return Tenure_->Scheduler_.cancelJob(*Cancelled, Now);
@@ -338,14 +282,16 @@
                   jobRowSeen(Seen, false);
                 if (!Page->Rows_.empty())
                   schedulePump();
-                followJobs(Of, std::max(After, Page->Version_));
+                std::uint64_t Next = std::max(After, Page->Version_);
+                Loop_.after(JobFeedPause,
+                            [this, Of, Next] { followJobs(Of, Next); });
               });
 }
 
 void CellOwner::rereadJobs(const TenureRef &Of) {
   if (Of.expired())
     return;
-  Store_.readAll(wholeTable(JobTable, CellPartition), StoreTimeout,
+  Store_.readAll(wholeTable(JobTable, JobPartition), StoreTimeout,
                  [this, Of](const Result<RowPage> &Page) {
                    if (Of.expired())
                      return;
@@ -373,6 +319,9 @@
              {{"table", platform::WorkerTable}, {"key", Id}});
     return;
   }
+  // Other cells' workers have owners of their own.
+  if (Entry->Zone_ != Cell_)
+    return;
   Listed_.insert(Id);
   Tenure_->Scheduler_.workerListed(*Entry, Now);
 }
@@ -400,7 +349,7 @@
   if (Of.expired())
     return;
   Store_.readAll(
-      wholeTable(platform::WorkerTable.data(), ""), StoreTimeout,
+      wholeTable(platform::WorkerTable, ""), StoreTimeout,
       [this, Of](const Result<RowPage> &Page) {
         std::shared_ptr<Tenure> Now = Of.lock();
         if (!Now)
@@ -441,7 +390,8 @@
     return;
   TimePoint Now = SchedulerClock::now();
   if (Tenure_->IsLoaded_) {
-    Tenure_->Scheduler_.advance(Now, wallMilliseconds(), Lease_.isTrusted(Now));
+    Tenure_->Scheduler_.advance(Now, wallMilliseconds(), Lease_.confirmedAt(),
+                                Lease_.isTrusted(Now));
     for (const scheduling::Action &Decided : Tenure_->Scheduler_.takeActions())
       Tenure_->Calls_.carryOut(Decided);
     logNotes();
@@ -470,49 +420,46 @@
   if (!MustRenew && !HasWrites)
     return;
   PendingWrites Writes;
-  std::string Counts;
+  std::string Status;
   if (Of.IsLoaded_) {
     Writes = Of.Scheduler_.takeWrites(MaxProgressRows);
-    if (Now >= Of.NextCountsAt_)
-      Counts = encodeCounts(Of.Scheduler_.pendingByQueue());
-    if (Counts == Of.StoredCounts_)
-      Counts.clear();
+    if (Now >= Of.NextStatusAt_)
+      Status = statusText();
+    if (Status == Of.StoredStatus_)
+      Status.clear();
   }
-  if (!MustRenew && Writes.empty() && Counts.empty())
+  if (!MustRenew && Writes.empty() && Status.empty())
     return Of.Scheduler_.writesStored(Writes, Now);
 
   RowTransaction Changes;
-  Changes.Conditions_.push_back({ownerKey(), Lease_.version()});
+  Changes.Conditions_.push_back({ownerKey(Cell_), Lease_.version()});
   if (MustRenew)
-    Changes.Writes_.push_back(
-        makeRow(ownerKey(), scheduling::encodeOwnerRecord(Lease_.record())));
-  if (!Counts.empty())
-    Changes.Writes_.push_back(makeRow(queueCountsKey(), Counts));
+    Changes.Writes_.push_back(makeRow(
+        ownerKey(Cell_), scheduling::encodeOwnerRecord(Lease_.record())));
+  if (!Status.empty())
+    Changes.Writes_.push_back(makeRow(statusKey(Cell_), Status));
   for (const auto &[Job, Progress] : Writes.Progress_)
     Changes.Writes_.push_back(
-        makeRow(progressKey(Job), scheduling::encodeProgress(Progress)));
+        makeRow(progressKey(Cell_, Job), scheduling::encodeProgress(Progress)));
   for (const scheduling::WorkerEntry &Entry : Writes.KnownWorkers_)
-    Changes.Writes_.push_back(makeRow(knownWorkerKey(Entry.Id_),
+    Changes.Writes_.push_back(makeRow(knownWorkerKey(Cell_, Entry.Id_),
                                       scheduling::encodeKnownWorker(Entry)));
   for (const std::string &Id : Writes.ForgottenWorkers_)
-    Changes.Removals_.push_back(knownWorkerKey(Id));
-  for (const std::string &Job : Writes.RemovedJobs_) {
-    Changes.Removals_.push_back(jobKey(Job));
-    Changes.Removals_.push_back(cancelKey(Job));
-    Changes.Removals_.push_back(progressKey(Job));
-  }
+    Changes.Removals_.push_back(knownWorkerKey(Cell_, Id));
+  for (const std::string &Job : Writes.RemovedJobs_)
+    Changes.Removals_.push_back(progressKey(Cell_, Job));
   Of.IsWriting_ = true;
   Store_.commit(Changes, StoreTimeout,
                 [this, Ref = TenureRef(Tenure_), Writes, MustRenew, Now,
-                 Counts](const CommitResult &Outcome) {
+                 Status](const CommitResult &Outcome) {
                   if (Ref.lock() && Ref.lock() == Tenure_)
-                    writeEnded(Writes, Outcome, MustRenew, Now, Counts);
+                    writeEnded(Writes, Outcome, MustRenew, Now, Status);
                 });
 }
 
 void CellOwner::writeEnded(const PendingWrites &Writes,
                            const CommitResult &Outcome, bool HasOwnerRow,
-                           TimePoint SentAt, const std::string &Counts) {
+                           TimePoint SentAt, const std::string &Status) {
   Tenure &Of = *Tenure_;
   TimePoint Now = SchedulerClock::now();
   Of.IsWriting_ = false;
@@ -522,9 +469,9 @@
       Lease_.rowWritten(Lease_.record(), Outcome.Version_, SentAt);
       Of.MustRewrite_ = false;
     }
-    if (!Counts.empty()) {
-      Of.StoredCounts_ = Counts;
-      Of.NextCountsAt_ = Now + CountsPause;
+    if (!Status.empty()) {
+      Of.StoredStatus_ = Status;
+      Of.NextStatusAt_ = Now + StatusPause;
     }
     Of.Scheduler_.writesStored(Writes, Now);
     return schedulePump();
@@ -536,18 +483,50 @@
   // Either another owner's row is there, or a write of mine landed late.
   Of.MustRewrite_ = true;
   Of.IsWriting_ = true;
-  platform::RowRange Range = wholeTable(CellTable, CellPartition);
+  reconcileOwnerRow();
+}
+
+/// Reads the owner's row after a write whose outcome is unknown or that met
+/// another version.
+void CellOwner::reconcileOwnerRow() {
+  TimePoint SentAt = SchedulerClock::now();
+  platform::RowRange Range = wholeTable(CellTable, cellPartition(Cell_));
   Range.From_ = OwnerKey;
   Range.Limit_ = 1;
   Store_.read(
       Range, StoreTimeout,
-      [this, Ref = TenureRef(Tenure_), Now](const Result<RowPage> &Page) {
+      [this, Ref = TenureRef(Tenure_), SentAt](const Result<RowPage> &Page) {
         if (!Ref.lock() || Ref.lock() != Tenure_)
           return;
         Tenure_->IsWriting_ = false;
-        if (Page)
-          ownerRowRead(Page, Now);
+        if (!Page)
+          return;
+        bool IsPresent =
+            !Page->Rows_.empty() && Page->Rows_.front().Key_.Key_ == OwnerKey;
+        if (IsPresent)
+          Lease_.rowSeen(
+              scheduling::decodeOwnerRecord(Page->Rows_.front().Value_),
+              Page->Rows_.front().Version_, SentAt);
+        else
+          Lease_.rowSeen({}, 0, SentAt);
+        leaseChanged();
       });
 }
 
+std::string CellOwner::statusText() const {
+  scheduling::SchedulerCounts Counts = Tenure_->Scheduler_.counts();
+  CellStatus Status;
+  Status.Pending_ = Tenure_->Scheduler_.pendingByQueue();
+  Status.WaitingTasks_ = Counts.WaitingTasks_;
+  Status.ReachableWorkers_ = Counts.ReachableWorkers_;
+  return encodeStatus(Status);
+}
+
+void CellOwner::jobAccepted(const Row &Stored) {
+  if (!Tenure_ || !Tenure_->IsLoaded_)
+    return;
+  jobRowSeen(Stored, false);
+  schedulePump();
+}
+
 } // namespace filbertspring::node
--- a/packages/node/src/cell_owner.h
+++ b/packages/node/src/cell_owner.h
@@ -34,28 +34,29 @@
   /// owner's row.
   bool MustRewrite_ = false;
   TimePoint NextWriteAt_{};
-  std::string StoredCounts_;
-  TimePoint NextCountsAt_{};
+  std::string StoredStatus_;
+  TimePoint NextStatusAt_{};
 };
 
 /// A candidate for a cell, and its owner while the lease is held.
 class CellOwner {
 public:
   CellOwner(EventLoop &Loop, StoreClient &Store, CounterRegistry &Counters,
-            const NodeSettings &Settings, std::string Nonce);
+            const NodeSettings &Settings, std::string Cell,
+            scheduling::OwnerLease &Lease);
 
   void start();
   void configure(std::shared_ptr<const scheduling::QueueTable> Queues);
   void setClosedZones(std::set<std::string> Zones);
+  /// The owner's row was read again.
+  void leaseChanged();
+  /// A job of this cell was accepted; the store's feed tells it later, too.
+  void jobAccepted(const scheduling::Row &Stored);
   /// Gives the cell up for another instance and never takes it again.
   void release();
   bool isOwner() const { return Tenure_ != nullptr; }
 
 private:
-  void watch();
-  void readOwnerRow();
-  void followOwnerRow();
-  void ownerRowRead(const Result<scheduling::RowPage> &Page, TimePoint SentAt);
   void considerTakeover();
   void takeOver();
   void beginTenure();
@@ -78,23 +79,25 @@
   void schedulePump();
   void pump();
   void logNotes();
+  std::string statusText() const;
   void writeIfDue(TimePoint Now);
+  void reconcileOwnerRow();
   void writeEnded(const scheduling::PendingWrites &Writes,
                   const scheduling::CommitResult &Outcome, bool HasOwnerRow,
-                  TimePoint SentAt, const std::string &Counts);
+                  TimePoint SentAt, const std::string &Status);
 
   EventLoop &Loop_;
   StoreClient &Store_;
   CounterRegistry &Counters_;
   NodeSettings Settings_;
-  scheduling::OwnerLease Lease_;
+  std::string Cell_;
+  scheduling::OwnerLease &Lease_;
   std::shared_ptr<Tenure> Tenure_;
   std::shared_ptr<const scheduling::QueueTable> Queues_;
   std::set<std::string> ClosedZones_;
   /// Registered workers in the last complete reading.
   std::set<std::string> Listed_;
   bool IsTakingOver_ = false;
-  bool MustReadRow_ = true;
   bool IsReleased_ = false;
   bool IsPumpScheduled_ = false;
 };
--- a/packages/node/src/rows.cpp
+++ b/packages/node/src/rows.cpp
@@ -12,6 +12,9 @@
 using scheduling::RowKey;
 
 constexpr std::string_view CancelSuffix = ".cancel";
+constexpr std::string_view CellPrefix = "cell-";
+/// Ends the cell's name at the beginning of a stored acceptance.
+constexpr char CellEnd = '\n';
 
 std::string dump(const json &Value) {
   return Value.dump(-1, ' ', false, json::error_handler_t::replace);
@@ -19,23 +22,37 @@
 
 } // namespace
 
-RowKey jobKey(const std::string &Job) { return {JobTable, CellPartition, Job}; }
+std::string cellPartition(const std::string &Cell) {
+  return std::string(CellPrefix) + Cell;
+}
+
+std::optional<std::string> cellOf(std::string_view Partition) {
+  if (!Partition.starts_with(CellPrefix))
+    return std::nullopt;
+  return std::string(Partition.substr(CellPrefix.size()));
+}
+
+RowKey jobKey(const std::string &Job) { return {JobTable, JobPartition, Job}; }
 
 RowKey cancelKey(const std::string &Job) {
-  return {JobTable, CellPartition, Job + std::string(CancelSuffix)};
+  return {JobTable, JobPartition, Job + std::string(CancelSuffix)};
 }
 
-RowKey progressKey(const std::string &Job) {
-  return {ProgressTable, CellPartition, Job};
+RowKey progressKey(const std::string &Cell, const std::string &Job) {
+  return {ProgressTable, cellPartition(Cell), Job};
 }
 
-RowKey knownWorkerKey(const std::string &Worker) {
-  return {KnownWorkerTable, CellPartition, Worker};
+RowKey knownWorkerKey(const std::string &Cell, const std::string &Worker) {
+  return {KnownWorkerTable, cellPartition(Cell), Worker};
 }
 
-RowKey ownerKey() { return {CellTable, CellPartition, OwnerKey}; }
+RowKey ownerKey(const std::string &Cell) {
+  return {CellTable, cellPartition(Cell), OwnerKey};
+}
 
-RowKey queueCountsKey() { return {CellTable, CellPartition, QueueCountsKey}; }
+RowKey statusKey(const std::string &Cell) {
+  return {CellTable, cellPartition(Cell), StatusKey};
+}
 
 std::optional<std::string> cancelledJobOf(std::string_view Key) {
   if (!Key.ends_with(CancelSuffix))
@@ -45,7 +62,8 @@
 }
 
 std::string encodeAcceptance(const StoredAcceptance &Accepted) {
-  return dump({{"queue", Accepted.Queue_},
+  return Accepted.Cell_ + CellEnd +
+         dump({{"queue", Accepted.Queue_},
                {"service", Accepted.Service_},
                {"accepted_ms", Accepted.AcceptedMs_},
                {"body", Accepted.Body_}});
@@ -54,9 +72,12 @@
 Result<AcceptedJob> decodeAcceptance(std::string_view Job,
                                      std::string_view Text) {
   try {
-    json Value = json::parse(Text);
     AcceptedJob Accepted;
     Accepted.Id_ = Job;
+    Accepted.Cell_ = storedCell(Text);
+    if (Accepted.Cell_.empty())
+      return fail(Errc::InvalidJson);
+    json Value = json::parse(Text.substr(Accepted.Cell_.size() + 1));
     Accepted.Queue_ = Value.at("queue").get<std::string>();
     Accepted.Service_ = Value.at("service").get<std::string>();
     Accepted.AcceptedMs_ = Value.at("accepted_ms").get<std::int64_t>();
@@ -71,19 +92,34 @@
   }
 }
 
-std::string encodeCounts(const std::map<std::string, std::uint64_t> &Counts) {
-  return dump(Counts);
+std::string_view storedCell(std::string_view Text) {
+  std::size_t End = Text.find(CellEnd);
+  return End == std::string_view::npos ? std::string_view()
+                                       : Text.substr(0, End);
 }
 
-std::map<std::string, std::uint64_t> decodeCounts(std::string_view Text) {
-  std::map<std::string, std::uint64_t> Counts;
-  json Value = json::parse(Text, nullptr, false);
-  if (!Value.is_object())
-    return Counts;
-  for (const auto &[Name, Count] : Value.items())
-    if (Count.is_number_unsigned())
-      Counts[Name] = Count.get<std::uint64_t>();
-  return Counts;
+std::string encodeCancellation(const std::string &Cell) {
+  return Cell + CellEnd;
+}
+
+std::string encodeStatus(const CellStatus &Status) {
+  return dump({{"pending", Status.Pending_},
+               {"waiting", Status.WaitingTasks_},
+               {"workers", Status.ReachableWorkers_}});
+}
+
+CellStatus decodeStatus(std::string_view Text) {
+  CellStatus Status;
+  try {
+    json Value = json::parse(Text);
+    Status.Pending_ =
+        Value.at("pending").get<std::map<std::string, std::uint64_t>>();
+    Status.WaitingTasks_ = Value.at("waiting").get<std::uint64_t>();
+    Status.ReachableWorkers_ = Value.at("workers").get<std::uint64_t>();
+  } catch (const json::exception &) {
+    return {};
+  }
+  return Status;
 }
 
 } // namespace filbertspring::node
--- a/packages/node/src/run_node.cpp
+++ b/packages/node/src/run_node.cpp
@@ -5,7 +5,7 @@
 #include "configuration_follower.h"
 #include "filbertspring/base/log.h"
 #include "filbertspring/node/node_settings.h"
-#include "platform/caller_codec.h"
+#include "rows.h"
 
 #include <csignal>
 #include <cstdlib>
@@ -13,9 +13,11 @@
 #include <fmt/format.h>
 #include <fstream>
 #include <iostream>
+#include <memory>
 #include <optional>
 #include <random>
 #include <sstream>
+#include <vector>
 
 namespace filbertspring::node {
 namespace {
@@ -33,6 +35,8 @@
 constexpr Duration BalancerDelay = std::chrono::milliseconds(2500);
 /// Kept of the time between the request to stop and the kill.
 constexpr Duration StopMargin = std::chrono::milliseconds(800);
+/// The longest wait for a notice to another instance.
+constexpr Duration NoticeTimeout = std::chrono::milliseconds(500);
 /// How often a stopping instance looks for requests in flight.
 constexpr Duration StopPoll = std::chrono::milliseconds(50);
 
@@ -72,16 +76,21 @@
   Instance(NodeSettings Settings, std::string SettingsPath)
       : Settings_(std::move(Settings)), SettingsPath_(std::move(SettingsPath)),
         Store_(Loop_, Settings_.StoreAddress_, Counters_),
-        Owner_(Loop_, Store_, Counters_, Settings_, makeNonce()),
-        Callers_(Loop_, Store_, Counters_),
+        Cells_(Loop_, Store_, Settings_, makeNonce()),
+        Callers_(Store_, Cells_, Counters_,
+                 [this](const scheduling::Row &Stored) { tellOwner(Stored); }),
+        Peers_(Loop_, {}),
         Configuration_(
             Loop_, Store_,
             [this](std::shared_ptr<const scheduling::QueueTable> Queues) {
               Callers_.configure(Queues);
-              Owner_.configure(std::move(Queues));
+              for (auto &Owner : Owners_)
+                Owner->configure(Queues);
             },
             [this](std::set<std::string> Zones) {
-              Owner_.setClosedZones(std::move(Zones));
+              Callers_.setClosedZones(Zones);
+              for (auto &Owner : Owners_)
+                Owner->setClosedZones(Zones);
             }),
         CallerServer_(Loop_, {},
                       [this](HttpRequest Request, HttpResponder Respond) {
@@ -93,17 +102,26 @@
                            Answer.Status_ = isReady() ? 200 : 503;
                            Respond(std::move(Answer));
                          }),
+        PeerServer_(Loop_, {},
+                    [this](HttpRequest Request, HttpResponder Respond) {
+                      Respond(peerCalled(Request));
+                    }),
         MetricsServer_(Loop_, {},
                        [this](const HttpRequest &, HttpResponder Respond) {
                          HttpAnswer Answer;
                          Answer.ContentType_ = "text/plain; version=0.0.4";
                          Answer.Body_ = Counters_.toPrometheusText();
                          Respond(std::move(Answer));
-                       }) {}
+                       }) {
+    for (const std::string &Zone : Settings_.Zones_)
+      Owners_.push_back(std::make_unique<CellOwner>(
+          Loop_, Store_, Counters_, Settings_, Zone, Cells_.cell(Zone).Lease_));
+  }
 
   int run() {
     if (!listen(CallerServer_, Settings_.CallerAddress_) ||
-        !listen(ReadinessServer_, Settings_.ReadinessAddress_))
+        !listen(ReadinessServer_, Settings_.ReadinessAddress_) ||
+        !listen(PeerServer_, Settings_.PeerAddress_))
       return ExitFailed;
     // An instance without metrics still serves.
     if (!Settings_.MetricsAddress_.empty())
@@ -111,7 +129,12 @@
     Loop_.onSignals({SIGTERM, SIGINT, SIGHUP},
                     [this](int Signal) { signalled(Signal); });
     Configuration_.start();
-    Owner_.start();
+    for (auto &Owner : Owners_)
+      Owner->start();
+    Cells_.start([this] {
+      for (auto &Owner : Owners_)
+        Owner->leaseChanged();
+    });
     logEvent(LogEvent::ProcessStarted, {{"zone", Settings_.Zone_}});
     Loop_.run();
     logEvent(LogEvent::ProcessStopped);
@@ -121,6 +144,43 @@
 private:
   bool isReady() const { return Configuration_.isConfigured() && !IsStopping_; }
 
+  /// Tells the owner of a job's cell about a stored row at once; the store's
+  /// feed tells it in any case.
+  void tellOwner(const scheduling::Row &Stored) {
+    std::string Cell(storedCell(Stored.Value_));
+    for (std::size_t Index = 0; Index < Owners_.size(); ++Index)
+      if (Settings_.Zones_[Index] == Cell && Owners_[Index]->isOwner())
+        return Owners_[Index]->jobAccepted(Stored);
+    const std::string &Address = Cells_.cell(Cell).Lease_.record().Address_;
+    if (Address.empty())
+      return;
+    HttpRequest Notice;
+    Notice.Method_ = "POST";
+    Notice.Path_ = "/stored/" + Stored.Key_.Key_;
+    Notice.Body_ = Stored.Value_;
+    Peers_.send(Address, std::move(Notice), NoticeTimeout,
+                [this](const Result<HttpAnswer> &Answer) {
+                  if (!Answer)
+                    Counters_.counter("peer_notices_lost_total").add();
+                });
+  }
+
+  /// Takes a notice of another instance.
+  HttpAnswer peerCalled(const HttpRequest &Request) {
+    HttpAnswer Answer;
+    constexpr std::string_view Prefix = "/stored/";
+    if (!std::string_view(Request.Path_).starts_with(Prefix)) {
+      Answer.Status_ = 404;
+      return Answer;
+    }
+    scheduling::Row Stored;
+    Stored.Key_ = jobKey(Request.Path_.substr(Prefix.size()));
+    Stored.Value_ = Request.Body_;
+    for (auto &Owner : Owners_)
+      Owner->jobAccepted(Stored);
+    return Answer;
+  }
+
   bool listen(AsyncHttpServer &Server, const std::string &Address) {
     Status Listening = Server.listen(Address);
     if (!Listening)
@@ -141,7 +201,8 @@
     IsStopping_ = true;
     StopAt_ = SchedulerClock::now();
     logEvent(LogEvent::ProcessDraining);
-    Owner_.release();
+    for (auto &Owner : Owners_)
+      Owner->release();
     CallerServer_.beginDrain();
     stopWhenIdle();
   }
@@ -161,11 +222,14 @@
   EventLoop Loop_;
   CounterRegistry Counters_;
   StoreClient Store_;
-  CellOwner Owner_;
+  CellDirectory Cells_;
+  std::vector<std::unique_ptr<CellOwner>> Owners_;
   Callers Callers_;
+  AsyncHttpClient Peers_;
   ConfigurationFollower Configuration_;
   AsyncHttpServer CallerServer_;
   AsyncHttpServer ReadinessServer_;
+  AsyncHttpServer PeerServer_;
   AsyncHttpServer MetricsServer_;
   bool IsStopping_ = false;
   TimePoint StopAt_{};
--- a/packages/scheduling/include/filbertspring/scheduling/job.h
+++ b/packages/scheduling/include/filbertspring/scheduling/job.h
@@ -37,6 +37,8 @@
 struct AcceptedJob {
   std::string Id_;
   std::string Queue_;
+  /// The cell whose owner runs the job.
+  std::string Cell_;
   /// The service that the queue named at the acceptance.
   std::string Service_;
   JobSpec Spec_;
--- a/packages/scheduling/include/filbertspring/scheduling/scheduler.h
+++ b/packages/scheduling/include/filbertspring/scheduling/scheduler.h
@@ -165,8 +165,11 @@
                   std::uint64_t Run);
 
   /// Advances to \p Now and places what can be placed. \p WallMs: time of day,
-  /// milliseconds since 1970. \p MayOrder: the tenure is known to hold.
-  void advance(TimePoint Now, std::int64_t WallMs, bool MayOrder);
+  /// milliseconds since 1970. \p ConfirmedAt: the last moment at which no
+  /// other instance owned the cell; \p MayOrder: it is recent enough to give
+  /// orders.
+  void advance(TimePoint Now, std::int64_t WallMs, TimePoint ConfirmedAt,
+               bool MayOrder);
   /// Returns the actions decided since the last call, in order.
   std::vector<Action> takeActions();
   std::vector<Note> takeNotes();
--- a/packages/scheduling/src/owner_lease.cpp
+++ b/packages/scheduling/src/owner_lease.cpp
@@ -9,6 +9,8 @@
 std::string encodeOwnerRecord(const OwnerRecord &Record) {
   json Value = {{"holder", Record.Holder_},
                 {"nonce", Record.Nonce_},
+                {"zone", Record.Zone_},
+                {"address", Record.Address_},
                 {"tenure", Record.Tenure_}};
   return Value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
@@ -18,15 +20,20 @@
   json Value = json::parse(Text, nullptr, false);
   if (!Value.is_object())
     return Record;
-  Record.Holder_ = Value.value("holder", "");
-  Record.Nonce_ = Value.value("nonce", "");
-  Record.Tenure_ = Value.value("tenure", std::uint64_t{0});
+  try {
+    Record.Tenure_ = Value.value("tenure", std::uint64_t{0});
+    Record.Nonce_ = Value.value("nonce", "");
+    Record.Zone_ = Value.value("zone", "");
+    Record.Address_ = Value.value("address", "");
+    Record.Holder_ = Value.value("holder", "");
+  } catch (const json::exception &) {
+    Record.Holder_.clear();
+  }
   return Record;
 }
 
-OwnerLease::OwnerLease(std::string Instance, std::string Nonce,
-                       OwnerTimes Times)
-    : Instance_(std::move(Instance)), Nonce_(std::move(Nonce)), Times_(Times) {}
+OwnerLease::OwnerLease(std::string CellZone, OwnerRecord Self, OwnerTimes Times)
+    : CellZone_(std::move(CellZone)), Self_(std::move(Self)), Times_(Times) {}
 
 void OwnerLease::rowSeen(const OwnerRecord &Record, std::uint64_t Version,
                          TimePoint SentAt) {
@@ -35,6 +42,8 @@
     return;
   if (!IsKnown_ || Version != Version_)
     ChangedAt_ = SentAt;
+  if (!IsKnown_ || Record.Nonce_ != Record_.Nonce_)
+    HolderSeenAt_ = SentAt;
   IsKnown_ = true;
   Record_ = Record;
   Version_ = Version;
@@ -56,11 +65,12 @@
 void OwnerLease::readFailed(TimePoint Now) {
   ChangedAt_ = Now;
   ProvenAt_ = Now;
+  HolderSeenAt_ = Now;
 }
 
 bool OwnerLease::isOwner() const {
-  return IsKnown_ && Version_ != 0 && Record_.Holder_ == Instance_ &&
-         Record_.Nonce_ == Nonce_;
+  return IsKnown_ && Version_ != 0 && Record_.Holder_ == Self_.Holder_ &&
+         Record_.Nonce_ == Self_.Nonce_;
 }
 
 bool OwnerLease::isTrusted(TimePoint Now) const {
@@ -72,7 +82,12 @@
     return false;
   if (Version_ == 0 || Record_.Holder_.empty())
     return true;
-  return ProvenAt_ - ChangedAt_ >= Times_.TakeoverAfter_;
+  bool IsAtHome = Self_.Zone_ == CellZone_;
+  if (IsAtHome && Record_.Zone_ != CellZone_ &&
+      ProvenAt_ - HolderSeenAt_ >= Times_.HomecomingAfter_)
+    return true;
+  return ProvenAt_ - ChangedAt_ >=
+         (IsAtHome ? Times_.TakeoverAfter_ : Times_.FarTakeoverAfter_);
 }
 
 bool OwnerLease::shouldRenew(TimePoint Now) const {
@@ -80,11 +95,16 @@
 }
 
 OwnerRecord OwnerLease::takeoverRecord() const {
-  return {Instance_, Nonce_, Record_.Tenure_ + 1};
+  OwnerRecord Mine = Self_;
+  Mine.Tenure_ = Record_.Tenure_ + 1;
+  return Mine;
 }
 
 OwnerRecord OwnerLease::releaseRecord() const {
-  return {"", Nonce_, Record_.Tenure_};
+  OwnerRecord Nobody;
+  Nobody.Nonce_ = Self_.Nonce_;
+  Nobody.Tenure_ = Record_.Tenure_;
+  return Nobody;
 }
 
 } // namespace filbertspring::scheduling
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -194,14 +194,15 @@
 }
 
 /// Declares the runs of unreachable workers lost once their leases are over.
-void Scheduler::Impl::expireWorkers(TimePoint Now) {
+/// Another owner may have prolonged them unless the tenure held until then.
+void Scheduler::Impl::expireWorkers(TimePoint Now, TimePoint ConfirmedAt) {
   std::vector<std::string> Gone;
   for (auto &[Id, Worker] : Workers_) {
     bool IsSilent = Worker.FailedRenewals_ > 0 || !Worker.IsKnown_;
     TimePoint Safe = Worker.IsKnown_
                          ? Worker.GrantedUntil_
                          : TenureStart_ + Settings_.PredecessorLimit_;
-    if (IsSilent && Now > Safe && !Worker.IsOver_) {
+    if (IsSilent && Now > Safe && ConfirmedAt > Safe && !Worker.IsOver_) {
       loseRuns(Worker, Now, "lease expired");
       Worker.IsOver_ = true;
     }
@@ -286,9 +287,10 @@
   Worker->GrantedUntil_ = Now;
 }
 
-void Scheduler::advance(TimePoint Now, std::int64_t WallMs, bool MayOrder) {
+void Scheduler::advance(TimePoint Now, std::int64_t WallMs,
+                        TimePoint ConfirmedAt, bool MayOrder) {
   Impl_->WallMs_ = WallMs;
-  Impl_->expireWorkers(Now);
+  Impl_->expireWorkers(Now, ConfirmedAt);
   if (MayOrder) {
     Impl_->openDueSteps(Now);
     Impl_->placeWaiting(Now);
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -39,7 +39,7 @@
   WorkerState *findWorker(const std::string &Id);
   void beginLife(WorkerState &Worker, const WorkerEntry &Entry);
   void loseRuns(WorkerState &Worker, TimePoint Now, const char *Cause);
-  void expireWorkers(TimePoint Now);
+  void expireWorkers(TimePoint Now, TimePoint ConfirmedAt);
   void renewLeases(TimePoint Now, bool MayOrder);
   void renew(WorkerState &Worker, TimePoint Now, bool MayGrant);
   void orderStops(TimePoint Now);
--- a/packages/scheduling/src/scheduler_orders.cpp
+++ b/packages/scheduling/src/scheduler_orders.cpp
@@ -52,6 +52,18 @@
     if (Owned)
       Impl_->requeueRun(*Worker, *Owned, Name, Number, Now, Duration::zero());
   };
+  // The start before this one may have been carried out.
+  bool MayHaveRun = Ordered.StartsSent_ > 1 &&
+                    Outcome != CallOutcome::Accepted &&
+                    Outcome != CallOutcome::RejectedFence;
+  if (MayHaveRun && Outcome == CallOutcome::RejectedOldRun) {
+    // It was, and it ended: the next report lists the end.
+    Ordered.Phase_ = RunPhase::Confirmed;
+    Ordered.ConfirmedAt_ = Now;
+    return;
+  }
+  if (MayHaveRun)
+    return Impl_->beginStop(Ordered, Now);
   switch (Outcome) {
   case CallOutcome::Accepted:
     if (Ordered.Phase_ == RunPhase::Ordered) {
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -235,6 +235,7 @@
   Start.Payload_ = Owned.Job_.accepted().Spec_.Payload_;
   Start.DeadlineMs_ = *Worker.clockAt(Now) +
                       Settings_.StartValidity_ / std::chrono::milliseconds(1);
+  Worker.LastDeadlineMs_ = std::max(Worker.LastDeadlineMs_, Start.DeadlineMs_);
   if (Task *Started = Owned.Job_.find(Ordered.Name_))
     Start.Checkpoint_ = Started->Progress_.Checkpoint_;
   Actions_.emplace_back(std::move(Start));
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -15,6 +15,8 @@
 constexpr std::uint32_t MaxDoublings = 3;
 /// A failed task is not repeated at once: its cause may pass.
 constexpr Duration RetryDelay = std::chrono::milliseconds(50);
+/// The pause before a worker is asked again whether its lease is over.
+constexpr Duration OverPause = std::chrono::milliseconds(100);
 /// Tails are figures of half a second; they are learned from once in it.
 constexpr Duration LearnPause = std::chrono::milliseconds(450);
 /// Changes of a pace by fewer percent are not worth an order.
@@ -40,6 +42,12 @@
     return;
   }
   TimePoint SentAt = Worker->RenewalSentAt_;
+  // Its runs were given up: they must be over by its own clock, too.
+  if (Worker->IsOver_ && Report.ClockMs_ <= Worker->LastDeadlineMs_) {
+    Worker->IsRenewing_ = false;
+    Worker->NextRenewalAt_ = Now + OverPause;
+    return;
+  }
   bool WasReachable = Worker->isReachable() && !Worker->IsOver_;
   Worker->IsRenewing_ = false;
   Worker->NextRenewalAt_ = Now;
--- a/packages/scheduling/src/worker_state.h
+++ b/packages/scheduling/src/worker_state.h
@@ -78,6 +78,8 @@
   TimePoint LastIdleReport_{};
   /// Until when tasks may run on under grants of this tenure.
   TimePoint GrantedUntil_{};
+  /// The latest deadline that a call carried, on the worker's clock.
+  std::int64_t LastDeadlineMs_ = 0;
   /// Not used for starts before this time.
   TimePoint AvoidUntil_{};
   std::uint32_t OrdersInFlight_ = 0;
