--- a/packages/node/src/callers.cpp
+++ b/packages/node/src/callers.cpp
@@ -104,10 +104,6 @@
     : Store_(Store), Cells_(Cells), Counters_(Counters),
       Accepted_(std::move(Accepted)) {}
 
-void Callers::setClosedZones(std::set<std::string> Zones) {
-  ClosedZones_ = std::move(Zones);
-}
-
 void Callers::configure(std::shared_ptr<const scheduling::QueueTable> Queues) {
   Queues_ = std::move(Queues);
 }
@@ -167,7 +163,6 @@
     return Of->Respond_(makeAnswer(400));
   }
   StoredAcceptance Accepted;
-  Accepted.Cell_ = Cells_.chooseCell(ClosedZones_);
   Accepted.Queue_ = Of->Queue_.Name_;
   Accepted.Service_ = Of->Queue_.Service_;
   Accepted.AcceptedMs_ = wallMilliseconds();
@@ -192,7 +187,6 @@
     switch (Outcome.Outcome_) {
     case CommitOutcome::Committed:
       Accepted_(Insert.Writes_.front());
-      Cache_.remember(Of->Job_, Insert.Writes_.front());
       [[fallthrough]];
     case CommitOutcome::Conflict:
       logEvent(LogEvent::JobAccepted,
@@ -219,59 +213,47 @@
 void Callers::readState(const ExchangePtr &Of) {
   if (std::optional<JobState> Final = Cache_.finalState(Of->Job_))
     return Of->Respond_(makeAnswer(200, platform::encodeState(*Final)));
-  if (std::optional<std::string> Cell = Cache_.cell(Of->Job_))
-    return readProgress(Of, *Cell);
-  readAcceptance(Of, [this, Of](const Row *Accepted) {
-    if (!Accepted)
-      return Of->Respond_(makeAnswer(410));
-    readProgress(Of, std::string(storedCell(Accepted->Value_)));
-  });
+  Store_.read(
+      onlyRow(progressKey(Of->Job_)), timeLeft(*Of),
+      [this, Of](const Result<RowPage> &Page) {
+        if (!Page)
+          return Of->Respond_(makeRefusal());
+        if (Page->Rows_.empty())
+          return readAcceptance(Of, [Of](const Row *Accepted) {
+            Of->Respond_(Accepted ? makeAnswer(200, platform::encodeState(
+                                                        JobState::Queued))
+                                  : makeAnswer(410));
+          });
+        Result<scheduling::JobProgress> Progress =
+            scheduling::decodeProgress(Page->Rows_.front().Value_);
+        if (!Progress)
+          return Of->Respond_(makeRefusal());
+        if (isFinal(Progress->State_))
+          Cache_.rememberFinal(Of->Job_, Progress->State_);
+        Of->Respond_(makeAnswer(200, platform::encodeState(Progress->State_)));
+      });
 }
 
 void Callers::readAcceptance(const ExchangePtr &Of,
                              AcceptanceCallback Callback) {
   Store_.read(
       onlyRow(jobKey(Of->Job_)), timeLeft(*Of),
-      [this, Of, Callback = std::move(Callback)](const Result<RowPage> &Page) {
+      [Of, Callback = std::move(Callback)](const Result<RowPage> &Page) {
         if (!Page)
           return Of->Respond_(makeRefusal());
-        if (Page->Rows_.empty())
-          return Callback(nullptr);
-        Cache_.remember(Of->Job_, Page->Rows_.front());
-        Callback(&Page->Rows_.front());
+        Callback(Page->Rows_.empty() ? nullptr : &Page->Rows_.front());
       });
 }
 
-void Callers::readProgress(const ExchangePtr &Of, const std::string &Cell) {
-  Store_.read(onlyRow(progressKey(Cell, Of->Job_)), timeLeft(*Of),
-              [this, Of](const Result<RowPage> &Page) {
-                if (!Page)
-                  return Of->Respond_(makeRefusal());
-                JobState State = JobState::Queued;
-                if (!Page->Rows_.empty()) {
-                  Result<scheduling::JobProgress> Progress =
-                      scheduling::decodeProgress(Page->Rows_.front().Value_);
-                  if (!Progress)
-                    return Of->Respond_(makeRefusal());
-                  State = Progress->State_;
-                }
-                if (isFinal(State))
-                  Cache_.rememberFinal(Of->Job_, State);
-                Of->Respond_(makeAnswer(200, platform::encodeState(State)));
-              });
-}
-
 void Callers::cancel(const ExchangePtr &Of) {
   readAcceptance(Of, [this, Of](const Row *Accepted) {
     if (!Accepted)
       return Of->Respond_(makeAnswer(410));
-    storeCancel(Of, std::string(storedCell(Accepted->Value_)),
-                Accepted->Version_);
+    storeCancel(Of, Accepted->Version_);
   });
 }
 
-void Callers::storeCancel(const ExchangePtr &Of, const std::string &Cell,
-                          std::uint64_t Version) {
+void Callers::storeCancel(const ExchangePtr &Of, std::uint64_t Version) {
   Duration Timeout = timeLeft(*Of);
   if (Timeout <= Duration::zero())
     return Of->Respond_(makeUnknown());
@@ -279,10 +261,10 @@
   Cancel.Conditions_.push_back({jobKey(Of->Job_), Version});
   Row New;
   New.Key_ = cancelKey(Of->Job_);
-  New.Value_ = encodeCancellation(Cell);
+  New.Value_ = "{}";
   Cancel.Writes_.push_back(New);
   Store_.commit(Cancel, Timeout,
-                [this, Of, Cell, Version, New](CommitResult Outcome) {
+                [this, Of, Version, New](CommitResult Outcome) {
                   switch (Outcome.Outcome_) {
                   case CommitOutcome::Committed:
                     logEvent(LogEvent::StopRequested, {{"job", Of->Job_}});
@@ -294,7 +276,7 @@
                   case CommitOutcome::Refused:
                     return Of->Respond_(makeRefusal());
                   case CommitOutcome::Unknown:
-                    return storeCancel(Of, Cell, Version);
+                    return storeCancel(Of, Version);
                   }
                 });
 }
--- a/packages/node/src/callers.h
+++ b/packages/node/src/callers.h
@@ -26,7 +26,6 @@
           std::function<void(const scheduling::Row &)> Accepted);
 
   void configure(std::shared_ptr<const scheduling::QueueTable> Queues);
-  void setClosedZones(std::set<std::string> Zones);
   /// Takes one request and answers it once.
   void handle(HttpRequest Request, HttpResponder Respond);
 
@@ -38,10 +37,8 @@
   void submit(const ExchangePtr &Of);
   void insert(const ExchangePtr &Of, scheduling::RowTransaction Insert);
   void readState(const ExchangePtr &Of);
-  void readProgress(const ExchangePtr &Of, const std::string &Cell);
   void cancel(const ExchangePtr &Of);
-  void storeCancel(const ExchangePtr &Of, const std::string &Cell,
-                   std::uint64_t Version);
+  void storeCancel(const ExchangePtr &Of, std::uint64_t Version);
   void answerPending(const ExchangePtr &Of);
   using AcceptanceCallback = std::function<void(const scheduling::Row *)>;
   /// Reads the acceptance; answers itself if the store does not.
@@ -54,7 +51,6 @@
   CounterRegistry &Counters_;
   std::function<void(const scheduling::Row &)> Accepted_;
   JobCache Cache_;
-  std::set<std::string> ClosedZones_;
   std::shared_ptr<const scheduling::QueueTable> Queues_;
 };
 
--- a/packages/node/src/cell_directory.h
+++ b/packages/node/src/cell_directory.h
@@ -2,7 +2,7 @@
 #define FILBERTSPRING_NODE_CELL_DIRECTORY_H
 
 /// \file
-/// What an instance knows of all cells: their owners and their load.
+/// What an instance knows of the cell: its owner and its load.
 
 #include "filbertspring/node/node_settings.h"
 #include "filbertspring/scheduling/owner_lease.h"
@@ -10,31 +10,20 @@
 #include "store_client.h"
 
 #include <functional>
-#include <map>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace filbertspring::node {
 
-/// Follows the rows of all cells in the store.
+/// Follows the rows of the cell in the store.
 class CellDirectory {
 public:
-  struct Cell {
-    scheduling::OwnerLease Lease_;
-    CellStatus Status_;
-  };
-
-  /// \p Changed is called after each reading.
   CellDirectory(EventLoop &Loop, StoreClient &Store,
                 const NodeSettings &Settings, const std::string &Nonce);
+  /// \p Changed is called after each reading.
   void start(std::function<void()> Changed);
 
-  /// \p Zone is one of the settings' zones.
-  Cell &cell(const std::string &Zone) { return Cells_.at(Zone); }
-  /// Returns the cell for a job that is accepted here: the own zone's, or
-  /// another if that one is closed, silent or far busier.
-  std::string chooseCell(const std::set<std::string> &ClosedZones) const;
+  scheduling::OwnerLease &lease() { return Lease_; }
   /// Returns the accepted jobs of \p Queue without a started task; nothing if
   /// the store was not read lately.
   std::optional<std::uint64_t> pending(const std::string &Queue) const;
@@ -43,12 +32,11 @@
   void readAll();
   void follow(std::uint64_t After);
   void rowSeen(const scheduling::Row &Seen, TimePoint SentAt);
-  double loadOf(const Cell &Of) const;
 
   EventLoop &Loop_;
   StoreClient &Store_;
-  std::string OwnZone_;
-  std::map<std::string, Cell> Cells_;
+  scheduling::OwnerLease Lease_;
+  CellStatus Status_;
   std::function<void()> Changed_;
   TimePoint ReadAt_{};
 };
--- a/packages/node/src/cell_owner.cpp
+++ b/packages/node/src/cell_owner.cpp
@@ -27,11 +27,13 @@
 constexpr Duration WorkerFeedPause = std::chrono::milliseconds(250);
 /// The shortest time between two transactions of the owner: each is a call,
 /// and ends of tasks come in groups.
-constexpr Duration WritePause = std::chrono::milliseconds(30);
+constexpr Duration WritePause = std::chrono::milliseconds(25);
 /// How often the status of the cell is stored at most.
 constexpr Duration StatusPause = std::chrono::milliseconds(800);
 /// The owner's tick: leases and waits have hundreds of milliseconds.
 constexpr Duration TickPause = std::chrono::milliseconds(50);
+/// Drift of a worker's clock over a grant, and the time to kill.
+constexpr Duration GrantSlack = std::chrono::milliseconds(500);
 /// Events within this time are followed by one decision.
 constexpr Duration PumpDelay = std::chrono::milliseconds(2);
 /// Rows of one transaction that are left for progress beside the owner's row
@@ -63,9 +65,9 @@
 
 CellOwner::CellOwner(EventLoop &Loop, StoreClient &Store,
                      CounterRegistry &Counters, const NodeSettings &Settings,
-                     std::string Cell, scheduling::OwnerLease &Lease)
+                     scheduling::OwnerLease &Lease)
     : Loop_(Loop), Store_(Store), Counters_(Counters), Settings_(Settings),
-      Cell_(std::move(Cell)), Lease_(Lease) {}
+      Lease_(Lease) {}
 
 void CellOwner::start() { tick(); }
 
@@ -107,9 +109,9 @@
   TimePoint SentAt = SchedulerClock::now();
   OwnerRecord Mine = Lease_.takeoverRecord();
   RowTransaction Takeover;
-  Takeover.Conditions_.push_back({ownerKey(Cell_), Lease_.version()});
+  Takeover.Conditions_.push_back({ownerKey(), Lease_.version()});
   Takeover.Writes_.push_back(
-      makeRow(ownerKey(Cell_), scheduling::encodeOwnerRecord(Mine)));
+      makeRow(ownerKey(), scheduling::encodeOwnerRecord(Mine)));
   Store_.commit(Takeover, StoreTimeout,
                 [this, Mine, SentAt](const CommitResult &Outcome) {
                   IsTakingOver_ = false;
@@ -126,6 +128,10 @@
   Settings.FencingToken_ = Lease_.version();
   Settings.Tenure_ = Lease_.record().Tenure_ - 1;
   Settings.Grant_ = std::min(Settings.Grant_, Settings_.MaxLease_);
+  // A trusted predecessor granted until then.
+  Settings.PredecessorLimit_ = scheduling::OwnerTimes().TrustedFor_ +
+                               Settings.Grant_ + GrantSlack -
+                               scheduling::OwnerTimes().TakeoverAfter_;
   Settings.KillTimeout_ = Settings_.KillTimeout_;
   Settings.StateKept_ = Settings_.StateKept_;
   Settings.FarFactor_ = Settings_.FarFactor_;
@@ -135,14 +141,13 @@
   Tenure_->Scheduler_.configure(Queues_);
   Tenure_->Scheduler_.setClosedZones(ClosedZones_);
   logEvent(LogEvent::CellOwned,
-           {{"cell", Cell_},
-            {"token", static_cast<std::int64_t>(Settings.FencingToken_)},
+           {{"token", static_cast<std::int64_t>(Settings.FencingToken_)},
             {"tenure", static_cast<std::int64_t>(Settings.Tenure_)}});
   load(Tenure_);
 }
 
 void CellOwner::endTenure(const char *Cause) {
-  logEvent(LogEvent::CellLost, {{"cell", Cell_}, {"cause", Cause}});
+  logEvent(LogEvent::CellLost, {{"cause", Cause}});
   // The caller may be inside a callback of this tenure.
   Loop_.after(Duration::zero(), [Ended = std::move(Tenure_)] {});
   Tenure_ = nullptr;
@@ -154,9 +159,9 @@
   if (!Tenure_)
     return;
   RowTransaction Release;
-  Release.Conditions_.push_back({ownerKey(Cell_), Lease_.version()});
+  Release.Conditions_.push_back({ownerKey(), Lease_.version()});
   Release.Writes_.push_back(makeRow(
-      ownerKey(Cell_), scheduling::encodeOwnerRecord(Lease_.releaseRecord())));
+      ownerKey(), scheduling::encodeOwnerRecord(Lease_.releaseRecord())));
   endTenure("this instance stops");
   Store_.commit(Release, StoreTimeout, [](const CommitResult &Outcome) {
     // Candidates notice the silent row after a while in any case.
@@ -171,13 +176,13 @@
   Loop_.after(RetryPause, [this, Of] { load(Of); });
 }
 
-/// Reads the workers that the tenure before may have used, then the jobs and
-/// their progress, then the registrations.
+/// Reads the workers that the tenure before may have used, the registrations,
+/// the jobs, and last their progress, which names the workers of tasks.
 void CellOwner::load(const TenureRef &Of) {
   if (Of.expired())
     return;
-  Store_.readAll(wholeTable(KnownWorkerTable, cellPartition(Cell_)),
-                 StoreTimeout, [this, Of](const Result<RowPage> &Page) {
+  Store_.readAll(wholeTable(KnownWorkerTable, CellPartition), StoreTimeout,
+                 [this, Of](const Result<RowPage> &Page) {
                    std::shared_ptr<Tenure> Now = Of.lock();
                    if (!Now)
                      return;
@@ -191,27 +196,46 @@
                      Now->Scheduler_.restoreWorker(*Entry,
                                                    SchedulerClock::now());
                    }
-                   loadJobs(Of);
+                   loadWorkers(Of);
                  });
 }
 
-void CellOwner::loadJobs(const TenureRef &Of) {
-  Store_.readAll(wholeTable(JobTable, JobPartition), StoreTimeout,
+void CellOwner::loadWorkers(const TenureRef &Of) {
+  Store_.readAll(wholeTable(platform::WorkerTable, ""), StoreTimeout,
                  [this, Of](const Result<RowPage> &Page) {
                    if (Of.expired())
                      return;
                    if (!Page)
                      return retryLoad(Of);
                    for (const Row &Seen : Page->Rows_)
-                     jobRowSeen(Seen, true);
-                   loadProgress(Of, Page->Version_);
+                     workerRowSeen(Seen);
+                   loadJobs(Of, Page->Version_);
+                 });
+}
+
+void CellOwner::loadJobs(const TenureRef &Of, std::uint64_t WorkersVersion) {
+  Store_.readAll(wholeTable(JobTable, JobPartition), StoreTimeout,
+                 [this, Of, WorkersVersion](const Result<RowPage> &Page) {
+                   if (Of.expired())
+                     return;
+                   if (!Page)
+                     return retryLoad(Of);
+                   for (const Row &Seen : Page->Rows_)
+                     if (!cancelledJobOf(Seen.Key_.Key_))
+                       jobRowSeen(Seen);
+                   Cancellations_.clear();
+                   for (const Row &Seen : Page->Rows_)
+                     if (auto Job = cancelledJobOf(Seen.Key_.Key_))
+                       Cancellations_.push_back(*Job);
+                   loadProgress(Of, WorkersVersion, Page->Version_);
                  });
 }
 
-void CellOwner::loadProgress(const TenureRef &Of, std::uint64_t JobsVersion) {
+void CellOwner::loadProgress(const TenureRef &Of, std::uint64_t WorkersVersion,
+                             std::uint64_t JobsVersion) {
   Store_.readAll(
-      wholeTable(ProgressTable, cellPartition(Cell_)), StoreTimeout,
-      [this, Of, JobsVersion](const Result<RowPage> &Page) {
+      wholeTable(ProgressTable, CellPartition), StoreTimeout,
+      [this, Of, WorkersVersion, JobsVersion](const Result<RowPage> &Page) {
         std::shared_ptr<Tenure> Now = Of.lock();
         if (!Now)
           return;
@@ -225,36 +249,23 @@
             logEvent(LogEvent::ForeignRow,
                      {{"table", ProgressTable}, {"key", Seen.Key_.Key_}});
         }
-        loadWorkers(Of, JobsVersion);
-      });
-}
-
-void CellOwner::loadWorkers(const TenureRef &Of, std::uint64_t JobsVersion) {
-  Store_.readAll(
-      wholeTable(platform::WorkerTable, ""), StoreTimeout,
-      [this, Of, JobsVersion](const Result<RowPage> &Page) {
-        std::shared_ptr<Tenure> Now = Of.lock();
-        if (!Now)
-          return;
-        if (!Page)
-          return retryLoad(Of);
-        for (const Row &Seen : Page->Rows_)
-          workerRowSeen(Seen);
+        for (const std::string &Job : std::exchange(Cancellations_, {}))
+          Now->Scheduler_.cancelJob(Job, SchedulerClock::now());
         Now->IsLoaded_ = true;
         scheduling::SchedulerCounts Counts = Now->Scheduler_.counts();
-        logEvent(LogEvent::CellLoaded, {{"jobs", count(Counts.Jobs_)},
-                                        {"workers", count(Counts.Workers_)}});
+        logEvent(LogEvent::CellLoaded,
+                 {{"jobs", count(Counts.Jobs_)},
+                  {"workers", count(Counts.Workers_)},
+                  {"placed", count(Counts.PlacedTasks_)}});
         followJobs(Of, JobsVersion);
-        followWorkers(Of, Page->Version_);
+        followWorkers(Of, WorkersVersion);
         schedulePump();
       });
 }
 
-void CellOwner::jobRowSeen(const Row &Seen, bool IsRestored) {
+void CellOwner::jobRowSeen(const Row &Seen) {
   if (Seen.IsRemoved_)
     return;
-  if (storedCell(Seen.Value_) != Cell_)
-    return;
   TimePoint Now = SchedulerClock::now();
   if (auto Cancelled = cancelledJobOf(Seen.Key_.Key_))
     return Tenure_->Scheduler_.cancelJob(*Cancelled, Now);
@@ -265,7 +276,7 @@
              {{"table", JobTable}, {"key", Seen.Key_.Key_}});
     return;
   }
-  Tenure_->Scheduler_.addJob(std::move(*Accepted), Now, IsRestored);
+  Tenure_->Scheduler_.addJob(std::move(*Accepted), Now);
 }
 
 void CellOwner::followJobs(const TenureRef &Of, std::uint64_t After) {
@@ -279,7 +290,7 @@
                   return Loop_.after(
                       RetryPause, [this, Of, After] { followJobs(Of, After); });
                 for (const Row &Seen : Page->Rows_)
-                  jobRowSeen(Seen, false);
+                  jobRowSeen(Seen);
                 if (!Page->Rows_.empty())
                   schedulePump();
                 std::uint64_t Next = std::max(After, Page->Version_);
@@ -299,7 +310,7 @@
                      return Loop_.after(RetryPause,
                                         [this, Of] { rereadJobs(Of); });
                    for (const Row &Seen : Page->Rows_)
-                     jobRowSeen(Seen, false);
+                     jobRowSeen(Seen);
                    schedulePump();
                    followJobs(Of, Page->Version_);
                  });
@@ -319,9 +330,6 @@
              {{"table", platform::WorkerTable}, {"key", Id}});
     return;
   }
-  // Other cells' workers have owners of their own.
-  if (Entry->Zone_ != Cell_)
-    return;
   Listed_.insert(Id);
   Tenure_->Scheduler_.workerListed(*Entry, Now);
 }
@@ -432,22 +440,22 @@
     return Of.Scheduler_.writesStored(Writes, Now);
 
   RowTransaction Changes;
-  Changes.Conditions_.push_back({ownerKey(Cell_), Lease_.version()});
+  Changes.Conditions_.push_back({ownerKey(), Lease_.version()});
   if (MustRenew)
-    Changes.Writes_.push_back(makeRow(
-        ownerKey(Cell_), scheduling::encodeOwnerRecord(Lease_.record())));
+    Changes.Writes_.push_back(
+        makeRow(ownerKey(), scheduling::encodeOwnerRecord(Lease_.record())));
   if (!Status.empty())
-    Changes.Writes_.push_back(makeRow(statusKey(Cell_), Status));
+    Changes.Writes_.push_back(makeRow(statusKey(), Status));
   for (const auto &[Job, Progress] : Writes.Progress_)
     Changes.Writes_.push_back(
-        makeRow(progressKey(Cell_, Job), scheduling::encodeProgress(Progress)));
+        makeRow(progressKey(Job), scheduling::encodeProgress(Progress)));
   for (const scheduling::WorkerEntry &Entry : Writes.KnownWorkers_)
-    Changes.Writes_.push_back(makeRow(knownWorkerKey(Cell_, Entry.Id_),
+    Changes.Writes_.push_back(makeRow(knownWorkerKey(Entry.Id_),
                                       scheduling::encodeKnownWorker(Entry)));
   for (const std::string &Id : Writes.ForgottenWorkers_)
-    Changes.Removals_.push_back(knownWorkerKey(Cell_, Id));
+    Changes.Removals_.push_back(knownWorkerKey(Id));
   for (const std::string &Job : Writes.RemovedJobs_)
-    Changes.Removals_.push_back(progressKey(Cell_, Job));
+    Changes.Removals_.push_back(progressKey(Job));
   Of.IsWriting_ = true;
   Store_.commit(Changes, StoreTimeout,
                 [this, Ref = TenureRef(Tenure_), Writes, MustRenew, Now,
@@ -490,7 +498,7 @@
 /// another version.
 void CellOwner::reconcileOwnerRow() {
   TimePoint SentAt = SchedulerClock::now();
-  platform::RowRange Range = wholeTable(CellTable, cellPartition(Cell_));
+  platform::RowRange Range = wholeTable(CellTable, CellPartition);
   Range.From_ = OwnerKey;
   Range.Limit_ = 1;
   Store_.read(
@@ -525,7 +533,7 @@
 void CellOwner::jobAccepted(const Row &Stored) {
   if (!Tenure_ || !Tenure_->IsLoaded_)
     return;
-  jobRowSeen(Stored, false);
+  jobRowSeen(Stored);
   schedulePump();
 }
 
--- a/packages/node/src/cell_owner.h
+++ b/packages/node/src/cell_owner.h
@@ -42,8 +42,7 @@
 class CellOwner {
 public:
   CellOwner(EventLoop &Loop, StoreClient &Store, CounterRegistry &Counters,
-            const NodeSettings &Settings, std::string Cell,
-            scheduling::OwnerLease &Lease);
+            const NodeSettings &Settings, scheduling::OwnerLease &Lease);
 
   void start();
   void configure(std::shared_ptr<const scheduling::QueueTable> Queues);
@@ -64,15 +63,16 @@
 
   using TenureRef = std::weak_ptr<Tenure>;
   void load(const TenureRef &Of);
-  void loadJobs(const TenureRef &Of);
-  void loadProgress(const TenureRef &Of, std::uint64_t JobsVersion);
-  void loadWorkers(const TenureRef &Of, std::uint64_t JobsVersion);
+  void loadWorkers(const TenureRef &Of);
+  void loadJobs(const TenureRef &Of, std::uint64_t WorkersVersion);
+  void loadProgress(const TenureRef &Of, std::uint64_t WorkersVersion,
+                    std::uint64_t JobsVersion);
   void retryLoad(const TenureRef &Of);
   void followJobs(const TenureRef &Of, std::uint64_t After);
   void rereadJobs(const TenureRef &Of);
   void followWorkers(const TenureRef &Of, std::uint64_t After);
   void rereadWorkers(const TenureRef &Of);
-  void jobRowSeen(const scheduling::Row &Seen, bool IsRestored);
+  void jobRowSeen(const scheduling::Row &Seen);
   void workerRowSeen(const scheduling::Row &Seen);
 
   void tick();
@@ -90,13 +90,14 @@
   StoreClient &Store_;
   CounterRegistry &Counters_;
   NodeSettings Settings_;
-  std::string Cell_;
   scheduling::OwnerLease &Lease_;
   std::shared_ptr<Tenure> Tenure_;
   std::shared_ptr<const scheduling::QueueTable> Queues_;
   std::set<std::string> ClosedZones_;
   /// Registered workers in the last complete reading.
   std::set<std::string> Listed_;
+  /// Cancelled jobs of which the progress is not read yet.
+  std::vector<std::string> Cancellations_;
   bool IsTakingOver_ = false;
   bool IsReleased_ = false;
   bool IsPumpScheduled_ = false;
--- a/packages/node/src/rows.cpp
+++ b/packages/node/src/rows.cpp
@@ -12,9 +12,6 @@
 using scheduling::RowKey;
 
 constexpr std::string_view CancelSuffix = ".cancel";
-constexpr std::string_view CellPrefix = "cell-";
-/// Ends the cell's name at the beginning of a stored acceptance.
-constexpr char CellEnd = '\n';
 
 std::string dump(const json &Value) {
   return Value.dump(-1, ' ', false, json::error_handler_t::replace);
@@ -22,37 +19,23 @@
 
 } // namespace
 
-std::string cellPartition(const std::string &Cell) {
-  return std::string(CellPrefix) + Cell;
-}
-
-std::optional<std::string> cellOf(std::string_view Partition) {
-  if (!Partition.starts_with(CellPrefix))
-    return std::nullopt;
-  return std::string(Partition.substr(CellPrefix.size()));
-}
-
 RowKey jobKey(const std::string &Job) { return {JobTable, JobPartition, Job}; }
 
 RowKey cancelKey(const std::string &Job) {
   return {JobTable, JobPartition, Job + std::string(CancelSuffix)};
 }
 
-RowKey progressKey(const std::string &Cell, const std::string &Job) {
-  return {ProgressTable, cellPartition(Cell), Job};
+RowKey progressKey(const std::string &Job) {
+  return {ProgressTable, CellPartition, Job};
 }
 
-RowKey knownWorkerKey(const std::string &Cell, const std::string &Worker) {
-  return {KnownWorkerTable, cellPartition(Cell), Worker};
+RowKey knownWorkerKey(const std::string &Worker) {
+  return {KnownWorkerTable, CellPartition, Worker};
 }
 
-RowKey ownerKey(const std::string &Cell) {
-  return {CellTable, cellPartition(Cell), OwnerKey};
-}
+RowKey ownerKey() { return {CellTable, CellPartition, OwnerKey}; }
 
-RowKey statusKey(const std::string &Cell) {
-  return {CellTable, cellPartition(Cell), StatusKey};
-}
+RowKey statusKey() { return {CellTable, CellPartition, StatusKey}; }
 
 std::optional<std::string> cancelledJobOf(std::string_view Key) {
   if (!Key.ends_with(CancelSuffix))
@@ -62,8 +45,7 @@
 }
 
 std::string encodeAcceptance(const StoredAcceptance &Accepted) {
-  return Accepted.Cell_ + CellEnd +
-         dump({{"queue", Accepted.Queue_},
+  return dump({{"queue", Accepted.Queue_},
                {"service", Accepted.Service_},
                {"accepted_ms", Accepted.AcceptedMs_},
                {"body", Accepted.Body_}});
@@ -74,10 +56,7 @@
   try {
     AcceptedJob Accepted;
     Accepted.Id_ = Job;
-    Accepted.Cell_ = storedCell(Text);
-    if (Accepted.Cell_.empty())
-      return fail(Errc::InvalidJson);
-    json Value = json::parse(Text.substr(Accepted.Cell_.size() + 1));
+    json Value = json::parse(Text);
     Accepted.Queue_ = Value.at("queue").get<std::string>();
     Accepted.Service_ = Value.at("service").get<std::string>();
     Accepted.AcceptedMs_ = Value.at("accepted_ms").get<std::int64_t>();
@@ -92,16 +71,6 @@
   }
 }
 
-std::string_view storedCell(std::string_view Text) {
-  std::size_t End = Text.find(CellEnd);
-  return End == std::string_view::npos ? std::string_view()
-                                       : Text.substr(0, End);
-}
-
-std::string encodeCancellation(const std::string &Cell) {
-  return Cell + CellEnd;
-}
-
 std::string encodeStatus(const CellStatus &Status) {
   return dump({{"pending", Status.Pending_},
                {"waiting", Status.WaitingTasks_},
--- a/packages/node/src/rows.h
+++ b/packages/node/src/rows.h
@@ -21,32 +21,28 @@
 inline constexpr const char *ProgressTable = "progress";
 /// Workers that may run a cell's tasks, under the worker's id.
 inline constexpr const char *KnownWorkerTable = "workers";
-/// The owners of cells and their status.
+/// The owner of the cell and its status.
 inline constexpr const char *CellTable = "cells";
 inline constexpr const char *OwnerKey = "owner";
 inline constexpr const char *StatusKey = "status";
 
-/// The partition of all acceptances: an id is accepted once, whatever its
-/// cell.
+/// The partition of callers' rows.
 inline constexpr const char *JobPartition = "jobs";
-/// The partition of the rows that only the owner of \p Cell writes.
-std::string cellPartition(const std::string &Cell);
-/// Returns the cell of a partition, or nothing for any other text.
-std::optional<std::string> cellOf(std::string_view Partition);
+/// The partition of the rows that only the owner writes: each of its
+/// transactions names the version of the owner's row.
+inline constexpr const char *CellPartition = "cell";
 
 scheduling::RowKey jobKey(const std::string &Job);
 scheduling::RowKey cancelKey(const std::string &Job);
-scheduling::RowKey progressKey(const std::string &Cell, const std::string &Job);
-scheduling::RowKey knownWorkerKey(const std::string &Cell,
-                                  const std::string &Worker);
-scheduling::RowKey ownerKey(const std::string &Cell);
-scheduling::RowKey statusKey(const std::string &Cell);
+scheduling::RowKey progressKey(const std::string &Job);
+scheduling::RowKey knownWorkerKey(const std::string &Worker);
+scheduling::RowKey ownerKey();
+scheduling::RowKey statusKey();
 /// Returns the job that the key of a cancellation names, or nothing.
 std::optional<std::string> cancelledJobOf(std::string_view Key);
 
 /// The stored form of an acceptance.
 struct StoredAcceptance {
-  std::string Cell_;
   std::string Queue_;
   std::string Service_;
   std::int64_t AcceptedMs_ = 0;
@@ -59,13 +55,7 @@
 Result<scheduling::AcceptedJob> decodeAcceptance(std::string_view Job,
                                                  std::string_view Text);
 
-/// Returns the cell of an acceptance or a cancellation without reading it
-/// whole; empty for a row of another form.
-std::string_view storedCell(std::string_view Text);
-/// Returns the stored form of a cancellation of a job of \p Cell.
-std::string encodeCancellation(const std::string &Cell);
-
-/// What an owner tells all instances about its cell.
+/// What an owner tells all instances about the cell.
 struct CellStatus {
   /// Accepted jobs without a started task, for each queue.
   std::map<std::string, std::uint64_t> Pending_;
--- a/packages/node/src/run_node.cpp
+++ b/packages/node/src/run_node.cpp
@@ -17,7 +17,6 @@
 #include <optional>
 #include <random>
 #include <sstream>
-#include <vector>
 
 namespace filbertspring::node {
 namespace {
@@ -76,21 +75,19 @@
   Instance(NodeSettings Settings, std::string SettingsPath)
       : Settings_(std::move(Settings)), SettingsPath_(std::move(SettingsPath)),
         Store_(Loop_, Settings_.StoreAddress_, Counters_),
-        Cells_(Loop_, Store_, Settings_, makeNonce()),
-        Callers_(Store_, Cells_, Counters_,
+        Cell_(Loop_, Store_, Settings_, makeNonce()),
+        Owner_(Loop_, Store_, Counters_, Settings_, Cell_.lease()),
+        Callers_(Store_, Cell_, Counters_,
                  [this](const scheduling::Row &Stored) { tellOwner(Stored); }),
         Peers_(Loop_, {}),
         Configuration_(
             Loop_, Store_,
             [this](std::shared_ptr<const scheduling::QueueTable> Queues) {
               Callers_.configure(Queues);
-              for (auto &Owner : Owners_)
-                Owner->configure(Queues);
+              Owner_.configure(std::move(Queues));
             },
             [this](std::set<std::string> Zones) {
-              Callers_.setClosedZones(Zones);
-              for (auto &Owner : Owners_)
-                Owner->setClosedZones(Zones);
+              Owner_.setClosedZones(std::move(Zones));
             }),
         CallerServer_(Loop_, {},
                       [this](HttpRequest Request, HttpResponder Respond) {
@@ -112,11 +109,7 @@
                          Answer.ContentType_ = "text/plain; version=0.0.4";
                          Answer.Body_ = Counters_.toPrometheusText();
                          Respond(std::move(Answer));
-                       }) {
-    for (const std::string &Zone : Settings_.Zones_)
-      Owners_.push_back(std::make_unique<CellOwner>(
-          Loop_, Store_, Counters_, Settings_, Zone, Cells_.cell(Zone).Lease_));
-  }
+                       }) {}
 
   int run() {
     if (!listen(CallerServer_, Settings_.CallerAddress_) ||
@@ -129,12 +122,8 @@
     Loop_.onSignals({SIGTERM, SIGINT, SIGHUP},
                     [this](int Signal) { signalled(Signal); });
     Configuration_.start();
-    for (auto &Owner : Owners_)
-      Owner->start();
-    Cells_.start([this] {
-      for (auto &Owner : Owners_)
-        Owner->leaseChanged();
-    });
+    Owner_.start();
+    Cell_.start([this] { Owner_.leaseChanged(); });
     logEvent(LogEvent::ProcessStarted, {{"zone", Settings_.Zone_}});
     Loop_.run();
     logEvent(LogEvent::ProcessStopped);
@@ -144,14 +133,12 @@
 private:
   bool isReady() const { return Configuration_.isConfigured() && !IsStopping_; }
 
-  /// Tells the owner of a job's cell about a stored row at once; the store's
+  /// Tells the owner about a stored row at once; the store's
   /// feed tells it in any case.
   void tellOwner(const scheduling::Row &Stored) {
-    std::string Cell(storedCell(Stored.Value_));
-    for (std::size_t Index = 0; Index < Owners_.size(); ++Index)
-      if (Settings_.Zones_[Index] == Cell && Owners_[Index]->isOwner())
-        return Owners_[Index]->jobAccepted(Stored);
-    const std::string &Address = Cells_.cell(Cell).Lease_.record().Address_;
+    if (Owner_.isOwner())
+      return Owner_.jobAccepted(Stored);
+    const std::string &Address = Cell_.lease().record().Address_;
     if (Address.empty())
       return;
     HttpRequest Notice;
@@ -176,8 +163,7 @@
     scheduling::Row Stored;
     Stored.Key_ = jobKey(Request.Path_.substr(Prefix.size()));
     Stored.Value_ = Request.Body_;
-    for (auto &Owner : Owners_)
-      Owner->jobAccepted(Stored);
+    Owner_.jobAccepted(Stored);
     return Answer;
   }
 
@@ -201,8 +187,7 @@
     IsStopping_ = true;
     StopAt_ = SchedulerClock::now();
     logEvent(LogEvent::ProcessDraining);
-    for (auto &Owner : Owners_)
-      Owner->release();
+    Owner_.release();
     CallerServer_.beginDrain();
     stopWhenIdle();
   }
@@ -222,8 +207,8 @@
   EventLoop Loop_;
   CounterRegistry Counters_;
   StoreClient Store_;
-  CellDirectory Cells_;
-  std::vector<std::unique_ptr<CellOwner>> Owners_;
+  CellDirectory Cell_;
+  CellOwner Owner_;
   Callers Callers_;
   AsyncHttpClient Peers_;
   ConfigurationFollower Configuration_;
--- a/packages/scheduling/include/filbertspring/scheduling/job.h
+++ b/packages/scheduling/include/filbertspring/scheduling/job.h
@@ -37,8 +37,6 @@
 struct AcceptedJob {
   std::string Id_;
   std::string Queue_;
-  /// The cell whose owner runs the job.
-  std::string Cell_;
   /// The service that the queue named at the acceptance.
   std::string Service_;
   JobSpec Spec_;
@@ -46,13 +44,17 @@
   std::int64_t AcceptedMs_ = 0;
 };
 
-/// What has to survive the owner: ends, failures and checkpoints.
+/// What has to survive the owner: ends, failures, checkpoints and placements.
 struct TaskProgress {
   bool IsDone_ = false;
   std::uint32_t Failures_ = 0;
   /// The highest run whose failure is counted.
   std::uint64_t LastFailedRun_ = 0;
   std::string Checkpoint_;
+  /// The only worker that may run the task now; empty while it waits.
+  std::string Worker_;
+  /// The highest run that was ordered or is about to be.
+  std::uint64_t LastRun_ = 0;
   friend bool operator==(const TaskProgress &, const TaskProgress &) = default;
 };
 
@@ -68,7 +70,7 @@
   /// Steps before it are not done, or it is not due.
   Blocked,
   Waiting,
-  /// A worker has been told to run it, or runs it.
+  /// A worker is to run it, may run it or runs it.
   Placed,
   Done,
 };
@@ -77,10 +79,6 @@
 struct Task {
   TaskPhase Phase_ = TaskPhase::Blocked;
   TaskProgress Progress_;
-  /// The highest run that was ordered.
-  std::uint64_t LastRun_ = 0;
-  /// The worker that runs it, or the one that ran it last.
-  std::string Worker_;
   /// The worker on which it last failed.
   std::string FailedOn_;
   /// Not placed before this time.
@@ -109,8 +107,9 @@
     return Accepted_.Spec_.Steps_[Name.Step_];
   }
 
-  /// Takes over stored progress; call it before any other change.
-  void restore(const JobProgress &Progress);
+  /// Takes over stored progress; call it before any other change. Returns the
+  /// tasks that a worker may run.
+  std::vector<TaskName> restore(const JobProgress &Progress);
   /// Returns what has to be stored.
   JobProgress progress() const;
 
@@ -128,7 +127,7 @@
   std::uint32_t placedInStep(std::uint32_t Occurrence,
                              std::uint32_t Step) const;
 
-  /// Notes that \p Name was ordered with \p Run on \p Worker.
+  /// Notes that \p Name is to run as \p Run on \p Worker.
   void place(const TaskName &Name, std::uint64_t Run,
              const std::string &Worker);
   /// Puts a placed task back into the queue, not before \p NotBefore.
--- a/packages/scheduling/include/filbertspring/scheduling/owner_lease.h
+++ b/packages/scheduling/include/filbertspring/scheduling/owner_lease.h
@@ -24,8 +24,6 @@
   std::string Holder_;
   /// Distinguishes the lives of an instance.
   std::string Nonce_;
-  /// The holder's availability zone.
-  std::string Zone_;
   /// "IP:PORT" at which the holder is told of accepted jobs.
   std::string Address_;
   /// Rises by one with each takeover.
@@ -40,24 +38,19 @@
 struct OwnerTimes {
   /// The owner rewrites the row this often.
   Duration RenewEvery_ = std::chrono::milliseconds(800);
-  /// A row that is unchanged for this long is taken over by an instance of
-  /// the cell's own availability zone: two renewals and a lost answer.
+  /// A row that is unchanged for this long is taken over: two renewals and a
+  /// lost answer.
   Duration TakeoverAfter_ = std::chrono::milliseconds(2500);
-  /// An instance elsewhere waits longer: the zone may only be cut off, its
-  /// owner reaches its workers better, and their leases last 6 s.
-  Duration FarTakeoverAfter_ = std::chrono::milliseconds(7000);
-  /// An instance of the cell's own zone takes the cell back from an owner
-  /// elsewhere after watching the row for this long.
-  Duration HomecomingAfter_ = std::chrono::milliseconds(3000);
-  /// An owner without a confirmed rewrite for this long gives no orders.
-  Duration TrustedFor_ = std::chrono::milliseconds(8000);
+  /// An owner without a confirmed rewrite for this long renews no leases: the
+  /// store's outages last some seconds.
+  Duration TrustedFor_ = std::chrono::milliseconds(6000);
 };
 
 /// The ownership of one cell as one instance sees it. Decides, does no I/O.
 class OwnerLease {
 public:
   /// \p Self: the record that this instance would write, but for its tenure.
-  OwnerLease(std::string CellZone, OwnerRecord Self, OwnerTimes Times);
+  OwnerLease(OwnerRecord Self, OwnerTimes Times);
 
   /// The row was read at \p Version (0: it does not exist), from a read that
   /// was sent at \p SentAt.
@@ -87,21 +80,13 @@
   std::uint64_t version() const { return Version_; }
   /// The cell was given up by its owner, not taken from it.
   bool wasReleased() const { return Record_.Holder_.empty(); }
-  /// Whether the row changed within \p Age before \p Now.
-  bool isFresh(TimePoint Now, Duration Age) const {
-    return IsKnown_ && Version_ != 0 && !wasReleased() &&
-           Now - ChangedAt_ <= Age;
-  }
 
 private:
-  std::string CellZone_;
   OwnerRecord Self_;
   OwnerTimes Times_;
   OwnerRecord Record_;
   std::uint64_t Version_ = 0;
   bool IsKnown_ = false;
-  /// Since when the present holder was seen without a gap in the reads.
-  TimePoint HolderSeenAt_{};
   /// When the row was last seen to change, or the store to be back.
   TimePoint ChangedAt_{};
   /// The last moment for which the row is known to be unchanged.
--- a/packages/scheduling/include/filbertspring/scheduling/pacing.h
+++ b/packages/scheduling/include/filbertspring/scheduling/pacing.h
@@ -37,12 +37,12 @@
                              std::span<const ServingSample> Serving,
                              std::span<const FillerSample> Fillers);
 
-/// Returns whether a filler of \p Added may work at full speed beside what
-/// the worker runs, as far as the model knows.
-bool fitsBeside(const InterferenceModel &Model,
-                std::span<const ServingSample> Serving,
-                std::span<const FillerSample> Fillers,
-                const FillerSample &Added);
+/// Returns the part of the worker's processors that one more filler of
+/// \p Image may take at full speed without harm, as far as the model knows.
+double fillerHeadroom(const InterferenceModel &Model,
+                      std::span<const ServingSample> Serving,
+                      std::span<const FillerSample> Fillers,
+                      std::string_view Image);
 
 } // namespace filbertspring::scheduling
 
--- a/packages/scheduling/include/filbertspring/scheduling/scheduler.h
+++ b/packages/scheduling/include/filbertspring/scheduling/scheduler.h
@@ -7,7 +7,9 @@
 /// A decision core without clocks, sockets or threads: events and times come
 /// in, actions come out. Not thread-safe. One scheduler lives as long as one
 /// tenure of the cell's owner; a successor rebuilds its state from stored
-/// progress and from the workers' own reports.
+/// progress and from the workers' own reports. A start is ordered only after
+/// its placement is stored, so a successor knows the one worker that may run
+/// a task.
 
 #include "filbertspring/base/log_event.h"
 #include "filbertspring/base/time.h"
@@ -45,7 +47,7 @@
   Duration KillTimeout_ = std::chrono::milliseconds(200);
   /// How long workers that were not reached since the takeover may run tasks
   /// of the tenure before.
-  Duration PredecessorLimit_ = std::chrono::seconds(14);
+  Duration PredecessorLimit_ = std::chrono::milliseconds(10'000);
   /// How long a final state is kept.
   Duration StateKept_ = std::chrono::seconds(150);
   /// How much slower tasks are away from their data.
@@ -137,10 +139,11 @@
   /// Replaces the set of availability zones in which nothing is started.
   void setClosedZones(std::set<std::string> Zones);
 
-  /// Adds a job. \p IsRestored: it was accepted before this tenure, so its
-  /// tasks may run unseen. A known job is left as it is.
-  void addJob(AcceptedJob Accepted, TimePoint Now, bool IsRestored);
-  /// Takes over the stored progress of a restored job.
+  /// Adds a job. A known job is left as it is.
+  void addJob(AcceptedJob Accepted, TimePoint Now);
+  /// Takes over the stored progress of a job; call it after all workers are
+  /// added. Tasks that were placed count as running until their worker, or
+  /// time, tells otherwise.
   void restoreProgress(const std::string &Job, const JobProgress &Progress);
   void cancelJob(const std::string &Job, TimePoint Now);
 
--- a/packages/scheduling/src/job.cpp
+++ b/packages/scheduling/src/job.cpp
@@ -46,7 +46,8 @@
   return Name;
 }
 
-void Job::restore(const JobProgress &Progress) {
+std::vector<TaskName> Job::restore(const JobProgress &Progress) {
+  std::vector<TaskName> Placed;
   for (const auto &[Text, Stored] : Progress.Tasks_) {
     std::optional<TaskName> Name = parseTaskName(Text);
     Task *Found = Name ? find(*Name) : nullptr;
@@ -55,13 +56,17 @@
     if (Stored.IsDone_)
       complete(*Name);
     Found->Progress_ = Stored;
-    Found->LastRun_ = Stored.LastFailedRun_;
+    if (Stored.IsDone_ || Stored.Worker_.empty())
+      continue;
+    Found->Phase_ = TaskPhase::Placed;
+    Placed.push_back(*Name);
   }
   if (isFinal(Progress.State_))
     setFinal(Progress.State_);
   else if (!isFinal(State_))
     State_ = Progress.State_;
   HasStarted_ = State_ != JobState::Queued;
+  return Placed;
 }
 
 JobProgress Job::progress() const {
@@ -142,8 +147,8 @@
   std::optional<std::uint32_t> Slot = slotOf(Name);
   Task &Placed = Tasks_[*Slot];
   Placed.Phase_ = TaskPhase::Placed;
-  Placed.LastRun_ = std::max(Placed.LastRun_, Run);
-  Placed.Worker_ = Worker;
+  Placed.Progress_.LastRun_ = std::max(Placed.Progress_.LastRun_, Run);
+  Placed.Progress_.Worker_ = Worker;
   Waiting_.erase(*Slot);
   HasStarted_ = true;
   if (State_ == JobState::Queued)
@@ -156,6 +161,7 @@
   if (Found.Phase_ != TaskPhase::Placed)
     return;
   Found.Phase_ = TaskPhase::Waiting;
+  Found.Progress_.Worker_.clear();
   Found.ReadyAt_ = Now;
   Found.NotBefore_ = NotBefore;
   if (!isFinal(State_))
@@ -176,6 +182,7 @@
   Found.Phase_ = TaskPhase::Done;
   Found.Progress_.IsDone_ = true;
   Found.Progress_.Checkpoint_.clear();
+  Found.Progress_.Worker_.clear();
   Waiting_.erase(*Slot);
   HasStarted_ = true;
   --OpenTasks_[Name.Occurrence_ * Accepted_.Spec_.Steps_.size() + Name.Step_];
--- a/packages/scheduling/src/owner_lease.cpp
+++ b/packages/scheduling/src/owner_lease.cpp
@@ -9,7 +9,6 @@
 std::string encodeOwnerRecord(const OwnerRecord &Record) {
   json Value = {{"holder", Record.Holder_},
                 {"nonce", Record.Nonce_},
-                {"zone", Record.Zone_},
                 {"address", Record.Address_},
                 {"tenure", Record.Tenure_}};
   return Value.dump(-1, ' ', false, json::error_handler_t::replace);
@@ -23,7 +22,6 @@
   try {
     Record.Tenure_ = Value.value("tenure", std::uint64_t{0});
     Record.Nonce_ = Value.value("nonce", "");
-    Record.Zone_ = Value.value("zone", "");
     Record.Address_ = Value.value("address", "");
     Record.Holder_ = Value.value("holder", "");
   } catch (const json::exception &) {
@@ -32,8 +30,8 @@
   return Record;
 }
 
-OwnerLease::OwnerLease(std::string CellZone, OwnerRecord Self, OwnerTimes Times)
-    : CellZone_(std::move(CellZone)), Self_(std::move(Self)), Times_(Times) {}
+OwnerLease::OwnerLease(OwnerRecord Self, OwnerTimes Times)
+    : Self_(std::move(Self)), Times_(Times) {}
 
 void OwnerLease::rowSeen(const OwnerRecord &Record, std::uint64_t Version,
                          TimePoint SentAt) {
@@ -42,8 +40,6 @@
     return;
   if (!IsKnown_ || Version != Version_)
     ChangedAt_ = SentAt;
-  if (!IsKnown_ || Record.Nonce_ != Record_.Nonce_)
-    HolderSeenAt_ = SentAt;
   IsKnown_ = true;
   Record_ = Record;
   Version_ = Version;
@@ -65,7 +61,6 @@
 void OwnerLease::readFailed(TimePoint Now) {
   ChangedAt_ = Now;
   ProvenAt_ = Now;
-  HolderSeenAt_ = Now;
 }
 
 bool OwnerLease::isOwner() const {
@@ -82,12 +77,7 @@
     return false;
   if (Version_ == 0 || Record_.Holder_.empty())
     return true;
-  bool IsAtHome = Self_.Zone_ == CellZone_;
-  if (IsAtHome && Record_.Zone_ != CellZone_ &&
-      ProvenAt_ - HolderSeenAt_ >= Times_.HomecomingAfter_)
-    return true;
-  return ProvenAt_ - ChangedAt_ >=
-         (IsAtHome ? Times_.TakeoverAfter_ : Times_.FarTakeoverAfter_);
+  return ProvenAt_ - ChangedAt_ >= Times_.TakeoverAfter_;
 }
 
 bool OwnerLease::shouldRenew(TimePoint Now) const {
--- a/packages/scheduling/src/pacing.cpp
+++ b/packages/scheduling/src/pacing.cpp
@@ -65,23 +65,23 @@
   return Paces;
 }
 
-bool fitsBeside(const InterferenceModel &Model,
-                std::span<const ServingSample> Serving,
-                std::span<const FillerSample> Fillers,
-                const FillerSample &Added) {
+double fillerHeadroom(const InterferenceModel &Model,
+                      std::span<const ServingSample> Serving,
+                      std::span<const FillerSample> Fillers,
+                      std::string_view Image) {
+  double Headroom = 1.0;
   for (const ServingSample &Served : Serving) {
-    if (Served.TargetMs_ <= 0)
+    double Slope = Model.slope(Served.Image_, Image);
+    if (Served.TargetMs_ <= 0 || Slope < LeastEffectMs)
       continue;
-    double Effect = Model.slope(Served.Image_, Added.Image_) * Added.FullShare_;
-    if (Effect < LeastEffectMs)
-      continue;
-    double Tail = Model.baseTailMs(Served.Image_) + Effect;
+    double Tail = Model.baseTailMs(Served.Image_);
     for (const FillerSample &One : Fillers)
       Tail += Model.slope(Served.Image_, One.Image_) * One.FullShare_;
-    if (Tail > PlannedPart * Served.TargetMs_)
-      return false;
+    double Allowed = PlannedPart * Served.TargetMs_ - Tail;
+    // A share with less than the least effect is harmless in any case.
+    Headroom = std::min(Headroom, std::max(Allowed, LeastEffectMs) / Slope);
   }
-  return true;
+  return Headroom;
 }
 
 } // namespace filbertspring::scheduling
--- a/packages/scheduling/src/progress_codec.cpp
+++ b/packages/scheduling/src/progress_codec.cpp
@@ -12,7 +12,8 @@
   if (Progress.IsDone_ && Progress.Failures_ == 0)
     return 1;
   return json::array({Progress.IsDone_, Progress.Failures_,
-                      Progress.LastFailedRun_, Progress.Checkpoint_});
+                      Progress.LastFailedRun_, Progress.Checkpoint_,
+                      Progress.Worker_, Progress.LastRun_});
 }
 
 TaskProgress decodeTask(const json &Value) {
@@ -25,6 +26,8 @@
   Progress.Failures_ = Value.at(1).get<std::uint32_t>();
   Progress.LastFailedRun_ = Value.at(2).get<std::uint64_t>();
   Progress.Checkpoint_ = Value.at(3).get<std::string>();
+  Progress.Worker_ = Value.at(4).get<std::string>();
+  Progress.LastRun_ = Value.at(5).get<std::uint64_t>();
   return Progress;
 }
 
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -56,10 +56,9 @@
   return Found ? Found->Attempts_ : 1;
 }
 
-void Scheduler::addJob(AcceptedJob Accepted, TimePoint Now, bool IsRestored) {
+void Scheduler::addJob(AcceptedJob Accepted, TimePoint Now) {
   std::string Id = Accepted.Id_;
-  auto [Place, IsNew] =
-      Impl_->Jobs_.try_emplace(Id, std::move(Accepted), Now, IsRestored);
+  auto [Place, IsNew] = Impl_->Jobs_.try_emplace(Id, std::move(Accepted), Now);
   if (IsNew)
     Impl_->Unopened_.insert(Id);
 }
@@ -69,9 +68,20 @@
   OwnedJob *Owned = Impl_->findJob(Id);
   if (!Owned)
     return;
-  Owned->Job_.restore(Progress);
-  if (isFinal(Owned->Job_.state()))
-    Owned->FinalAt_ = Impl_->TenureStart_;
+  for (const TaskName &Name : Owned->Job_.restore(Progress)) {
+    const TaskProgress &Stored = Owned->Job_.find(Name)->Progress_;
+    Run Restored = Impl_->makeRun(Owned->Job_, Name, Stored.LastRun_);
+    // The first report of this tenure lists the run if it still runs.
+    Restored.Phase_ = RunPhase::Confirmed;
+    Restored.ConfirmedAt_ = Impl_->TenureStart_;
+    WorkerState &Worker = Impl_->Workers_[Stored.Worker_];
+    Worker.Entry_.Id_ = Stored.Worker_;
+    Worker.addRun(std::move(Restored));
+  }
+  if (!isFinal(Owned->Job_.state()))
+    return;
+  Owned->FinalAt_ = Impl_->TenureStart_;
+  Impl_->stopAllRuns(Owned->Job_, Impl_->TenureStart_);
 }
 
 void Scheduler::cancelJob(const std::string &Id, TimePoint Now) {
@@ -106,6 +116,7 @@
 void Scheduler::Impl::beginStop(Run &Stopped, TimePoint Now) {
   if (Stopped.Phase_ == RunPhase::Stopping)
     return;
+  // Nothing was sent; a stop before the start forbids it all the same.
   Stopped.Phase_ = RunPhase::Stopping;
   Stopped.NextStopAt_ = Now;
 }
@@ -171,6 +182,8 @@
   Worker.Used_ = {};
   Worker.LastingMilliCpu_ = 0;
   Worker.FillerMilliCpu_ = 0;
+  Worker.ServingImages_.clear();
+  Worker.Headroom_.clear();
   for (auto &[Text, One] : Lost) {
     OwnedJob *Owned = findJob(One.Name_.Job_);
     if (!Owned)
@@ -185,11 +198,13 @@
                                  TimePoint Now, Duration Delay) {
   Task *Found = Owned.Job_.find(Name);
   if (!Found || Found->Phase_ != TaskPhase::Placed ||
-      Found->LastRun_ != Number || Found->Worker_ != Worker.Entry_.Id_)
+      Found->Progress_.LastRun_ != Number ||
+      Found->Progress_.Worker_ != Worker.Entry_.Id_)
     return;
   Owned.Job_.requeue(Name, Now, Now + Delay);
   if (!isFinal(Owned.Job_.state()))
     WithWaiting_.insert(Owned.Job_.accepted().Id_);
+  DirtyJobs_.insert(Name.Job_);
   HasNewRoom_ = true;
 }
 
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -17,13 +17,30 @@
 /// A job and what the scheduler keeps beside it.
 struct OwnedJob {
   Job Job_;
-  /// Accepted before this tenure: its tasks may run unseen.
-  bool IsRestored_ = false;
   /// When it became final.
   std::optional<TimePoint> FinalAt_;
 
-  OwnedJob(AcceptedJob Accepted, TimePoint Now, bool IsRestored)
-      : Job_(std::move(Accepted), Now), IsRestored_(IsRestored) {}
+  OwnedJob(AcceptedJob Accepted, TimePoint Now)
+      : Job_(std::move(Accepted), Now) {}
+};
+
+/// A run that is not ordered yet.
+struct PlannedRun {
+  std::string Worker_;
+  TaskName Name_;
+  std::uint64_t Number_ = 0;
+};
+
+/// A task that looks for a worker.
+struct PlacementRequest {
+  const StepSpec &Step_;
+  const std::string &Service_;
+  TaskName Name_;
+  std::string Text_;
+  /// What is counted against a worker's capacity.
+  Resources Needed_;
+  /// The worker on which the task last failed.
+  std::string FailedOn_;
 };
 
 struct Scheduler::Impl {
@@ -65,8 +82,8 @@
                   std::uint64_t Run, TimePoint Now, Duration Delay);
 
   // Orders.
-  void resendStart(WorkerState &Worker, Run &Ordered, OwnedJob &Owned,
-                   TimePoint Now);
+  void sendStart(WorkerState &Worker, Run &Ordered, OwnedJob &Owned,
+                 TimePoint Now);
   void beginStop(Run &Stopped, TimePoint Now);
   Run makeRun(const Job &Owner, const TaskName &Name,
               std::uint64_t Number) const;
@@ -74,16 +91,15 @@
   // Placement.
   void openDueSteps(TimePoint Now);
   void placeWaiting(TimePoint Now);
-  bool placeTask(OwnedJob &Owned, std::uint32_t Slot, TimePoint Now);
-  WorkerState *chooseWorker(const Job &Owner, const TaskName &Name,
-                            const Task &Waiting, TimePoint Now);
-  bool mayUse(const WorkerState &Worker, const Job &Owner, const TaskName &Name,
+  void placeJob(OwnedJob &Owned, const Queue *Policy, TimePoint Now);
+  WorkerState *chooseWorker(const PlacementRequest &Request, TimePoint Now);
+  bool mayUse(const WorkerState &Worker, const PlacementRequest &Request,
               TimePoint Now) const;
-  std::optional<double> costOf(const WorkerState &Worker,
-                               const StepSpec &Step) const;
-  void start(WorkerState &Worker, OwnedJob &Owned, const TaskName &Name,
-             Task &Waiting, TimePoint Now);
-  bool allPredecessorsSeen(TimePoint Now) const;
+  std::optional<double> costOf(WorkerState &Worker, const StepSpec &Step) const;
+  double headroom(WorkerState &Worker, const std::string &Image) const;
+  void plan(WorkerState &Worker, OwnedJob &Owned, const TaskName &Name,
+            Task &Waiting);
+  void orderPlanned(TimePoint Now);
 
   void note(LogEvent Event,
             std::vector<std::pair<std::string, std::string>> Fields);
@@ -104,14 +120,16 @@
   std::set<std::string> JobsToRemove_;
   /// Ends that are stored once the outstanding transaction is.
   std::map<std::string, std::uint64_t> EndsInFlight_;
+  /// Runs whose placement is to be stored.
+  std::vector<PlannedRun> Plans_;
+  /// Runs whose placement the outstanding transaction stores.
+  std::vector<PlannedRun> PlansInFlight_;
   std::uint64_t WriteSequence_ = 0;
   std::vector<Action> Actions_;
   std::vector<Note> Notes_;
   InterferenceModel Model_;
   bool IsFenced_ = false;
   bool HasNewRoom_ = true;
-  /// Every worker of the tenure before was seen, or its leases are over.
-  bool IsGateOpen_ = false;
   /// Ends were noted since the last transaction was taken.
   bool HasNewEnds_ = false;
   TimePoint NextPlacementAt_{};
--- a/packages/scheduling/src/scheduler_orders.cpp
+++ b/packages/scheduling/src/scheduler_orders.cpp
@@ -78,7 +78,8 @@
   case CallOutcome::RejectedOldRun:
     if (Task *Known = Owned ? Owned->Job_.find(Name) : nullptr) {
       GiveBack(Duration::zero());
-      Known->LastRun_ = std::max(Known->LastRun_, Number + RunNumberJump);
+      Known->Progress_.LastRun_ =
+          std::max(Known->Progress_.LastRun_, Number + RunNumberJump);
     }
     return;
   case CallOutcome::RejectedLate:
@@ -95,7 +96,7 @@
     if (Ordered.Phase_ != RunPhase::Ordered)
       return;
     if (Ordered.StartsSent_ < MaxStartsSent && Owned) {
-      Impl_->resendStart(*Worker, Ordered, *Owned, Now);
+      Impl_->sendStart(*Worker, Ordered, *Owned, Now);
       return;
     }
     Impl_->beginStop(Ordered, Now);
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -1,6 +1,7 @@
 #include "scheduler_impl.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace filbertspring::scheduling {
 namespace {
@@ -24,11 +25,17 @@
 
 /// Returns the number of serving images on \p Worker other than \p Image.
 std::size_t otherImages(const WorkerState &Worker, const std::string &Image) {
-  std::set<std::string_view> Others;
-  for (const auto &[Text, One] : Worker.Runs_)
-    if (One.IsLasting_ && One.Image_ != Image)
-      Others.insert(One.Image_);
-  return Others.size();
+  return Worker.ServingImages_.size() - Worker.ServingImages_.count(Image);
+}
+
+/// Returns how many tasks of the step of \p Name the worker holds.
+std::int64_t countOfStep(const WorkerState &Worker, const TaskName &Name) {
+  return std::count_if(
+      Worker.Runs_.begin(), Worker.Runs_.end(), [&](const auto &Entry) {
+        const TaskName &Other = Entry.second.Name_;
+        return Other.Step_ == Name.Step_ &&
+               Other.Occurrence_ == Name.Occurrence_ && Other.Job_ == Name.Job_;
+      });
 }
 
 } // namespace
@@ -45,17 +52,7 @@
   }
 }
 
-bool Scheduler::Impl::allPredecessorsSeen(TimePoint /*Now*/) const {
-  return std::all_of(Workers_.begin(), Workers_.end(), [](const auto &Entry) {
-    return Entry.second.IsKnown_ || Entry.second.IsOver_;
-  });
-}
-
 void Scheduler::Impl::placeWaiting(TimePoint Now) {
-  if (!IsGateOpen_ && allPredecessorsSeen(Now)) {
-    IsGateOpen_ = true;
-    HasNewRoom_ = true;
-  }
   if (!HasNewRoom_ && Now < NextPlacementAt_)
     return;
   HasNewRoom_ = false;
@@ -65,6 +62,7 @@
     int Priority_;
     TimePoint Due_;
     OwnedJob *Owned_;
+    const Queue *Policy_;
   };
   std::vector<Candidate> Candidates;
   for (auto Next = WithWaiting_.begin(); Next != WithWaiting_.end();) {
@@ -74,8 +72,6 @@
       continue;
     }
     ++Next;
-    if (Owned->IsRestored_ && !IsGateOpen_)
-      continue;
     const AcceptedJob &Accepted = Owned->Job_.accepted();
     const Queue *Found = Queues_->find(Accepted.Queue_);
     Duration Objective{};
@@ -84,75 +80,81 @@
                   std::chrono::duration_cast<Duration>(
                       Found->SlackFactor_ * remainingChain(Accepted.Spec_, 0));
     Candidates.push_back({Found ? Found->Priority_ : 0,
-                          Owned->Job_.seenAt() + Objective, Owned});
+                          Owned->Job_.seenAt() + Objective, Owned, Found});
   }
   std::sort(Candidates.begin(), Candidates.end(),
             [](const Candidate &Left, const Candidate &Right) {
               return std::tie(Left.Priority_, Left.Due_) <
                      std::tie(Right.Priority_, Right.Due_);
             });
-  for (const Candidate &Next : Candidates) {
-    // Copied, since placing removes from the set.
-    std::vector<std::uint32_t> Slots(Next.Owned_->Job_.waiting().begin(),
-                                     Next.Owned_->Job_.waiting().end());
-    for (std::uint32_t Slot : Slots)
-      placeTask(*Next.Owned_, Slot, Now);
-  }
+  for (const Candidate &Next : Candidates)
+    placeJob(*Next.Owned_, Next.Policy_, Now);
 }
 
-bool Scheduler::Impl::placeTask(OwnedJob &Owned, std::uint32_t Slot,
-                                TimePoint Now) {
-  Task &Waiting = Owned.Job_.at(Slot);
-  if (Waiting.NotBefore_ > Now)
-    return false;
-  TaskName Name = Owned.Job_.nameOf(Slot);
-  WorkerState *Chosen = chooseWorker(Owned.Job_, Name, Waiting, Now);
-  if (!Chosen)
-    return false;
-  start(*Chosen, Owned, Name, Waiting, Now);
-  return true;
+void Scheduler::Impl::placeJob(OwnedJob &Owned, const Queue *Policy,
+                               TimePoint Now) {
+  Job &Owner = Owned.Job_;
+  const std::string &Service =
+      Policy ? Policy->Service_ : Owner.accepted().Service_;
+  // Copied, since placing removes from the set.
+  std::vector<std::uint32_t> Slots(Owner.waiting().begin(),
+                                   Owner.waiting().end());
+  std::optional<std::uint32_t> FullStep;
+  for (std::uint32_t Slot : Slots) {
+    TaskName Name = Owner.nameOf(Slot);
+    Task &Waiting = Owner.at(Slot);
+    // Tasks of one step are alike: where one finds no room, none does.
+    if (Waiting.NotBefore_ > Now || FullStep == Name.Step_)
+      continue;
+    const StepSpec &Step = Owner.step(Name);
+    PlacementRequest Request{Step,        Service,       Name,
+                             Name.text(), Step.Request_, Waiting.FailedOn_};
+    if (Step.IsFiller_)
+      Request.Needed_.MilliCpu_ = 0;
+    WorkerState *Chosen = chooseWorker(Request, Now);
+    if (Chosen)
+      plan(*Chosen, Owned, Name, Waiting);
+    else
+      FullStep = Name.Step_;
+  }
 }
 
-bool Scheduler::Impl::mayUse(const WorkerState &Worker, const Job &Owner,
-                             const TaskName &Name, TimePoint Now) const {
-  const StepSpec &Step = Owner.step(Name);
+bool Scheduler::Impl::mayUse(const WorkerState &Worker,
+                             const PlacementRequest &Request,
+                             TimePoint Now) const {
   const WorkerEntry &Entry = Worker.Entry_;
   if (!Worker.IsListed_ || !Worker.IsStored_ || !Worker.isReachable() ||
       Worker.IsOver_ || Entry.IsDraining_ || !Worker.ClockMs_ ||
       Worker.AvoidUntil_ > Now || Worker.OrdersInFlight_ >= MaxOrdersInFlight)
     return false;
-  const Queue *Found = Queues_->find(Owner.accepted().Queue_);
-  const std::string &Service =
-      Found ? Found->Service_ : Owner.accepted().Service_;
-  if (Entry.Service_ != Service || ClosedZones_.contains(Entry.Zone_))
+  if (!Entry.Capacity_.fits(Worker.Used_, Request.Needed_) ||
+      Entry.Service_ != Request.Service_ || ClosedZones_.contains(Entry.Zone_))
     return false;
+  const StepSpec &Step = Request.Step_;
   const std::vector<std::string> &Labels = Entry.Labels_;
   if (!Step.RequiredLabel_.empty() &&
       std::find(Labels.begin(), Labels.end(), Step.RequiredLabel_) ==
           Labels.end())
     return false;
-  Resources Needed = Step.Request_;
-  if (Step.IsFiller_)
-    Needed.MilliCpu_ = 0;
-  if (!Entry.Capacity_.fits(Worker.Used_, Needed))
-    return false;
   // A run that may still be there must end first.
-  if (Worker.Runs_.contains(Name.text()))
+  if (Worker.Runs_.contains(Request.Text_))
     return false;
-  if (Step.MaxPerWorker_ == 0)
-    return true;
-  auto OfStep = std::count_if(
-      Worker.Runs_.begin(), Worker.Runs_.end(), [&](const auto &Entry) {
-        const TaskName &Other = Entry.second.Name_;
-        return Other.Step_ == Name.Step_ &&
-               Other.Occurrence_ == Name.Occurrence_ && Other.Job_ == Name.Job_;
-      });
-  return OfStep < std::int64_t{Step.MaxPerWorker_};
+  return Step.MaxPerWorker_ == 0 ||
+         countOfStep(Worker, Request.Name_) < std::int64_t{Step.MaxPerWorker_};
+}
+
+double Scheduler::Impl::headroom(WorkerState &Worker,
+                                 const std::string &Image) const {
+  auto [Place, IsNew] = Worker.Headroom_.try_emplace(Image, 0.0);
+  if (IsNew)
+    Place->second = fillerHeadroom(Model_, Worker.servingSamples(),
+                                   Worker.fillerSamples(), Image);
+  return Place->second;
 }
 
 /// Returns how full the worker would be: lower is better. Nothing if a filler
 /// would harm what the worker serves.
-std::optional<double> Scheduler::Impl::costOf(const WorkerState &Worker,
+std::optional<double> Scheduler::Impl::costOf(WorkerState &Worker,
                                               const StepSpec &Step) const {
   double Capacity = Worker.milliCpu();
   auto Requested = static_cast<double>(Step.Request_.MilliCpu_);
@@ -163,8 +165,7 @@
     auto Fillers = static_cast<double>(Worker.FillerMilliCpu_);
     Cost = (LastingLoad * Lasting + Others + Fillers + Requested) / Capacity;
     if (Cost > MaxFillerPressure ||
-        !fitsBeside(Model_, Worker.servingSamples(), Worker.fillerSamples(),
-                    {Step.Image_, Requested / Capacity, 100}))
+        Requested / Capacity > headroom(Worker, Step.Image_))
       return std::nullopt;
   } else {
     Cost = (static_cast<double>(Worker.Used_.MilliCpu_) + Requested) / Capacity;
@@ -178,19 +179,17 @@
   return Cost;
 }
 
-WorkerState *Scheduler::Impl::chooseWorker(const Job &Owner,
-                                           const TaskName &Name,
-                                           const Task &Waiting, TimePoint Now) {
-  const StepSpec &Step = Owner.step(Name);
+WorkerState *Scheduler::Impl::chooseWorker(const PlacementRequest &Request,
+                                           TimePoint Now) {
   WorkerState *Best = nullptr;
   double BestCost = 0;
   for (auto &[Id, Worker] : Workers_) {
-    if (!mayUse(Worker, Owner, Name, Now))
+    if (!mayUse(Worker, Request, Now))
       continue;
-    std::optional<double> Cost = costOf(Worker, Step);
+    std::optional<double> Cost = costOf(Worker, Request.Step_);
     if (!Cost)
       continue;
-    if (Id == Waiting.FailedOn_)
+    if (Id == Request.FailedOn_)
       *Cost += FarCost;
     if (!Best || *Cost < BestCost) {
       Best = &Worker;
@@ -200,27 +199,50 @@
   return Best;
 }
 
-void Scheduler::Impl::start(WorkerState &Worker, OwnedJob &Owned,
-                            const TaskName &Name, Task &Waiting,
-                            TimePoint Now) {
+void Scheduler::Impl::plan(WorkerState &Worker, OwnedJob &Owned,
+                           const TaskName &Name, Task &Waiting) {
   constexpr std::uint64_t RunsPerTenure = 1'000'000;
-  std::uint64_t Run =
-      std::max(Waiting.LastRun_, Settings_.Tenure_ * RunsPerTenure) + 1;
-  Duration Waited = Now - Waiting.ReadyAt_;
-  bool WasQueued = Owned.Job_.state() == JobState::Queued;
-  Owned.Job_.place(Name, Run, Worker.Entry_.Id_);
-  if (WasQueued)
-    DirtyJobs_.insert(Name.Job_);
-  scheduling::Run Ordered = makeRun(Owned.Job_, Name, Run);
-  Worker.addRun(std::move(Ordered));
-  resendStart(Worker, Worker.Runs_[Name.text()], Owned, Now);
-  std::get<StartTask>(Actions_.back()).Waited_ = Waited;
+  std::uint64_t Number =
+      std::max(Waiting.Progress_.LastRun_, Settings_.Tenure_ * RunsPerTenure) +
+      1;
+  Run Planned = makeRun(Owned.Job_, Name, Number);
+  Planned.ReadyAt_ = Waiting.ReadyAt_;
+  Owned.Job_.place(Name, Number, Worker.Entry_.Id_);
+  DirtyJobs_.insert(Name.Job_);
+  Worker.addRun(std::move(Planned));
+  Plans_.push_back({Worker.Entry_.Id_, Name, Number});
+}
+
+/// Orders the starts whose placement is stored.
+void Scheduler::Impl::orderPlanned(TimePoint Now) {
+  for (const PlannedRun &Planned : std::exchange(PlansInFlight_, {})) {
+    WorkerState *Worker = findWorker(Planned.Worker_);
+    OwnedJob *Owned = findJob(Planned.Name_.Job_);
+    if (!Worker || !Owned)
+      continue;
+    auto Found = Worker->Runs_.find(Planned.Name_.text());
+    if (Found == Worker->Runs_.end() ||
+        Found->second.Number_ != Planned.Number_ ||
+        Found->second.Phase_ != RunPhase::Planned)
+      continue;
+    // What kept the worker from being chosen may have come up meanwhile.
+    bool IsUsable = Worker->IsListed_ && Worker->isReachable() &&
+                    Worker->ClockMs_ && !Worker->Entry_.IsDraining_ &&
+                    !ClosedZones_.contains(Worker->Entry_.Zone_);
+    if (IsUsable) {
+      Found->second.Phase_ = RunPhase::Ordered;
+      sendStart(*Worker, Found->second, *Owned, Now);
+      continue;
+    }
+    Worker->dropRun(Planned.Name_.text());
+    requeueRun(*Worker, *Owned, Planned.Name_, Planned.Number_, Now,
+               Duration::zero());
+  }
 }
 
 /// Sends the start of \p Ordered, again if it was sent before.
-void Scheduler::Impl::resendStart(WorkerState &Worker, Run &Ordered,
-                                  OwnedJob &Owned, TimePoint Now) {
-  Ordered.OrderedAt_ = Now;
+void Scheduler::Impl::sendStart(WorkerState &Worker, Run &Ordered,
+                                OwnedJob &Owned, TimePoint Now) {
   ++Ordered.StartsSent_;
   ++Worker.OrdersInFlight_;
   Worker.NextRenewalAt_ = std::min(Worker.NextRenewalAt_, Now);
@@ -232,6 +254,7 @@
   Start.Address_ = Worker.Entry_.Address_;
   Start.Name_ = Ordered.Name_;
   Start.Run_ = Ordered.Number_;
+  Start.Waited_ = Now - Ordered.ReadyAt_;
   Start.Payload_ = Owned.Job_.accepted().Spec_.Payload_;
   Start.DeadlineMs_ = *Worker.clockAt(Now) +
                       Settings_.StartValidity_ / std::chrono::milliseconds(1);
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -15,6 +15,8 @@
 constexpr std::uint32_t MaxDoublings = 3;
 /// A failed task is not repeated at once: its cause may pass.
 constexpr Duration RetryDelay = std::chrono::milliseconds(50);
+/// The pause after a report with ends, unless they are stored before.
+constexpr Duration UnacknowledgedPause = std::chrono::milliseconds(200);
 /// The pause before a worker is asked again whether its lease is over.
 constexpr Duration OverPause = std::chrono::milliseconds(100);
 /// Tails are figures of half a second; they are learned from once in it.
@@ -71,6 +73,9 @@
     Listed.insert(Running.Name_.text());
   }
   Impl_->dropUnlisted(*Worker, Listed, SentAt, Now);
+  // Until its ends are acknowledged, a worker answers at once.
+  if (Worker->NotedEnd_ > Worker->StoredEnd_)
+    Worker->NextRenewalAt_ = Now + UnacknowledgedPause;
   if (Worker->Runs_.empty())
     Worker->LastIdleReport_ = Now;
   Impl_->observeTails(*Worker);
@@ -197,10 +202,12 @@
   bool IsWanted = Known && !isFinal(Owned->Job_.state()) &&
                   (Known->Phase_ == TaskPhase::Waiting ||
                    Known->Phase_ == TaskPhase::Blocked);
-  if (IsWanted)
+  if (IsWanted) {
     Owned->Job_.place(Running.Name_, Running.Run_, Worker.Entry_.Id_);
-  else
+    DirtyJobs_.insert(Running.Name_.Job_);
+  } else {
     beginStop(Adopted, Now);
+  }
   if (!IsWanted)
     note(LogEvent::UnwantedRunStopped, {{"task", Running.Name_.text()},
                                         {"run", std::to_string(Running.Run_)},
@@ -246,6 +253,7 @@
   if (Worker.LearnedAt_ + LearnPause > Worker.ClockAt_)
     return;
   Worker.LearnedAt_ = Worker.ClockAt_;
+  Worker.Headroom_.clear();
   for (const auto &[Text, One] : Worker.Runs_)
     if (One.IsLasting_ && One.Load_ > 0)
       Model_.observe(One.Image_, One.Load_, Fillers);
--- a/packages/scheduling/src/scheduler_writes.cpp
+++ b/packages/scheduling/src/scheduler_writes.cpp
@@ -32,6 +32,16 @@
        [&](const std::string &Id) { Writes.ForgottenWorkers_.push_back(Id); });
   Take(Impl_->JobsToRemove_,
        [&](const std::string &Id) { Writes.RemovedJobs_.push_back(Id); });
+  Impl_->PlansInFlight_.clear();
+  std::set<std::string> Stored;
+  for (const auto &[Id, Progress] : Writes.Progress_)
+    Stored.insert(Id);
+  for (const PlannedRun &Planned : Impl_->Plans_)
+    if (Stored.contains(Planned.Name_.Job_))
+      Impl_->PlansInFlight_.push_back(Planned);
+  std::erase_if(Impl_->Plans_, [&](const PlannedRun &Planned) {
+    return Stored.contains(Planned.Name_.Job_);
+  });
   Impl_->EndsInFlight_.clear();
   if (!Impl_->DirtyJobs_.empty())
     return Writes;
@@ -46,9 +56,12 @@
   for (const auto &[Id, End] : Impl_->EndsInFlight_)
     if (WorkerState *Worker = Impl_->findWorker(Id))
       // A new life counts its ends afresh.
-      if (Worker->NotedEnd_ >= End)
+      if (Worker->NotedEnd_ >= End) {
         Worker->StoredEnd_ = std::max(Worker->StoredEnd_, End);
+        Worker->NextRenewalAt_ = std::min(Worker->NextRenewalAt_, Now);
+      }
   Impl_->EndsInFlight_.clear();
+  Impl_->orderPlanned(Now);
   for (const WorkerEntry &Entry : Writes.KnownWorkers_) {
     WorkerState *Worker = Impl_->findWorker(Entry.Id_);
     if (!Worker || Worker->Entry_.BornMs_ != Entry.BornMs_)
@@ -61,6 +74,9 @@
 
 void Scheduler::writesFailed(const PendingWrites &Writes) {
   Impl_->HasNewEnds_ |= !Impl_->EndsInFlight_.empty();
+  Impl_->Plans_.insert(Impl_->Plans_.end(), Impl_->PlansInFlight_.begin(),
+                       Impl_->PlansInFlight_.end());
+  Impl_->PlansInFlight_.clear();
   Impl_->EndsInFlight_.clear();
   for (const auto &[Id, Progress] : Writes.Progress_)
     Impl_->DirtyJobs_.insert(Id);
--- a/packages/scheduling/src/worker_state.cpp
+++ b/packages/scheduling/src/worker_state.cpp
@@ -15,6 +15,9 @@
 void WorkerState::addRun(Run Added) {
   dropRun(Added.Name_.text());
   Used_ += Added.Held_;
+  Headroom_.clear();
+  if (Added.IsLasting_)
+    ++ServingImages_[Added.Image_];
   if (Added.IsLasting_)
     LastingMilliCpu_ += Added.RequestedMilliCpu_;
   if (Added.IsFiller_)
@@ -28,6 +31,9 @@
     return;
   const Run &Dropped = Found->second;
   Used_ -= Dropped.Held_;
+  Headroom_.clear();
+  if (Dropped.IsLasting_ && --ServingImages_[Dropped.Image_] == 0)
+    ServingImages_.erase(Dropped.Image_);
   if (Dropped.IsLasting_)
     LastingMilliCpu_ -= Dropped.RequestedMilliCpu_;
   if (Dropped.IsFiller_)
--- a/packages/scheduling/src/worker_state.h
+++ b/packages/scheduling/src/worker_state.h
@@ -8,6 +8,7 @@
 #include "filbertspring/scheduling/scheduler.h"
 #include "filbertspring/scheduling/worker.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -16,6 +17,8 @@
 
 /// How certain it is that a worker runs a task.
 enum class RunPhase {
+  /// The placement is not stored yet; nothing was sent.
+  Planned,
   /// The start was sent; its answer is outstanding.
   Ordered,
   /// The worker confirmed the start or listed the run.
@@ -28,7 +31,7 @@
 struct Run {
   TaskName Name_;
   std::uint64_t Number_ = 0;
-  RunPhase Phase_ = RunPhase::Ordered;
+  RunPhase Phase_ = RunPhase::Planned;
   /// What it takes of the worker's capacity.
   Resources Held_;
   std::int64_t RequestedMilliCpu_ = 0;
@@ -36,7 +39,8 @@
   bool IsLasting_ = false;
   std::string Image_;
   Duration TailTarget_{};
-  TimePoint OrderedAt_{};
+  /// When the task became ready, for logs.
+  TimePoint ReadyAt_{};
   /// A report asked for after this time lists the run if it still runs.
   TimePoint ConfirmedAt_{};
   std::optional<TimePoint> StopConfirmedAt_;
@@ -89,6 +93,10 @@
   Resources Used_;
   std::int64_t LastingMilliCpu_ = 0;
   std::int64_t FillerMilliCpu_ = 0;
+  /// Headroom by filler image, until runs or the model change.
+  std::unordered_map<std::string, double> Headroom_;
+  /// Serving images and the number of their tasks.
+  std::map<std::string, int> ServingImages_;
 
   /// The worker's clock at \p Now; nothing before the first report.
   std::optional<std::int64_t> clockAt(TimePoint Now) const;
