--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -19,7 +19,7 @@
 /// Cost of a serving task of another image on a worker, relative to a full
 /// worker: tasks of one image gather, so that fillers that harm it find
 /// workers without it.
-constexpr double MixedImagesCost = 0.3;
+constexpr double MixedImagesCost = 2.0;
 /// Cost of a worker away from the data, relative to a full worker.
 constexpr double FarCost = 2.0;
 
@@ -169,8 +169,9 @@
       return std::nullopt;
   } else {
     Cost = (static_cast<double>(Worker.Used_.MilliCpu_) + Requested) / Capacity;
+    // Lasting tasks are packed, so that wide steps find whole workers free.
     if (Step.IsLasting_)
-      Cost += MixedImagesCost * otherImages(Worker, Step.Image_);
+      Cost = 1 - Cost + MixedImagesCost * otherImages(Worker, Step.Image_);
   }
   const std::vector<std::string> &Labels = Worker.Entry_.Labels_;
   if (!Step.DataRack_.empty() &&
