--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -60,7 +60,11 @@
   void renewLeases(TimePoint Now, bool MayOrder);
   void renew(WorkerState &Worker, TimePoint Now, bool MayGrant);
   void orderStops(TimePoint Now);
-  void pace(WorkerState &Worker);
+  void pace(WorkerState &Worker, TimePoint Now);
+  void moveSlowFillers(WorkerState &Worker, TimePoint Now);
+  /// Whether another worker could run \p Filler at full speed.
+  bool hasBetterWorker(const WorkerState &Present, const Run &Filler,
+                       TimePoint Now);
 
   // Reports.
   void noteEnd(WorkerState &Worker, const EndedTask &Ended, TimePoint Now);
@@ -76,7 +80,7 @@
              TimePoint Now);
   void dropUnlisted(WorkerState &Worker, const std::set<std::string> &Listed,
                     TimePoint SentAt, TimePoint Now);
-  void observeTails(WorkerState &Worker);
+  void observeTails(WorkerState &Worker, TimePoint Now);
   /// Puts the task back if \p Run on \p Worker is its present run.
   void requeueRun(WorkerState &Worker, OwnedJob &Owned, const TaskName &Name,
                   std::uint64_t Run, TimePoint Now, Duration Delay);
--- a/packages/scheduling/src/scheduler_orders.cpp
+++ b/packages/scheduling/src/scheduler_orders.cpp
@@ -27,6 +27,7 @@
   Made.RequestedMilliCpu_ = Step.Request_.MilliCpu_;
   Made.IsFiller_ = Step.IsFiller_;
   Made.IsLasting_ = Step.IsLasting_;
+  Made.SavesProgress_ = Step.SavesProgress_;
   Made.Image_ = Step.Image_;
   Made.TailTarget_ = Step.TailTarget_;
   return Made;
@@ -69,7 +70,7 @@
     if (Ordered.Phase_ == RunPhase::Ordered) {
       Ordered.Phase_ = RunPhase::Confirmed;
       Ordered.ConfirmedAt_ = Now;
-      Impl_->pace(*Worker);
+      Impl_->pace(*Worker, Now);
     }
     return;
   case CallOutcome::RejectedFence:
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -162,7 +162,7 @@
   if (Step.IsFiller_) {
     auto Lasting = static_cast<double>(Worker.LastingMilliCpu_);
     auto Others = static_cast<double>(Worker.Used_.MilliCpu_) - Lasting;
-    auto Fillers = static_cast<double>(Worker.FillerMilliCpu_);
+    double Fillers = Worker.pacedFillerMilliCpu();
     Cost = (LastingLoad * Lasting + Others + Fillers + Requested) / Capacity;
     if (Cost > MaxFillerPressure ||
         Requested / Capacity > headroom(Worker, Step.Image_))
@@ -200,6 +200,22 @@
   return Best;
 }
 
+bool Scheduler::Impl::hasBetterWorker(const WorkerState &Present,
+                                      const Run &Filler, TimePoint Now) {
+  OwnedJob *Owned = findJob(Filler.Name_.Job_);
+  if (!Owned)
+    return false;
+  const StepSpec &Step = Owned->Job_.step(Filler.Name_);
+  PlacementRequest Request{Step,         Present.Entry_.Service_,
+                           Filler.Name_, Filler.Name_.text(),
+                           Filler.Held_, {}};
+  for (auto &[Id, Worker] : Workers_)
+    if (&Worker != &Present && mayUse(Worker, Request, Now) &&
+        costOf(Worker, Step))
+      return true;
+  return false;
+}
+
 void Scheduler::Impl::plan(WorkerState &Worker, OwnedJob &Owned,
                            const TaskName &Name, Task &Waiting) {
   constexpr std::uint64_t RunsPerTenure = 1'000'000;
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -21,6 +21,10 @@
 constexpr Duration OverPause = std::chrono::milliseconds(100);
 /// Tails are figures of half a second; they are learned from once in it.
 constexpr Duration LearnPause = std::chrono::milliseconds(450);
+/// A filler below this pace, in percent, is better moved ...
+constexpr int SlowBelow = 50;
+/// ... when it has been so for longer than a move takes: kill, report, start.
+constexpr Duration SlowFor = std::chrono::milliseconds(900);
 /// Changes of a pace by fewer percent are not worth an order.
 constexpr int LeastPaceChange = 10;
 
@@ -78,7 +82,7 @@
     Worker->NextRenewalAt_ = Now + UnacknowledgedPause;
   if (Worker->Runs_.empty())
     Worker->LastIdleReport_ = Now;
-  Impl_->observeTails(*Worker);
+  Impl_->observeTails(*Worker, Now);
 }
 
 void Scheduler::Impl::noteEnd(WorkerState &Worker, const EndedTask &Ended,
@@ -244,7 +248,7 @@
 }
 
 /// Learns from the tails of a worker's serving tasks.
-void Scheduler::Impl::observeTails(WorkerState &Worker) {
+void Scheduler::Impl::observeTails(WorkerState &Worker, TimePoint Now) {
   std::vector<FillerShare> Fillers;
   for (const auto &[Text, One] : Worker.Runs_)
     if (One.IsFiller_ && One.Load_ > 0)
@@ -257,11 +261,12 @@
   for (const auto &[Text, One] : Worker.Runs_)
     if (One.IsLasting_ && One.Load_ > 0)
       Model_.observe(One.Image_, One.Load_, Fillers);
-  pace(Worker);
+  pace(Worker, Now);
+  moveSlowFillers(Worker, Now);
 }
 
 /// Sets the paces of a worker's fillers.
-void Scheduler::Impl::pace(WorkerState &Worker) {
+void Scheduler::Impl::pace(WorkerState &Worker, TimePoint Now) {
   std::vector<ServingSample> Serving = Worker.servingSamples();
   std::vector<FillerSample> Fillers = Worker.fillerSamples();
   std::vector<int> Paces = choosePaces(Model_, Serving, Fillers);
@@ -270,6 +275,10 @@
     if (!One.IsFiller_)
       continue;
     int Wanted = *Pace++;
+    if (Wanted >= SlowBelow)
+      One.SlowSince_.reset();
+    else if (!One.SlowSince_)
+      One.SlowSince_ = Now;
     if (One.Phase_ != RunPhase::Confirmed)
       continue;
     bool IsSmallChange = Wanted != 0 && Wanted != 100 &&
@@ -282,4 +291,23 @@
   }
 }
 
+/// Moves fillers that have to be slow here to workers where they need not be.
+/// A stop saves their progress.
+void Scheduler::Impl::moveSlowFillers(WorkerState &Worker, TimePoint Now) {
+  for (auto &[Text, One] : Worker.Runs_) {
+    bool IsMovable = One.IsFiller_ && One.SavesProgress_ &&
+                     One.Phase_ == RunPhase::Confirmed && One.SlowSince_ &&
+                     Now - *One.SlowSince_ >= SlowFor;
+    if (!IsMovable || !hasBetterWorker(Worker, One, Now))
+      continue;
+    OwnedJob *Owned = findJob(One.Name_.Job_);
+    if (!Owned)
+      continue;
+    Owned->Job_.find(One.Name_)->FailedOn_ = Worker.Entry_.Id_;
+    beginStop(One, Now);
+    // One at a time: the others may be faster without it.
+    return;
+  }
+}
+
 } // namespace filbertspring::scheduling
--- a/packages/scheduling/src/worker_state.cpp
+++ b/packages/scheduling/src/worker_state.cpp
@@ -3,6 +3,12 @@
 #include <algorithm>
 
 namespace filbertspring::scheduling {
+namespace {
+
+/// Fillers that stand still count this much, in percent: they may speed up.
+constexpr int LeastCountedPace = 20;
+
+} // namespace
 
 std::optional<std::int64_t> WorkerState::clockAt(TimePoint Now) const {
   if (!ClockMs_)
@@ -60,6 +66,15 @@
   return Samples;
 }
 
+double WorkerState::pacedFillerMilliCpu() const {
+  double Sum = 0;
+  for (const auto &[Text, One] : Runs_)
+    if (One.IsFiller_)
+      Sum += static_cast<double>(One.RequestedMilliCpu_) *
+             std::max(LeastCountedPace, One.PacedPercent_) / 100.0;
+  return Sum;
+}
+
 std::vector<FillerSample> WorkerState::fillerSamples() const {
   std::vector<FillerSample> Samples;
   for (const auto &[Text, One] : Runs_)
--- a/packages/scheduling/src/worker_state.h
+++ b/packages/scheduling/src/worker_state.h
@@ -50,6 +50,9 @@
   double Percent_ = 0;
   double Load_ = 0;
   int PacedPercent_ = 100;
+  bool SavesProgress_ = false;
+  /// Since when it is paced so low that another worker would be better.
+  std::optional<TimePoint> SlowSince_;
 };
 
 /// One life of a worker.
@@ -107,6 +110,8 @@
   /// The serving tasks with a target; the views live as long as the runs.
   std::vector<ServingSample> servingSamples() const;
   std::vector<FillerSample> fillerSamples() const;
+  /// Thousandths of processors that the fillers may take at their paces.
+  double pacedFillerMilliCpu() const;
   /// The part of the worker that \p Filler takes at full speed.
   double fullShare(const Run &Filler) const;
   /// Forgets the run and frees what it held.
