--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -25,9 +25,22 @@
 constexpr int SlowBelow = 50;
 /// ... when it has been so for longer than a move takes: kill, report, start.
 constexpr Duration SlowFor = std::chrono::milliseconds(900);
+/// A tail that is over its target for this long stops all fillers beside it:
+/// two more reports come before the four seconds that users bear.
+constexpr Duration HarmedAfter = std::chrono::milliseconds(1400);
 /// Changes of a pace by fewer percent are not worth an order.
 constexpr int LeastPaceChange = 10;
 
+/// Returns whether a serving task has been over its target for so long that
+/// nothing may disturb it.
+bool isHarmed(const WorkerState &Worker, TimePoint Now) {
+  return std::any_of(
+      Worker.Runs_.begin(), Worker.Runs_.end(), [Now](const auto &Entry) {
+        const Run &One = Entry.second;
+        return One.OverSince_ && Now - *One.OverSince_ >= HarmedAfter;
+      });
+}
+
 } // namespace
 
 void Scheduler::renewalAnswered(const std::string &Id,
@@ -257,10 +270,14 @@
   if (Worker.LearnedAt_ + LearnPause > Worker.ClockAt_)
     return;
   Worker.LearnedAt_ = Worker.ClockAt_;
-  Worker.Headroom_.clear();
+  for (auto &[Text, One] : Worker.Runs_)
+    if (One.tailFraction() <= 1)
+      One.OverSince_.reset();
+    else if (!One.OverSince_)
+      One.OverSince_ = Now;
   for (const auto &[Text, One] : Worker.Runs_)
-    if (One.IsLasting_ && One.Load_ > 0)
-      Model_.observe(One.Image_, One.Load_, Fillers);
+    if (One.tailFraction() > 0)
+      Model_.observe(One.Image_, One.tailFraction(), Fillers);
   pace(Worker, Now);
   moveSlowFillers(Worker, Now);
 }
@@ -270,6 +287,8 @@
   std::vector<ServingSample> Serving = Worker.servingSamples();
   std::vector<FillerSample> Fillers = Worker.fillerSamples();
   std::vector<int> Paces = choosePaces(Model_, Serving, Fillers);
+  if (isHarmed(Worker, Now))
+    std::fill(Paces.begin(), Paces.end(), 0);
   auto Pace = Paces.begin();
   for (auto &[Text, One] : Worker.Runs_) {
     if (!One.IsFiller_)
--- a/packages/scheduling/src/worker_state.h
+++ b/packages/scheduling/src/worker_state.h
@@ -49,10 +49,15 @@
   std::string Checkpoint_;
   double Percent_ = 0;
   double Load_ = 0;
+  /// Since when its tail has been over the target without a break.
+  std::optional<TimePoint> OverSince_;
   int PacedPercent_ = 100;
   bool SavesProgress_ = false;
   /// Since when it is paced so low that another worker would be better.
   std::optional<TimePoint> SlowSince_;
+
+  /// The reported tail of a lasting task as a part of its target; 0 without.
+  double tailFraction() const;
 };
 
 /// One life of a worker.
@@ -96,8 +101,6 @@
   Resources Used_;
   std::int64_t LastingMilliCpu_ = 0;
   std::int64_t FillerMilliCpu_ = 0;
-  /// Headroom by filler image, until runs or the model change.
-  std::unordered_map<std::string, double> Headroom_;
   /// Serving images and the number of their tasks.
   std::map<std::string, int> ServingImages_;
 
