--- a/packages/scheduling/include/filbertspring/scheduling/interference.h
+++ b/packages/scheduling/include/filbertspring/scheduling/interference.h
@@ -2,32 +2,28 @@
 #define FILBERTSPRING_SCHEDULING_INTERFERENCE_H
 
 /// \file
-/// Which fillers lengthen the tails of which serving tasks, learned from
-/// workers' reports.
+/// How much fillers of one image lengthen the tails of serving tasks of
+/// another, learned from workers' reports.
 
+#include <cstdint>
+#include <map>
 #include <memory>
 #include <span>
-#include <string_view>
+#include <string>
 
 namespace filbertspring::scheduling {
 
 /// The work of one filler beside a serving task.
 struct FillerShare {
   std::string_view Image_;
-  /// Part of the worker's processors that it uses.
+  /// Part of the worker's processors that it uses or would use.
   double Share_ = 0;
 };
 
-/// What is known of a serving image beside a filler image.
-enum class Effect { Unknown, Harmless, Harmful };
-
-/// Sorts pairs of a serving and a filler image by elimination. Reports show
-/// that most pairs have no effect at any share, and that a few lengthen tails
-/// severalfold beyond a small share. So a filler is harmless once tails stayed
-/// short beside it for a while, and harmful if a tail was long while all other
-/// fillers beside it were known to be harmless. A caller that keeps at most
-/// one unknown image on a worker learns from each report. Adding a report is
-/// linear in the fillers.
+/// A linear model for each serving image: its tail alone, and the
+/// milliseconds that each filler image adds when it takes the whole worker.
+/// Fitted by recursive least squares with forgetting. Adding a report is
+/// quadratic in the filler images seen beside the serving image.
 class InterferenceModel {
 public:
   InterferenceModel();
@@ -35,11 +31,17 @@
   InterferenceModel(InterferenceModel &&) noexcept;
   InterferenceModel &operator=(InterferenceModel &&) noexcept;
 
-  /// Learns that a task of \p Serving had a tail of \p TailFraction of its
-  /// target beside \p Fillers.
-  void observe(std::string_view Serving, double TailFraction,
+  /// Learns that a task of \p Serving had a tail of \p TailMs beside
+  /// \p Fillers.
+  void observe(std::string_view Serving, double TailMs,
                std::span<const FillerShare> Fillers);
-  Effect effect(std::string_view Serving, std::string_view Filler) const;
+  /// Returns the tail of \p Serving alone, in milliseconds; 0 if unknown.
+  double baseTailMs(std::string_view Serving) const;
+  /// Returns the milliseconds that \p Filler adds to \p Serving when it takes
+  /// a whole worker, at least 0; 0 if unknown.
+  double slope(std::string_view Serving, std::string_view Filler) const;
+  /// Returns whether enough was seen of the pair to trust slope().
+  bool isKnown(std::string_view Serving, std::string_view Filler) const;
 
 private:
   struct Impl;
--- a/packages/scheduling/include/filbertspring/scheduling/pacing.h
+++ b/packages/scheduling/include/filbertspring/scheduling/pacing.h
@@ -15,8 +15,8 @@
 /// A serving task as its worker reported it.
 struct ServingSample {
   std::string_view Image_;
-  /// Its tail as a part of its target.
-  double TailFraction_ = 0;
+  double TailMs_ = 0;
+  double TargetMs_ = 0;
 };
 
 /// A filler on the same worker.
@@ -30,13 +30,20 @@
 
 /// Returns the pace of each filler, 0 to 100, in the order of \p Fillers.
 ///
-/// Fillers that harm a serving task share a small part of the worker. While a
-/// tail is too long, those that are not known to be harmless slow down, and
-/// where there are none, all do. All others work at full speed.
+/// Fillers that are known to lengthen a tail are slowed down as far as the
+/// model asks; while a tail is over its limit, so are those that are not known
+/// to be harmless. Fillers without a part in a tail work at full speed.
 std::vector<int> choosePaces(const InterferenceModel &Model,
                              std::span<const ServingSample> Serving,
                              std::span<const FillerSample> Fillers);
 
+/// Returns the part of the worker's processors that one more filler of
+/// \p Image may take at full speed without harm, as far as the model knows.
+double fillerHeadroom(const InterferenceModel &Model,
+                      std::span<const ServingSample> Serving,
+                      std::span<const FillerSample> Fillers,
+                      std::string_view Image);
+
 } // namespace filbertspring::scheduling
 
 #endif // FILBERTSPRING_SCHEDULING_PACING_H
--- a/packages/scheduling/src/interference.cpp
+++ b/packages/scheduling/src/interference.cpp
@@ -1,50 +1,84 @@
 #include "filbertspring/scheduling/interference.h"
 
 #include <algorithm>
-#include <map>
-#include <string>
 #include <vector>
 
 namespace filbertspring::scheduling {
 namespace {
 
-/// Fillers below this part of a worker may have caused nothing.
-constexpr double LeastBlamedShare = 0.03;
-/// Fillers below this part of a worker prove nothing by short tails: effects
-/// begin between it and the share above.
-constexpr double LeastProvingShare = 0.06;
-/// A share that counts as one full observation: a filler of 5 of 64 cores.
-constexpr double FullShare = 0.08;
-/// The most that one observation counts, in such shares.
-constexpr double MostShares = 1.5;
-/// A tail below this part of its target shows no effect.
-constexpr double ShortTail = 0.9;
-/// A tail above this part of its target does not come from load alone.
-constexpr double LongTail = 1.3;
-/// A tail above this part of its target needs no second report.
-constexpr double VeryLongTail = 2.0;
-/// Short tails, in full observations, that prove a pair harmless.
-constexpr double ProvenShort = 2.5;
-/// Long tails that prove a pair harmful.
-constexpr double ProvenLong = 2.0;
+/// Weight of what was known before one more report: about the last 500
+/// reports of an image count.
+constexpr double Forgetting = 0.998;
+/// Prior variance of a slope, in milliseconds squared: slopes up to some
+/// hundred are possible.
+constexpr double PriorVariance = 1e4;
+/// The most filler images kept for a serving image.
+constexpr std::size_t MaxFillerImages = 40;
+/// The sum of shares after which a pair counts as known: a filler of a tenth
+/// of a worker, six times.
+constexpr double KnownShare = 0.6;
+/// Tails beyond this many milliseconds are cut off, so that one stall does
+/// not dominate the fit.
+constexpr double MaxTailMs = 200;
 
-/// What was seen of a pair of images.
-struct Evidence {
-  double Short_ = 0;
-  double Long_ = 0;
+/// The fit for one serving image. Coefficient 0 is its tail alone.
+struct Fit {
+  std::map<std::string, std::size_t, std::less<>> Columns_;
+  std::vector<double> Coefficients_{0.0};
+  std::vector<double> SeenShare_{0.0};
+  std::vector<std::vector<double>> Covariance_{{PriorVariance}};
 
-  Effect effect() const {
-    if (Long_ >= ProvenLong)
-      return Effect::Harmful;
-    return Short_ >= ProvenShort ? Effect::Harmless : Effect::Unknown;
+  std::size_t column(std::string_view Filler) {
+    auto Found = Columns_.find(Filler);
+    if (Found != Columns_.end())
+      return Found->second;
+    if (Columns_.size() >= MaxFillerImages)
+      return 0;
+    std::size_t Added = Coefficients_.size();
+    Columns_.emplace(Filler, Added);
+    Coefficients_.push_back(0.0);
+    SeenShare_.push_back(0.0);
+    for (std::vector<double> &Row : Covariance_)
+      Row.push_back(0.0);
+    Covariance_.emplace_back(Added + 1, 0.0);
+    Covariance_.back().back() = PriorVariance;
+    return Added;
+  }
+
+  void update(const std::vector<double> &Input, double Observed) {
+    std::size_t Size = Input.size();
+    std::vector<double> Gain(Size, 0.0);
+    for (std::size_t Row = 0; Row < Size; ++Row)
+      for (std::size_t Column = 0; Column < Size; ++Column)
+        Gain[Row] += Covariance_[Row][Column] * Input[Column];
+    double Scale = Forgetting;
+    double Error = Observed;
+    for (std::size_t Row = 0; Row < Size; ++Row) {
+      Scale += Input[Row] * Gain[Row];
+      Error -= Input[Row] * Coefficients_[Row];
+    }
+    for (std::size_t Row = 0; Row < Size; ++Row)
+      Coefficients_[Row] += Gain[Row] * Error / Scale;
+    for (std::size_t Row = 0; Row < Size; ++Row)
+      for (std::size_t Column = 0; Column < Size; ++Column) {
+        double &Cell = Covariance_[Row][Column];
+        Cell = (Cell - Gain[Row] * Gain[Column] / Scale) / Forgetting;
+        // Directions without news must not grow without bound.
+        if (Row == Column)
+          Cell = std::min(Cell, PriorVariance);
+      }
   }
 };
 
 } // namespace
 
 struct InterferenceModel::Impl {
-  using Pairs = std::map<std::string, Evidence, std::less<>>;
-  std::map<std::string, Pairs, std::less<>> Serving_;
+  std::map<std::string, Fit, std::less<>> Fits_;
+
+  const Fit *find(std::string_view Serving) const {
+    auto Found = Fits_.find(Serving);
+    return Found == Fits_.end() ? nullptr : &Found->second;
+  }
 };
 
 InterferenceModel::InterferenceModel() : Impl_(std::make_unique<Impl>()) {}
@@ -53,49 +87,47 @@
 InterferenceModel &
 InterferenceModel::operator=(InterferenceModel &&) noexcept = default;
 
-void InterferenceModel::observe(std::string_view Serving, double TailFraction,
+void InterferenceModel::observe(std::string_view Serving, double TailMs,
                                 std::span<const FillerShare> Fillers) {
-  bool IsShort = TailFraction < ShortTail;
-  bool IsLong = TailFraction > LongTail;
-  if (!IsShort && !IsLong)
-    return;
-  // Fillers of one image act together.
-  std::map<std::string_view, double> Shares;
+  Fit &Of = Impl_->Fits_[std::string(Serving)];
   for (const FillerShare &Filler : Fillers)
-    Shares[Filler.Image_] += Filler.Share_;
-  Impl::Pairs &Of = Impl_->Serving_[std::string(Serving)];
-  if (IsShort) {
-    for (const auto &[Image, Share] : Shares)
-      if (Share >= LeastProvingShare)
-        Of[std::string(Image)].Short_ +=
-            std::min(Share / FullShare, MostShares);
-    return;
-  }
-  std::vector<Evidence *> Suspects;
-  std::vector<Evidence *> Cleared;
-  for (const auto &[Image, Share] : Shares) {
-    if (Share < LeastBlamedShare)
+    Of.column(Filler.Image_);
+  std::vector<double> Input(Of.Coefficients_.size(), 0.0);
+  Input[0] = 1.0;
+  for (const FillerShare &Filler : Fillers) {
+    std::size_t Column = Of.column(Filler.Image_);
+    if (Column == 0)
       continue;
-    Evidence &Seen = Of[std::string(Image)];
-    (Seen.effect() == Effect::Harmless ? Cleared : Suspects).push_back(&Seen);
+    Input[Column] += Filler.Share_;
+    Of.SeenShare_[Column] += Filler.Share_;
   }
-  if (Suspects.size() == 1) {
-    Suspects.front()->Long_ += TailFraction > VeryLongTail ? ProvenLong : 1.0;
-    Suspects.front()->Short_ = 0;
-  }
-  // One of them was cleared wrongly; all have to prove themselves again.
-  if (Suspects.empty())
-    for (Evidence *Seen : Cleared)
-      Seen->Short_ = 0;
+  Of.update(Input, std::min(TailMs, MaxTailMs));
+}
+
+double InterferenceModel::baseTailMs(std::string_view Serving) const {
+  const Fit *Of = Impl_->find(Serving);
+  return Of ? std::max(0.0, Of->Coefficients_[0]) : 0.0;
+}
+
+double InterferenceModel::slope(std::string_view Serving,
+                                std::string_view Filler) const {
+  const Fit *Of = Impl_->find(Serving);
+  if (!Of)
+    return 0.0;
+  auto Column = Of->Columns_.find(Filler);
+  if (Column == Of->Columns_.end())
+    return 0.0;
+  return std::max(0.0, Of->Coefficients_[Column->second]);
 }
 
-Effect InterferenceModel::effect(std::string_view Serving,
-                                 std::string_view Filler) const {
-  auto Of = Impl_->Serving_.find(Serving);
-  if (Of == Impl_->Serving_.end())
-    return Effect::Unknown;
-  auto Found = Of->second.find(Filler);
-  return Found == Of->second.end() ? Effect::Unknown : Found->second.effect();
+bool InterferenceModel::isKnown(std::string_view Serving,
+                                std::string_view Filler) const {
+  const Fit *Of = Impl_->find(Serving);
+  if (!Of)
+    return false;
+  auto Column = Of->Columns_.find(Filler);
+  return Column != Of->Columns_.end() &&
+         Of->SeenShare_[Column->second] >= KnownShare;
 }
 
 } // namespace filbertspring::scheduling
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -183,6 +183,7 @@
   Worker.LastingMilliCpu_ = 0;
   Worker.FillerMilliCpu_ = 0;
   Worker.ServingImages_.clear();
+  Worker.Headroom_.clear();
   for (auto &[Text, One] : Lost) {
     OwnedJob *Owned = findJob(One.Name_.Job_);
     if (!Owned)
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -99,13 +99,8 @@
   WorkerState *chooseWorker(const PlacementRequest &Request, TimePoint Now);
   bool mayUse(const WorkerState &Worker, const PlacementRequest &Request,
               TimePoint Now) const;
-  std::optional<double> costOf(const WorkerState &Worker,
-                               const StepSpec &Step) const;
-  Effect worstEffect(const WorkerState &Worker, const std::string &Image) const;
-  /// Cost of the effect that a filler of \p Image may have; nothing if it
-  /// would harm.
-  std::optional<double> effectCost(const WorkerState &Worker,
-                                   const std::string &Image) const;
+  std::optional<double> costOf(WorkerState &Worker, const StepSpec &Step) const;
+  double headroom(WorkerState &Worker, const std::string &Image) const;
   void plan(WorkerState &Worker, OwnedJob &Owned, const TaskName &Name,
             Task &Waiting);
   void orderPlanned(TimePoint Now);
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -20,9 +20,6 @@
 /// worker: tasks of one image gather, so that fillers that harm it find
 /// workers without it.
 constexpr double MixedImagesCost = 2.0;
-/// Cost of an unknown effect on a serving image, relative to a full worker:
-/// known neighbours go first.
-constexpr double UnknownEffectCost = 0.3;
 /// Cost of a worker away from the data, relative to a full worker.
 constexpr double FarCost = 2.0;
 
@@ -146,38 +143,18 @@
          countOfStep(Worker, Request.Name_) < std::int64_t{Step.MaxPerWorker_};
 }
 
-std::optional<double>
-Scheduler::Impl::effectCost(const WorkerState &Worker,
-                            const std::string &Image) const {
-  Effect Own = worstEffect(Worker, Image);
-  if (Own == Effect::Harmful)
-    return std::nullopt;
-  if (Own == Effect::Harmless)
-    return 0;
-  // One unknown image at a time, so that its effect shows.
-  for (const auto &[Text, One] : Worker.Runs_)
-    if (One.IsFiller_ && One.Image_ != Image &&
-        worstEffect(Worker, One.Image_) != Effect::Harmless)
-      return std::nullopt;
-  return UnknownEffectCost;
-}
-
-Effect Scheduler::Impl::worstEffect(const WorkerState &Worker,
-                                    const std::string &Image) const {
-  Effect Worst = Effect::Harmless;
-  for (const auto &[Serving, Count] : Worker.ServingImages_) {
-    Effect On = Model_.effect(Serving, Image);
-    if (On == Effect::Harmful)
-      return On;
-    if (On == Effect::Unknown)
-      Worst = On;
-  }
-  return Worst;
+double Scheduler::Impl::headroom(WorkerState &Worker,
+                                 const std::string &Image) const {
+  auto [Place, IsNew] = Worker.Headroom_.try_emplace(Image, 0.0);
+  if (IsNew)
+    Place->second = fillerHeadroom(Model_, Worker.servingSamples(),
+                                   Worker.fillerSamples(), Image);
+  return Place->second;
 }
 
 /// Returns how full the worker would be: lower is better. Nothing if a filler
 /// would harm what the worker serves.
-std::optional<double> Scheduler::Impl::costOf(const WorkerState &Worker,
+std::optional<double> Scheduler::Impl::costOf(WorkerState &Worker,
                                               const StepSpec &Step) const {
   double Capacity = Worker.milliCpu();
   auto Requested = static_cast<double>(Step.Request_.MilliCpu_);
@@ -187,10 +164,9 @@
     auto Others = static_cast<double>(Worker.Used_.MilliCpu_) - Lasting;
     double Fillers = Worker.pacedFillerMilliCpu();
     Cost = (LastingLoad * Lasting + Others + Fillers + Requested) / Capacity;
-    std::optional<double> OfEffect = effectCost(Worker, Step.Image_);
-    if (Cost > MaxFillerPressure || !OfEffect)
+    if (Cost > MaxFillerPressure ||
+        Requested / Capacity > headroom(Worker, Step.Image_))
       return std::nullopt;
-    Cost += *OfEffect;
   } else {
     Cost = (static_cast<double>(Worker.Used_.MilliCpu_) + Requested) / Capacity;
     // Lasting tasks are packed, so that wide steps find whole workers free.
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -270,14 +270,18 @@
   if (Worker.LearnedAt_ + LearnPause > Worker.ClockAt_)
     return;
   Worker.LearnedAt_ = Worker.ClockAt_;
-  for (auto &[Text, One] : Worker.Runs_)
-    if (One.tailFraction() <= 1)
+  Worker.Headroom_.clear();
+  for (auto &[Text, One] : Worker.Runs_) {
+    bool IsOver = One.IsLasting_ && One.TailTarget_ > Duration::zero() &&
+                  One.Load_ * std::chrono::milliseconds(1) > One.TailTarget_;
+    if (!IsOver)
       One.OverSince_.reset();
     else if (!One.OverSince_)
       One.OverSince_ = Now;
+  }
   for (const auto &[Text, One] : Worker.Runs_)
-    if (One.tailFraction() > 0)
-      Model_.observe(One.Image_, One.tailFraction(), Fillers);
+    if (One.IsLasting_ && One.Load_ > 0)
+      Model_.observe(One.Image_, One.Load_, Fillers);
   pace(Worker, Now);
   moveSlowFillers(Worker, Now);
 }
--- a/packages/scheduling/src/worker_state.cpp
+++ b/packages/scheduling/src/worker_state.cpp
@@ -21,6 +21,7 @@
 void WorkerState::addRun(Run Added) {
   dropRun(Added.Name_.text());
   Used_ += Added.Held_;
+  Headroom_.clear();
   if (Added.IsLasting_)
     ++ServingImages_[Added.Image_];
   if (Added.IsLasting_)
@@ -36,6 +37,7 @@
     return;
   const Run &Dropped = Found->second;
   Used_ -= Dropped.Held_;
+  Headroom_.clear();
   if (Dropped.IsLasting_ && --ServingImages_[Dropped.Image_] == 0)
     ServingImages_.erase(Dropped.Image_);
   if (Dropped.IsLasting_)
@@ -54,17 +56,13 @@
   return static_cast<double>(Filler.RequestedMilliCpu_) / milliCpu();
 }
 
-double Run::tailFraction() const {
-  if (TailTarget_ <= Duration::zero())
-    return 0;
-  return Load_ / std::chrono::duration<double, std::milli>(TailTarget_).count();
-}
-
 std::vector<ServingSample> WorkerState::servingSamples() const {
   std::vector<ServingSample> Samples;
   for (const auto &[Text, One] : Runs_)
     if (One.IsLasting_ && One.TailTarget_ > Duration::zero())
-      Samples.push_back({One.Image_, One.tailFraction()});
+      Samples.push_back(
+          {One.Image_, One.Load_,
+           std::chrono::duration<double, std::milli>(One.TailTarget_).count()});
   return Samples;
 }
 
--- a/packages/scheduling/src/worker_state.h
+++ b/packages/scheduling/src/worker_state.h
@@ -55,9 +55,6 @@
   bool SavesProgress_ = false;
   /// Since when it is paced so low that another worker would be better.
   std::optional<TimePoint> SlowSince_;
-
-  /// The reported tail of a lasting task as a part of its target; 0 without.
-  double tailFraction() const;
 };
 
 /// One life of a worker.
@@ -101,6 +98,8 @@
   Resources Used_;
   std::int64_t LastingMilliCpu_ = 0;
   std::int64_t FillerMilliCpu_ = 0;
+  /// Headroom by filler image, until runs or the model change.
+  std::unordered_map<std::string, double> Headroom_;
   /// Serving images and the number of their tasks.
   std::map<std::string, int> ServingImages_;
 
