Ends of idle workers are acknowledged at once; tests of jobs, leases, paces and single decisions

Cause: a worker without tasks was asked again after 2 s only, so the stored end stayed unacknowledged; the test is_acknowledged_after_it_is_stored failed first.

--- a/packages/base/include/filbertspring/base/log.h
+++ b/packages/base/include/filbertspring/base/log.h
@@ -37,6 +37,8 @@
 
 /// Returns the text of a line without its time, for tests and for logEvent.
 std::string formatLogLine(LogEvent Event, std::span<const LogField> Fields);
+std::string formatLogLine(LogEvent Event,
+                          std::initializer_list<LogField> Fields);
 
 /// Returns how many lines were dropped since the start.
 std::uint64_t droppedLogLines();
--- a/packages/base/src/log.cpp
+++ b/packages/base/src/log.cpp
@@ -66,6 +66,12 @@
   return Line;
 }
 
+std::string formatLogLine(LogEvent Event,
+                          std::initializer_list<LogField> Fields) {
+  return formatLogLine(
+      Event, std::span<const LogField>(Fields.begin(), Fields.size()));
+}
+
 void logEvent(LogEvent Event, std::span<const LogField> Fields) {
   std::string Line = fmt::format("time_ms={} {}\n", wallMilliseconds(),
                                  formatLogLine(Event, Fields));
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -237,7 +237,7 @@
     if (Worker.IsRenewing_ || Worker.NextRenewalAt_ > Now)
       continue;
     bool HasNothingToAsk = Worker.isReachable() && Worker.Runs_.empty() &&
-                           Worker.NotedEnd_ == Worker.StoredEnd_;
+                           Worker.NotedEnd_ == Worker.AcknowledgedEnd_;
     if (HasNothingToAsk && Worker.LastIdleReport_ + IdleReportPause > Now)
       continue;
     renew(Worker, Now, MayOrder);
@@ -249,6 +249,7 @@
   Renewal.Worker_ = Worker.Entry_.Id_;
   Renewal.Address_ = Worker.Entry_.Address_;
   Renewal.Acknowledged_ = Worker.StoredEnd_;
+  Worker.SentEnd_ = Worker.StoredEnd_;
   std::optional<std::int64_t> Clock = Worker.clockAt(Now);
   // An unreachable worker gets no grants: its runs must end some time.
   if (MayGrant && Clock && Worker.FailedRenewals_ == 0) {
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -72,6 +72,7 @@
   Worker->NextRenewalAt_ = Now;
   Worker->IsKnown_ = true;
   Worker->IsOver_ = false;
+  Worker->AcknowledgedEnd_ = Worker->SentEnd_;
   Worker->FailedRenewals_ = 0;
   Worker->ClockMs_ = Report.ClockMs_;
   Worker->ClockAt_ = Now;
--- a/packages/scheduling/src/worker_state.h
+++ b/packages/scheduling/src/worker_state.h
@@ -76,6 +76,10 @@
   /// Highest end processed, and highest end whose effect is stored.
   std::uint64_t NotedEnd_ = 0;
   std::uint64_t StoredEnd_ = 0;
+  /// Highest end that the outstanding renewal acknowledges, and that an
+  /// answered one did.
+  std::uint64_t SentEnd_ = 0;
+  std::uint64_t AcknowledgedEnd_ = 0;
 
   bool IsRenewing_ = false;
   TimePoint RenewalSentAt_{};
--- /dev/null
+++ b/packages/scheduling/tests/owner_lease_test.cpp
@@ -0,0 +1,115 @@
+#include "filbertspring/scheduling/owner_lease.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace filbertspring::scheduling {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr TimePoint Start{100s};
+
+OwnerRecord recordOf(const char *Holder) {
+  OwnerRecord Record;
+  Record.Holder_ = Holder;
+  Record.Nonce_ = std::string("nonce-") + Holder;
+  Record.Tenure_ = 3;
+  return Record;
+}
+
+OwnerLease candidate() { return OwnerLease(recordOf("me"), {}); }
+
+BOOST_AUTO_TEST_SUITE(a_candidate)
+
+BOOST_AUTO_TEST_CASE(takes_a_cell_that_nobody_owns) {
+  OwnerLease Lease = candidate();
+  BOOST_TEST(!Lease.shouldTakeOver(Start));
+  Lease.rowSeen({}, 0, Start);
+  BOOST_TEST(Lease.shouldTakeOver(Start));
+}
+
+BOOST_AUTO_TEST_CASE(takes_a_cell_at_once_that_its_owner_gave_up) {
+  OwnerLease Lease = candidate();
+  Lease.rowSeen(recordOf("other"), 5, Start);
+  OwnerLease Other(recordOf("other"), {});
+  Other.rowWritten(recordOf("other"), 5, Start);
+  Lease.rowSeen(Other.releaseRecord(), 6, Start + 10ms);
+  BOOST_TEST(Lease.shouldTakeOver(Start + 10ms));
+  BOOST_TEST(Lease.takeoverRecord().Tenure_ == 4);
+}
+
+BOOST_AUTO_TEST_CASE(waits_until_the_row_was_silent_for_long) {
+  OwnerLease Lease = candidate();
+  Lease.rowSeen(recordOf("other"), 5, Start);
+  Lease.rowUnchanged(Start + 2s);
+  BOOST_TEST(!Lease.shouldTakeOver(Start + 2s));
+  Lease.rowUnchanged(Start + 2600ms);
+  BOOST_TEST(Lease.shouldTakeOver(Start + 2600ms));
+  BOOST_TEST((Lease.silence() == 2600ms));
+}
+
+BOOST_AUTO_TEST_CASE(does_not_count_time_in_which_the_store_was_away) {
+  OwnerLease Lease = candidate();
+  Lease.rowSeen(recordOf("other"), 5, Start);
+  Lease.readFailed(Start + 5s);
+  Lease.rowUnchanged(Start + 6s);
+  BOOST_TEST(!Lease.shouldTakeOver(Start + 6s));
+}
+
+BOOST_AUTO_TEST_CASE(ignores_reads_that_were_overtaken) {
+  OwnerLease Lease = candidate();
+  Lease.rowSeen(recordOf("other"), 8, Start);
+  Lease.rowSeen(recordOf("third"), 7, Start + 10ms);
+  BOOST_TEST(Lease.version() == 8);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(an_owner)
+
+BOOST_AUTO_TEST_CASE(is_trusted_for_a_while_without_the_store) {
+  OwnerLease Lease = candidate();
+  Lease.rowWritten(recordOf("me"), 9, Start);
+  BOOST_TEST(Lease.isOwner());
+  BOOST_TEST(Lease.isTrusted(Start + 5900ms));
+  BOOST_TEST(!Lease.isTrusted(Start + 6100ms));
+}
+
+BOOST_AUTO_TEST_CASE(is_none_after_another_instance_wrote_the_row) {
+  OwnerLease Lease = candidate();
+  Lease.rowWritten(recordOf("me"), 9, Start);
+  Lease.rowSeen(recordOf("other"), 10, Start + 1s);
+  BOOST_TEST(!Lease.isOwner());
+}
+
+BOOST_AUTO_TEST_CASE(of_an_earlier_life_does_not_own_the_cell) {
+  OwnerLease Lease = candidate();
+  OwnerRecord Before = recordOf("me");
+  Before.Nonce_ = "another life";
+  Lease.rowSeen(Before, 9, Start);
+  BOOST_TEST(!Lease.isOwner());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(an_owner_record)
+
+BOOST_AUTO_TEST_CASE(is_read_as_it_was_written) {
+  OwnerRecord Record = recordOf("me");
+  Record.Address_ = "10.0.0.1:7700";
+  OwnerRecord Read = decodeOwnerRecord(encodeOwnerRecord(Record));
+  BOOST_TEST(Read.Holder_ == "me");
+  BOOST_TEST(Read.Nonce_ == Record.Nonce_);
+  BOOST_TEST(Read.Address_ == Record.Address_);
+  BOOST_TEST(Read.Tenure_ == 3);
+}
+
+BOOST_AUTO_TEST_CASE(of_another_form_has_no_holder) {
+  for (const char *Text : {"", "[]", "{\"holder\":5}", "\xff\xfe", "null"})
+    BOOST_TEST(decodeOwnerRecord(Text).Holder_.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace filbertspring::scheduling
--- /dev/null
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -0,0 +1,321 @@
+/// \file
+/// Stories of single decisions. Actions are read from the scheduler itself;
+/// nothing but the scheduler runs.
+
+#include "filbertspring/scheduling/scheduler.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace filbertspring::scheduling {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A scheduler with two sound workers and one queue.
+struct Cell {
+  Cell() : Scheduler_(SchedulerSettings(), Now_) {
+    auto Queues = std::make_shared<QueueTable>();
+    Queue Batch;
+    Batch.Name_ = "batch";
+    Batch.Service_ = "service";
+    Batch.Attempts_ = 2;
+    Queues->Queues_ = {Batch};
+    Scheduler_.configure(Queues);
+    for (const char *Id : {"w1", "w2"})
+      list(Id, false);
+    step();
+    answerRenewals();
+    step();
+  }
+
+  void list(const std::string &Id, bool IsDraining, std::int64_t Born = 1) {
+    WorkerEntry Entry;
+    Entry.Id_ = Id;
+    Entry.Service_ = "service";
+    Entry.Address_ = "address-" + Id;
+    Entry.Zone_ = Id == "w1" ? "zone-a" : "zone-b";
+    Entry.IsDraining_ = IsDraining;
+    Entry.Capacity_ = {8000, 16000, 0};
+    Entry.BornMs_ = Born;
+    Scheduler_.workerListed(Entry, Now_);
+  }
+
+  /// Lets time pass, stores what is to be stored, and collects actions.
+  void step(Duration Time = 20ms, bool IsStored = true) {
+    Now_ += Time;
+    Scheduler_.advance(Now_, 0, Now_, true);
+    collect();
+    if (!Scheduler_.hasWrites())
+      return;
+    PendingWrites Writes = Scheduler_.takeWrites(90);
+    LastWrites_ = Writes;
+    if (IsStored)
+      Scheduler_.writesStored(Writes, Now_);
+    else
+      Scheduler_.writesFailed(Writes);
+    collect();
+  }
+
+  void collect() {
+    for (Action &Decided : Scheduler_.takeActions()) {
+      if (auto *Start = std::get_if<StartTask>(&Decided))
+        Starts_.push_back(*Start);
+      if (auto *Stop = std::get_if<StopTask>(&Decided))
+        Stops_.push_back(*Stop);
+      if (auto *Renewal = std::get_if<RenewLease>(&Decided))
+        Renewals_.push_back(*Renewal);
+    }
+  }
+
+  void answerRenewals() {
+    for (const RenewLease &Renewal : std::exchange(Renewals_, {})) {
+      WorkerReport Report;
+      Report.ClockMs_ = Now_.time_since_epoch() / 1ms;
+      Report.BornMs_ = 1;
+      Report.Running_ = Running_[Renewal.Worker_];
+      Report.Ended_ = Ended_[Renewal.Worker_];
+      Scheduler_.renewalAnswered(Renewal.Worker_, Report, Now_);
+    }
+  }
+
+  void acceptStarts() {
+    for (const StartTask &Start : Starts_) {
+      Running_[Start.Worker_].push_back({Start.Name_, Start.Run_, "", 0, 0});
+      Scheduler_.startAnswered(Start.Worker_, Start.Name_, Start.Run_,
+                               CallOutcome::Accepted, Now_);
+    }
+  }
+
+  void submit(const std::string &Id, std::vector<StepSpec> Steps) {
+    AcceptedJob Job;
+    Job.Id_ = Id;
+    Job.Queue_ = "batch";
+    Job.Service_ = "service";
+    Job.Spec_.Steps_ = std::move(Steps);
+    Scheduler_.addJob(Job, Now_);
+  }
+
+  static StepSpec task(std::uint32_t Count, std::int64_t MilliCpu = 1000) {
+    StepSpec Step;
+    Step.Count_ = Count;
+    Step.Request_ = {MilliCpu, 100, 0};
+    return Step;
+  }
+
+  /// The first start ends on its worker.
+  void end(EndReason Reason) {
+    const StartTask &Start = Starts_.front();
+    Running_[Start.Worker_].clear();
+    Ended_[Start.Worker_].push_back({1, Start.Name_, Start.Run_, Reason, ""});
+  }
+
+  TimePoint Now_{100s};
+  Scheduler Scheduler_;
+  std::vector<StartTask> Starts_;
+  std::vector<StopTask> Stops_;
+  std::vector<RenewLease> Renewals_;
+  std::map<std::string, std::vector<RunningTask>> Running_;
+  std::map<std::string, std::vector<EndedTask>> Ended_;
+  PendingWrites LastWrites_;
+};
+
+BOOST_AUTO_TEST_SUITE(a_submitted_job)
+
+BOOST_FIXTURE_TEST_CASE(starts_once_its_placement_is_stored, Cell) {
+  submit("job", {task(1)});
+  step(20ms, false);
+  BOOST_TEST(Starts_.empty());
+  step();
+  BOOST_REQUIRE(Starts_.size() == 1);
+  BOOST_TEST(Starts_.front().Run_ == 1);
+  BOOST_REQUIRE(LastWrites_.Progress_.size() == 1);
+  BOOST_TEST(
+      LastWrites_.Progress_.front().second.Tasks_.at("job.0.0.0").Worker_ ==
+      Starts_.front().Worker_);
+}
+
+BOOST_FIXTURE_TEST_CASE(waits_for_room, Cell) {
+  submit("job", {task(3, 6000)});
+  step();
+  BOOST_TEST(Starts_.size() == 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(runs_its_steps_in_order, Cell) {
+  StepSpec Second = task(1);
+  Second.After_ = {0};
+  submit("job", {task(1), Second});
+  step();
+  BOOST_REQUIRE(Starts_.size() == 1);
+  acceptStarts();
+  step();
+  end(EndReason::Done);
+  answerRenewals();
+  step();
+  step();
+  BOOST_REQUIRE(Starts_.size() == 2);
+  BOOST_TEST(Starts_.back().Name_.Step_ == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(is_completed_with_its_last_task, Cell) {
+  submit("job", {task(1)});
+  step();
+  acceptStarts();
+  step();
+  end(EndReason::Done);
+  answerRenewals();
+  BOOST_TEST((Scheduler_.stateOf("job") == JobState::Completed));
+}
+
+BOOST_FIXTURE_TEST_CASE(fails_with_its_last_attempt, Cell) {
+  submit("job", {task(1)});
+  step();
+  acceptStarts();
+  step();
+  end(EndReason::Failed);
+  answerRenewals();
+  BOOST_TEST((Scheduler_.stateOf("job") == JobState::Running));
+  step(200ms);
+  step();
+  BOOST_REQUIRE(Starts_.size() == 2);
+  BOOST_TEST(Starts_.back().Worker_ != Starts_.front().Worker_);
+}
+
+BOOST_FIXTURE_TEST_CASE(counts_a_failure_once_whatever_the_tenure, Cell) {
+  submit("job", {task(1)});
+  JobProgress Stored;
+  Stored.State_ = JobState::Running;
+  Stored.Tasks_["job.0.0.0"] = {false, 1, 7, "", "w1", 7};
+  Scheduler_.restoreProgress("job", Stored);
+  Ended_["w1"].push_back({1, {"job", 0, 0, 0}, 7, EndReason::Failed, ""});
+  step();
+  answerRenewals();
+  BOOST_TEST((Scheduler_.stateOf("job") == JobState::Running));
+}
+
+BOOST_FIXTURE_TEST_CASE(is_stopped_when_it_is_cancelled, Cell) {
+  submit("job", {task(1)});
+  step();
+  acceptStarts();
+  Scheduler_.cancelJob("job", Now_);
+  step();
+  BOOST_REQUIRE(Stops_.size() == 1);
+  BOOST_TEST((Scheduler_.stateOf("job") == JobState::Cancelled));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(an_end)
+
+BOOST_FIXTURE_TEST_CASE(is_acknowledged_after_it_is_stored, Cell) {
+  submit("job", {task(1)});
+  step();
+  acceptStarts();
+  step();
+  end(EndReason::Done);
+  answerRenewals();
+  step(300ms, false);
+  BOOST_REQUIRE(!Renewals_.empty());
+  for (const RenewLease &Renewal : Renewals_)
+    BOOST_TEST(Renewal.Acknowledged_ == 0);
+  answerRenewals();
+  step();
+  step(300ms);
+  std::uint64_t Highest = 0;
+  for (const RenewLease &Renewal : Renewals_)
+    Highest = std::max(Highest, Renewal.Acknowledged_);
+  BOOST_TEST(Highest == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_start_without_an_answer)
+
+BOOST_FIXTURE_TEST_CASE(is_sent_again_as_the_same_run, Cell) {
+  submit("job", {task(1)});
+  step();
+  StartTask First = Starts_.front();
+  Scheduler_.startAnswered(First.Worker_, First.Name_, First.Run_,
+                           CallOutcome::NoAnswer, Now_);
+  step();
+  BOOST_REQUIRE(Starts_.size() == 2);
+  BOOST_TEST(Starts_.back().Worker_ == First.Worker_);
+  BOOST_TEST(Starts_.back().Run_ == First.Run_);
+}
+
+BOOST_FIXTURE_TEST_CASE(that_ran_and_ended_is_not_started_elsewhere, Cell) {
+  submit("job", {task(1)});
+  step();
+  StartTask First = Starts_.front();
+  Scheduler_.startAnswered(First.Worker_, First.Name_, First.Run_,
+                           CallOutcome::NoAnswer, Now_);
+  step();
+  Scheduler_.startAnswered(First.Worker_, First.Name_, First.Run_,
+                           CallOutcome::RejectedOldRun, Now_);
+  step();
+  step();
+  BOOST_TEST(Starts_.size() == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_worker)
+
+BOOST_FIXTURE_TEST_CASE(that_drains_gets_no_starts, Cell) {
+  list("w1", true);
+  list("w2", true);
+  submit("job", {task(1)});
+  step();
+  BOOST_TEST(Starts_.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(in_a_closed_zone_gets_no_starts, Cell) {
+  Scheduler_.setClosedZones({"zone-a"});
+  submit("job", {task(4)});
+  step();
+  BOOST_REQUIRE(!Starts_.empty());
+  for (const StartTask &Start : Starts_)
+    BOOST_TEST(Start.Worker_ == "w2");
+}
+
+BOOST_FIXTURE_TEST_CASE(that_begins_a_new_life_runs_nothing, Cell) {
+  submit("job", {task(1)});
+  step();
+  acceptStarts();
+  std::string Before = Starts_.front().Worker_;
+  list(Before, false, 2);
+  step();
+  step();
+  BOOST_TEST(Starts_.size() == 2);
+  BOOST_TEST(Starts_.back().Run_ > Starts_.front().Run_);
+}
+
+BOOST_FIXTURE_TEST_CASE(that_is_silent_keeps_its_tasks_for_their_lease, Cell) {
+  submit("job", {task(1)});
+  step();
+  acceptStarts();
+  std::string Silent = Starts_.front().Worker_;
+  step();
+  std::erase_if(Renewals_, [&](const RenewLease &Renewal) {
+    return Renewal.Worker_ != Silent;
+  });
+  TimePoint SilentAt = Now_;
+  while (Starts_.size() == 1 && Now_ - SilentAt < 20s) {
+    for (const RenewLease &Renewal : std::exchange(Renewals_, {})) {
+      BOOST_TEST((Renewal.Worker_ != Silent || Now_ == SilentAt ||
+                  !Renewal.DeadlineMs_));
+      if (Renewal.Worker_ == Silent)
+        Scheduler_.renewalFailed(Silent, CallOutcome::NoAnswer, Now_);
+      else
+        Renewals_.push_back(Renewal);
+    }
+    answerRenewals();
+    step(100ms);
+  }
+  BOOST_TEST((Now_ - SilentAt >= SchedulerSettings().Grant_));
+  BOOST_TEST(Starts_.size() == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace filbertspring::scheduling
