--- a/packages/base/src/log.cpp
+++ b/packages/base/src/log.cpp
@@ -75,9 +75,9 @@
 void logEvent(LogEvent Event, std::span<const LogField> Fields) {
   std::string Line = fmt::format("time_ms={} {}\n", wallMilliseconds(),
                                  formatLogLine(Event, Fields));
-  if (!isWritable())
-    DroppedLines.fetch_add(1, std::memory_order_relaxed);
-  else if (::write(STDOUT_FILENO, Line.data(), Line.size()) < 0)
+  bool IsWritten =
+      isWritable() && ::write(STDOUT_FILENO, Line.data(), Line.size()) >= 0;
+  if (!IsWritten)
     DroppedLines.fetch_add(1, std::memory_order_relaxed);
 }
 
--- a/packages/node/include/filbertspring/node/node_settings.h
+++ b/packages/node/include/filbertspring/node/node_settings.h
@@ -10,7 +10,6 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace filbertspring::node {
 
@@ -18,8 +17,6 @@
 struct NodeSettings {
   std::string Instance_;
   std::string Zone_;
-  /// All availability zones; each has a cell of its own.
-  std::vector<std::string> Zones_;
   /// "IP:PORT" each.
   std::string CallerAddress_;
   std::string ReadinessAddress_;
--- a/packages/node/src/callers.cpp
+++ b/packages/node/src/callers.cpp
@@ -173,41 +173,43 @@
   New.Key_ = jobKey(Of->Job_);
   New.Value_ = encodeAcceptance(Accepted);
   Insert.Writes_.push_back(std::move(New));
-  insert(Of, std::move(Insert));
+  insert(Of, Insert);
 }
 
 /// Inserts until the outcome is known: the condition makes repeats harmless.
-void Callers::insert(const ExchangePtr &Of, RowTransaction Insert) {
+void Callers::insert(const ExchangePtr &Of, const RowTransaction &Insert) {
   Duration Timeout = timeLeft(*Of);
   if (Timeout <= Duration::zero()) {
     logEvent(LogEvent::JobOutcomeUnknown, {{"job", Of->Job_}});
     return Of->Respond_(makeUnknown());
   }
-  Store_.commit(Insert, Timeout, [this, Of, Insert](CommitResult Outcome) {
-    switch (Outcome.Outcome_) {
-    case CommitOutcome::Committed:
-      Accepted_(Insert.Writes_.front());
-      [[fallthrough]];
-    case CommitOutcome::Conflict:
-      logEvent(LogEvent::JobAccepted,
-               {{"job", Of->Job_},
-                {"queue", Of->Queue_.Name_},
-                {"repeat", Outcome.Outcome_ == CommitOutcome::Conflict ? 1 : 0},
-                {"took_ms", (SchedulerClock::now() - Of->ArrivedAt_) /
-                                std::chrono::milliseconds(1)}});
-      return Of->Respond_(makeAnswer(200));
-    case CommitOutcome::Refused:
-      // An earlier insert of this exchange may still take effect.
-      if (Of->MayBeStored_)
-        return Of->Respond_(makeUnknown());
-      logEvent(LogEvent::JobRefused,
-               {{"job", Of->Job_}, {"problem", "store refuses calls"}});
-      return Of->Respond_(makeRefusal());
-    case CommitOutcome::Unknown:
-      Of->MayBeStored_ = true;
-      return insert(Of, Insert);
-    }
-  });
+  Store_.commit(
+      Insert, Timeout, [this, Of, Insert](const CommitResult &Outcome) {
+        switch (Outcome.Outcome_) {
+        case CommitOutcome::Committed:
+          Accepted_(Insert.Writes_.front());
+          [[fallthrough]];
+        case CommitOutcome::Conflict:
+          logEvent(
+              LogEvent::JobAccepted,
+              {{"job", Of->Job_},
+               {"queue", Of->Queue_.Name_},
+               {"repeat", Outcome.Outcome_ == CommitOutcome::Conflict ? 1 : 0},
+               {"took_ms", (SchedulerClock::now() - Of->ArrivedAt_) /
+                               std::chrono::milliseconds(1)}});
+          return Of->Respond_(makeAnswer(200));
+        case CommitOutcome::Refused:
+          // An earlier insert of this exchange may still take effect.
+          if (Of->MayBeStored_)
+            return Of->Respond_(makeUnknown());
+          logEvent(LogEvent::JobRefused,
+                   {{"job", Of->Job_}, {"problem", "store refuses calls"}});
+          return Of->Respond_(makeRefusal());
+        case CommitOutcome::Unknown:
+          Of->MayBeStored_ = true;
+          return insert(Of, Insert);
+        }
+      });
 }
 
 void Callers::readState(const ExchangePtr &Of) {
@@ -264,7 +266,7 @@
   New.Value_ = "{}";
   Cancel.Writes_.push_back(New);
   Store_.commit(Cancel, Timeout,
-                [this, Of, Version, New](CommitResult Outcome) {
+                [this, Of, Version, New](const CommitResult &Outcome) {
                   switch (Outcome.Outcome_) {
                   case CommitOutcome::Committed:
                     logEvent(LogEvent::StopRequested, {{"job", Of->Job_}});
--- a/packages/node/src/callers.h
+++ b/packages/node/src/callers.h
@@ -35,7 +35,7 @@
 
   void route(const ExchangePtr &Of);
   void submit(const ExchangePtr &Of);
-  void insert(const ExchangePtr &Of, scheduling::RowTransaction Insert);
+  void insert(const ExchangePtr &Of, const scheduling::RowTransaction &Insert);
   void readState(const ExchangePtr &Of);
   void cancel(const ExchangePtr &Of);
   void storeCancel(const ExchangePtr &Of, std::uint64_t Version);
--- a/packages/node/src/cell_directory.cpp
+++ b/packages/node/src/cell_directory.cpp
@@ -5,7 +5,6 @@
 namespace filbertspring::node {
 namespace {
 
-using scheduling::OwnerLease;
 using scheduling::OwnerRecord;
 using scheduling::Row;
 using scheduling::RowPage;
--- a/packages/node/src/cell_owner.cpp
+++ b/packages/node/src/cell_owner.cpp
@@ -30,6 +30,10 @@
 constexpr Duration WritePause = std::chrono::milliseconds(25);
 /// How often the status of the cell is stored at most.
 constexpr Duration StatusPause = std::chrono::milliseconds(800);
+/// How often rows of finished jobs are removed, and how many at a time: more
+/// than 8,000 jobs a day leave.
+constexpr Duration RemovalPause = std::chrono::seconds(5);
+constexpr std::size_t MaxRemovedJobs = platform::MaxTransactionRows / 2;
 /// The owner's tick: leases and waits have hundreds of milliseconds.
 constexpr Duration TickPause = std::chrono::milliseconds(50);
 /// Drift of a worker's clock over a grant, and the time to kill.
@@ -276,7 +280,7 @@
              {{"table", JobTable}, {"key", Seen.Key_.Key_}});
     return;
   }
-  Tenure_->Scheduler_.addJob(std::move(*Accepted), Now);
+  Tenure_->Scheduler_.addJob(*Accepted, Now);
 }
 
 void CellOwner::followJobs(const TenureRef &Of, std::uint64_t After) {
@@ -408,6 +412,30 @@
     }
   }
   writeIfDue(Now);
+  removeExpired(Now);
+}
+
+/// Removes the rows of jobs that callers need not ask for any more.
+void CellOwner::removeExpired(TimePoint Now) {
+  if (!Tenure_ || !Tenure_->IsLoaded_ || Now < Tenure_->NextRemovalAt_)
+    return;
+  Tenure_->NextRemovalAt_ = Now + RemovalPause;
+  std::vector<std::string> Jobs =
+      Tenure_->Scheduler_.expiredJobs(Now, MaxRemovedJobs);
+  if (Jobs.empty())
+    return;
+  RowTransaction Removal;
+  for (const std::string &Job : Jobs) {
+    Removal.Removals_.push_back(jobKey(Job));
+    Removal.Removals_.push_back(cancelKey(Job));
+  }
+  Store_.commit(Removal, StoreTimeout,
+                [Ref = TenureRef(Tenure_), Jobs](const CommitResult &Outcome) {
+                  std::shared_ptr<Tenure> Of = Ref.lock();
+                  // Otherwise they are removed another time.
+                  if (Of && Outcome.Outcome_ == CommitOutcome::Committed)
+                    Of->Scheduler_.jobsRemoved(Jobs);
+                });
 }
 
 void CellOwner::logNotes() {
@@ -522,11 +550,8 @@
 }
 
 std::string CellOwner::statusText() const {
-  scheduling::SchedulerCounts Counts = Tenure_->Scheduler_.counts();
   CellStatus Status;
   Status.Pending_ = Tenure_->Scheduler_.pendingByQueue();
-  Status.WaitingTasks_ = Counts.WaitingTasks_;
-  Status.ReachableWorkers_ = Counts.ReachableWorkers_;
   return encodeStatus(Status);
 }
 
--- a/packages/node/src/cell_owner.h
+++ b/packages/node/src/cell_owner.h
@@ -36,6 +36,7 @@
   TimePoint NextWriteAt_{};
   std::string StoredStatus_;
   TimePoint NextStatusAt_{};
+  TimePoint NextRemovalAt_{};
 };
 
 /// A candidate for a cell, and its owner while the lease is held.
@@ -78,6 +79,7 @@
   void tick();
   void schedulePump();
   void pump();
+  void removeExpired(TimePoint Now);
   void logNotes();
   std::string statusText() const;
   void writeIfDue(TimePoint Now);
--- a/packages/node/src/node_settings.cpp
+++ b/packages/node/src/node_settings.cpp
@@ -27,16 +27,6 @@
       Found_.add(Pointer, "is not a text", "a text that is not empty");
   }
 
-  /// Reads the names of an object's members.
-  void names(const char *Pointer, std::vector<std::string> &Into) {
-    const json *Value = find(Pointer);
-    if (!Value || !Value->is_object() || Value->empty())
-      return Found_.add(Pointer, "is missing",
-                        "an object with a member a zone");
-    for (const auto &[Name, Ignored] : Value->items())
-      Into.push_back(Name);
-  }
-
   void number(const char *Pointer, double Lowest, double Highest,
               double &Into) {
     const json *Value = find(Pointer);
@@ -92,7 +82,6 @@
   Read.text("/listen/readiness", Values.ReadinessAddress_, true);
   Read.text("/listen/metrics", Values.MetricsAddress_, false);
   Read.text("/listen/peers", Values.PeerAddress_, true);
-  Read.names("/zones", Values.Zones_);
   Read.text("/store/address", Values.StoreAddress_, true);
   Read.number("/limits/cpu_share", 0.001, 1024, Values.CpuShare_);
   Read.duration("/bounds/max_lease_ms", Millisecond, Values.MaxLease_);
--- a/packages/node/src/rows.cpp
+++ b/packages/node/src/rows.cpp
@@ -72,9 +72,7 @@
 }
 
 std::string encodeStatus(const CellStatus &Status) {
-  return dump({{"pending", Status.Pending_},
-               {"waiting", Status.WaitingTasks_},
-               {"workers", Status.ReachableWorkers_}});
+  return dump({{"pending", Status.Pending_}});
 }
 
 CellStatus decodeStatus(std::string_view Text) {
@@ -83,8 +81,6 @@
     json Value = json::parse(Text);
     Status.Pending_ =
         Value.at("pending").get<std::map<std::string, std::uint64_t>>();
-    Status.WaitingTasks_ = Value.at("waiting").get<std::uint64_t>();
-    Status.ReachableWorkers_ = Value.at("workers").get<std::uint64_t>();
   } catch (const json::exception &) {
     return {};
   }
--- a/packages/node/src/rows.h
+++ b/packages/node/src/rows.h
@@ -59,8 +59,6 @@
 struct CellStatus {
   /// Accepted jobs without a started task, for each queue.
   std::map<std::string, std::uint64_t> Pending_;
-  std::uint64_t WaitingTasks_ = 0;
-  std::uint64_t ReachableWorkers_ = 0;
 };
 
 std::string encodeStatus(const CellStatus &Status);
--- a/packages/node/src/run_node.cpp
+++ b/packages/node/src/run_node.cpp
@@ -93,23 +93,26 @@
                       [this](HttpRequest Request, HttpResponder Respond) {
                         Callers_.handle(std::move(Request), std::move(Respond));
                       }),
-        ReadinessServer_(Loop_, {},
-                         [this](const HttpRequest &, HttpResponder Respond) {
-                           HttpAnswer Answer;
-                           Answer.Status_ = isReady() ? 200 : 503;
-                           Respond(std::move(Answer));
-                         }),
-        PeerServer_(Loop_, {},
-                    [this](HttpRequest Request, HttpResponder Respond) {
-                      Respond(peerCalled(Request));
-                    }),
-        MetricsServer_(Loop_, {},
-                       [this](const HttpRequest &, HttpResponder Respond) {
-                         HttpAnswer Answer;
-                         Answer.ContentType_ = "text/plain; version=0.0.4";
-                         Answer.Body_ = Counters_.toPrometheusText();
-                         Respond(std::move(Answer));
-                       }) {}
+        ReadinessServer_(
+            Loop_, {},
+            [this](const HttpRequest &, const HttpResponder &Respond) {
+              HttpAnswer Answer;
+              Answer.Status_ = isReady() ? 200 : 503;
+              Respond(std::move(Answer));
+            }),
+        PeerServer_(
+            Loop_, {},
+            [this](const HttpRequest &Request, const HttpResponder &Respond) {
+              Respond(peerCalled(Request));
+            }),
+        MetricsServer_(
+            Loop_, {},
+            [this](const HttpRequest &, const HttpResponder &Respond) {
+              HttpAnswer Answer;
+              Answer.ContentType_ = "text/plain; version=0.0.4";
+              Answer.Body_ = Counters_.toPrometheusText();
+              Respond(std::move(Answer));
+            }) {}
 
   int run() {
     if (!listen(CallerServer_, Settings_.CallerAddress_) ||
--- a/packages/scheduling/include/filbertspring/scheduling/scheduler.h
+++ b/packages/scheduling/include/filbertspring/scheduling/scheduler.h
@@ -140,7 +140,7 @@
   void setClosedZones(std::set<std::string> Zones);
 
   /// Adds a job. A known job is left as it is.
-  void addJob(AcceptedJob Accepted, TimePoint Now);
+  void addJob(const AcceptedJob &Accepted, TimePoint Now);
   /// Takes over the stored progress of a job; call it after all workers are
   /// added. Tasks that were placed count as running until their worker, or
   /// time, tells otherwise.
@@ -185,6 +185,13 @@
   /// Returns whether takeWrites() would return something.
   bool hasWrites() const;
 
+  /// Returns up to \p Most jobs whose final state need not be kept. Their
+  /// acceptances are to be removed before jobsRemoved() is called: progress
+  /// without an acceptance is harmless, the reverse would run a job again.
+  std::vector<std::string> expiredJobs(TimePoint Now, std::size_t Most) const;
+  /// The acceptances of \p Jobs are removed.
+  void jobsRemoved(const std::vector<std::string> &Jobs);
+
   /// Returns whether a worker has seen a higher fencing token.
   bool isFenced() const;
   /// Accepted jobs without a started task, for each queue.
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -56,11 +56,9 @@
   return Found ? Found->Attempts_ : 1;
 }
 
-void Scheduler::addJob(AcceptedJob Accepted, TimePoint Now) {
-  std::string Id = Accepted.Id_;
-  auto [Place, IsNew] = Impl_->Jobs_.try_emplace(Id, std::move(Accepted), Now);
-  if (IsNew)
-    Impl_->Unopened_.insert(Id);
+void Scheduler::addJob(const AcceptedJob &Accepted, TimePoint Now) {
+  if (Impl_->Jobs_.try_emplace(Accepted.Id_, Accepted, Now).second)
+    Impl_->Unopened_.insert(Accepted.Id_);
 }
 
 void Scheduler::restoreProgress(const std::string &Id,
@@ -323,6 +321,28 @@
   return std::exchange(Impl_->Notes_, {});
 }
 
+std::vector<std::string> Scheduler::expiredJobs(TimePoint Now,
+                                                std::size_t Most) const {
+  std::vector<std::string> Expired;
+  for (const auto &[Id, Owned] : Impl_->Jobs_) {
+    if (Expired.size() == Most)
+      break;
+    if (Owned.FinalAt_ && Now - *Owned.FinalAt_ > Impl_->Settings_.StateKept_)
+      Expired.push_back(Id);
+  }
+  return Expired;
+}
+
+void Scheduler::jobsRemoved(const std::vector<std::string> &Jobs) {
+  for (const std::string &Id : Jobs) {
+    Impl_->Jobs_.erase(Id);
+    Impl_->DirtyJobs_.erase(Id);
+    Impl_->Unopened_.erase(Id);
+    Impl_->WithWaiting_.erase(Id);
+    Impl_->JobsToRemove_.insert(Id);
+  }
+}
+
 bool Scheduler::isFenced() const { return Impl_->IsFenced_; }
 
 std::map<std::string, std::uint64_t> Scheduler::pendingByQueue() const {
--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -166,6 +166,19 @@
   BOOST_TEST((Scheduler_.stateOf("job") == JobState::Completed));
 }
 
+BOOST_FIXTURE_TEST_CASE(is_removed_when_nobody_asks_for_it_any_more, Cell) {
+  submit("job", {task(1)});
+  Scheduler_.cancelJob("job", Now_);
+  step();
+  BOOST_TEST(Scheduler_.expiredJobs(Now_ + 149s, 10).empty());
+  std::vector<std::string> Expired = Scheduler_.expiredJobs(Now_ + 151s, 10);
+  BOOST_REQUIRE(Expired.size() == 1U);
+  Scheduler_.jobsRemoved(Expired);
+  BOOST_TEST(!Scheduler_.stateOf("job").has_value());
+  BOOST_REQUIRE(Scheduler_.hasWrites());
+  BOOST_TEST(Scheduler_.takeWrites(90).RemovedJobs_.size() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(fails_with_its_last_attempt, Cell) {
   submit("job", {task(1)});
   step();
--- a/packages/scheduling/tests/virtual_fleet.cpp
+++ b/packages/scheduling/tests/virtual_fleet.cpp
@@ -83,7 +83,7 @@
   const Queue *Found = Queues_->find(Job.Queue_);
   Oracle_.accepted(Job, Found ? Found->Attempts_ : 1);
   Jobs_[Job.Id_] = Job;
-  Owner_->Scheduler_.addJob(std::move(Job), Now_);
+  Owner_->Scheduler_.addJob(Job, Now_);
 }
 
 void VirtualFleet::cancel(const std::string &Job) {
