--- a/packages/node/src/callers.cpp
+++ b/packages/node/src/callers.cpp
@@ -179,6 +179,11 @@
 /// Inserts until the outcome is known: the condition makes repeats harmless.
 void Callers::insert(const ExchangePtr &Of, const RowTransaction &Insert) {
   Duration Timeout = timeLeft(*Of);
+  if (Timeout <= Duration::zero() && !Of->MayBeStored_) {
+    logEvent(LogEvent::JobRefused,
+             {{"job", Of->Job_}, {"problem", "too little time is left"}});
+    return Of->Respond_(makeRefusal());
+  }
   if (Timeout <= Duration::zero()) {
     logEvent(LogEvent::JobOutcomeUnknown, {{"job", Of->Job_}});
     return Of->Respond_(makeUnknown());
