--- a/packages/node/src/run_node.cpp
+++ b/packages/node/src/run_node.cpp
@@ -148,7 +148,7 @@
     Notice.Method_ = "POST";
     Notice.Path_ = "/stored/" + Stored.Key_.Key_;
     Notice.Body_ = Stored.Value_;
-    Peers_.send(Address, std::move(Notice), NoticeTimeout,
+    Peers_.send(Address, Notice, NoticeTimeout,
                 [this](const Result<HttpAnswer> &Answer) {
                   if (!Answer)
                     Counters_.counter("peer_notices_lost_total").add();
--- a/packages/scheduling/tests/virtual_fleet.cpp
+++ b/packages/scheduling/tests/virtual_fleet.cpp
@@ -79,7 +79,7 @@
   Owner_->Scheduler_.setClosedZones(std::move(Zones));
 }
 
-void VirtualFleet::submit(AcceptedJob Job) {
+void VirtualFleet::submit(const AcceptedJob &Job) {
   const Queue *Found = Queues_->find(Job.Queue_);
   Oracle_.accepted(Job, Found ? Found->Attempts_ : 1);
   Jobs_[Job.Id_] = Job;
@@ -205,8 +205,8 @@
 
 void VirtualFleet::call(
     const std::shared_ptr<Owner> &Of, const std::string &Worker, Duration Wait,
-    std::function<CallOutcome(VirtualWorker &, std::int64_t)> Execute,
-    std::function<void(CallOutcome)> Answered) {
+    const std::function<CallOutcome(VirtualWorker &, std::int64_t)> &Execute,
+    const std::function<void(CallOutcome)> &Answered) {
   auto Answer = [this, Of, Answered](Duration Delay, CallOutcome Outcome) {
     after(Delay, [Of, Answered, Outcome] {
       if (!Of->IsGone_)
--- a/packages/scheduling/tests/virtual_fleet.h
+++ b/packages/scheduling/tests/virtual_fleet.h
@@ -42,7 +42,7 @@
 
   void configure(QueueTable Queues);
   /// Stores a job and tells the present owner.
-  void submit(AcceptedJob Job);
+  void submit(const AcceptedJob &Job);
   void cancel(const std::string &Job);
   /// Another instance takes the cell over. The owner before is gone, or runs
   /// on without the store.
@@ -83,10 +83,11 @@
   void tick(const std::shared_ptr<Owner> &Of);
   void act(const std::shared_ptr<Owner> &Of, const Action &Decided);
   /// Carries a call to a worker and its outcome back.
-  void call(const std::shared_ptr<Owner> &Of, const std::string &Worker,
-            Duration Wait,
-            std::function<CallOutcome(VirtualWorker &, std::int64_t)> Execute,
-            std::function<void(CallOutcome)> Answered);
+  void
+  call(const std::shared_ptr<Owner> &Of, const std::string &Worker,
+       Duration Wait,
+       const std::function<CallOutcome(VirtualWorker &, std::int64_t)> &Execute,
+       const std::function<void(CallOutcome)> &Answered);
   void write(const std::shared_ptr<Owner> &Of);
   void apply(const PendingWrites &Writes);
   void beatAll();
--- a/packages/transport/include/filbertspring/transport/async_http_client.h
+++ b/packages/transport/include/filbertspring/transport/async_http_client.h
@@ -49,8 +49,8 @@
 
   /// Sends \p Request, whose path includes the query, and calls \p Callback
   /// once, never before this function returns.
-  void send(const std::string &Address, HttpRequest Request, Duration Timeout,
-            HttpCallback Callback);
+  void send(const std::string &Address, const HttpRequest &Request,
+            Duration Timeout, HttpCallback Callback);
   const AsyncHttpCounts &counts() const;
 
 private:
--- a/packages/transport/src/async_http_client.cpp
+++ b/packages/transport/src/async_http_client.cpp
@@ -298,8 +298,9 @@
   return Impl_->Counts_;
 }
 
-void AsyncHttpClient::send(const std::string &Address, HttpRequest Request,
-                           Duration Timeout, HttpCallback Callback) {
+void AsyncHttpClient::send(const std::string &Address,
+                           const HttpRequest &Request, Duration Timeout,
+                           HttpCallback Callback) {
   Impl::Host &Of = Impl_->Hosts_[Address];
   if (!Of.Endpoint_)
     Of.Endpoint_ = parseAddress(Address);
--- a/packages/transport/src/async_http_server.cpp
+++ b/packages/transport/src/async_http_server.cpp
@@ -130,7 +130,7 @@
     IsAnswering_ = true;
     MustClose_ = true;
     ++Owner_.InFlight_;
-    answer(std::move(Answer));
+    answer(Answer);
   }
 
   void dispatch() {
@@ -143,13 +143,13 @@
     if (Query != std::string::npos)
       Request_.Path_.resize(Query);
     Owner_.Handler_(std::move(Request_),
-                    [Self = shared_from_this()](HttpAnswer Answer) {
+                    [Self = shared_from_this()](const HttpAnswer &Answer) {
                       if (!Self->isClosed() && Self->IsAnswering_)
-                        Self->answer(std::move(Answer));
+                        Self->answer(Answer);
                     });
   }
 
-  void answer(HttpAnswer Answer) {
+  void answer(const HttpAnswer &Answer) {
     bool KeepsOpen = KeepsOpen_ && !MustClose_ && !Owner_.IsDraining_;
     Output_ = serialize(Answer, KeepsOpen);
     asio::async_write(Socket_, asio::buffer(Output_),
