--- a/packages/node/src/cell_owner.cpp
+++ b/packages/node/src/cell_owner.cpp
@@ -451,6 +451,8 @@
   Tenure &Of = *Tenure_;
   if (Of.IsWriting_ || Now < Of.NextWriteAt_)
     return;
+  if (Of.IsLoaded_ && Lease_.isTrusted(Now))
+    Of.Scheduler_.place(Now);
   bool MustRenew = Lease_.shouldRenew(Now) || Of.MustRewrite_;
   bool HasWrites = Of.IsLoaded_ && Of.Scheduler_.hasWrites();
   if (!MustRenew && !HasWrites)
--- a/packages/scheduling/include/filbertspring/scheduling/scheduler.h
+++ b/packages/scheduling/include/filbertspring/scheduling/scheduler.h
@@ -167,12 +167,15 @@
   void paceFailed(const std::string &Worker, const TaskName &Name,
                   std::uint64_t Run);
 
-  /// Advances to \p Now and places what can be placed. \p WallMs: time of day,
+  /// Advances to \p Now. \p WallMs: time of day,
   /// milliseconds since 1970. \p ConfirmedAt: the last moment at which no
   /// other instance owned the cell; \p MayOrder: it is recent enough to give
   /// orders.
   void advance(TimePoint Now, std::int64_t WallMs, TimePoint ConfirmedAt,
                bool MayOrder);
+  /// Places what can be placed. Linear in waiting steps times workers, and of
+  /// no use before the next transaction: call it when one can be taken.
+  void place(TimePoint Now);
   /// Returns the actions decided since the last call, in order.
   std::vector<Action> takeActions();
   std::vector<Note> takeNotes();
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -305,14 +305,14 @@
                         TimePoint ConfirmedAt, bool MayOrder) {
   Impl_->WallMs_ = WallMs;
   Impl_->expireWorkers(Now, ConfirmedAt);
-  if (MayOrder) {
+  if (MayOrder)
     Impl_->openDueSteps(Now);
-    Impl_->placeWaiting(Now);
-  }
   Impl_->orderStops(Now);
   Impl_->renewLeases(Now, MayOrder);
 }
 
+void Scheduler::place(TimePoint Now) { Impl_->placeWaiting(Now); }
+
 std::vector<Action> Scheduler::takeActions() {
   return std::exchange(Impl_->Actions_, {});
 }
--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -44,6 +44,7 @@
   void step(Duration Time = 20ms, bool IsStored = true) {
     Now_ += Time;
     Scheduler_.advance(Now_, 0, Now_, true);
+    Scheduler_.place(Now_);
     collect();
     if (!Scheduler_.hasWrites())
       return;
--- a/packages/scheduling/tests/virtual_fleet.cpp
+++ b/packages/scheduling/tests/virtual_fleet.cpp
@@ -306,7 +306,11 @@
 }
 
 void VirtualFleet::write(const std::shared_ptr<Owner> &Of) {
-  if (Of->IsWriting_ || !Of->Scheduler_.hasWrites())
+  if (Of->IsWriting_)
+    return;
+  if (Now_ - Of->ConfirmedAt_ < OwnerTimes().TrustedFor_)
+    Of->Scheduler_.place(Now_);
+  if (!Of->Scheduler_.hasWrites())
     return;
   PendingWrites Writes = Of->Scheduler_.takeWrites(MaxRows);
   Of->IsWriting_ = true;
