--- a/packages/node/src/cell_owner.h
+++ b/packages/node/src/cell_owner.h
@@ -23,7 +23,7 @@
          scheduling::SchedulerSettings Settings, TimePoint Now,
          std::function<void()> Changed)
       : Scheduler_(Settings, Now),
-        Calls_(Loop, Counters, Scheduler_, Settings.FencingToken_,
+        Calls_(Loop, Counters, Scheduler_, Settings.OwnerToken_,
                std::move(Changed)) {}
 
   scheduling::Scheduler Scheduler_;
--- /dev/null
+++ b/packages/node/src/cell_reading.h
@@ -0,0 +1,32 @@
+#ifndef FILBERTSPRING_NODE_CELL_READING_H
+#define FILBERTSPRING_NODE_CELL_READING_H
+
+/// \file
+/// What the owner's reading and writing of the cell's rows share.
+
+#include "filbertspring/base/time.h"
+#include "platform/store_codec.h"
+
+#include <string>
+#include <string_view>
+
+namespace filbertspring::node {
+
+/// The longest wait for one call of the store; a lost answer is noticed well
+/// before candidates take the cell over.
+inline constexpr Duration StoreTimeout = std::chrono::milliseconds(900);
+/// The pause after a call that the store refused or lost.
+inline constexpr Duration RetryPause = std::chrono::milliseconds(150);
+
+/// Returns the range of all rows of a partition.
+inline platform::RowRange wholeTable(std::string_view Table,
+                                     std::string Partition) {
+  platform::RowRange Range;
+  Range.Table_ = Table;
+  Range.Partition_ = std::move(Partition);
+  return Range;
+}
+
+} // namespace filbertspring::node
+
+#endif // FILBERTSPRING_NODE_CELL_READING_H
--- a/packages/node/src/worker_calls.cpp
+++ b/packages/node/src/worker_calls.cpp
@@ -44,9 +44,9 @@
 
 WorkerCalls::WorkerCalls(EventLoop &Loop, CounterRegistry &Counters,
                          scheduling::Scheduler &Target,
-                         std::uint64_t FencingToken,
+                         std::uint64_t OwnerToken,
                          std::function<void()> Changed)
-    : Counters_(Counters), Target_(Target), FencingToken_(FencingToken),
+    : Counters_(Counters), Target_(Target), OwnerToken_(OwnerToken),
       Changed_(std::move(Changed)), Renewals_(Loop, orderLimits()),
       Orders_(Loop, orderLimits()), IsAlive_(std::make_shared<bool>(true)) {}
 
@@ -65,7 +65,7 @@
 
 void WorkerCalls::renew(const scheduling::RenewLease &Renewal) {
   Renewals_.send(
-      Renewal.Address_, platform::makeRenewal(Renewal, FencingToken_),
+      Renewal.Address_, platform::makeRenewal(Renewal, OwnerToken_),
       CallTimeout + Renewal.Wait_,
       [this, IsAlive = IsAlive_,
        Worker = Renewal.Worker_](const Result<HttpAnswer> &Answer) {
@@ -90,7 +90,7 @@
 void WorkerCalls::start(const scheduling::StartTask &Start) {
   TimePoint SentAt = SchedulerClock::now();
   Orders_.send(
-      Start.Address_, platform::makeStart(Start, FencingToken_), CallTimeout,
+      Start.Address_, platform::makeStart(Start, OwnerToken_), CallTimeout,
       [this, IsAlive = IsAlive_, Worker = Start.Worker_, Name = Start.Name_,
        Run = Start.Run_, Waited = Start.Waited_,
        SentAt](const Result<HttpAnswer> &Answer) {
@@ -105,7 +105,7 @@
                  {{"task", Name.text()},
                   {"run", static_cast<std::int64_t>(Run)},
                   {"worker", Worker},
-                  {"token", static_cast<std::int64_t>(FencingToken_)},
+                  {"token", static_cast<std::int64_t>(OwnerToken_)},
                   {"waited_ms", Waited / std::chrono::milliseconds(1)},
                   {"outcome", nameOf(OutcomeNames, Outcome)}});
         Target_.startAnswered(Worker, Name, Run, Outcome, Now);
@@ -115,7 +115,7 @@
 
 void WorkerCalls::stop(const scheduling::StopTask &Stop) {
   Orders_.send(
-      Stop.Address_, platform::makeStop(Stop, FencingToken_), CallTimeout,
+      Stop.Address_, platform::makeStop(Stop, OwnerToken_), CallTimeout,
       [this, IsAlive = IsAlive_, Worker = Stop.Worker_, Name = Stop.Name_,
        Run = Stop.Run_](const Result<HttpAnswer> &Answer) {
         if (!*IsAlive)
@@ -134,7 +134,7 @@
 void WorkerCalls::pace(const scheduling::PaceTask &Pace) {
   Counters_.counter("task_paces_total").add();
   Orders_.send(
-      Pace.Address_, platform::makePace(Pace, FencingToken_), CallTimeout,
+      Pace.Address_, platform::makePace(Pace, OwnerToken_), CallTimeout,
       [this, IsAlive = IsAlive_, Worker = Pace.Worker_, Name = Pace.Name_,
        Run = Pace.Run_](const Result<HttpAnswer> &Answer) {
         if (!*IsAlive || (Answer && Answer->Status_ == 200))
--- a/packages/node/src/worker_calls.h
+++ b/packages/node/src/worker_calls.h
@@ -19,7 +19,7 @@
 public:
   /// \p Changed is called after each outcome.
   WorkerCalls(EventLoop &Loop, CounterRegistry &Counters,
-              scheduling::Scheduler &Target, std::uint64_t FencingToken,
+              scheduling::Scheduler &Target, std::uint64_t OwnerToken,
               std::function<void()> Changed);
   ~WorkerCalls();
   WorkerCalls(const WorkerCalls &) = delete;
@@ -35,7 +35,7 @@
 
   CounterRegistry &Counters_;
   scheduling::Scheduler &Target_;
-  std::uint64_t FencingToken_;
+  std::uint64_t OwnerToken_;
   std::function<void()> Changed_;
   /// Renewals wait at the worker and must not block orders.
   AsyncHttpClient Renewals_;
--- a/packages/scheduling/include/filbertspring/scheduling/scheduler.h
+++ b/packages/scheduling/include/filbertspring/scheduling/scheduler.h
@@ -32,7 +32,7 @@
 /// Limits and times of a scheduler.
 struct SchedulerSettings {
   /// Rises with each tenure; workers reject lower ones.
-  std::uint64_t FencingToken_ = 1;
+  std::uint64_t OwnerToken_ = 1;
   /// Number of the tenure; runs of different tenures never share a number.
   std::uint64_t Tenure_ = 0;
   /// How long a renewal lets a worker's tasks run.
--- a/packages/scheduling/tests/virtual_fleet.cpp
+++ b/packages/scheduling/tests/virtual_fleet.cpp
@@ -17,7 +17,7 @@
 /// One tenure of an instance.
 struct VirtualFleet::Owner {
   Owner(SchedulerSettings Settings, TimePoint Now)
-      : Scheduler_(Settings, Now), Token_(Settings.FencingToken_) {}
+      : Scheduler_(Settings, Now), Token_(Settings.OwnerToken_) {}
   Scheduler Scheduler_;
   std::uint64_t Token_;
   bool IsGone_ = false;
@@ -99,7 +99,7 @@
   else if (Owner_)
     Owner_->IsGone_ = true;
   SchedulerSettings Settings;
-  Settings.FencingToken_ = ++Token_;
+  Settings.OwnerToken_ = ++Token_;
   Settings.Tenure_ = Token_ - 1;
   auto Of = std::make_shared<Owner>(Settings, Now_);
   Of->ConfirmedAt_ = Now_;
