--- /dev/null
+++ b/packages/node/tests/node_settings_test.cpp
@@ -0,0 +1,48 @@
+#include "filbertspring/node/node_settings.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace filbertspring::node {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr const char *Sound = R"(// a comment
+{
+  "instance": "edge-1", "zone": "porto", "future": true,
+  "listen": {"callers": "10.0.0.1:80", "readiness": "10.0.0.1:81",
+             "peers": "10.0.0.1:82"},
+  "store": {"address": "10.0.0.9:90"},
+  "limits": {"cpu_share": 0.1},
+  "bounds": {"max_lease_ms": 10000, "kill_timeout_ms": null}
+})";
+
+BOOST_AUTO_TEST_SUITE(settings)
+
+BOOST_AUTO_TEST_CASE(are_read_with_comments_defaults_and_unknown_members) {
+  ParsedNodeSettings Parsed = parseNodeSettings(Sound);
+  BOOST_TEST(Parsed.Found_.empty());
+  BOOST_TEST(Parsed.Values_.Instance_ == "edge-1");
+  BOOST_TEST((Parsed.Values_.MaxLease_ == 10s));
+  BOOST_TEST((Parsed.Values_.KillTimeout_ == 200ms));
+}
+
+BOOST_AUTO_TEST_CASE(report_all_findings_with_their_place) {
+  ParsedNodeSettings Parsed =
+      parseNodeSettings(R"({"instance":5,"bounds":{"max_lease_ms":-1}})");
+  std::string Text = Parsed.Found_.toText("file");
+  for (const char *Place :
+       {"/instance", "/zone", "/listen/callers", "/listen/readiness",
+        "/listen/peers", "/store/address", "/bounds/max_lease_ms"})
+    BOOST_TEST(Text.find(Place) != std::string::npos, Place);
+}
+
+BOOST_AUTO_TEST_CASE(that_are_not_json_are_a_finding) {
+  for (const char *Text : {"", "instance: edge", "{\"a\":"})
+    BOOST_TEST(!parseNodeSettings(Text).Found_.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace filbertspring::node
