--- a/packages/scheduling/include/filbertspring/scheduling/interference.h
+++ b/packages/scheduling/include/filbertspring/scheduling/interference.h
@@ -6,10 +6,11 @@
 /// another, learned from workers' reports.
 
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <span>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace filbertspring::scheduling {
 
@@ -20,10 +21,26 @@
   double Share_ = 0;
 };
 
-/// A linear model for each serving image: its tail alone, and the
-/// milliseconds that each filler image adds when it takes the whole worker.
-/// Fitted by recursive least squares with forgetting. Adding a report is
-/// quadratic in the filler images seen beside the serving image.
+/// An estimate and how far it may be off.
+struct Estimate {
+  double Mean_ = 0;
+  /// Standard deviation.
+  double Deviation_ = 0;
+};
+
+/// What a model knows of one pair of images, in a form that can be stored.
+struct LearnedPair {
+  std::string Serving_;
+  /// Empty for the tail of the serving image alone.
+  std::string Filler_;
+  Estimate Value_;
+};
+
+/// A log-linear model for each serving image: the logarithm of its tail is
+/// that of its tail alone, plus an effect for each filler image times the part
+/// of the worker that it uses. Fitted by recursive least squares with
+/// forgetting; single reports far off the prediction count only so much.
+/// Adding a report is quadratic in the filler images seen beside the image.
 class InterferenceModel {
 public:
   InterferenceModel();
@@ -35,13 +52,18 @@
   /// \p Fillers.
   void observe(std::string_view Serving, double TailMs,
                std::span<const FillerShare> Fillers);
-  /// Returns the tail of \p Serving alone, in milliseconds; 0 if unknown.
-  double baseTailMs(std::string_view Serving) const;
-  /// Returns the milliseconds that \p Filler adds to \p Serving when it takes
-  /// a whole worker, at least 0; 0 if unknown.
-  double slope(std::string_view Serving, std::string_view Filler) const;
-  /// Returns whether enough was seen of the pair to trust slope().
-  bool isKnown(std::string_view Serving, std::string_view Filler) const;
+  /// Returns the natural logarithm of the tail of \p Serving alone, in
+  /// milliseconds; nothing known is 0 with a large deviation.
+  Estimate aloneLog(std::string_view Serving) const;
+  /// Returns what \p Filler adds to the logarithm of the tail of \p Serving
+  /// when it takes a whole worker; the mean is at least 0.
+  Estimate effect(std::string_view Serving, std::string_view Filler) const;
+
+  /// Returns all that was learned, for a successor.
+  std::vector<LearnedPair> learned() const;
+  /// Starts from what a predecessor learned; effective for pairs of which
+  /// nothing was observed here.
+  void restore(std::span<const LearnedPair> Pairs);
 
 private:
   struct Impl;
--- a/packages/scheduling/src/pacing.cpp
+++ b/packages/scheduling/src/pacing.cpp
@@ -1,6 +1,7 @@
 #include "filbertspring/scheduling/pacing.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace filbertspring::scheduling {
 namespace {
@@ -10,41 +11,52 @@
 constexpr double PlannedPart = 0.75;
 /// Part of the target from which a reported tail is acted upon.
 constexpr double ActPart = 0.9;
-/// Milliseconds that a filler must add to have a part in a tail.
-constexpr double LeastEffectMs = 0.5;
-/// Factor for fillers of unknown effect beside a tail that is too long.
-constexpr double UnknownSlowDown = 0.5;
+/// What a filler must add to the logarithm of a tail to have a part in it: a
+/// tenth of the tail.
+constexpr double LeastEffect = 0.1;
+/// How far a reported tail moves the estimate of what it would be alone:
+/// reports of one task scatter as much as the loads swing.
+constexpr double ReportWeight = 0.5;
+/// An estimate of a tail alone that may be off by more than this factor's
+/// logarithm is not used: two and a half.
+constexpr double LargestDeviation = 0.9;
+/// Factor for the present paces of those with a part in a tail that is too
+/// long.
+constexpr double SlowDown = 0.5;
 /// Percent that a filler gains at a time once the tails are short again.
 constexpr int SpeedUpStep = 25;
 /// Below this a filler stands still.
 constexpr int LowestPace = 5;
 
-/// Returns the highest pace at which \p Filler leaves the tail of \p Served
-/// within its limit, when all known culprits share the slow-down.
-double paceBeside(const InterferenceModel &Model, const ServingSample &Served,
-                  std::span<const FillerSample> Fillers,
-                  const FillerSample &Filler) {
-  double Effect = Model.slope(Served.Image_, Filler.Image_) * Filler.FullShare_;
-  bool IsTooLong = Served.TailMs_ >= ActPart * Served.TargetMs_;
-  if (Effect < LeastEffectMs) {
-    bool IsSuspect = IsTooLong && !Model.isKnown(Served.Image_, Filler.Image_);
-    return IsSuspect ? Filler.Percent_ * UnknownSlowDown : 100.0;
-  }
+/// What \p Filler adds to the logarithm of the tail at full speed. Beside a
+/// tail that is too long, it may be as bad as the model cannot rule out.
+double fullEffect(const InterferenceModel &Model, const ServingSample &Served,
+                  const FillerSample &Filler, bool IsTooLong) {
+  Estimate Known = Model.effect(Served.Image_, Filler.Image_);
+  return (Known.Mean_ + (IsTooLong ? Known.Deviation_ : 0)) * Filler.FullShare_;
+}
+
+/// Returns the highest pace that all fillers with a part in the tail of
+/// \p Served can share while it stays within its limit; 100 without a limit.
+double sharedPace(const InterferenceModel &Model, const ServingSample &Served,
+                  std::span<const FillerSample> Fillers, bool IsTooLong) {
   double All = 0;
   double AllNow = 0;
   for (const FillerSample &One : Fillers) {
-    double Of = Model.slope(Served.Image_, One.Image_) * One.FullShare_;
-    All += Of;
-    AllNow += Of * One.Percent_ / 100.0;
+    double Effect = fullEffect(Model, Served, One, IsTooLong);
+    All += Effect;
+    AllNow += Effect * One.Percent_ / 100.0;
   }
-  // What the task shows without fillers, now or on average.
-  double Alone =
-      std::max(Model.baseTailMs(Served.Image_), Served.TailMs_ - AllNow);
-  double Allowed = std::max(0.0, PlannedPart * Served.TargetMs_ - Alone);
-  double Percent = 100.0 * Allowed / All;
-  if (IsTooLong)
-    Percent = std::min(Percent, Filler.Percent_ * UnknownSlowDown);
-  return Percent;
+  double Limit = std::log(PlannedPart * Served.TargetMs_);
+  Estimate Learned = Model.aloneLog(Served.Image_);
+  double Alone = Learned.Mean_;
+  double Reported = std::log(std::max(Served.TailMs_, 1.0)) - AllNow;
+  if (Learned.Deviation_ > LargestDeviation)
+    Alone = Reported;
+  else if (Reported > Alone)
+    Alone += ReportWeight * (Reported - Alone);
+  double Allowed = std::max(0.0, Limit - Alone);
+  return All <= Allowed ? 100.0 : 100.0 * Allowed / All;
 }
 
 } // namespace
@@ -52,14 +64,22 @@
 std::vector<int> choosePaces(const InterferenceModel &Model,
                              std::span<const ServingSample> Serving,
                              std::span<const FillerSample> Fillers) {
+  std::vector<double> Lowest(Fillers.size(), 100.0);
+  for (const ServingSample &Served : Serving) {
+    if (Served.TargetMs_ <= 0)
+      continue;
+    bool IsTooLong = Served.TailMs_ >= ActPart * Served.TargetMs_;
+    double Shared = sharedPace(Model, Served, Fillers, IsTooLong);
+    for (std::size_t Index = 0; Index < Fillers.size(); ++Index)
+      if (fullEffect(Model, Served, Fillers[Index], IsTooLong) >= LeastEffect)
+        Lowest[Index] = std::min(
+            {Lowest[Index], Shared,
+             IsTooLong ? SlowDown * Fillers[Index].Percent_ : 100.0});
+  }
   std::vector<int> Paces;
-  for (const FillerSample &Filler : Fillers) {
-    double Lowest = 100.0;
-    for (const ServingSample &Served : Serving)
-      if (Served.TargetMs_ > 0)
-        Lowest = std::min(Lowest, paceBeside(Model, Served, Fillers, Filler));
-    int Pace = std::clamp(static_cast<int>(Lowest), 0, 100);
-    Pace = std::min(Pace, Filler.Percent_ + SpeedUpStep);
+  for (std::size_t Index = 0; Index < Fillers.size(); ++Index) {
+    int Pace = std::clamp(static_cast<int>(Lowest[Index]), 0, 100);
+    Pace = std::min(Pace, Fillers[Index].Percent_ + SpeedUpStep);
     Paces.push_back(Pace < LowestPace ? 0 : Pace);
   }
   return Paces;
@@ -71,15 +91,15 @@
                       std::string_view Image) {
   double Headroom = 1.0;
   for (const ServingSample &Served : Serving) {
-    double Slope = Model.slope(Served.Image_, Image);
-    if (Served.TargetMs_ <= 0 || Slope < LeastEffectMs)
+    double Effect = Model.effect(Served.Image_, Image).Mean_;
+    if (Served.TargetMs_ <= 0 || Effect < LeastEffect)
       continue;
-    double Tail = Model.baseTailMs(Served.Image_);
+    double Tail = Model.aloneLog(Served.Image_).Mean_;
     for (const FillerSample &One : Fillers)
-      Tail += Model.slope(Served.Image_, One.Image_) * One.FullShare_;
-    double Allowed = PlannedPart * Served.TargetMs_ - Tail;
+      Tail += fullEffect(Model, Served, One, false);
+    double Allowed = std::log(PlannedPart * Served.TargetMs_) - Tail;
     // A share with less than the least effect is harmless in any case.
-    Headroom = std::min(Headroom, std::max(Allowed, LeastEffectMs) / Slope);
+    Headroom = std::min(Headroom, std::max(Allowed, LeastEffect) / Effect);
   }
   return Headroom;
 }
