Fillers are planned two deviations below a target

Cause: three quarters of the target were planned for; with reports that scatter by 0.3 in the logarithm one in six is then over the target. Change: the plan leaves two deviations of a report.

--- a/packages/scheduling/include/filbertspring/scheduling/interference.h
+++ b/packages/scheduling/include/filbertspring/scheduling/interference.h
@@ -43,6 +43,10 @@
 /// Adding a report is quadratic in the filler images seen beside the image.
 class InterferenceModel {
 public:
+  /// Standard deviation of the logarithm of one report's tail: reports are
+  /// rough figures of half a second.
+  static constexpr double ReportDeviation = 0.3;
+
   InterferenceModel();
   ~InterferenceModel();
   InterferenceModel(InterferenceModel &&) noexcept;
--- a/packages/scheduling/src/interference.cpp
+++ b/packages/scheduling/src/interference.cpp
@@ -10,9 +10,7 @@
 /// Weight of what was known before one more report: about the last 2,000
 /// reports of an image count.
 constexpr double Forgetting = 0.9995;
-/// Standard deviation of the logarithm of one report's tail: reports are rough
-/// figures of half a second.
-constexpr double ReportDeviation = 0.3;
+constexpr double ReportDeviation = InterferenceModel::ReportDeviation;
 /// Prior standard deviation of an effect: a filler on a tenth of a worker that
 /// triples a tail has an effect of 11.
 constexpr double EffectDeviation = 6.0;
--- a/packages/scheduling/src/pacing.cpp
+++ b/packages/scheduling/src/pacing.cpp
@@ -6,9 +6,9 @@
 namespace filbertspring::scheduling {
 namespace {
 
-/// Part of the target that planned fillers may lead to: reports are half a
-/// second old, and loads swing.
-constexpr double PlannedPart = 0.75;
+/// Planned fillers leave the target this many deviations of a report away: one
+/// report in forty is over it by chance.
+constexpr double PlannedDeviations = 2.0;
 /// Part of the target from which a reported tail is acted upon.
 constexpr double ActPart = 0.9;
 /// What a filler must add to the logarithm of a tail to have a part in it: a
@@ -28,6 +28,12 @@
 /// Below this a filler stands still.
 constexpr int LowestPace = 5;
 
+/// Returns the logarithm of the tail that planned fillers may lead to.
+double plannedLog(const ServingSample &Served) {
+  return std::log(Served.TargetMs_) -
+         PlannedDeviations * InterferenceModel::ReportDeviation;
+}
+
 /// What \p Filler adds to the logarithm of the tail at full speed. Beside a
 /// tail that is too long, it may be as bad as the model cannot rule out.
 double fullEffect(const InterferenceModel &Model, const ServingSample &Served,
@@ -47,7 +53,7 @@
     All += Effect;
     AllNow += Effect * One.Percent_ / 100.0;
   }
-  double Limit = std::log(PlannedPart * Served.TargetMs_);
+  double Limit = plannedLog(Served);
   Estimate Learned = Model.aloneLog(Served.Image_);
   double Alone = Learned.Mean_;
   double Reported = std::log(std::max(Served.TailMs_, 1.0)) - AllNow;
@@ -97,7 +103,7 @@
     double Tail = Model.aloneLog(Served.Image_).Mean_;
     for (const FillerSample &One : Fillers)
       Tail += fullEffect(Model, Served, One, false);
-    double Allowed = std::log(PlannedPart * Served.TargetMs_) - Tail;
+    double Allowed = plannedLog(Served) - Tail;
     // A share with less than the least effect is harmless in any case.
     Headroom = std::min(Headroom, std::max(Allowed, LeastEffect) / Effect);
   }
