Calls of the store through other instances; job partitions; suspensions count

SchedulerClock used a clock that stops while the machine is suspended, against its own description. Change: StoreRoute decides between the direct way and relays; instances announce their addresses in the cell's partition; an instance without any way is not ready. Job rows are spread over 16 partitions. CLOCK_BOOTTIME. One copy of the store's time-out and of the pause after a failed call.

--- a/packages/base/src/time.cpp
+++ b/packages/base/src/time.cpp
@@ -1,10 +1,17 @@
 #include "filbertspring/base/time.h"
 
+#include <ctime>
+
 namespace filbertspring {
 
 SchedulerClock::time_point SchedulerClock::now() noexcept {
-  auto SinceStart = std::chrono::steady_clock::now().time_since_epoch();
-  return time_point(std::chrono::duration_cast<Duration>(SinceStart));
+  // std::chrono::steady_clock does not count the time of a suspension, and
+  // leases go on meanwhile. The call cannot fail for this clock.
+  timespec SinceBoot{};
+  (void)clock_gettime(CLOCK_BOOTTIME, &SinceBoot);
+  auto Elapsed = std::chrono::seconds(SinceBoot.tv_sec) +
+                 std::chrono::nanoseconds(SinceBoot.tv_nsec);
+  return time_point(std::chrono::duration_cast<Duration>(Elapsed));
 }
 
 std::int64_t wallMilliseconds() noexcept {
--- a/packages/node/src/callers.cpp
+++ b/packages/node/src/callers.cpp
@@ -1,5 +1,6 @@
 #include "callers.h"
 
+#include "cell_reading.h"
 #include "filbertspring/base/log.h"
 #include "filbertspring/scheduling/progress_codec.h"
 #include "platform/caller_codec.h"
@@ -20,9 +21,6 @@
 using scheduling::RowPage;
 using scheduling::RowTransaction;
 
-/// The longest that one call of the store may take: twelve times its usual
-/// answer and commit together, and well below a caller's deadline.
-constexpr Duration StoreTimeout = std::chrono::milliseconds(900);
 /// Kept of a caller's deadline for the way of the answer.
 constexpr Duration AnswerSlack = std::chrono::milliseconds(150);
 /// Callers without a deadline wait this long.
--- a/packages/node/src/cell_directory.cpp
+++ b/packages/node/src/cell_directory.cpp
@@ -1,6 +1,6 @@
 #include "cell_directory.h"
 
-#include "filbertspring/base/log.h"
+#include "cell_reading.h"
 
 namespace filbertspring::node {
 namespace {
@@ -9,15 +9,13 @@
 using scheduling::Row;
 using scheduling::RowPage;
 
-/// The longest wait for the whole table.
-constexpr Duration ReadTimeout = std::chrono::milliseconds(900);
 /// How long a feed waits for a change.
-constexpr Duration FeedWait = std::chrono::milliseconds(800);
+constexpr Duration DirectoryFeedWait = std::chrono::milliseconds(800);
 /// The pause after an answer: owners renew their rows all the time, and each
 /// call is charged.
 constexpr Duration FeedPause = std::chrono::milliseconds(250);
-/// The pause after a failed call.
-constexpr Duration RetryPause = std::chrono::milliseconds(150);
+/// The pause before an announcement that failed is repeated.
+constexpr Duration AnnouncePause = std::chrono::seconds(1);
 /// How old counts may be that callers are given.
 constexpr Duration CountsValidFor = std::chrono::milliseconds(2000);
 
@@ -34,7 +32,9 @@
 CellDirectory::CellDirectory(EventLoop &Loop, StoreClient &Store,
                              const NodeSettings &Settings,
                              const std::string &Nonce)
-    : Loop_(Loop), Store_(Store), Lease_(ownRecord(Settings, Nonce), {}) {}
+    : Loop_(Loop), Store_(Store), Instance_(Settings.Instance_),
+      PeerAddress_(Settings.PeerAddress_),
+      Lease_(ownRecord(Settings, Nonce), {}) {}
 
 void CellDirectory::start(std::function<void()> Changed) {
   Changed_ = std::move(Changed);
@@ -46,7 +46,7 @@
   platform::RowRange Range;
   Range.Table_ = CellTable;
   Range.Partition_ = CellPartition;
-  Store_.read(Range, ReadTimeout, [this, SentAt](const Result<RowPage> &Page) {
+  Store_.read(Range, StoreTimeout, [this, SentAt](const Result<RowPage> &Page) {
     if (!Page)
       return Loop_.after(RetryPause, [this] { readAll(); });
     bool HasOwner = false;
@@ -57,13 +57,30 @@
     if (!HasOwner)
       Lease_.rowSeen({}, 0, SentAt);
     ReadAt_ = SentAt;
+    announce();
     Changed_();
     follow(Page->Version_);
   });
 }
 
+void CellDirectory::announce() {
+  auto Found = Instances_.find(Instance_);
+  if (Found != Instances_.end() && Found->second == PeerAddress_)
+    return;
+  scheduling::RowTransaction Announcement;
+  Row Mine;
+  Mine.Key_ = instanceKey(Instance_);
+  Mine.Value_ = PeerAddress_;
+  Announcement.Writes_.push_back(std::move(Mine));
+  Store_.commit(Announcement, StoreTimeout,
+                [this](const scheduling::CommitResult &Ended) {
+                  if (Ended.Outcome_ != scheduling::CommitOutcome::Committed)
+                    Loop_.after(AnnouncePause, [this] { announce(); });
+                });
+}
+
 void CellDirectory::follow(std::uint64_t After) {
-  Store_.feed(CellTable, After, FeedWait,
+  Store_.feed(CellTable, After, DirectoryFeedWait,
               [this, After](const Result<RowPage> &Page) {
                 TimePoint Now = SchedulerClock::now();
                 if (!Page) {
@@ -92,6 +109,25 @@
                    Seen.IsRemoved_ ? 0 : Seen.Version_, SentAt);
   if (Seen.Key_.Key_ == StatusKey)
     Status_ = decodeStatus(Seen.Value_);
+  if (Seen.Key_.Key_.starts_with(InstancePrefix))
+    instanceSeen(Seen);
+}
+
+void CellDirectory::instanceSeen(const Row &Seen) {
+  std::string Name = Seen.Key_.Key_.substr(InstancePrefix.size());
+  if (Seen.IsRemoved_)
+    Instances_.erase(Name);
+  else
+    Instances_[Name] = Seen.Value_;
+  // Each instance begins with the one after it, so that the load is spread.
+  std::vector<std::string> Relays;
+  auto First = Instances_.upper_bound(Instance_);
+  for (auto Next = First; Next != Instances_.end(); ++Next)
+    Relays.push_back(Next->second);
+  for (auto Next = Instances_.begin(); Next != First; ++Next)
+    if (Next->first != Instance_)
+      Relays.push_back(Next->second);
+  Store_.setRelays(std::move(Relays));
 }
 
 std::optional<std::uint64_t>
--- a/packages/node/src/cell_directory.h
+++ b/packages/node/src/cell_directory.h
@@ -10,6 +10,7 @@
 #include "store_client.h"
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -32,9 +33,16 @@
   void readAll();
   void follow(std::uint64_t After);
   void rowSeen(const scheduling::Row &Seen, TimePoint SentAt);
+  void instanceSeen(const scheduling::Row &Seen);
+  /// Stores where others reach this instance, unless it is stored.
+  void announce();
 
   EventLoop &Loop_;
   StoreClient &Store_;
+  std::string Instance_;
+  std::string PeerAddress_;
+  /// Addresses of all instances that announced themselves, by name.
+  std::map<std::string, std::string> Instances_;
   scheduling::OwnerLease Lease_;
   CellStatus Status_;
   std::function<void()> Changed_;
--- a/packages/node/src/cell_loading.cpp
+++ b/packages/node/src/cell_loading.cpp
@@ -15,12 +15,19 @@
 using scheduling::RowPage;
 
 /// How long the owner's feeds wait for a change.
-constexpr Duration FeedWait = std::chrono::milliseconds(1500);
+constexpr Duration OwnerFeedWait = std::chrono::milliseconds(1500);
 /// Registrations change all the time; a drain has to be seen within seconds.
 constexpr Duration WorkerFeedPause = std::chrono::milliseconds(250);
 /// Accepted jobs come one by one; reading them in small groups saves calls.
 constexpr Duration JobFeedPause = std::chrono::milliseconds(20);
 
+std::vector<std::string> jobPartitions() {
+  std::vector<std::string> Names;
+  for (unsigned Number = 0; Number < JobPartitionCount; ++Number)
+    Names.push_back(jobPartition(Number));
+  return Names;
+}
+
 std::int64_t count(std::size_t Value) {
   return static_cast<std::int64_t>(Value);
 }
@@ -69,21 +76,22 @@
 }
 
 void CellOwner::loadJobs(const TenureRef &Of, std::uint64_t WorkersVersion) {
-  Store_.readAll(wholeTable(JobTable, JobPartition), StoreTimeout,
-                 [this, Of, WorkersVersion](const Result<RowPage> &Page) {
-                   if (Of.expired())
-                     return;
-                   if (!Page)
-                     return retryLoad(Of);
-                   for (const Row &Seen : Page->Rows_)
-                     if (!cancelledJobOf(Seen.Key_.Key_))
-                       jobRowSeen(Seen);
-                   Cancellations_.clear();
-                   for (const Row &Seen : Page->Rows_)
-                     if (auto Job = cancelledJobOf(Seen.Key_.Key_))
-                       Cancellations_.push_back(*Job);
-                   loadProgress(Of, WorkersVersion, Page->Version_);
-                 });
+  Store_.readPartitions(
+      JobTable, jobPartitions(), StoreTimeout,
+      [this, Of, WorkersVersion](const Result<RowPage> &Page) {
+        if (Of.expired())
+          return;
+        if (!Page)
+          return retryLoad(Of);
+        for (const Row &Seen : Page->Rows_)
+          if (!cancelledJobOf(Seen.Key_.Key_))
+            jobRowSeen(Seen);
+        Cancellations_.clear();
+        for (const Row &Seen : Page->Rows_)
+          if (auto Job = cancelledJobOf(Seen.Key_.Key_))
+            Cancellations_.push_back(*Job);
+        loadProgress(Of, WorkersVersion, Page->Version_);
+      });
 }
 
 void CellOwner::loadProgress(const TenureRef &Of, std::uint64_t WorkersVersion,
@@ -135,7 +143,7 @@
 }
 
 void CellOwner::followJobs(const TenureRef &Of, std::uint64_t After) {
-  Store_.feed(JobTable, After, FeedWait,
+  Store_.feed(JobTable, After, OwnerFeedWait,
               [this, Of, After](const Result<RowPage> &Page) {
                 if (Of.expired())
                   return;
@@ -157,18 +165,18 @@
 void CellOwner::rereadJobs(const TenureRef &Of) {
   if (Of.expired())
     return;
-  Store_.readAll(wholeTable(JobTable, JobPartition), StoreTimeout,
-                 [this, Of](const Result<RowPage> &Page) {
-                   if (Of.expired())
-                     return;
-                   if (!Page)
-                     return Loop_.after(RetryPause,
-                                        [this, Of] { rereadJobs(Of); });
-                   for (const Row &Seen : Page->Rows_)
-                     jobRowSeen(Seen);
-                   schedulePump();
-                   followJobs(Of, Page->Version_);
-                 });
+  Store_.readPartitions(JobTable, jobPartitions(), StoreTimeout,
+                        [this, Of](const Result<RowPage> &Page) {
+                          if (Of.expired())
+                            return;
+                          if (!Page)
+                            return Loop_.after(RetryPause,
+                                               [this, Of] { rereadJobs(Of); });
+                          for (const Row &Seen : Page->Rows_)
+                            jobRowSeen(Seen);
+                          schedulePump();
+                          followJobs(Of, Page->Version_);
+                        });
 }
 
 void CellOwner::workerRowSeen(const Row &Seen) {
@@ -190,7 +198,7 @@
 }
 
 void CellOwner::followWorkers(const TenureRef &Of, std::uint64_t After) {
-  Store_.feed(platform::WorkerTable, After, FeedWait,
+  Store_.feed(platform::WorkerTable, After, OwnerFeedWait,
               [this, Of, After](const Result<RowPage> &Page) {
                 if (Of.expired())
                   return;
--- a/packages/node/src/cell_owner.cpp
+++ b/packages/node/src/cell_owner.cpp
@@ -190,10 +190,15 @@
   if (!Tenure_ || !Tenure_->IsLoaded_ || Now < Tenure_->NextRemovalAt_)
     return;
   Tenure_->NextRemovalAt_ = Now + RemovalPause;
-  std::vector<std::string> Jobs =
-      Tenure_->Scheduler_.expiredJobs(Now, MaxRemovedJobs);
-  if (Jobs.empty())
-    return;
+  // Rows of one transaction share a partition.
+  std::map<std::string, std::vector<std::string>> ByPartition;
+  for (std::string &Job : Tenure_->Scheduler_.expiredJobs(Now, MaxRemovedJobs))
+    ByPartition[jobPartitionOf(Job)].push_back(std::move(Job));
+  for (const auto &[Partition, Jobs] : ByPartition)
+    removeJobs(Jobs);
+}
+
+void CellOwner::removeJobs(const std::vector<std::string> &Jobs) {
   RowTransaction Removal;
   for (const std::string &Job : Jobs) {
     Removal.Removals_.push_back(jobKey(Job));
--- a/packages/node/src/cell_owner.h
+++ b/packages/node/src/cell_owner.h
@@ -80,6 +80,8 @@
   void schedulePump();
   void pump();
   void removeExpired(TimePoint Now);
+  /// Removes the rows of \p Jobs, which share a partition.
+  void removeJobs(const std::vector<std::string> &Jobs);
   void logNotes();
   std::string statusText() const;
   void writeIfDue(TimePoint Now);
--- a/packages/node/src/cell_reading.h
+++ b/packages/node/src/cell_reading.h
@@ -2,7 +2,7 @@
 #define FILBERTSPRING_NODE_CELL_READING_H
 
 /// \file
-/// What the owner's reading and writing of the cell's rows share.
+/// What readings and writings of the cell's rows share.
 
 #include "filbertspring/base/time.h"
 #include "platform/store_codec.h"
@@ -12,8 +12,9 @@
 
 namespace filbertspring::node {
 
-/// The longest wait for one call of the store; a lost answer is noticed well
-/// before candidates take the cell over.
+/// The longest wait for one call of the store: twelve times its usual answer
+/// and commit together. A lost answer is noticed well before candidates take
+/// the cell over, and before a caller's deadline.
 inline constexpr Duration StoreTimeout = std::chrono::milliseconds(900);
 /// The pause after a call that the store refused or lost.
 inline constexpr Duration RetryPause = std::chrono::milliseconds(150);
--- a/packages/node/src/configuration_follower.cpp
+++ b/packages/node/src/configuration_follower.cpp
@@ -1,5 +1,6 @@
 #include "configuration_follower.h"
 
+#include "cell_reading.h"
 #include "filbertspring/base/log.h"
 #include "platform/configuration_codec.h"
 
@@ -11,11 +12,7 @@
 
 /// How long a feed waits for a change: a connection that went silent delays
 /// a configuration by this at most.
-constexpr Duration FeedWait = std::chrono::milliseconds(1000);
-/// The longest wait for the whole table.
-constexpr Duration ReadTimeout = std::chrono::milliseconds(900);
-/// The pause after a failed call.
-constexpr Duration RetryPause = std::chrono::milliseconds(150);
+constexpr Duration ConfigurationFeedWait = std::chrono::milliseconds(1000);
 
 } // namespace
 
@@ -31,7 +28,7 @@
 void ConfigurationFollower::readAll() {
   platform::RowRange Range;
   Range.Table_ = platform::OperatorTable;
-  Store_.readAll(Range, ReadTimeout, [this](const Result<RowPage> &Page) {
+  Store_.readAll(Range, StoreTimeout, [this](const Result<RowPage> &Page) {
     if (!Page)
       return Loop_.after(RetryPause, [this] { readAll(); });
     std::set<std::string> Before = std::exchange(ClosedZones_, {});
@@ -44,7 +41,7 @@
 }
 
 void ConfigurationFollower::follow(std::uint64_t After) {
-  Store_.feed(platform::OperatorTable, After, FeedWait,
+  Store_.feed(platform::OperatorTable, After, ConfigurationFeedWait,
               [this, After](const Result<RowPage> &Page) {
                 if (!Page && Page.error() == Errc::NotFound)
                   return readAll();
--- a/packages/node/src/rows.cpp
+++ b/packages/node/src/rows.cpp
@@ -3,6 +3,7 @@
 #include "platform/caller_codec.h"
 
 #include <nlohmann/json.hpp>
+#include <xxhash.h>
 
 namespace filbertspring::node {
 namespace {
@@ -19,10 +20,21 @@
 
 } // namespace
 
-RowKey jobKey(const std::string &Job) { return {JobTable, JobPartition, Job}; }
+std::string jobPartition(unsigned Number) {
+  return "jobs-" + std::to_string(Number);
+}
+
+std::string jobPartitionOf(std::string_view Job) {
+  return jobPartition(static_cast<unsigned>(
+      XXH3_64bits(Job.data(), Job.size()) % JobPartitionCount));
+}
+
+RowKey jobKey(const std::string &Job) {
+  return {JobTable, jobPartitionOf(Job), Job};
+}
 
 RowKey cancelKey(const std::string &Job) {
-  return {JobTable, JobPartition, Job + std::string(CancelSuffix)};
+  return {JobTable, jobPartitionOf(Job), Job + std::string(CancelSuffix)};
 }
 
 RowKey progressKey(const std::string &Job) {
@@ -37,6 +49,10 @@
 
 RowKey statusKey() { return {CellTable, CellPartition, StatusKey}; }
 
+RowKey instanceKey(const std::string &Instance) {
+  return {CellTable, CellPartition, std::string(InstancePrefix) + Instance};
+}
+
 std::optional<std::string> cancelledJobOf(std::string_view Key) {
   if (!Key.ends_with(CancelSuffix))
     return std::nullopt;
--- a/packages/node/src/rows.h
+++ b/packages/node/src/rows.h
@@ -25,9 +25,17 @@
 inline constexpr const char *CellTable = "cells";
 inline constexpr const char *OwnerKey = "owner";
 inline constexpr const char *StatusKey = "status";
+/// Followed by an instance's name: the address at which others reach it.
+inline constexpr std::string_view InstancePrefix = "instance.";
 
-/// The partition of callers' rows.
-inline constexpr const char *JobPartition = "jobs";
+/// Callers' rows are spread over this many partitions: the store takes the
+/// transactions of one partition one after another, and a store that is sixty
+/// times slower than usual still takes two in a second from each.
+inline constexpr unsigned JobPartitionCount = 16;
+/// Returns the name of job partition \p Number.
+std::string jobPartition(unsigned Number);
+/// Returns the partition of the rows of \p Job.
+std::string jobPartitionOf(std::string_view Job);
 /// The partition of the rows that only the owner writes: each of its
 /// transactions names the version of the owner's row.
 inline constexpr const char *CellPartition = "cell";
@@ -38,6 +46,7 @@
 scheduling::RowKey knownWorkerKey(const std::string &Worker);
 scheduling::RowKey ownerKey();
 scheduling::RowKey statusKey();
+scheduling::RowKey instanceKey(const std::string &Instance);
 /// Returns the job that the key of a cancellation names, or nothing.
 std::optional<std::string> cancelledJobOf(std::string_view Key);
 
--- a/packages/node/src/run_node.cpp
+++ b/packages/node/src/run_node.cpp
@@ -6,6 +6,7 @@
 #include "filbertspring/base/log.h"
 #include "filbertspring/node/node_settings.h"
 #include "rows.h"
+#include "store_relay.h"
 
 #include <csignal>
 #include <cstdlib>
@@ -103,6 +104,8 @@
         PeerServer_(
             Loop_, {},
             [this](const HttpRequest &Request, const HttpResponder &Respond) {
+              if (Request.Path_ == RelayPath)
+                return Store_.relayFor(Request, Respond);
               Respond(peerCalled(Request));
             }),
         MetricsServer_(
@@ -134,7 +137,10 @@
   }
 
 private:
-  bool isReady() const { return Configuration_.isConfigured() && !IsStopping_; }
+  /// An instance without a way to the store would refuse what others serve.
+  bool isReady() const {
+    return Configuration_.isConfigured() && !IsStopping_ && Store_.isServed();
+  }
 
   /// Tells the owner about a stored row at once; the store's
   /// feed tells it in any case.
--- a/packages/node/src/store_client.h
+++ b/packages/node/src/store_client.h
@@ -8,21 +8,34 @@
 #include "filbertspring/base/result.h"
 #include "filbertspring/scheduling/row_store.h"
 #include "filbertspring/transport/async_http_client.h"
+#include "filbertspring/transport/async_http_server.h"
 #include "platform/store_codec.h"
+#include "store_route.h"
 
 #include <functional>
+#include <memory>
 #include <string>
+#include <vector>
 
 namespace filbertspring::node {
 
 using CommitCallback = std::function<void(scheduling::CommitResult)>;
 using RowsCallback = std::function<void(Result<scheduling::RowPage>)>;
 
-/// Calls the store. Logs when it is lost and when it is back.
+/// Calls the store, through other instances while it does not serve this one.
+/// Logs when the store itself is lost and when it is back.
 class StoreClient {
 public:
   StoreClient(EventLoop &Loop, std::string Address, CounterRegistry &Counters);
 
+  /// Replaces the addresses of the instances that may relay calls.
+  void setRelays(std::vector<std::string> Addresses);
+  /// Makes a call for another instance, never through a third one. An
+  /// instance that is cut off itself answers at once that nothing was sent.
+  void relayFor(const HttpRequest &Asked, HttpResponder Respond);
+  /// Whether the store answers, directly or through others.
+  bool isServed() const { return Route_.isServed(SchedulerClock::now()); }
+
   void commit(const scheduling::RowTransaction &Transaction, Duration Timeout,
               CommitCallback Callback);
   /// Reads one page.
@@ -32,21 +45,55 @@
   /// misses nothing.
   void readAll(platform::RowRange Range, Duration Timeout,
                RowsCallback Callback);
+  /// Reads all pages of several partitions of \p Table at once; Version_ is the
+  /// lowest of their first ones. Fails if one of them fails.
+  void readPartitions(std::string_view Table,
+                      const std::vector<std::string> &Partitions,
+                      Duration Timeout, RowsCallback Callback);
   /// Waits for changes of a table, at most \p Wait.
   void feed(std::string_view Table, std::uint64_t After, Duration Wait,
             RowsCallback Callback);
 
 private:
+  /// One call with its ways and its end.
+  struct PendingCall {
+    HttpRequest Request_;
+    const char *Name_ = "";
+    TimePoint SentAt_{};
+    TimePoint Deadline_{};
+    /// Doing it twice does no harm.
+    bool IsReading_ = true;
+    /// It waits at the store, and must not block others.
+    bool IsFeed_ = false;
+    unsigned RelaysTried_ = 0;
+    HttpCallback Callback_;
+  };
+  using CallPtr = std::shared_ptr<PendingCall>;
+
   void readNext(platform::RowRange Range, Duration Timeout,
                 scheduling::RowPage Before, RowsCallback Callback);
-  void count(const char *Call, TimePoint SentAt, bool HasAnswer);
+  void send(PendingCall Begun, Duration Timeout);
+  void sendDirect(const CallPtr &Of);
+  void directEnded(const CallPtr &Of, Result<HttpAnswer> Answer);
+  /// Returns false if there is no way or no time.
+  bool sendRelayed(const CallPtr &Of);
+  void relayEnded(const CallPtr &Of, const std::string &Relay,
+                  Result<HttpAnswer> Answer);
+  void end(const CallPtr &Of, Result<HttpAnswer> Answer);
+  /// Notes what a direct call says about the way to the store.
+  void noteDirect(const char *Call, TimePoint SentAt,
+                  const Result<HttpAnswer> &Answer);
+  void probe();
 
   std::string Address_;
   CounterRegistry &Counters_;
   AsyncHttpClient Calls_;
   /// Feeds wait at the store and must not block other calls.
   AsyncHttpClient Feeds_;
-  bool IsLost_ = false;
+  /// Calls of other instances to the store, and own calls through them.
+  AsyncHttpClient Relayed_;
+  AsyncHttpClient Relays_;
+  StoreRoute Route_;
 };
 
 } // namespace filbertspring::node
--- /dev/null
+++ b/packages/node/tests/store_route_test.cpp
@@ -0,0 +1,129 @@
+#include "store_route.h"
+
+#include "store_relay.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace filbertspring::node {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct RouteFixture {
+  RouteFixture() { Route_.setRelays({"relay-1", "relay-2"}); }
+
+  StoreRoute Route_;
+  TimePoint Now_{1h};
+};
+
+BOOST_AUTO_TEST_SUITE(the_way_to_the_store)
+
+BOOST_FIXTURE_TEST_SUITE(of_an_instance_that_is_cut_off, RouteFixture)
+
+BOOST_AUTO_TEST_CASE(leads_through_another_instance) {
+  BOOST_TEST(Route_.isDirect());
+  BOOST_TEST(Route_.directFailed(Now_));
+  BOOST_TEST(!Route_.isDirect());
+  BOOST_TEST(Route_.relay(Now_) == "relay-1");
+}
+
+BOOST_AUTO_TEST_CASE(passes_over_an_instance_that_is_cut_off_too) {
+  Route_.directFailed(Now_);
+  Route_.relayFailed("relay-1", Now_);
+  BOOST_TEST(Route_.relay(Now_) == "relay-2");
+  Route_.relayFailed("relay-2", Now_);
+  BOOST_TEST(Route_.relay(Now_) == "");
+  // Cuts end.
+  BOOST_TEST(Route_.relay(Now_ + 1s) == "relay-1");
+}
+
+BOOST_AUTO_TEST_CASE(is_direct_again_after_a_probe) {
+  Route_.directFailed(Now_);
+  BOOST_TEST(!Route_.takeProbe(Now_));
+  BOOST_TEST(Route_.takeProbe(Now_ + 500ms));
+  BOOST_TEST(!Route_.takeProbe(Now_ + 600ms));
+  BOOST_TEST(Route_.directAnswered(Now_ + 700ms));
+  BOOST_TEST(Route_.isDirect());
+}
+
+BOOST_AUTO_TEST_CASE(keeps_serving_callers) {
+  Route_.directFailed(Now_);
+  Route_.relayAnswered(Now_ + 50ms);
+  BOOST_TEST(Route_.isServed(Now_ + 2s));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(while_no_call_is_answered, RouteFixture)
+
+BOOST_AUTO_TEST_CASE(turns_callers_away_after_a_second) {
+  Route_.directFailed(Now_);
+  Route_.relayFailed("relay-1", Now_ + 200ms);
+  BOOST_TEST(Route_.isServed(Now_ + 900ms));
+  BOOST_TEST(!Route_.isServed(Now_ + 1s));
+  Route_.directAnswered(Now_ + 4s);
+  BOOST_TEST(Route_.isServed(Now_ + 4s));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(of_an_instance_that_is_refused, RouteFixture)
+
+BOOST_AUTO_TEST_CASE(stays_direct_after_a_single_refusal) {
+  BOOST_TEST(!Route_.directRefused(Now_));
+  BOOST_TEST(Route_.isDirect());
+  Route_.directAnswered(Now_);
+  BOOST_TEST(!Route_.directRefused(Now_));
+  BOOST_TEST(Route_.directRefused(Now_));
+  BOOST_TEST(!Route_.isDirect());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_relayed_call)
+
+BOOST_AUTO_TEST_CASE(is_read_as_it_was_asked) {
+  RelayedCall Call;
+  Call.Request_.Method_ = "GET";
+  Call.Request_.Path_ = "/rows?key=a%20b";
+  Call.Request_.Body_ = "body";
+  Call.Timeout_ = 250ms;
+  auto Read = decodeRelayedCall(encodeRelayedCall(Call));
+  BOOST_REQUIRE(Read.has_value());
+  BOOST_TEST(Read->Request_.Method_ == "GET");
+  BOOST_TEST(Read->Request_.Path_ == "/rows?key=a%20b");
+  BOOST_TEST(Read->Request_.Body_ == "body");
+  BOOST_TEST((Read->Timeout_ == 250ms));
+}
+
+BOOST_AUTO_TEST_CASE(of_another_form_is_an_error) {
+  BOOST_TEST(!decodeRelayedCall(HttpRequest()).has_value());
+  RelayedCall Call;
+  Call.Request_.Method_ = "GET";
+  Call.Request_.Path_ = "no-slash";
+  Call.Timeout_ = 250ms;
+  BOOST_TEST(!decodeRelayedCall(encodeRelayedCall(Call)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(tells_what_surely_was_not_sent_from_what_may_have_been) {
+  auto NotSent =
+      decodeRelayedAnswer(encodeRelayedAnswer(fail(Errc::ConnectFailed)));
+  BOOST_TEST((NotSent.error() == Errc::ConnectFailed));
+  auto Unknown =
+      decodeRelayedAnswer(encodeRelayedAnswer(fail(Errc::OutcomeUnknown)));
+  BOOST_TEST((Unknown.error() == Errc::OutcomeUnknown));
+  HttpAnswer Answer;
+  Answer.Status_ = 412;
+  Answer.Body_ = "rows";
+  auto Passed = decodeRelayedAnswer(encodeRelayedAnswer(Answer));
+  BOOST_REQUIRE(Passed.has_value());
+  BOOST_TEST(Passed->Status_ == 412);
+  BOOST_TEST(Passed->Body_ == "rows");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace filbertspring::node
--- a/packages/transport/include/filbertspring/transport/async_http_client.h
+++ b/packages/transport/include/filbertspring/transport/async_http_client.h
@@ -22,6 +22,9 @@
   std::size_t ConnectionsPerAddress_ = 4;
   /// The largest answer, in bytes.
   std::size_t MaxAnswerBytes_ = 4U << 20U;
+  /// A connection that is not accepted within this is given up; zero: only the
+  /// call's own timeout counts.
+  Duration ConnectTimeout_{};
   /// An idle connection is closed after this.
   Duration IdleTimeout_ = std::chrono::seconds(20);
 };
--- a/packages/transport/src/async_http_client.cpp
+++ b/packages/transport/src/async_http_client.cpp
@@ -96,7 +96,10 @@
 
   void begin(Call Next, const tcp::endpoint &Endpoint) {
     Call_ = std::move(Next);
-    startTimer();
+    Duration Limit = Owner_.Limits_.ConnectTimeout_;
+    startTimer(Limit == Duration::zero()
+                   ? Call_->Deadline_
+                   : std::min(Call_->Deadline_, SchedulerClock::now() + Limit));
     Socket_.async_connect(
         Endpoint, [Self = shared_from_this()](const std::error_code &Error) {
           if (Self->isClosed())
@@ -104,6 +107,7 @@
           if (Error)
             return Self->finish(fail(Errc::ConnectFailed), false);
           Self->IsConnected_ = true;
+          Self->startTimer(Self->Call_->Deadline_);
           std::error_code Ignored; // An optimization only.
           Self->Socket_.set_option(tcp::no_delay(true), Ignored);
           Self->write();
@@ -113,17 +117,19 @@
 
   void reuse(Call Next) {
     Call_ = std::move(Next);
-    startTimer();
+    startTimer(Call_->Deadline_);
     write();
   }
 
-  void startTimer() {
-    Duration Left = Call_->Deadline_ - SchedulerClock::now();
-    Timer_.expires_after(std::max(Left, Duration::zero()));
+  /// Ends the call at \p End if it is not over by then.
+  void startTimer(TimePoint End) {
+    TimerEnd_ = End;
+    Timer_.expires_after(
+        std::max(End - SchedulerClock::now(), Duration::zero()));
     Timer_.async_wait([Self =
                            shared_from_this()](const std::error_code &Error) {
       if (Error || Self->isClosed() || !Self->Call_ ||
-          SchedulerClock::now() < Self->Call_->Deadline_)
+          SchedulerClock::now() < Self->TimerEnd_)
         return;
       Self->IsSilent_ = true;
       Self->finish(
@@ -214,6 +220,7 @@
   std::string Address_;
   tcp::socket Socket_;
   asio::steady_timer Timer_;
+  TimePoint TimerEnd_{};
   std::optional<Call> Call_;
   http_parser Parser_{};
   HttpAnswer Answer_;
