--- a/packages/ctl/src/contract_commands.cpp
+++ b/packages/ctl/src/contract_commands.cpp
@@ -149,7 +149,7 @@
   });
 }
 
-constexpr std::array<Command, 4> Commands{{
+constexpr std::array<Command, 4> ContractCommandTable{{
     {"contract apply",
      "FILE",
      1,
@@ -187,6 +187,6 @@
 
 } // namespace
 
-std::span<const Command> contractCommands() { return Commands; }
+std::span<const Command> contractCommands() { return ContractCommandTable; }
 
 } // namespace filbertspring::ctl_detail
--- a/packages/ctl/src/job_commands.cpp
+++ b/packages/ctl/src/job_commands.cpp
@@ -181,7 +181,7 @@
     {"payload", "TEXT", "what the tasks are to do"},
 }};
 
-constexpr std::array<Command, 4> Commands{{
+constexpr std::array<Command, 4> JobCommandTable{{
     {"job submit", "", 0, 0, "submits a job and prints its identifier",
      "filbertctl job submit --contract denizkul-tours --kind permit-filing \\\n"
      "  --key permit-2026-0412 --cpu '1 cores' --memory '512 MiB' \\\n"
@@ -215,6 +215,6 @@
 
 } // namespace
 
-std::span<const Command> jobCommands() { return Commands; }
+std::span<const Command> jobCommands() { return JobCommandTable; }
 
 } // namespace filbertspring::ctl_detail
--- a/packages/ctl/src/report_commands.cpp
+++ b/packages/ctl/src/report_commands.cpp
@@ -78,7 +78,7 @@
     {"output", "FILE", "writes the report to a file"},
 }};
 
-constexpr std::array<Command, 1> Commands{{
+constexpr std::array<Command, 1> ReportCommandTable{{
     {"report burn", "", 0, 0,
      "reports how fast services spend their error budgets",
      "filbertctl report burn\n"
@@ -88,6 +88,6 @@
 
 } // namespace
 
-std::span<const Command> reportCommands() { return Commands; }
+std::span<const Command> reportCommands() { return ReportCommandTable; }
 
 } // namespace filbertspring::ctl_detail
--- a/packages/ctl/src/status_commands.cpp
+++ b/packages/ctl/src/status_commands.cpp
@@ -68,7 +68,7 @@
   return Run.done(Document, Text);
 }
 
-constexpr std::array<Command, 1> Commands{{
+constexpr std::array<Command, 1> StatusCommandTable{{
     {"status",
      "",
      0,
@@ -81,6 +81,6 @@
 
 } // namespace
 
-std::span<const Command> statusCommands() { return Commands; }
+std::span<const Command> statusCommands() { return StatusCommandTable; }
 
 } // namespace filbertspring::ctl_detail
--- a/packages/ctl/src/zone_commands.cpp
+++ b/packages/ctl/src/zone_commands.cpp
@@ -100,7 +100,7 @@
 constexpr std::array<OptionSpec, 1> ChangeOptions{
     {{"reason", "TEXT", "why, for the other operators"}}};
 
-constexpr std::array<Command, 3> Commands{{
+constexpr std::array<Command, 3> ZoneCommandTable{{
     {"zone out", "NAME", 1, 1, "takes an availability zone out of service",
      "filbertctl zone out bodrum --reason 'power works' --by ayse",
      ChangeOptions, takeZoneOut},
@@ -119,6 +119,6 @@
 
 } // namespace
 
-std::span<const Command> zoneCommands() { return Commands; }
+std::span<const Command> zoneCommands() { return ZoneCommandTable; }
 
 } // namespace filbertspring::ctl_detail
--- a/packages/entry/src/api/store_loop.cpp
+++ b/packages/entry/src/api/store_loop.cpp
@@ -5,7 +5,7 @@
 namespace filbertspring {
 namespace {
 
-constexpr int MaxTries = 6;
+constexpr int MaxStoreTries = 6;
 
 /// Puts the rows that were found in the order of the keys.
 std::vector<std::optional<StoredRow>>
@@ -43,7 +43,7 @@
                                          : StoreOutcome::Unknown,
                        AbsentVersion};
   };
-  for (int Try = 0; Try < MaxTries; ++Try) {
+  for (int Try = 0; Try < MaxStoreTries; ++Try) {
     Result<RowBatch> Batch = Table.read(Keys);
     if (!Batch || !Batch->Findings_.empty())
       return Failed();
--- a/packages/entry/src/desks/route_desk.cpp
+++ b/packages/entry/src/desks/route_desk.cpp
@@ -12,7 +12,7 @@
 namespace filbertspring {
 namespace {
 
-constexpr Duration MaxWait = std::chrono::milliseconds(50);
+constexpr Duration MaxRouteWait = std::chrono::milliseconds(50);
 
 routing::RouterConfig routerConfig(const Settings &Values) {
   routing::RouterConfig Config;
@@ -81,8 +81,8 @@
 Duration RouteDesk::waitTime() const {
   std::optional<TimePoint> Wake = Router_.nextWake();
   if (!Wake)
-    return MaxWait;
-  return std::clamp(*Wake - SchedulerClock::now(), Duration::zero(), MaxWait);
+    return MaxRouteWait;
+  return std::clamp(*Wake - SchedulerClock::now(), Duration::zero(), MaxRouteWait);
 }
 
 void RouteDesk::run() {
--- a/packages/membership/src/heartbeat_keeper.cpp
+++ b/packages/membership/src/heartbeat_keeper.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-using Actions = std::vector<HeartbeatAction>;
+using HeartbeatActions = std::vector<HeartbeatAction>;
 
 /// Transactions of one process share this part of their identifiers.
 std::string transactionPrefix(const std::string &Boot) { return Boot + "/hb/"; }
@@ -40,27 +40,27 @@
   std::optional<TimePoint> LastSent_;
   std::int64_t Serial_ = 0;
 
-  Actions on(const HeartbeatTick &, TimePoint Now);
-  Actions on(const OwnHeartbeatRead &Read, TimePoint Now);
-  Actions on(const HeartbeatCommitEnded &Ended, TimePoint Now);
-  Actions on(const LeaveRequested &, TimePoint Now);
-  Actions on(const StopRequested &, TimePoint Now);
+  HeartbeatActions on(const HeartbeatTick &, TimePoint Now);
+  HeartbeatActions on(const OwnHeartbeatRead &Read, TimePoint Now);
+  HeartbeatActions on(const HeartbeatCommitEnded &Ended, TimePoint Now);
+  HeartbeatActions on(const LeaveRequested &, TimePoint Now);
+  HeartbeatActions on(const StopRequested &, TimePoint Now);
 
   RowKey key() const { return {RowKind::Heartbeat, Self_.Instance_.str()}; }
-  Actions readRow(TimePoint Now);
-  Actions write(TimePoint Now);
+  HeartbeatActions readRow(TimePoint Now);
+  HeartbeatActions write(TimePoint Now);
   void renew(TimePoint SentAt, TimePoint Now);
   void endLease();
 };
 
-Actions HeartbeatKeeper::Impl::readRow(TimePoint Now) {
+HeartbeatActions HeartbeatKeeper::Impl::readRow(TimePoint Now) {
   Version_.reset();
   Sent_.reset();
   ReadSince_ = Now;
   return {ReadOwnHeartbeat{}};
 }
 
-Actions HeartbeatKeeper::Impl::write(TimePoint Now) {
+HeartbeatActions HeartbeatKeeper::Impl::write(TimePoint Now) {
   Transaction Request;
   Request.Id_ = TransactionId(Prefix_ + std::to_string(++Serial_));
   Self_.Sequence_ = Serial_;
@@ -89,7 +89,7 @@
 
 void HeartbeatKeeper::Impl::endLease() { Lease_ = HolderLease{}; }
 
-Actions HeartbeatKeeper::Impl::on(const HeartbeatTick &, TimePoint Now) {
+HeartbeatActions HeartbeatKeeper::Impl::on(const HeartbeatTick &, TimePoint Now) {
   if (Superseded_ || (Stopping_ && Registered_ && !Version_ && !ReadSince_))
     return {};
   const bool Unanswered =
@@ -105,7 +105,7 @@
   return write(Now);
 }
 
-Actions HeartbeatKeeper::Impl::on(const OwnHeartbeatRead &Read, TimePoint Now) {
+HeartbeatActions HeartbeatKeeper::Impl::on(const OwnHeartbeatRead &Read, TimePoint Now) {
   if (!ReadSince_ || Superseded_)
     return {};
   ReadSince_.reset();
@@ -124,7 +124,7 @@
   return write(Now);
 }
 
-Actions HeartbeatKeeper::Impl::on(const HeartbeatCommitEnded &Ended,
+HeartbeatActions HeartbeatKeeper::Impl::on(const HeartbeatCommitEnded &Ended,
                                   TimePoint Now) {
   if (!Sent_ || Sent_->Id_ != Ended.Id_)
     return {};
@@ -148,17 +148,17 @@
   return {};
 }
 
-Actions HeartbeatKeeper::Impl::on(const LeaveRequested &, TimePoint Now) {
+HeartbeatActions HeartbeatKeeper::Impl::on(const LeaveRequested &, TimePoint Now) {
   Self_.Leaving_ = true;
   const bool CanWrite = Version_ && !Sent_ && !Superseded_;
-  return CanWrite ? write(Now) : Actions{};
+  return CanWrite ? write(Now) : HeartbeatActions{};
 }
 
-Actions HeartbeatKeeper::Impl::on(const StopRequested &, TimePoint Now) {
+HeartbeatActions HeartbeatKeeper::Impl::on(const StopRequested &, TimePoint Now) {
   Stopping_ = true;
   endLease();
   const bool CanWrite = Version_ && !Sent_ && !Superseded_;
-  return CanWrite ? write(Now) : Actions{};
+  return CanWrite ? write(Now) : HeartbeatActions{};
 }
 
 HeartbeatKeeper::HeartbeatKeeper(HeartbeatRecord Self, const std::string &Boot,
--- a/packages/platform/tests/table_client_test.cpp
+++ b/packages/platform/tests/table_client_test.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-constexpr Duration Patient = std::chrono::seconds(20);
-constexpr Duration Impatient = milliseconds(100);
+constexpr Duration LongTimeout = std::chrono::seconds(20);
+constexpr Duration ShortTimeout = milliseconds(100);
 constexpr std::string_view HourLongDelay = R"({"delay_ms":3600000})";
 
 Transaction write(const std::string &Zone, RowVersion Expected,
@@ -34,7 +34,7 @@
   RunningServer<PlatformServer> Platform_{Duration::zero()};
   CounterRegistry Counters_;
 
-  TableClient client(Duration Timeout = Patient, const char *Zone = "porto") {
+  TableClient client(Duration Timeout = LongTimeout, const char *Zone = "porto") {
     return {Platform_.address(), ZoneName(Zone), Timeout, Counters_};
   }
   void faults(std::string_view Body) {
@@ -46,7 +46,7 @@
 };
 
 /// Returns what becomes of a commit that is answered by \p Script.
-CommitResult commitAnsweredBy(Script Script, Duration Timeout = Patient) {
+CommitResult commitAnsweredBy(Script Script, Duration Timeout = LongTimeout) {
   ScriptedServer Server(std::move(Script));
   CounterRegistry Counters;
   TableClient Client(Server.address(), ZoneName("z"), Timeout, Counters);
@@ -145,7 +145,7 @@
 
 BOOST_AUTO_TEST_CASE(when_nothing_listens) {
   CounterRegistry Counters;
-  TableClient Client(unusedAddress(), ZoneName("z"), Patient, Counters);
+  TableClient Client(unusedAddress(), ZoneName("z"), LongTimeout, Counters);
   BOOST_TEST((Client.commit(write("a", AbsentVersion)).Outcome_ ==
               CommitOutcome::NotCommitted));
   BOOST_TEST((Client.read({}).error() == Errc::ConnectFailed));
@@ -197,7 +197,7 @@
 
 BOOST_AUTO_TEST_CASE(when_the_answer_does_not_come_within_the_timeout) {
   faults(HourLongDelay);
-  TableClient Client = client(Impatient);
+  TableClient Client = client(ShortTimeout);
   BOOST_TEST((Client.commit(write("a", AbsentVersion)).Outcome_ ==
               CommitOutcome::Unknown));
   BOOST_TEST((Client.scan(RowKind::Zone).error() == Errc::Timeout));
@@ -205,7 +205,7 @@
 
 BOOST_AUTO_TEST_CASE(and_may_take_effect_after_the_client_gave_up) {
   faults(R"({"delay_ms":300})");
-  TableClient Client = client(Impatient);
+  TableClient Client = client(ShortTimeout);
   BOOST_TEST((Client.commit(write("a", AbsentVersion, "late")).Outcome_ ==
               CommitOutcome::Unknown));
   faults(R"({"delay_ms":0})");
@@ -217,11 +217,11 @@
 
 BOOST_AUTO_TEST_CASE(when_the_answer_dribbles_without_an_end) {
   Script HeaderDribble{"HTTP/1.1 200 OK\r\nx-long: a", true, false};
-  BOOST_TEST((commitAnsweredBy(HeaderDribble, Impatient).Outcome_ ==
+  BOOST_TEST((commitAnsweredBy(HeaderDribble, ShortTimeout).Outcome_ ==
               CommitOutcome::Unknown));
   Script BodyDribble{"HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n ", true,
                      false};
-  BOOST_TEST((commitAnsweredBy(BodyDribble, Impatient).Outcome_ ==
+  BOOST_TEST((commitAnsweredBy(BodyDribble, ShortTimeout).Outcome_ ==
               CommitOutcome::Unknown));
 }
 
@@ -266,7 +266,7 @@
 BOOST_AUTO_TEST_CASE(is_kept_between_calls) {
   ScriptedServer Server({httpAnswer(200, R"({"rows":[]})"), false, false});
   CounterRegistry Counters;
-  TableClient Client(Server.address(), ZoneName("z"), Impatient, Counters);
+  TableClient Client(Server.address(), ZoneName("z"), ShortTimeout, Counters);
   BOOST_TEST(Client.read({}).has_value());
   BOOST_TEST(!Client.read({}).has_value()); // Answers once a connection.
   BOOST_TEST(Server.connections() == 1);
@@ -277,7 +277,7 @@
       httpAnswer(200, R"({"version":7})") + httpAnswer(200, R"({"version":8})");
   ScriptedServer Server({Two, false, false});
   CounterRegistry Counters;
-  TableClient Client(Server.address(), ZoneName("z"), Patient, Counters);
+  TableClient Client(Server.address(), ZoneName("z"), LongTimeout, Counters);
   BOOST_TEST(Client.commit(write("a", AbsentVersion)).Version_ == 7);
   BOOST_TEST(Client.commit(write("a", AbsentVersion)).Version_ == 7);
   BOOST_TEST(Server.connections() == 2);
@@ -298,8 +298,8 @@
 
 BOOST_AUTO_TEST_CASE(of_a_zone_that_is_cut_off_is_closed_and_no_other) {
   faults(R"({"cut_zones":["porto"]})");
-  TableClient Cut = client(Patient, "porto");
-  TableClient Other = client(Patient, "lisboa");
+  TableClient Cut = client(LongTimeout, "porto");
+  TableClient Other = client(LongTimeout, "lisboa");
   BOOST_TEST((Cut.read({}).error() == Errc::ConnectionLost));
   BOOST_TEST((Cut.commit(write("a", AbsentVersion)).Outcome_ ==
               CommitOutcome::Unknown));
--- a/standins/src/platform_server.cpp
+++ b/standins/src/platform_server.cpp
@@ -56,7 +56,7 @@
 };
 
 /// Uses one up and returns true when any is left.
-bool consume(std::int64_t &Count) {
+bool takeOne(std::int64_t &Count) {
   if (Count <= 0)
     return false;
   --Count;
@@ -159,10 +159,10 @@
 }
 
 LoopbackReply PlatformServer::Impl::commit(const Json &Body) {
-  if (consume(Faults_.Refuse_))
+  if (takeOne(Faults_.Refuse_))
     return RefusedReply;
   LoopbackReply Reply = Table_.commit(Body);
-  return consume(Faults_.LoseAnswers_) ? ClosedReply : Reply;
+  return takeOne(Faults_.LoseAnswers_) ? ClosedReply : Reply;
 }
 
 LoopbackReply PlatformServer::Impl::object(const LoopbackRequest &Request) {
--- a/standins/tests/relay_test.cpp
+++ b/standins/tests/relay_test.cpp
@@ -10,12 +10,12 @@
 
 namespace {
 
-struct Fixture {
+struct RelayFixture {
   RunningServer<PlatformServer> Platform_{Duration::zero()};
   RunningServer<Relay> Relay_{Platform_.address()};
   httplib::Client Open_{Relay_.address().Host_, Relay_.address().Port_};
 
-  Fixture() {
+  RelayFixture() {
     prepare(Open_);
     BOOST_TEST(passes(Open_));
   }
@@ -43,7 +43,7 @@
 
 } // namespace
 
-BOOST_FIXTURE_TEST_SUITE(relay, Fixture)
+BOOST_FIXTURE_TEST_SUITE(relay, RelayFixture)
 
 BOOST_AUTO_TEST_CASE(silent_hits_open_connections_only) {
   BOOST_TEST((spoil(RelayMode::Silent) == httplib::Error::Read));
