Jobs that can still be in time go before late ones; flexible workers are spared

Fillers took workers beside which every image may work while images that harm others found none. Change: within a priority: in time, late, worthless; the objective follows the longest chain of all steps, not only of the first. A worker costs a filler what part of the filler images may work there.

--- a/packages/scheduling/include/filbertspring/scheduling/interference.h
+++ b/packages/scheduling/include/filbertspring/scheduling/interference.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -63,6 +64,9 @@
   /// when it takes a whole worker; the mean is at least 0.
   Estimate effect(std::string_view Serving, std::string_view Filler) const;
 
+  /// Returns the filler images that were seen beside any serving image.
+  const std::set<std::string, std::less<>> &fillerImages() const;
+
   /// Returns all that was learned, for a successor.
   std::vector<LearnedPair> learned() const;
   /// Starts from what a predecessor learned; effective for pairs of which
--- a/packages/scheduling/include/filbertspring/scheduling/job.h
+++ b/packages/scheduling/include/filbertspring/scheduling/job.h
@@ -116,6 +116,9 @@
   /// Opens every step that is due at \p WallMs and whose earlier steps are
   /// done. Returns whether a step opened.
   bool openSteps(std::int64_t WallMs, TimePoint Now);
+  /// Returns the longest chain of estimates of the steps that are not done, in
+  /// the last occurrence: the least time to the end. Linear in steps.
+  Duration remainingTime() const;
   /// Returns the due time of the next unopened occurrence, if there is one.
   std::optional<std::int64_t> nextDueMs() const;
 
--- a/packages/scheduling/include/filbertspring/scheduling/job_spec.h
+++ b/packages/scheduling/include/filbertspring/scheduling/job_spec.h
@@ -7,6 +7,7 @@
 #include "filbertspring/base/time.h"
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -83,8 +84,12 @@
 /// counts are positive, and each step follows earlier steps only.
 std::string findSpecError(const JobSpec &Spec);
 
-/// Returns the longest chain of estimates from step \p From to the end.
-Duration remainingChain(const JobSpec &Spec, std::uint32_t From);
+/// Returns the longest chain of estimates of the steps that \p IsOpen holds
+/// for; others count as done. Linear in steps.
+Duration longestChain(const JobSpec &Spec,
+                      const std::function<bool(std::uint32_t)> &IsOpen);
+/// Returns the longest chain of estimates of all steps.
+Duration longestChain(const JobSpec &Spec);
 
 } // namespace filbertspring::scheduling
 
--- a/packages/scheduling/include/filbertspring/scheduling/pacing.h
+++ b/packages/scheduling/include/filbertspring/scheduling/pacing.h
@@ -44,6 +44,11 @@
                       std::span<const FillerSample> Fillers,
                       std::string_view Image);
 
+/// Returns the part of all filler images that would do no harm beside
+/// \p ServingImages, from 0 to 1; 1 if no filler image is known.
+double fillerFlexibility(const InterferenceModel &Model,
+                         std::span<const std::string_view> ServingImages);
+
 } // namespace filbertspring::scheduling
 
 #endif // FILBERTSPRING_SCHEDULING_PACING_H
--- a/packages/scheduling/src/interference.cpp
+++ b/packages/scheduling/src/interference.cpp
@@ -91,6 +91,14 @@
 
 struct InterferenceModel::Impl {
   std::map<std::string, Fit, std::less<>> Fits_;
+  std::set<std::string, std::less<>> FillerImages_;
+
+  /// Returns the column of \p Filler in \p Of.
+  std::size_t column(Fit &Of, std::string_view Filler) {
+    if (!FillerImages_.contains(Filler))
+      FillerImages_.emplace(Filler);
+    return Of.column(Filler);
+  }
 
   const Fit *find(std::string_view Serving) const {
     auto Found = Fits_.find(Serving);
@@ -110,7 +118,7 @@
     return;
   Fit &Of = Impl_->Fits_[std::string(Serving)];
   for (const FillerShare &Filler : Fillers)
-    Of.column(Filler.Image_);
+    Impl_->column(Of, Filler.Image_);
   std::vector<double> Input(Of.Coefficients_.size(), 0.0);
   Input[0] = 1.0;
   for (const FillerShare &Filler : Fillers) {
@@ -139,6 +147,11 @@
   return Found;
 }
 
+const std::set<std::string, std::less<>> &
+InterferenceModel::fillerImages() const {
+  return Impl_->FillerImages_;
+}
+
 std::vector<LearnedPair> InterferenceModel::learned() const {
   std::vector<LearnedPair> Pairs;
   for (const auto &[Serving, Of] : Impl_->Fits_) {
@@ -153,7 +166,7 @@
   for (const LearnedPair &Pair : Pairs) {
     Fit &Of = Impl_->Fits_[Pair.Serving_];
     bool IsAlone = Pair.Filler_.empty();
-    std::size_t Column = IsAlone ? 0 : Of.column(Pair.Filler_);
+    std::size_t Column = IsAlone ? 0 : Impl_->column(Of, Pair.Filler_);
     if (Of.Reports_ != 0 || (!IsAlone && Column == 0))
       continue;
     Of.Coefficients_[Column] = Pair.Value_.Mean_;
--- a/packages/scheduling/src/job.cpp
+++ b/packages/scheduling/src/job.cpp
@@ -122,6 +122,13 @@
   return HasOpened;
 }
 
+Duration Job::remainingTime() const {
+  std::uint32_t Last = Accepted_.Spec_.Occurrences_ - 1;
+  return longestChain(Accepted_.Spec_, [this, Last](std::uint32_t Step) {
+    return !isStepDone(Last, Step);
+  });
+}
+
 std::optional<std::int64_t> Job::nextDueMs() const {
   const JobSpec &Spec = Accepted_.Spec_;
   if (isFinal(State_))
--- a/packages/scheduling/src/job_spec.cpp
+++ b/packages/scheduling/src/job_spec.cpp
@@ -56,14 +56,26 @@
   return {};
 }
 
-Duration remainingChain(const JobSpec &Spec, std::uint32_t From) {
-  std::vector<Duration> Chain(Spec.Steps_.size(), Duration::zero());
-  for (std::size_t Number = Spec.Steps_.size(); Number-- > From;) {
-    Chain[Number] += Spec.Steps_[Number].Estimate_;
-    for (std::uint32_t Earlier : Spec.Steps_[Number].After_)
-      Chain[Earlier] = std::max(Chain[Earlier], Chain[Number]);
+Duration longestChain(const JobSpec &Spec,
+                      const std::function<bool(std::uint32_t)> &IsOpen) {
+  // The chain that ends with each step.
+  std::vector<Duration> Chains;
+  Duration Longest{};
+  for (std::uint32_t Number = 0; Number < Spec.Steps_.size(); ++Number) {
+    const StepSpec &Step = Spec.Steps_[Number];
+    Duration Chain{};
+    for (std::uint32_t Earlier : Step.After_)
+      Chain = std::max(Chain, Chains[Earlier]);
+    if (IsOpen(Number))
+      Chain += Step.Estimate_;
+    Chains.push_back(Chain);
+    Longest = std::max(Longest, Chain);
   }
-  return From < Chain.size() ? Chain[From] : Duration::zero();
+  return Longest;
+}
+
+Duration longestChain(const JobSpec &Spec) {
+  return longestChain(Spec, [](std::uint32_t) { return true; });
 }
 
 } // namespace filbertspring::scheduling
--- a/packages/scheduling/src/pacing.cpp
+++ b/packages/scheduling/src/pacing.cpp
@@ -14,6 +14,9 @@
 /// What a filler must add to the logarithm of a tail to have a part in it: a
 /// tenth of the tail.
 constexpr double LeastEffect = 0.1;
+/// An effect below this counts as harmless: a filler that takes a tenth of a
+/// worker lengthens a tail by a sixth.
+constexpr double HarmlessEffect = 1.5;
 /// How far a reported tail moves the estimate of what it would be alone:
 /// reports of one task scatter as much as the loads swing.
 constexpr double ReportWeight = 0.5;
@@ -78,9 +81,9 @@
     double Shared = sharedPace(Model, Served, Fillers, IsTooLong);
     for (std::size_t Index = 0; Index < Fillers.size(); ++Index)
       if (fullEffect(Model, Served, Fillers[Index], IsTooLong) >= LeastEffect)
-        Lowest[Index] = std::min(
-            {Lowest[Index], Shared,
-             IsTooLong ? SlowDown * Fillers[Index].Percent_ : 100.0});
+        Lowest[Index] =
+            std::min({Lowest[Index], Shared,
+                      IsTooLong ? SlowDown * Fillers[Index].Percent_ : 100.0});
   }
   std::vector<int> Paces;
   for (std::size_t Index = 0; Index < Fillers.size(); ++Index) {
@@ -91,6 +94,20 @@
   return Paces;
 }
 
+double fillerFlexibility(const InterferenceModel &Model,
+                         std::span<const std::string_view> ServingImages) {
+  std::size_t Harmless = 0;
+  for (const std::string &Filler : Model.fillerImages())
+    Harmless += std::all_of(ServingImages.begin(), ServingImages.end(),
+                            [&](std::string_view Serving) {
+                              return Model.effect(Serving, Filler).Mean_ <
+                                     HarmlessEffect;
+                            });
+  std::size_t All = Model.fillerImages().size();
+  return All == 0 ? 1.0
+                  : static_cast<double>(Harmless) / static_cast<double>(All);
+}
+
 double fillerHeadroom(const InterferenceModel &Model,
                       std::span<const ServingSample> Serving,
                       std::span<const FillerSample> Fillers,
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -181,6 +181,7 @@
   Worker.LastingMilliCpu_ = 0;
   Worker.FillerMilliCpu_ = 0;
   Worker.ServingImages_.clear();
+  Worker.Flexibility_.reset();
   Worker.Headroom_.clear();
   for (auto &[Text, One] : Lost) {
     OwnedJob *Owned = findJob(One.Name_.Job_);
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -101,6 +101,7 @@
               TimePoint Now) const;
   std::optional<double> costOf(WorkerState &Worker, const StepSpec &Step) const;
   double headroom(WorkerState &Worker, const std::string &Image) const;
+  double flexibility(WorkerState &Worker) const;
   void plan(WorkerState &Worker, OwnedJob &Owned, const TaskName &Name,
             Task &Waiting);
   void orderPlanned(TimePoint Now);
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -20,6 +20,12 @@
 /// worker: tasks of one image gather, so that fillers that harm it find
 /// workers without it.
 constexpr double MixedImagesCost = 2.0;
+/// Cost of a worker beside whose tasks every filler image may work, relative
+/// to a full worker: such workers are left to the images that harm others.
+constexpr double FlexibilityCost = 1.0;
+/// A job that takes this many times its objective is worth nothing to its
+/// caller.
+constexpr int LateLimit = 3;
 /// Cost of a worker away from the data, relative to a full worker.
 constexpr double FarCost = 2.0;
 
@@ -28,6 +34,28 @@
   return Worker.ServingImages_.size() - Worker.ServingImages_.count(Image);
 }
 
+/// What callers still get from a job that is finished as soon as it can be.
+enum class Lateness {
+  InTime,
+  /// Finished after its objective, which is worth little.
+  Late,
+  /// Finished so late that it is worth nothing more.
+  Worthless,
+};
+
+/// Returns what can become of \p Waiting. Under overload, room that jobs past
+/// their objective take makes others late, too.
+Lateness latenessOf(const Job &Waiting, Duration Objective, TimePoint Now) {
+  if (Waiting.isLasting())
+    return Lateness::InTime;
+  Duration Age = Now - Waiting.seenAt();
+  Duration Finished = Age + Waiting.remainingTime();
+  if (Finished <= Objective)
+    return Lateness::InTime;
+  return Finished <= LateLimit * Objective ? Lateness::Late
+                                           : Lateness::Worthless;
+}
+
 /// Returns how many tasks of the step of \p Name the worker holds.
 std::int64_t countOfStep(const WorkerState &Worker, const TaskName &Name) {
   return std::count_if(
@@ -63,6 +91,7 @@
     /// Lasting tasks hold their room for long, and earn less with it than
     /// short ones do.
     bool IsLasting_;
+    Lateness Lateness_;
     TimePoint Due_;
     OwnedJob *Owned_;
     const Queue *Policy_;
@@ -81,15 +110,18 @@
     if (Found && !Owned->Job_.isLasting())
       Objective = Found->TargetLatency_ +
                   std::chrono::duration_cast<Duration>(
-                      Found->SlackFactor_ * remainingChain(Accepted.Spec_, 0));
-    Candidates.push_back({Found ? Found->Priority_ : 0,
-                          Owned->Job_.isLasting(),
-                          Owned->Job_.seenAt() + Objective, Owned, Found});
+                      Found->SlackFactor_ * longestChain(Accepted.Spec_));
+    TimePoint Due = Owned->Job_.seenAt() + Objective;
+    Candidates.push_back({Found ? Found->Priority_ : 0, Owned->Job_.isLasting(),
+                          latenessOf(Owned->Job_, Objective, Now), Due, Owned,
+                          Found});
   }
   std::sort(Candidates.begin(), Candidates.end(),
             [](const Candidate &Left, const Candidate &Right) {
-              return std::tie(Left.Priority_, Left.IsLasting_, Left.Due_) <
-                     std::tie(Right.Priority_, Right.IsLasting_, Right.Due_);
+              return std::tie(Left.Priority_, Left.IsLasting_, Left.Lateness_,
+                              Left.Due_) <
+                     std::tie(Right.Priority_, Right.IsLasting_,
+                              Right.Lateness_, Right.Due_);
             });
   for (const Candidate &Next : Candidates)
     placeJob(*Next.Owned_, Next.Policy_, Now);
@@ -156,6 +188,16 @@
   return Place->second;
 }
 
+double Scheduler::Impl::flexibility(WorkerState &Worker) const {
+  if (!Worker.Flexibility_) {
+    std::vector<std::string_view> Images;
+    for (const auto &[Image, Tasks] : Worker.ServingImages_)
+      Images.push_back(Image);
+    Worker.Flexibility_ = fillerFlexibility(Model_, Images);
+  }
+  return *Worker.Flexibility_;
+}
+
 /// Returns how full the worker would be: lower is better. Nothing if a filler
 /// would harm what the worker serves.
 std::optional<double> Scheduler::Impl::costOf(WorkerState &Worker,
@@ -171,6 +213,7 @@
     if (Cost > MaxFillerPressure ||
         Requested / Capacity > headroom(Worker, Step.Image_))
       return std::nullopt;
+    Cost += FlexibilityCost * flexibility(Worker);
   } else {
     // Packed, so that large tasks and wide steps find room.
     Cost = 1 -
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -272,6 +272,7 @@
     return;
   Worker.LearnedAt_ = Worker.ClockAt_;
   Worker.Headroom_.clear();
+  Worker.Flexibility_.reset();
   for (auto &[Text, One] : Worker.Runs_) {
     bool IsOver = One.IsLasting_ && One.TailTarget_ > Duration::zero() &&
                   One.Load_ * std::chrono::milliseconds(1) > One.TailTarget_;
--- a/packages/scheduling/src/worker_state.cpp
+++ b/packages/scheduling/src/worker_state.cpp
@@ -22,8 +22,10 @@
   dropRun(Added.Name_.text());
   Used_ += Added.Held_;
   Headroom_.clear();
-  if (Added.IsLasting_)
+  if (Added.IsLasting_) {
     ++ServingImages_[Added.Image_];
+    Flexibility_.reset();
+  }
   if (Added.IsLasting_)
     LastingMilliCpu_ += Added.RequestedMilliCpu_;
   if (Added.IsFiller_)
@@ -38,8 +40,10 @@
   const Run &Dropped = Found->second;
   Used_ -= Dropped.Held_;
   Headroom_.clear();
-  if (Dropped.IsLasting_ && --ServingImages_[Dropped.Image_] == 0)
+  if (Dropped.IsLasting_ && --ServingImages_[Dropped.Image_] == 0) {
     ServingImages_.erase(Dropped.Image_);
+    Flexibility_.reset();
+  }
   if (Dropped.IsLasting_)
     LastingMilliCpu_ -= Dropped.RequestedMilliCpu_;
   if (Dropped.IsFiller_)
--- a/packages/scheduling/src/worker_state.h
+++ b/packages/scheduling/src/worker_state.h
@@ -104,6 +104,9 @@
   std::int64_t FillerMilliCpu_ = 0;
   /// Headroom by filler image, until runs or the model change.
   std::unordered_map<std::string, double> Headroom_;
+  /// Which part of the filler images may work here, until the serving images
+  /// or the model change.
+  std::optional<double> Flexibility_;
   /// Serving images and the number of their tasks.
   std::map<std::string, int> ServingImages_;
 
