What was learned of interference is stored for a successor

Change: a row of estimates with deviations, written with the owner's next transaction every 3 s at most.

--- a/packages/node/src/cell_loading.cpp
+++ b/packages/node/src/cell_loading.cpp
@@ -58,6 +58,28 @@
                      Now->Scheduler_.restoreWorker(*Entry,
                                                    SchedulerClock::now());
                    }
+                   loadModel(Of);
+                 });
+}
+
+/// Reads what the tenure before learned; it is of use, but not needed.
+void CellOwner::loadModel(const TenureRef &Of) {
+  Store_.readAll(wholeTable(ModelTable, CellPartition), StoreTimeout,
+                 [this, Of](const Result<RowPage> &Page) {
+                   std::shared_ptr<Tenure> Now = Of.lock();
+                   if (!Now)
+                     return;
+                   if (!Page)
+                     return retryLoad(Of);
+                   for (const Row &Seen : Page->Rows_) {
+                     auto Learned = scheduling::decodeLearned(Seen.Value_);
+                     if (Learned)
+                       Now->Scheduler_.restoreInterference(*Learned);
+                     else
+                       logEvent(
+                           LogEvent::ForeignRow,
+                           {{"table", ModelTable}, {"key", Seen.Key_.Key_}});
+                   }
                    loadWorkers(Of);
                  });
 }
--- a/packages/node/src/cell_owner.cpp
+++ b/packages/node/src/cell_owner.cpp
@@ -21,6 +21,8 @@
 constexpr Duration WritePause = std::chrono::milliseconds(25);
 /// How often the status of the cell is stored at most.
 constexpr Duration StatusPause = std::chrono::milliseconds(800);
+/// How often what was learned is stored at most: a successor loses this much.
+constexpr Duration ModelPause = std::chrono::seconds(3);
 /// How often rows of finished jobs are removed, and how many at a time: more
 /// than 8,000 jobs a day leave.
 constexpr Duration RemovalPause = std::chrono::seconds(5);
@@ -232,25 +234,51 @@
   bool HasWrites = Of.IsLoaded_ && Of.Scheduler_.hasWrites();
   if (!MustRenew && !HasWrites)
     return;
-  PendingWrites Writes;
-  std::string Status;
+  SentWrites Sent;
+  Sent.HasOwnerRow_ = MustRenew;
+  Sent.SentAt_ = Now;
   if (Of.IsLoaded_) {
-    Writes = Of.Scheduler_.takeWrites(MaxProgressRows);
-    if (Now >= Of.NextStatusAt_)
-      Status = statusText();
-    if (Status == Of.StoredStatus_)
-      Status.clear();
+    Sent.Writes_ = Of.Scheduler_.takeWrites(MaxProgressRows);
+    addSummaries(Sent);
   }
-  if (!MustRenew && Writes.empty() && Status.empty())
-    return Of.Scheduler_.writesStored(Writes, Now);
+  if (!MustRenew && Sent.Writes_.empty() && Sent.Status_.empty() &&
+      Sent.Model_.empty())
+    return Of.Scheduler_.writesStored(Sent.Writes_, Now);
+  Of.IsWriting_ = true;
+  RowTransaction Changes = makeTransaction(Sent);
+  Store_.commit(Changes, StoreTimeout,
+                [this, Ref = TenureRef(Tenure_),
+                 Sent = std::move(Sent)](const CommitResult &Outcome) {
+                  if (Ref.lock() && Ref.lock() == Tenure_)
+                    writeEnded(Sent, Outcome);
+                });
+}
+
+/// Adds the status and the model if they are due and have changed.
+void CellOwner::addSummaries(SentWrites &Sent) const {
+  const Tenure &Of = *Tenure_;
+  if (Sent.SentAt_ >= Of.NextStatusAt_)
+    Sent.Status_ = statusText();
+  if (Sent.Status_ == Of.StoredStatus_)
+    Sent.Status_.clear();
+  if (Sent.SentAt_ >= Of.NextModelAt_)
+    Sent.Model_ =
+        scheduling::encodeLearned(Of.Scheduler_.learnedInterference());
+  if (Sent.Model_ == Of.StoredModel_)
+    Sent.Model_.clear();
+}
 
+RowTransaction CellOwner::makeTransaction(const SentWrites &Sent) const {
   RowTransaction Changes;
   Changes.Conditions_.push_back({ownerKey(), Lease_.version()});
-  if (MustRenew)
+  if (Sent.HasOwnerRow_)
     Changes.Writes_.push_back(
         makeRow(ownerKey(), scheduling::encodeOwnerRecord(Lease_.record())));
-  if (!Status.empty())
-    Changes.Writes_.push_back(makeRow(statusKey(), Status));
+  if (!Sent.Status_.empty())
+    Changes.Writes_.push_back(makeRow(statusKey(), Sent.Status_));
+  if (!Sent.Model_.empty())
+    Changes.Writes_.push_back(makeRow(modelKey(), Sent.Model_));
+  const PendingWrites &Writes = Sent.Writes_;
   for (const auto &[Job, Progress] : Writes.Progress_)
     Changes.Writes_.push_back(
         makeRow(progressKey(Job), scheduling::encodeProgress(Progress)));
@@ -261,35 +289,32 @@
     Changes.Removals_.push_back(knownWorkerKey(Id));
   for (const std::string &Job : Writes.RemovedJobs_)
     Changes.Removals_.push_back(progressKey(Job));
-  Of.IsWriting_ = true;
-  Store_.commit(Changes, StoreTimeout,
-                [this, Ref = TenureRef(Tenure_), Writes, MustRenew, Now,
-                 Status](const CommitResult &Outcome) {
-                  if (Ref.lock() && Ref.lock() == Tenure_)
-                    writeEnded(Writes, Outcome, MustRenew, Now, Status);
-                });
+  return Changes;
 }
 
-void CellOwner::writeEnded(const PendingWrites &Writes,
-                           const CommitResult &Outcome, bool HasOwnerRow,
-                           TimePoint SentAt, const std::string &Status) {
+void CellOwner::writeEnded(const SentWrites &Sent,
+                           const CommitResult &Outcome) {
   Tenure &Of = *Tenure_;
   TimePoint Now = SchedulerClock::now();
   Of.IsWriting_ = false;
-  Of.NextWriteAt_ = SentAt + WritePause;
+  Of.NextWriteAt_ = Sent.SentAt_ + WritePause;
   if (Outcome.Outcome_ == CommitOutcome::Committed) {
-    if (HasOwnerRow) {
-      Lease_.rowWritten(Lease_.record(), Outcome.Version_, SentAt);
+    if (Sent.HasOwnerRow_) {
+      Lease_.rowWritten(Lease_.record(), Outcome.Version_, Sent.SentAt_);
       Of.MustRewrite_ = false;
     }
-    if (!Status.empty()) {
-      Of.StoredStatus_ = Status;
+    if (!Sent.Status_.empty()) {
+      Of.StoredStatus_ = Sent.Status_;
       Of.NextStatusAt_ = Now + StatusPause;
     }
-    Of.Scheduler_.writesStored(Writes, Now);
+    if (!Sent.Model_.empty()) {
+      Of.StoredModel_ = Sent.Model_;
+      Of.NextModelAt_ = Now + ModelPause;
+    }
+    Of.Scheduler_.writesStored(Sent.Writes_, Now);
     return schedulePump();
   }
-  Of.Scheduler_.writesFailed(Writes);
+  Of.Scheduler_.writesFailed(Sent.Writes_);
   Of.NextWriteAt_ = Now + RetryPause;
   if (Outcome.Outcome_ == CommitOutcome::Refused)
     return;
--- a/packages/node/src/cell_owner.h
+++ b/packages/node/src/cell_owner.h
@@ -36,9 +36,21 @@
   TimePoint NextWriteAt_{};
   std::string StoredStatus_;
   TimePoint NextStatusAt_{};
+  std::string StoredModel_;
+  TimePoint NextModelAt_{};
   TimePoint NextRemovalAt_{};
 };
 
+/// What one transaction of an owner holds.
+struct SentWrites {
+  scheduling::PendingWrites Writes_;
+  bool HasOwnerRow_ = false;
+  /// Empty if they are not part of it.
+  std::string Status_;
+  std::string Model_;
+  TimePoint SentAt_{};
+};
+
 /// A candidate for a cell, and its owner while the lease is held.
 class CellOwner {
 public:
@@ -64,6 +76,7 @@
 
   using TenureRef = std::weak_ptr<Tenure>;
   void load(const TenureRef &Of);
+  void loadModel(const TenureRef &Of);
   void loadWorkers(const TenureRef &Of);
   void loadJobs(const TenureRef &Of, std::uint64_t WorkersVersion);
   void loadProgress(const TenureRef &Of, std::uint64_t WorkersVersion,
@@ -85,10 +98,11 @@
   void logNotes();
   std::string statusText() const;
   void writeIfDue(TimePoint Now);
+  void addSummaries(SentWrites &Sent) const;
+  scheduling::RowTransaction makeTransaction(const SentWrites &Sent) const;
   void reconcileOwnerRow();
-  void writeEnded(const scheduling::PendingWrites &Writes,
-                  const scheduling::CommitResult &Outcome, bool HasOwnerRow,
-                  TimePoint SentAt, const std::string &Status);
+  void writeEnded(const SentWrites &Sent,
+                  const scheduling::CommitResult &Outcome);
 
   EventLoop &Loop_;
   StoreClient &Store_;
--- a/packages/node/src/rows.cpp
+++ b/packages/node/src/rows.cpp
@@ -49,6 +49,8 @@
 
 RowKey statusKey() { return {CellTable, CellPartition, StatusKey}; }
 
+RowKey modelKey() { return {ModelTable, CellPartition, ModelKey}; }
+
 RowKey instanceKey(const std::string &Instance) {
   return {CellTable, CellPartition, std::string(InstancePrefix) + Instance};
 }
--- a/packages/node/src/rows.h
+++ b/packages/node/src/rows.h
@@ -21,6 +21,9 @@
 inline constexpr const char *ProgressTable = "progress";
 /// Workers that may run a cell's tasks, under the worker's id.
 inline constexpr const char *KnownWorkerTable = "workers";
+/// What owners learned of interference between images.
+inline constexpr const char *ModelTable = "models";
+inline constexpr const char *ModelKey = "interference";
 /// The owner of the cell and its status.
 inline constexpr const char *CellTable = "cells";
 inline constexpr const char *OwnerKey = "owner";
@@ -46,6 +49,7 @@
 scheduling::RowKey knownWorkerKey(const std::string &Worker);
 scheduling::RowKey ownerKey();
 scheduling::RowKey statusKey();
+scheduling::RowKey modelKey();
 scheduling::RowKey instanceKey(const std::string &Instance);
 /// Returns the job that the key of a cancellation names, or nothing.
 std::optional<std::string> cancelledJobOf(std::string_view Key);
--- a/packages/scheduling/include/filbertspring/scheduling/progress_codec.h
+++ b/packages/scheduling/include/filbertspring/scheduling/progress_codec.h
@@ -2,14 +2,17 @@
 #define FILBERTSPRING_SCHEDULING_PROGRESS_CODEC_H
 
 /// \file
-/// Stored text of progress and of known workers.
+/// Stored text of progress, of known workers and of learned interference.
 
 #include "filbertspring/base/result.h"
+#include "filbertspring/scheduling/interference.h"
 #include "filbertspring/scheduling/job.h"
 #include "filbertspring/scheduling/worker.h"
 
+#include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace filbertspring::scheduling {
 
@@ -24,6 +27,11 @@
 /// Reads what encodeKnownWorker() returns; Errc::InvalidJson otherwise.
 Result<WorkerEntry> decodeKnownWorker(std::string_view Text);
 
+/// Returns the stored text of what was learned of interference.
+std::string encodeLearned(std::span<const LearnedPair> Pairs);
+/// Reads what encodeLearned() returns; Errc::InvalidJson otherwise.
+Result<std::vector<LearnedPair>> decodeLearned(std::string_view Text);
+
 } // namespace filbertspring::scheduling
 
 #endif // FILBERTSPRING_SCHEDULING_PROGRESS_CODEC_H
--- a/packages/scheduling/include/filbertspring/scheduling/scheduler.h
+++ b/packages/scheduling/include/filbertspring/scheduling/scheduler.h
@@ -13,6 +13,7 @@
 
 #include "filbertspring/base/log_event.h"
 #include "filbertspring/base/time.h"
+#include "filbertspring/scheduling/interference.h"
 #include "filbertspring/scheduling/job.h"
 #include "filbertspring/scheduling/queue_table.h"
 #include "filbertspring/scheduling/worker.h"
@@ -22,6 +23,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <utility>
 #include <variant>
@@ -195,6 +197,11 @@
   /// The acceptances of \p Jobs are removed.
   void jobsRemoved(const std::vector<std::string> &Jobs);
 
+  /// What was learned of the interference of images, for a successor.
+  std::vector<LearnedPair> learnedInterference() const;
+  /// Takes over what the tenure before learned; call it before any report.
+  void restoreInterference(std::span<const LearnedPair> Pairs);
+
   /// Returns whether a worker has seen a higher fencing token.
   bool isFenced() const;
   /// Accepted jobs without a started task, for each queue.
--- a/packages/scheduling/src/progress_codec.cpp
+++ b/packages/scheduling/src/progress_codec.cpp
@@ -1,5 +1,6 @@
 #include "filbertspring/scheduling/progress_codec.h"
 
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace filbertspring::scheduling {
@@ -83,4 +84,30 @@
   }
 }
 
+std::string encodeLearned(std::span<const LearnedPair> Pairs) {
+  json Value = json::array();
+  // Three digits: estimates are not better, and the row is written often.
+  auto Rounded = [](double Number) { return std::round(Number * 1000) / 1000; };
+  for (const LearnedPair &Pair : Pairs)
+    Value.push_back({Pair.Serving_, Pair.Filler_, Rounded(Pair.Value_.Mean_),
+                     Rounded(Pair.Value_.Deviation_)});
+  return Value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+Result<std::vector<LearnedPair>> decodeLearned(std::string_view Text) {
+  try {
+    std::vector<LearnedPair> Pairs;
+    for (const json &Entry : json::parse(Text)) {
+      LearnedPair Pair;
+      Pair.Serving_ = Entry.at(0).get<std::string>();
+      Pair.Filler_ = Entry.at(1).get<std::string>();
+      Pair.Value_ = {Entry.at(2).get<double>(), Entry.at(3).get<double>()};
+      Pairs.push_back(std::move(Pair));
+    }
+    return Pairs;
+  } catch (const json::exception &) {
+    return fail(Errc::InvalidJson);
+  }
+}
+
 } // namespace filbertspring::scheduling
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -344,6 +344,14 @@
   }
 }
 
+std::vector<LearnedPair> Scheduler::learnedInterference() const {
+  return Impl_->Model_.learned();
+}
+
+void Scheduler::restoreInterference(std::span<const LearnedPair> Pairs) {
+  Impl_->Model_.restore(Pairs);
+}
+
 bool Scheduler::isFenced() const { return Impl_->IsFenced_; }
 
 std::map<std::string, std::uint64_t> Scheduler::pendingByQueue() const {
