--- a/packages/entry/src/desks/route_desk.cpp
+++ b/packages/entry/src/desks/route_desk.cpp
@@ -82,7 +82,8 @@
   std::optional<TimePoint> Wake = Router_.nextWake();
   if (!Wake)
     return MaxRouteWait;
-  return std::clamp(*Wake - SchedulerClock::now(), Duration::zero(), MaxRouteWait);
+  return std::clamp(*Wake - SchedulerClock::now(), Duration::zero(),
+                    MaxRouteWait);
 }
 
 void RouteDesk::run() {
--- a/packages/membership/src/heartbeat_keeper.cpp
+++ b/packages/membership/src/heartbeat_keeper.cpp
@@ -89,7 +89,8 @@
 
 void HeartbeatKeeper::Impl::endLease() { Lease_ = HolderLease{}; }
 
-HeartbeatActions HeartbeatKeeper::Impl::on(const HeartbeatTick &, TimePoint Now) {
+HeartbeatActions HeartbeatKeeper::Impl::on(const HeartbeatTick &,
+                                           TimePoint Now) {
   if (Superseded_ || (Stopping_ && Registered_ && !Version_ && !ReadSince_))
     return {};
   const bool Unanswered =
@@ -105,7 +106,8 @@
   return write(Now);
 }
 
-HeartbeatActions HeartbeatKeeper::Impl::on(const OwnHeartbeatRead &Read, TimePoint Now) {
+HeartbeatActions HeartbeatKeeper::Impl::on(const OwnHeartbeatRead &Read,
+                                           TimePoint Now) {
   if (!ReadSince_ || Superseded_)
     return {};
   ReadSince_.reset();
@@ -125,7 +127,7 @@
 }
 
 HeartbeatActions HeartbeatKeeper::Impl::on(const HeartbeatCommitEnded &Ended,
-                                  TimePoint Now) {
+                                           TimePoint Now) {
   if (!Sent_ || Sent_->Id_ != Ended.Id_)
     return {};
   const TimePoint SentAt = Sent_->At_;
@@ -148,13 +150,15 @@
   return {};
 }
 
-HeartbeatActions HeartbeatKeeper::Impl::on(const LeaveRequested &, TimePoint Now) {
+HeartbeatActions HeartbeatKeeper::Impl::on(const LeaveRequested &,
+                                           TimePoint Now) {
   Self_.Leaving_ = true;
   const bool CanWrite = Version_ && !Sent_ && !Superseded_;
   return CanWrite ? write(Now) : HeartbeatActions{};
 }
 
-HeartbeatActions HeartbeatKeeper::Impl::on(const StopRequested &, TimePoint Now) {
+HeartbeatActions HeartbeatKeeper::Impl::on(const StopRequested &,
+                                           TimePoint Now) {
   Stopping_ = true;
   endLease();
   const bool CanWrite = Version_ && !Sent_ && !Superseded_;
--- a/packages/platform/tests/table_client_test.cpp
+++ b/packages/platform/tests/table_client_test.cpp
@@ -34,7 +34,8 @@
   RunningServer<PlatformServer> Platform_{Duration::zero()};
   CounterRegistry Counters_;
 
-  TableClient client(Duration Timeout = LongTimeout, const char *Zone = "porto") {
+  TableClient client(Duration Timeout = LongTimeout,
+                     const char *Zone = "porto") {
     return {Platform_.address(), ZoneName(Zone), Timeout, Counters_};
   }
   void faults(std::string_view Body) {
--- a/packages/scheduling/tests/interference_test.cpp
+++ b/packages/scheduling/tests/interference_test.cpp
@@ -112,8 +112,7 @@
   InterferenceModel Model = learned();
   ServingSample Serving[] = {{"serving", 8.0, 18.0}};
   // Two deviations below the target are planned for, 8 ms are the task's own.
-  double PlannedMs =
-      18.0 * std::exp(-2 * InterferenceModel::ReportDeviation);
+  double PlannedMs = 18.0 * std::exp(-2 * InterferenceModel::ReportDeviation);
   BOOST_TEST(fillerHeadroom(Model, Serving, {}, "harmful") ==
                  std::log(PlannedMs / AloneMs) / HarmfulEffect,
              boost::test_tools::tolerance(0.2));
