Fillers that stand still go back to the queue

Cause: fillers at pace 0 held their place, and the workers on which they could work went to younger jobs. Change: one that saves its progress and stands still for 1.5 s is stopped and waits in order of its job.

--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -25,6 +25,8 @@
 constexpr int SlowBelow = 50;
 /// ... when it has been so for longer than a move takes: kill, report, start.
 constexpr Duration SlowFor = std::chrono::milliseconds(900);
+/// A filler that stands still for this long waits for a worker instead.
+constexpr Duration StillFor = std::chrono::milliseconds(1500);
 /// A tail that is over its target for this long stops all fillers beside it:
 /// two more reports come before the four seconds that users bear.
 constexpr Duration HarmedAfter = std::chrono::milliseconds(1400);
@@ -323,7 +325,12 @@
     bool IsMovable = One.IsFiller_ && One.SavesProgress_ &&
                      One.Phase_ == RunPhase::Confirmed && One.SlowSince_ &&
                      Now - *One.SlowSince_ >= SlowFor;
-    if (!IsMovable || !hasBetterWorker(Worker, One, Now))
+    if (!IsMovable)
+      continue;
+    // One that stands still gives way to those that can work where it will.
+    bool StandsStill = One.PacedPercent_ == 0 &&
+                       Now - *One.SlowSince_ >= StillFor;
+    if (!StandsStill && !hasBetterWorker(Worker, One, Now))
       continue;
     OwnedJob *Owned = findJob(One.Name_.Job_);
     if (!Owned)
