The strongest instances own the cell

Change: instances announce their processors; weaker ones leave a cell to the stronger for 0.7 or 1.5 s longer, and nobody takes a new cell before the others had time to announce themselves.

--- a/packages/node/include/filbertspring/node/node_settings.h
+++ b/packages/node/include/filbertspring/node/node_settings.h
@@ -26,6 +26,8 @@
   std::string StoreAddress_;
   /// Part of a core that the instance may use.
   double CpuShare_ = 1.0;
+  /// How fast that core is, compared with a usual one.
+  double CpuCores_ = 1.0;
   /// The longest lease that workers grant.
   Duration MaxLease_ = std::chrono::seconds(6);
   /// How long a worker may take to kill a task.
--- a/packages/node/src/cell_directory.cpp
+++ b/packages/node/src/cell_directory.cpp
@@ -1,6 +1,9 @@
 #include "cell_directory.h"
 
 #include "cell_reading.h"
+#include "filbertspring/base/log.h"
+
+#include <algorithm>
 
 namespace filbertspring::node {
 namespace {
@@ -32,8 +35,10 @@
 CellDirectory::CellDirectory(EventLoop &Loop, StoreClient &Store,
                              const NodeSettings &Settings,
                              const std::string &Nonce)
-    : Loop_(Loop), Store_(Store), Instance_(Settings.Instance_),
-      PeerAddress_(Settings.PeerAddress_),
+    : Loop_(Loop), Store_(Store),
+      Instance_(Settings.Instance_), Mine_{Settings.PeerAddress_,
+                                           Settings.CpuShare_ *
+                                               Settings.CpuCores_},
       Lease_(ownRecord(Settings, Nonce), {}) {}
 
 void CellDirectory::start(std::function<void()> Changed) {
@@ -65,14 +70,14 @@
 
 void CellDirectory::announce() {
   auto Found = Instances_.find(Instance_);
-  if (Found != Instances_.end() && Found->second == PeerAddress_)
+  if (Found != Instances_.end() && Found->second == Mine_)
     return;
-  scheduling::RowTransaction Announcement;
-  Row Mine;
-  Mine.Key_ = instanceKey(Instance_);
-  Mine.Value_ = PeerAddress_;
-  Announcement.Writes_.push_back(std::move(Mine));
-  Store_.commit(Announcement, StoreTimeout,
+  scheduling::RowTransaction Announcing;
+  Row Announced;
+  Announced.Key_ = instanceKey(Instance_);
+  Announced.Value_ = encodeAnnouncement(Mine_);
+  Announcing.Writes_.push_back(std::move(Announced));
+  Store_.commit(Announcing, StoreTimeout,
                 [this](const scheduling::CommitResult &Ended) {
                   if (Ended.Outcome_ != scheduling::CommitOutcome::Committed)
                     Loop_.after(AnnouncePause, [this] { announce(); });
@@ -117,17 +122,24 @@
   std::string Name = Seen.Key_.Key_.substr(InstancePrefix.size());
   if (Seen.IsRemoved_)
     Instances_.erase(Name);
+  else if (Result<Announcement> Read = decodeAnnouncement(Seen.Value_))
+    Instances_[Name] = std::move(*Read);
   else
-    Instances_[Name] = Seen.Value_;
+    logEvent(LogEvent::ForeignRow,
+             {{"table", CellTable}, {"key", Seen.Key_.Key_}});
   // Each instance begins with the one after it, so that the load is spread.
   std::vector<std::string> Relays;
   auto First = Instances_.upper_bound(Instance_);
   for (auto Next = First; Next != Instances_.end(); ++Next)
-    Relays.push_back(Next->second);
+    Relays.push_back(Next->second.PeerAddress_);
   for (auto Next = Instances_.begin(); Next != First; ++Next)
     if (Next->first != Instance_)
-      Relays.push_back(Next->second);
+      Relays.push_back(Next->second.PeerAddress_);
   Store_.setRelays(std::move(Relays));
+  double Strongest = Mine_.Strength_;
+  for (const auto &[Other, Announced] : Instances_)
+    Strongest = std::max(Strongest, Announced.Strength_);
+  Lease_.setHandicap(scheduling::takeoverHandicap(Mine_.Strength_, Strongest));
 }
 
 std::optional<std::uint64_t>
--- a/packages/node/src/cell_directory.h
+++ b/packages/node/src/cell_directory.h
@@ -40,9 +40,9 @@
   EventLoop &Loop_;
   StoreClient &Store_;
   std::string Instance_;
-  std::string PeerAddress_;
-  /// Addresses of all instances that announced themselves, by name.
-  std::map<std::string, std::string> Instances_;
+  Announcement Mine_;
+  /// All instances that announced themselves, by name.
+  std::map<std::string, Announcement> Instances_;
   scheduling::OwnerLease Lease_;
   CellStatus Status_;
   std::function<void()> Changed_;
--- a/packages/node/src/node_settings.cpp
+++ b/packages/node/src/node_settings.cpp
@@ -84,6 +84,7 @@
   Read.text("/listen/peers", Values.PeerAddress_, true);
   Read.text("/store/address", Values.StoreAddress_, true);
   Read.number("/limits/cpu_share", 0.001, 1024, Values.CpuShare_);
+  Read.number("/limits/cpu_cores", 0.001, 1024, Values.CpuCores_);
   Read.duration("/bounds/max_lease_ms", Millisecond, Values.MaxLease_);
   Read.duration("/bounds/kill_timeout_ms", Millisecond, Values.KillTimeout_);
   Read.duration("/bounds/stop_grace_s", Second, Values.Grace_);
--- a/packages/node/src/rows.cpp
+++ b/packages/node/src/rows.cpp
@@ -89,6 +89,23 @@
   }
 }
 
+std::string encodeAnnouncement(const Announcement &Announced) {
+  return dump(
+      {{"address", Announced.PeerAddress_}, {"cores", Announced.Strength_}});
+}
+
+Result<Announcement> decodeAnnouncement(std::string_view Text) {
+  try {
+    json Value = json::parse(Text);
+    Announcement Announced;
+    Announced.PeerAddress_ = Value.at("address").get<std::string>();
+    Announced.Strength_ = Value.at("cores").get<double>();
+    return Announced;
+  } catch (const json::exception &) {
+    return fail(Errc::InvalidJson);
+  }
+}
+
 std::string encodeStatus(const CellStatus &Status) {
   return dump({{"pending", Status.Pending_}});
 }
--- a/packages/node/src/rows.h
+++ b/packages/node/src/rows.h
@@ -28,7 +28,7 @@
 inline constexpr const char *CellTable = "cells";
 inline constexpr const char *OwnerKey = "owner";
 inline constexpr const char *StatusKey = "status";
-/// Followed by an instance's name: the address at which others reach it.
+/// Followed by an instance's name: what it announces.
 inline constexpr std::string_view InstancePrefix = "instance.";
 
 /// Callers' rows are spread over this many partitions: the store takes the
@@ -54,6 +54,19 @@
 /// Returns the job that the key of a cancellation names, or nothing.
 std::optional<std::string> cancelledJobOf(std::string_view Key);
 
+/// What an instance announces to the others.
+struct Announcement {
+  /// "IP:PORT" at which others reach it.
+  std::string PeerAddress_;
+  /// Processors, in cores.
+  double Strength_ = 0;
+  friend bool operator==(const Announcement &, const Announcement &) = default;
+};
+
+std::string encodeAnnouncement(const Announcement &Announced);
+/// Errc::InvalidJson for a row of another form.
+Result<Announcement> decodeAnnouncement(std::string_view Text);
+
 /// The stored form of an acceptance.
 struct StoredAcceptance {
   std::string Queue_;
--- a/packages/node/tests/rows_test.cpp
+++ b/packages/node/tests/rows_test.cpp
@@ -41,6 +41,18 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(an_announcement)
+
+BOOST_AUTO_TEST_CASE(is_read_as_it_was_stored) {
+  Announcement Announced{"10.0.0.1:7000", 0.5};
+  auto Read = decodeAnnouncement(encodeAnnouncement(Announced));
+  BOOST_REQUIRE(Read.has_value());
+  BOOST_TEST((*Read == Announced));
+  BOOST_TEST(!decodeAnnouncement("10.0.0.1:7000").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(the_status_of_a_cell)
 
 BOOST_AUTO_TEST_CASE(is_read_as_it_was_stored) {
--- a/packages/scheduling/include/filbertspring/scheduling/owner_lease.h
+++ b/packages/scheduling/include/filbertspring/scheduling/owner_lease.h
@@ -44,14 +44,25 @@
   /// An owner without a confirmed rewrite for this long renews no leases: the
   /// store's outages last some seconds.
   Duration TrustedFor_ = std::chrono::milliseconds(6000);
+  /// A cell that never had an owner is left alone for this long: all instances
+  /// start within a third of a second and announce their strength first.
+  Duration FirstOwnerAfter_ = std::chrono::milliseconds(800);
 };
 
+/// Returns how much longer than the strongest an instance of strength \p Own
+/// leaves a cell to others, of which \p Strongest is the strongest: one that
+/// is weaker takes it only if they do not. Strengths are in cores.
+Duration takeoverHandicap(double Own, double Strongest);
+
 /// The ownership of one cell as one instance sees it. Decides, does no I/O.
 class OwnerLease {
 public:
   /// \p Self: the record that this instance would write, but for its tenure.
   OwnerLease(OwnerRecord Self, OwnerTimes Times);
 
+  /// Sets how much longer than others this instance leaves the cell to them.
+  void setHandicap(Duration Handicap) { Handicap_ = Handicap; }
+
   /// The row was read at \p Version (0: it does not exist), from a read that
   /// was sent at \p SentAt.
   void rowSeen(const OwnerRecord &Record, std::uint64_t Version,
@@ -86,6 +97,7 @@
 private:
   OwnerRecord Self_;
   OwnerTimes Times_;
+  Duration Handicap_{};
   OwnerRecord Record_;
   std::uint64_t Version_ = 0;
   bool IsKnown_ = false;
--- a/packages/scheduling/src/owner_lease.cpp
+++ b/packages/scheduling/src/owner_lease.cpp
@@ -30,6 +30,19 @@
   return Record;
 }
 
+Duration takeoverHandicap(double Own, double Strongest) {
+  /// Instances within a fifth of the strongest count as equal.
+  constexpr double EqualPart = 0.8;
+  /// The owner of a large cell uses up to this part of the strongest.
+  constexpr double SufficientPart = 0.5;
+  /// Two pauses between readings of the row, so that a stronger one had time.
+  constexpr Duration Short = std::chrono::milliseconds(700);
+  constexpr Duration Long = std::chrono::milliseconds(1500);
+  if (Own >= EqualPart * Strongest)
+    return Duration::zero();
+  return Own >= SufficientPart * Strongest ? Short : Long;
+}
+
 OwnerLease::OwnerLease(OwnerRecord Self, OwnerTimes Times)
     : Self_(std::move(Self)), Times_(Times) {}
 
@@ -75,9 +88,12 @@
 bool OwnerLease::shouldTakeOver(TimePoint /*Now*/) const {
   if (!IsKnown_ || isOwner())
     return false;
-  if (Version_ == 0 || Record_.Holder_.empty())
-    return true;
-  return ProvenAt_ - ChangedAt_ >= Times_.TakeoverAfter_;
+  Duration Wait = Times_.TakeoverAfter_;
+  if (Version_ == 0)
+    Wait = Times_.FirstOwnerAfter_;
+  else if (Record_.Holder_.empty())
+    Wait = Duration::zero();
+  return ProvenAt_ - ChangedAt_ >= Wait + Handicap_;
 }
 
 bool OwnerLease::shouldRenew(TimePoint Now) const {
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -328,8 +328,8 @@
     if (!IsMovable)
       continue;
     // One that stands still gives way to those that can work where it will.
-    bool StandsStill = One.PacedPercent_ == 0 &&
-                       Now - *One.SlowSince_ >= StillFor;
+    bool StandsStill =
+        One.PacedPercent_ == 0 && Now - *One.SlowSince_ >= StillFor;
     if (!StandsStill && !hasBetterWorker(Worker, One, Now))
       continue;
     OwnedJob *Owned = findJob(One.Name_.Job_);
