Jobs count as waiting until a worker confirms a start; fewer calls of the system

At the owner an HTTP call costs 0.12 ms of which the program's own part is 5 us (two processes on loopback); a decision ran 2 ms after each event, and each log line was two calls of the system. Change: a job has started when a start is confirmed or listed; counts name their tenure and are given only while it renews its row; decisions follow events after 8 ms, log lines of 20 ms are written together.

--- a/packages/base/include/filbertspring/base/log.h
+++ b/packages/base/include/filbertspring/base/log.h
@@ -7,6 +7,7 @@
 #include "filbertspring/base/log_event.h"
 
 #include <cstdint>
+#include <functional>
 #include <initializer_list>
 #include <span>
 #include <string>
@@ -35,6 +36,14 @@
 void logEvent(LogEvent Event, std::span<const LogField> Fields);
 void logEvent(LogEvent Event, std::initializer_list<LogField> Fields = {});
 
+/// Collects lines from now on, so that several are written by one call;
+/// \p HasFirst is called with the first line after each flush and has to see to
+/// the next flush. Lines beyond 64 KB are dropped. Call it once, before threads
+/// are started.
+void collectLogLines(std::function<void()> HasFirst);
+/// Writes the collected lines. Never waits. Thread-safe.
+void flushLogLines();
+
 /// Returns the text of a line without its time, for tests and for logEvent.
 std::string formatLogLine(LogEvent Event, std::span<const LogField> Fields);
 std::string formatLogLine(LogEvent Event,
--- a/packages/node/src/cell_directory.cpp
+++ b/packages/node/src/cell_directory.cpp
@@ -144,7 +144,10 @@
 
 std::optional<std::uint64_t>
 CellDirectory::pending(const std::string &Queue) const {
-  if (SchedulerClock::now() - ReadAt_ > CountsValidFor)
+  // An owner that is gone, or has not read the cell yet, counts nothing.
+  bool IsCounted = Status_.Tenure_ == Lease_.record().Tenure_ &&
+                   Lease_.silence() <= CountsValidFor;
+  if (!IsCounted || SchedulerClock::now() - ReadAt_ > CountsValidFor)
     return std::nullopt;
   auto Found = Status_.Pending_.find(Queue);
   return Found == Status_.Pending_.end() ? 0 : Found->second;
--- a/packages/node/src/cell_owner.cpp
+++ b/packages/node/src/cell_owner.cpp
@@ -31,8 +31,9 @@
 constexpr Duration TickPause = std::chrono::milliseconds(50);
 /// Drift of a worker's clock over a grant, and the time to kill.
 constexpr Duration GrantSlack = std::chrono::milliseconds(500);
-/// Events within this time are followed by one decision.
-constexpr Duration PumpDelay = std::chrono::milliseconds(2);
+/// Events within this time are followed by one decision: a third of the pause
+/// between transactions, without which nothing starts.
+constexpr Duration PumpDelay = std::chrono::milliseconds(8);
 /// Rows of one transaction that are left for progress beside the owner's row
 /// and the counts.
 constexpr std::size_t MaxProgressRows = platform::MaxTransactionRows - 10;
@@ -353,6 +354,7 @@
 
 std::string CellOwner::statusText() const {
   CellStatus Status;
+  Status.Tenure_ = Lease_.record().Tenure_;
   Status.Pending_ = Tenure_->Scheduler_.pendingByQueue();
   return encodeStatus(Status);
 }
--- a/packages/node/src/rows.cpp
+++ b/packages/node/src/rows.cpp
@@ -107,13 +107,14 @@
 }
 
 std::string encodeStatus(const CellStatus &Status) {
-  return dump({{"pending", Status.Pending_}});
+  return dump({{"tenure", Status.Tenure_}, {"pending", Status.Pending_}});
 }
 
 CellStatus decodeStatus(std::string_view Text) {
   CellStatus Status;
   try {
     json Value = json::parse(Text);
+    Status.Tenure_ = Value.at("tenure").get<std::uint64_t>();
     Status.Pending_ =
         Value.at("pending").get<std::map<std::string, std::uint64_t>>();
   } catch (const json::exception &) {
--- a/packages/node/src/rows.h
+++ b/packages/node/src/rows.h
@@ -83,6 +83,8 @@
 
 /// What an owner tells all instances about the cell.
 struct CellStatus {
+  /// The tenure whose owner counted.
+  std::uint64_t Tenure_ = 0;
   /// Accepted jobs without a started task, for each queue.
   std::map<std::string, std::uint64_t> Pending_;
 };
--- a/packages/node/src/run_node.cpp
+++ b/packages/node/src/run_node.cpp
@@ -37,6 +37,8 @@
 constexpr Duration StopMargin = std::chrono::milliseconds(800);
 /// The longest wait for a notice to another instance.
 constexpr Duration NoticeTimeout = std::chrono::milliseconds(500);
+/// Log lines of this time are written together: a kill loses no more.
+constexpr Duration LogPause = std::chrono::milliseconds(20);
 /// How often a stopping instance looks for requests in flight.
 constexpr Duration StopPoll = std::chrono::milliseconds(50);
 
@@ -125,6 +127,7 @@
     // An instance without metrics still serves.
     if (!Settings_.MetricsAddress_.empty())
       listen(MetricsServer_, Settings_.MetricsAddress_);
+    collectLogLines([this] { Loop_.after(LogPause, [] { flushLogLines(); }); });
     Loop_.onSignals({SIGTERM, SIGINT, SIGHUP},
                     [this](int Signal) { signalled(Signal); });
     Configuration_.start();
@@ -133,6 +136,7 @@
     logEvent(LogEvent::ProcessStarted, {{"zone", Settings_.Zone_}});
     Loop_.run();
     logEvent(LogEvent::ProcessStopped);
+    flushLogLines();
     return ExitOk;
   }
 
--- a/packages/node/tests/rows_test.cpp
+++ b/packages/node/tests/rows_test.cpp
@@ -57,7 +57,9 @@
 
 BOOST_AUTO_TEST_CASE(is_read_as_it_was_stored) {
   CellStatus Status;
+  Status.Tenure_ = 4;
   Status.Pending_ = {{"a", 3}, {"b", 0}};
+  BOOST_TEST(decodeStatus(encodeStatus(Status)).Tenure_ == 4);
   BOOST_TEST((decodeStatus(encodeStatus(Status)).Pending_ == Status.Pending_));
 }
 
--- a/packages/scheduling/include/filbertspring/scheduling/job.h
+++ b/packages/scheduling/include/filbertspring/scheduling/job.h
@@ -133,6 +133,9 @@
   /// Notes that \p Name is to run as \p Run on \p Worker.
   void place(const TaskName &Name, std::uint64_t Run,
              const std::string &Worker);
+  /// Notes that a worker runs, or ran, one of the tasks. Returns whether that
+  /// is news.
+  bool noteStarted();
   /// Puts a placed task back into the queue, not before \p NotBefore.
   void requeue(const TaskName &Name, TimePoint Now, TimePoint NotBefore);
   /// Keeps \p Checkpoint if it is not empty.
--- a/packages/scheduling/src/job.cpp
+++ b/packages/scheduling/src/job.cpp
@@ -1,6 +1,7 @@
 #include "filbertspring/scheduling/job.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace filbertspring::scheduling {
 
@@ -157,9 +158,14 @@
   Placed.Progress_.LastRun_ = std::max(Placed.Progress_.LastRun_, Run);
   Placed.Progress_.Worker_ = Worker;
   Waiting_.erase(*Slot);
-  HasStarted_ = true;
+}
+
+bool Job::noteStarted() {
+  if (std::exchange(HasStarted_, true))
+    return false;
   if (State_ == JobState::Queued)
     State_ = JobState::Running;
+  return true;
 }
 
 void Job::requeue(const TaskName &Name, TimePoint Now, TimePoint NotBefore) {
@@ -191,7 +197,7 @@
   Found.Progress_.Checkpoint_.clear();
   Found.Progress_.Worker_.clear();
   Waiting_.erase(*Slot);
-  HasStarted_ = true;
+  noteStarted();
   --OpenTasks_[Name.Occurrence_ * Accepted_.Spec_.Steps_.size() + Name.Step_];
   if (--UndoneTasks_ == 0)
     setFinal(JobState::Completed);
--- a/packages/scheduling/src/scheduler_orders.cpp
+++ b/packages/scheduling/src/scheduler_orders.cpp
@@ -70,6 +70,8 @@
     if (Ordered.Phase_ == RunPhase::Ordered) {
       Ordered.Phase_ = RunPhase::Confirmed;
       Ordered.ConfirmedAt_ = Now;
+      if (Owned && Owned->Job_.noteStarted())
+        Impl_->DirtyJobs_.insert(Name.Job_);
       if (Ordered.IsFiller_)
         Impl_->pace(*Worker, Now);
     }
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -110,6 +110,7 @@
   OwnedJob *Owned = findJob(Ended.Name_.Job_);
   if (!Owned || !Owned->Job_.find(Ended.Name_))
     return;
+  Owned->Job_.noteStarted();
   switch (Ended.Reason_) {
   case EndReason::Done:
     return noteDone(Worker, *Owned, Ended, Now);
@@ -195,6 +196,10 @@
     Known.Phase_ = RunPhase::Confirmed;
     Known.ConfirmedAt_ = Now;
   }
+  OwnedJob *Owned = Known.IsStartNoted_ ? nullptr : findJob(Known.Name_.Job_);
+  if (Owned && Owned->Job_.noteStarted())
+    DirtyJobs_.insert(Known.Name_.Job_);
+  Known.IsStartNoted_ = true;
   if (!Running.Checkpoint_.empty())
     Known.Checkpoint_ = Running.Checkpoint_;
   Known.Percent_ = Running.Percent_;
@@ -223,6 +228,7 @@
                    Known->Phase_ == TaskPhase::Blocked);
   if (IsWanted) {
     Owned->Job_.place(Running.Name_, Running.Run_, Worker.Entry_.Id_);
+    Owned->Job_.noteStarted();
     DirtyJobs_.insert(Running.Name_.Job_);
   } else {
     beginStop(Worker, Adopted, Now);
--- a/packages/scheduling/src/worker_state.h
+++ b/packages/scheduling/src/worker_state.h
@@ -46,6 +46,8 @@
   std::optional<TimePoint> StopConfirmedAt_;
   TimePoint NextStopAt_{};
   std::uint32_t StartsSent_ = 0;
+  /// Its job is known to have started.
+  bool IsStartNoted_ = false;
   /// The last report that listed it.
   std::uint64_t ListedIn_ = 0;
   std::string Checkpoint_;
--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -135,6 +135,18 @@
       Starts_.front().Worker_);
 }
 
+BOOST_FIXTURE_TEST_CASE(counts_as_waiting_until_a_worker_confirms_a_start,
+                        Cell) {
+  submit("job", {task(1)});
+  step();
+  BOOST_REQUIRE(Starts_.size() == 1);
+  BOOST_TEST(Scheduler_.pendingByQueue()["batch"] == 1);
+  BOOST_TEST((Scheduler_.stateOf("job") == JobState::Queued));
+  acceptStarts();
+  BOOST_TEST(Scheduler_.pendingByQueue()["batch"] == 0);
+  BOOST_TEST((Scheduler_.stateOf("job") == JobState::Running));
+}
+
 BOOST_FIXTURE_TEST_CASE(leaves_room_for_a_large_one, Cell) {
   for (const char *Small : {"small-1", "small-2"}) {
     submit(Small, {task(1, 2000)});
