A pass remembers what found no room; an instance takes over from its earlier life

Change: requests that found no room are remembered for the pass; the process that follows on the instance of the owner takes the cell at once.

--- a/packages/scheduling/src/owner_lease.cpp
+++ b/packages/scheduling/src/owner_lease.cpp
@@ -88,6 +88,9 @@
 bool OwnerLease::shouldTakeOver(TimePoint /*Now*/) const {
   if (!IsKnown_ || isOwner())
     return false;
+  // The process before this one on the same instance is gone.
+  if (Version_ != 0 && Record_.Holder_ == Self_.Holder_)
+    return true;
   Duration Wait = Times_.TakeoverAfter_;
   if (Version_ == 0)
     Wait = Times_.FirstOwnerAfter_;
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -44,6 +44,25 @@
   Resources Needed_;
 };
 
+/// Requests for which one pass over the workers found no room. Room only
+/// shrinks during a pass, so what asks for as much finds none either.
+class RoomlessRequests {
+public:
+  void clear() { Known_.clear(); }
+  void add(const PlacementRequest &Request);
+  bool covers(const PlacementRequest &Request) const;
+
+private:
+  struct Entry {
+    std::string Service_;
+    std::string RequiredLabel_;
+    /// The image of a filler; empty for what counts against capacity.
+    std::string FillerImage_;
+    Resources Asked_;
+  };
+  std::vector<Entry> Known_;
+};
+
 struct Scheduler::Impl {
   Impl(SchedulerSettings Settings, TimePoint Now);
 
@@ -133,6 +152,7 @@
   std::uint64_t WriteSequence_ = 0;
   std::vector<Action> Actions_;
   std::vector<Note> Notes_;
+  RoomlessRequests Roomless_;
   InterferenceModel Model_;
   bool IsFenced_ = false;
   bool HasNewRoom_ = true;
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -68,6 +68,26 @@
 
 } // namespace
 
+void RoomlessRequests::add(const PlacementRequest &Request) {
+  const StepSpec &Step = Request.Step_;
+  Known_.push_back({Request.Service_, Step.RequiredLabel_,
+                    Step.IsFiller_ ? Step.Image_ : std::string(),
+                    Step.Request_});
+}
+
+bool RoomlessRequests::covers(const PlacementRequest &Request) const {
+  const StepSpec &Step = Request.Step_;
+  std::string_view Image = Step.IsFiller_ ? Step.Image_ : std::string_view();
+  return std::any_of(Known_.begin(), Known_.end(), [&](const Entry &Known) {
+    return Known.Asked_.MilliCpu_ <= Step.Request_.MilliCpu_ &&
+           Known.Asked_.MemoryMb_ <= Step.Request_.MemoryMb_ &&
+           Known.Asked_.Accelerators_ <= Step.Request_.Accelerators_ &&
+           Known.FillerImage_ == Image && Known.Service_ == Request.Service_ &&
+           (Known.RequiredLabel_.empty() ||
+            Known.RequiredLabel_ == Step.RequiredLabel_);
+  });
+}
+
 void Scheduler::Impl::openDueSteps(TimePoint Now) {
   for (auto Next = Unopened_.begin(); Next != Unopened_.end();) {
     OwnedJob *Owned = findJob(*Next);
@@ -123,6 +143,7 @@
                      std::tie(Right.Priority_, Right.IsLasting_,
                               Right.Lateness_, Right.Due_);
             });
+  Roomless_.clear();
   for (const Candidate &Next : Candidates)
     placeJob(*Next.Owned_, Next.Policy_, Now);
 }
@@ -163,6 +184,8 @@
   PlacementRequest Request{Step, Service, First, {}, Step.Request_};
   if (Step.IsFiller_)
     Request.Needed_.MilliCpu_ = 0;
+  if (Roomless_.covers(Request))
+    return;
   struct Offer {
     double Cost_;
     WorkerState *Worker_;
@@ -179,6 +202,9 @@
   };
   for (auto &[Id, Worker] : Workers_)
     Consider(Worker);
+  // A step that may not share workers says nothing about others.
+  if (Offers.empty() && Step.MaxPerWorker_ == 0)
+    Roomless_.add(Request);
   for (std::uint32_t Slot : Slots) {
     TaskName Name = Owner.nameOf(Slot);
     Task &Waiting = Owner.at(Slot);
--- a/packages/scheduling/tests/owner_lease_test.cpp
+++ b/packages/scheduling/tests/owner_lease_test.cpp
@@ -40,6 +40,16 @@
   BOOST_TEST(Weak.shouldTakeOver(Start + 4s));
 }
 
+BOOST_AUTO_TEST_CASE(takes_the_cell_of_its_own_earlier_life_at_once) {
+  OwnerRecord Before = recordOf("me");
+  Before.Nonce_ = "earlier";
+  OwnerLease Lease = candidate();
+  Lease.rowSeen(Before, 5, Start);
+  BOOST_TEST(!Lease.isOwner());
+  BOOST_TEST(Lease.shouldTakeOver(Start));
+  BOOST_TEST(Lease.takeoverRecord().Tenure_ == 4);
+}
+
 BOOST_AUTO_TEST_CASE(of_equal_strength_does_not_wait_longer) {
   BOOST_TEST((takeoverHandicap(0.5, 0.5) == Duration::zero()));
   BOOST_TEST((takeoverHandicap(0.25, 0.25) == Duration::zero()));
