--- a/packages/node/src/configuration_follower.cpp
+++ b/packages/node/src/configuration_follower.cpp
@@ -14,6 +14,10 @@
 /// a configuration by this at most.
 constexpr Duration ConfigurationFeedWait = std::chrono::milliseconds(1000);
 
+/// The pause after an answer, so that a store that answers at once is not
+/// called all the time; changes are due within seconds.
+constexpr Duration ConfigurationFeedPause = std::chrono::milliseconds(50);
+
 } // namespace
 
 ConfigurationFollower::ConfigurationFollower(EventLoop &Loop,
@@ -41,17 +45,18 @@
 }
 
 void ConfigurationFollower::follow(std::uint64_t After) {
-  Store_.feed(platform::OperatorTable, After, ConfigurationFeedWait,
-              [this, After](const Result<RowPage> &Page) {
-                if (!Page && Page.error() == Errc::NotFound)
-                  return readAll();
-                if (!Page)
-                  return Loop_.after(RetryPause,
-                                     [this, After] { follow(After); });
-                for (const Row &Seen : Page->Rows_)
-                  rowSeen(Seen);
-                follow(std::max(After, Page->Version_));
-              });
+  Store_.feed(
+      platform::OperatorTable, After, ConfigurationFeedWait,
+      [this, After](const Result<RowPage> &Page) {
+        if (!Page && Page.error() == Errc::NotFound)
+          return readAll();
+        if (!Page)
+          return Loop_.after(RetryPause, [this, After] { follow(After); });
+        for (const Row &Seen : Page->Rows_)
+          rowSeen(Seen);
+        std::uint64_t Next = std::max(After, Page->Version_);
+        Loop_.after(ConfigurationFeedPause, [this, Next] { follow(Next); });
+      });
 }
 
 void ConfigurationFollower::rowSeen(const Row &Seen) {
--- a/packages/transport/include/filbertspring/transport/http_message.h
+++ b/packages/transport/include/filbertspring/transport/http_message.h
@@ -41,6 +41,10 @@
   std::string_view header(std::string_view Name) const;
 };
 
+/// Reads the parameters of \p Query, which excludes the question mark. Escapes
+/// that are not two hexadecimal digits stay as they are.
+std::vector<HttpField> parseQuery(std::string_view Query);
+
 /// Splits the path \p Path at its slashes; empty parts are left out.
 std::vector<std::string> splitPath(std::string_view Path);
 
--- a/packages/transport/src/async_http_server.cpp
+++ b/packages/transport/src/async_http_server.cpp
@@ -140,8 +140,11 @@
     Request_.Method_ =
         http_method_str(static_cast<http_method>(Parser_.method));
     std::size_t Query = Request_.Path_.find('?');
-    if (Query != std::string::npos)
+    if (Query != std::string::npos) {
+      Request_.Query_ =
+          parseQuery(std::string_view(Request_.Path_).substr(Query + 1));
       Request_.Path_.resize(Query);
+    }
     Owner_.Handler_(std::move(Request_),
                     [Self = shared_from_this()](const HttpAnswer &Answer) {
                       if (!Self->isClosed() && Self->IsAnswering_)
--- a/packages/transport/src/http_message.cpp
+++ b/packages/transport/src/http_message.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <charconv>
 
 namespace filbertspring {
 namespace {
@@ -21,6 +22,24 @@
   return {};
 }
 
+/// Decodes escapes of a percent sign and two hexadecimal digits.
+std::string unescape(std::string_view Text) {
+  constexpr std::size_t EscapeSize = 3;
+  constexpr int Hexadecimal = 16;
+  std::string Plain;
+  while (!Text.empty()) {
+    unsigned Byte = 0;
+    const char *Digits = Text.data() + 1;
+    bool IsEscape =
+        Text.front() == '%' && Text.size() >= EscapeSize &&
+        std::from_chars(Digits, Digits + 2, Byte, Hexadecimal).ptr ==
+            Digits + 2;
+    Plain += IsEscape ? static_cast<char>(Byte) : Text.front();
+    Text.remove_prefix(IsEscape ? EscapeSize : 1);
+  }
+  return Plain;
+}
+
 } // namespace
 
 std::string_view HttpRequest::header(std::string_view Name) const {
@@ -35,6 +54,18 @@
   return find(Headers_, Name);
 }
 
+std::vector<HttpField> parseQuery(std::string_view Query) {
+  std::vector<HttpField> Fields;
+  while (!Query.empty()) {
+    std::string_view Part = Query.substr(0, Query.find('&'));
+    Query.remove_prefix(std::min(Part.size() + 1, Query.size()));
+    std::string_view Name = Part.substr(0, Part.find('='));
+    Part.remove_prefix(std::min(Name.size() + 1, Part.size()));
+    Fields.push_back({unescape(Name), unescape(Part)});
+  }
+  return Fields;
+}
+
 std::vector<std::string> splitPath(std::string_view Path) {
   std::vector<std::string> Parts;
   while (!Path.empty()) {
--- a/packages/transport/tests/http_exchange_test.cpp
+++ b/packages/transport/tests/http_exchange_test.cpp
@@ -28,6 +28,24 @@
 
 } // namespace
 
+BOOST_AUTO_TEST_SUITE(the_query_of_a_request)
+
+BOOST_AUTO_TEST_CASE(is_read_with_its_escapes) {
+  std::vector<HttpField> Fields = parseQuery("a=1&name=x%20y%2Fz&empty=&flag");
+  BOOST_REQUIRE(Fields.size() == 4);
+  BOOST_TEST(Fields[1].Name_ == "name");
+  BOOST_TEST(Fields[1].Value_ == "x y/z");
+  BOOST_TEST(Fields[2].Value_ == "");
+  BOOST_TEST(Fields[3].Name_ == "flag");
+}
+
+BOOST_AUTO_TEST_CASE(keeps_escapes_that_are_none) {
+  BOOST_TEST(parseQuery("a=%zz%4")[0].Value_ == "%zz%4");
+  BOOST_TEST(parseQuery("").empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(an_exchange)
 
 BOOST_AUTO_TEST_CASE(passes_on_the_whole_answer) {
