--- a/packages/node/src/callers.cpp
+++ b/packages/node/src/callers.cpp
@@ -96,10 +96,10 @@
   bool MayBeStored_ = false;
 };
 
-Callers::Callers(StoreClient &Store, CellDirectory &Cells,
+Callers::Callers(EventLoop &Loop, StoreClient &Store, CellDirectory &Cells,
                  CounterRegistry &Counters,
                  std::function<void(const Row &)> Accepted)
-    : Store_(Store), Cells_(Cells), Counters_(Counters),
+    : Loop_(Loop), Store_(Store), Cells_(Cells), Counters_(Counters),
       Accepted_(std::move(Accepted)) {}
 
 void Callers::configure(std::shared_ptr<const scheduling::QueueTable> Queues) {
@@ -203,14 +203,18 @@
           return Of->Respond_(makeAnswer(200));
         case CommitOutcome::Refused:
           // An earlier insert of this exchange may still take effect.
-          if (Of->MayBeStored_)
+          if (Of->MayBeStored_) {
+            logEvent(LogEvent::JobOutcomeUnknown, {{"job", Of->Job_}});
             return Of->Respond_(makeUnknown());
+          }
           logEvent(LogEvent::JobRefused,
                    {{"job", Of->Job_}, {"problem", "store refuses calls"}});
           return Of->Respond_(makeRefusal());
         case CommitOutcome::Unknown:
           Of->MayBeStored_ = true;
-          return insert(Of, Insert);
+          // A store that resets connections would be called without a pause.
+          return Loop_.after(RetryPause,
+                             [this, Of, Insert] { insert(Of, Insert); });
         }
       });
 }
@@ -268,22 +272,23 @@
   New.Key_ = cancelKey(Of->Job_);
   New.Value_ = "{}";
   Cancel.Writes_.push_back(New);
-  Store_.commit(Cancel, Timeout,
-                [this, Of, Version, New](const CommitResult &Outcome) {
-                  switch (Outcome.Outcome_) {
-                  case CommitOutcome::Committed:
-                    logEvent(LogEvent::StopRequested, {{"job", Of->Job_}});
-                    Accepted_(New);
-                    return Of->Respond_(makeAnswer(200));
-                  case CommitOutcome::Conflict:
-                    // Only removal changes an acceptance.
-                    return Of->Respond_(makeAnswer(410));
-                  case CommitOutcome::Refused:
-                    return Of->Respond_(makeRefusal());
-                  case CommitOutcome::Unknown:
-                    return storeCancel(Of, Version);
-                  }
-                });
+  Store_.commit(
+      Cancel, Timeout, [this, Of, Version, New](const CommitResult &Outcome) {
+        switch (Outcome.Outcome_) {
+        case CommitOutcome::Committed:
+          logEvent(LogEvent::StopRequested, {{"job", Of->Job_}});
+          Accepted_(New);
+          return Of->Respond_(makeAnswer(200));
+        case CommitOutcome::Conflict:
+          // Only removal changes an acceptance.
+          return Of->Respond_(makeAnswer(410));
+        case CommitOutcome::Refused:
+          return Of->Respond_(makeRefusal());
+        case CommitOutcome::Unknown:
+          return Loop_.after(RetryPause,
+                             [this, Of, Version] { storeCancel(Of, Version); });
+        }
+      });
 }
 
 void Callers::answerPending(const ExchangePtr &Of) {
--- a/packages/node/src/callers.h
+++ b/packages/node/src/callers.h
@@ -22,7 +22,8 @@
 class Callers {
 public:
   /// \p Accepted is called with the row of each newly accepted job.
-  Callers(StoreClient &Store, CellDirectory &Cells, CounterRegistry &Counters,
+  Callers(EventLoop &Loop, StoreClient &Store, CellDirectory &Cells,
+          CounterRegistry &Counters,
           std::function<void(const scheduling::Row &)> Accepted);
 
   void configure(std::shared_ptr<const scheduling::QueueTable> Queues);
@@ -46,6 +47,7 @@
   /// The time that is left for store calls on behalf of the caller.
   Duration timeLeft(const Exchange &Of) const;
 
+  EventLoop &Loop_;
   StoreClient &Store_;
   CellDirectory &Cells_;
   CounterRegistry &Counters_;
--- a/packages/node/src/run_node.cpp
+++ b/packages/node/src/run_node.cpp
@@ -80,7 +80,7 @@
         Store_(Loop_, Settings_.StoreAddress_, Counters_),
         Cell_(Loop_, Store_, Settings_, makeNonce()),
         Owner_(Loop_, Store_, Counters_, Settings_, Cell_.lease()),
-        Callers_(Store_, Cell_, Counters_,
+        Callers_(Loop_, Store_, Cell_, Counters_,
                  [this](const scheduling::Row &Stored) { tellOwner(Stored); }),
         Peers_(Loop_, {}),
         Configuration_(
