--- a/packages/node/src/cell_owner.cpp
+++ b/packages/node/src/cell_owner.cpp
@@ -100,6 +100,9 @@
   Store_.commit(Takeover, StoreTimeout,
                 [this, Mine, SentAt](const CommitResult &Outcome) {
                   IsTakingOver_ = false;
+                  if (Outcome.Outcome_ == CommitOutcome::Refused ||
+                      Outcome.Outcome_ == CommitOutcome::Unknown)
+                    return Lease_.takeoverFailed(SchedulerClock::now());
                   if (Outcome.Outcome_ != CommitOutcome::Committed)
                     return;
                   Lease_.rowWritten(Mine, Outcome.Version_, SentAt);
--- a/packages/scheduling/include/filbertspring/scheduling/owner_lease.h
+++ b/packages/scheduling/include/filbertspring/scheduling/owner_lease.h
@@ -74,6 +74,10 @@
                   TimePoint SentAt);
   /// The store could not be read; the time does not count as unchanged.
   void readFailed(TimePoint Now);
+  /// The store did not take a takeover. It may still have answered feeds, but
+  /// the owner could not renew its row either: the silence so far proves
+  /// nothing.
+  void takeoverFailed(TimePoint Now) { readFailed(Now); }
 
   bool isOwner() const;
   /// Whether orders may be given at \p Now.
--- a/packages/scheduling/tests/owner_lease_test.cpp
+++ b/packages/scheduling/tests/owner_lease_test.cpp
@@ -85,6 +85,19 @@
   BOOST_TEST(!Lease.shouldTakeOver(Start + 6s));
 }
 
+BOOST_AUTO_TEST_CASE(waits_afresh_when_the_store_takes_no_writes) {
+  OwnerLease Lease = candidate();
+  Lease.rowSeen(recordOf("other"), 5, Start);
+  // Feeds go on, though the owner cannot write.
+  Lease.rowUnchanged(Start + 3s);
+  BOOST_TEST(Lease.shouldTakeOver(Start + 3s));
+  Lease.takeoverFailed(Start + 3s);
+  Lease.rowUnchanged(Start + 4s);
+  BOOST_TEST(!Lease.shouldTakeOver(Start + 4s));
+  Lease.rowUnchanged(Start + 5500ms);
+  BOOST_TEST(Lease.shouldTakeOver(Start + 5500ms));
+}
+
 BOOST_AUTO_TEST_CASE(ignores_reads_that_were_overtaken) {
   OwnerLease Lease = candidate();
   Lease.rowSeen(recordOf("other"), 8, Start);
