Lasting tasks that were away for 3 s go before timed jobs

Change: a lasting job goes after timed ones of its priority only while none of its tasks has waited for 3 s. The new test fails without it.

--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -26,6 +26,9 @@
 /// A job that takes this many times its objective is worth nothing to its
 /// caller.
 constexpr int LateLimit = 3;
+/// A lasting task that has waited for longer goes before timed jobs: users bear
+/// six seconds without it, of which the start takes some.
+constexpr Duration LongestLastingWait = std::chrono::milliseconds(3000);
 /// Cost of a worker away from the data, relative to a full worker.
 constexpr double FarCost = 2.0;
 
@@ -56,6 +59,17 @@
                                            : Lateness::Worthless;
 }
 
+/// Returns whether timed jobs go before \p Waiting: it lasts, and none of its
+/// tasks has been away for long.
+bool canWait(Job &Waiting, TimePoint Now) {
+  if (!Waiting.isLasting())
+    return false;
+  const std::set<std::uint32_t> &Slots = Waiting.waiting();
+  return std::all_of(Slots.begin(), Slots.end(), [&](std::uint32_t Slot) {
+    return Now - Waiting.at(Slot).ReadyAt_ < LongestLastingWait;
+  });
+}
+
 /// Returns how many tasks of the step of \p Name the worker holds.
 std::int64_t countOfStep(const WorkerState &Worker, const TaskName &Name) {
   return std::count_if(
@@ -109,8 +123,8 @@
   struct Candidate {
     int Priority_;
     /// Lasting tasks hold their room for long, and earn less with it than
-    /// short ones do.
-    bool IsLasting_;
+    /// short ones do; but they may not be away for long.
+    bool CanWait_;
     Lateness Lateness_;
     TimePoint Due_;
     OwnedJob *Owned_;
@@ -132,16 +146,16 @@
                   std::chrono::duration_cast<Duration>(
                       Found->SlackFactor_ * longestChain(Accepted.Spec_));
     TimePoint Due = Owned->Job_.seenAt() + Objective;
-    Candidates.push_back({Found ? Found->Priority_ : 0, Owned->Job_.isLasting(),
-                          latenessOf(Owned->Job_, Objective, Now), Due, Owned,
-                          Found});
+    Candidates.push_back(
+        {Found ? Found->Priority_ : 0, canWait(Owned->Job_, Now),
+         latenessOf(Owned->Job_, Objective, Now), Due, Owned, Found});
   }
   std::sort(Candidates.begin(), Candidates.end(),
             [](const Candidate &Left, const Candidate &Right) {
-              return std::tie(Left.Priority_, Left.IsLasting_, Left.Lateness_,
+              return std::tie(Left.Priority_, Left.CanWait_, Left.Lateness_,
                               Left.Due_) <
-                     std::tie(Right.Priority_, Right.IsLasting_,
-                              Right.Lateness_, Right.Due_);
+                     std::tie(Right.Priority_, Right.CanWait_, Right.Lateness_,
+                              Right.Due_);
             });
   Roomless_.clear();
   for (const Candidate &Next : Candidates)
--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -160,6 +160,25 @@
   BOOST_TEST(Starts_.front().Name_.Job_ == "large");
 }
 
+BOOST_FIXTURE_TEST_CASE(waits_for_a_lasting_one_that_was_away_for_long, Cell) {
+  submit("first", {task(2, 8000)});
+  step();
+  acceptStarts();
+  StepSpec Lasting = task(1, 8000);
+  Lasting.IsLasting_ = true;
+  submit("lasting", {Lasting});
+  step();
+  // Timed jobs keep coming while the lasting one waits.
+  step(3s);
+  submit("timed", {task(1, 8000)});
+  end(EndReason::Done);
+  Starts_.clear();
+  answerRenewals();
+  step();
+  BOOST_REQUIRE(Starts_.size() == 1);
+  BOOST_TEST(Starts_.front().Name_.Job_ == "lasting");
+}
+
 BOOST_FIXTURE_TEST_CASE(that_is_late_leaves_its_room_to_one_that_is_not, Cell) {
   submit("first", {task(2, 8000)});
   step();
