--- a/packages/scheduling/include/filbertspring/scheduling/job.h
+++ b/packages/scheduling/include/filbertspring/scheduling/job.h
@@ -126,6 +126,7 @@
   const std::set<std::uint32_t> &waiting() const { return Waiting_; }
   TaskName nameOf(std::uint32_t Slot) const;
   Task &at(std::uint32_t Slot) { return Tasks_[Slot]; }
+  const Task &at(std::uint32_t Slot) const { return Tasks_[Slot]; }
   /// The number of tasks in \p Step of \p Occurrence that are placed.
   std::uint32_t placedInStep(std::uint32_t Occurrence,
                              std::uint32_t Step) const;
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -1,7 +1,7 @@
+#include "job_order.h"
 #include "scheduler_impl.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace filbertspring::scheduling {
 namespace {
@@ -26,9 +26,6 @@
 /// A job that takes this many times its objective is worth nothing to its
 /// caller.
 constexpr int LateLimit = 3;
-/// A lasting task that has waited for longer goes before timed jobs: users bear
-/// six seconds without it, of which the start takes some.
-constexpr Duration LongestLastingWait = std::chrono::milliseconds(3000);
 /// Cost of a worker away from the data, relative to a full worker.
 constexpr double FarCost = 2.0;
 
@@ -37,39 +34,6 @@
   return Worker.ServingImages_.size() - Worker.ServingImages_.count(Image);
 }
 
-/// What callers still get from a job that is finished as soon as it can be.
-enum class Lateness {
-  InTime,
-  /// Finished after its objective, which is worth little.
-  Late,
-  /// Finished so late that it is worth nothing more.
-  Worthless,
-};
-
-/// Returns what can become of \p Waiting. Under overload, room that jobs past
-/// their objective take makes others late, too.
-Lateness latenessOf(const Job &Waiting, Duration Objective, TimePoint Now) {
-  if (Waiting.isLasting())
-    return Lateness::InTime;
-  Duration Age = Now - Waiting.seenAt();
-  Duration Finished = Age + Waiting.remainingTime();
-  if (Finished <= Objective)
-    return Lateness::InTime;
-  return Finished <= LateLimit * Objective ? Lateness::Late
-                                           : Lateness::Worthless;
-}
-
-/// Returns whether timed jobs go before \p Waiting: it lasts, and none of its
-/// tasks has been away for long.
-bool canWait(Job &Waiting, TimePoint Now) {
-  if (!Waiting.isLasting())
-    return false;
-  const std::set<std::uint32_t> &Slots = Waiting.waiting();
-  return std::all_of(Slots.begin(), Slots.end(), [&](std::uint32_t Slot) {
-    return Now - Waiting.at(Slot).ReadyAt_ < LongestLastingWait;
-  });
-}
-
 /// Returns how many tasks of the step of \p Name the worker holds.
 std::int64_t countOfStep(const WorkerState &Worker, const TaskName &Name) {
   return std::count_if(
@@ -121,12 +85,7 @@
   NextPlacementAt_ = Now + PlacementPause;
 
   struct Candidate {
-    int Priority_;
-    /// Lasting tasks hold their room for long, and earn less with it than
-    /// short ones do; but they may not be away for long.
-    bool CanWait_;
-    Lateness Lateness_;
-    TimePoint Due_;
+    JobRank Rank_;
     OwnedJob *Owned_;
     const Queue *Policy_;
   };
@@ -138,24 +97,12 @@
       continue;
     }
     ++Next;
-    const AcceptedJob &Accepted = Owned->Job_.accepted();
-    const Queue *Found = Queues_->find(Accepted.Queue_);
-    Duration Objective{};
-    if (Found && !Owned->Job_.isLasting())
-      Objective = Found->TargetLatency_ +
-                  std::chrono::duration_cast<Duration>(
-                      Found->SlackFactor_ * longestChain(Accepted.Spec_));
-    TimePoint Due = Owned->Job_.seenAt() + Objective;
-    Candidates.push_back(
-        {Found ? Found->Priority_ : 0, canWait(Owned->Job_, Now),
-         latenessOf(Owned->Job_, Objective, Now), Due, Owned, Found});
+    const Queue *Found = Queues_->find(Owned->Job_.accepted().Queue_);
+    Candidates.push_back({rankOf(Owned->Job_, Found, Now), Owned, Found});
   }
   std::sort(Candidates.begin(), Candidates.end(),
             [](const Candidate &Left, const Candidate &Right) {
-              return std::tie(Left.Priority_, Left.CanWait_, Left.Lateness_,
-                              Left.Due_) <
-                     std::tie(Right.Priority_, Right.CanWait_, Right.Lateness_,
-                              Right.Due_);
+              return Left.Rank_ < Right.Rank_;
             });
   Roomless_.clear();
   for (const Candidate &Next : Candidates)
--- /dev/null
+++ b/packages/scheduling/tests/job_order_test.cpp
@@ -0,0 +1,76 @@
+#include "job_order.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace filbertspring::scheduling {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr TimePoint Start{100s};
+
+/// A job of one second's work, accepted at Start.
+Job jobOf(bool IsLasting) {
+  AcceptedJob Accepted;
+  Accepted.Id_ = "job";
+  StepSpec Step;
+  Step.Estimate_ = 1s;
+  Step.IsLasting_ = IsLasting;
+  Accepted.Spec_.Steps_ = {Step};
+  Job Owned(Accepted, Start);
+  Owned.openSteps(0, Start);
+  return Owned;
+}
+
+/// An objective of 2.5 seconds for such a job.
+Queue queueOf(int Priority) {
+  Queue Policy;
+  Policy.Priority_ = Priority;
+  Policy.SlackFactor_ = 2;
+  Policy.TargetLatency_ = 500ms;
+  return Policy;
+}
+
+BOOST_AUTO_TEST_SUITE(the_rank_of_a_job)
+
+BOOST_AUTO_TEST_CASE(falls_when_it_can_no_longer_be_in_time) {
+  Job Owned = jobOf(false);
+  Queue Policy = queueOf(0);
+  auto LatenessAt = [&](Duration Age) {
+    return rankOf(Owned, &Policy, Start + Age).Lateness_;
+  };
+  BOOST_TEST((LatenessAt(1500ms) == Lateness::InTime));
+  BOOST_TEST((LatenessAt(1501ms) == Lateness::Late));
+  BOOST_TEST((LatenessAt(6500ms) == Lateness::Late));
+  BOOST_TEST((LatenessAt(6501ms) == Lateness::Worthless));
+}
+
+BOOST_AUTO_TEST_CASE(follows_the_priority_first) {
+  Job Owned = jobOf(false);
+  Queue Urgent = queueOf(0);
+  Queue Patient = queueOf(2);
+  BOOST_TEST(
+      (rankOf(Owned, &Urgent, Start + 10s) < rankOf(Owned, &Patient, Start)));
+}
+
+BOOST_AUTO_TEST_CASE(is_after_timed_ones_while_it_lasts_and_waits_briefly) {
+  Job Timed = jobOf(false);
+  Job Lasting = jobOf(true);
+  Queue Policy = queueOf(0);
+  auto IsTimedFirst = [&](Duration Age) {
+    return rankOf(Timed, &Policy, Start + Age) <
+           rankOf(Lasting, &Policy, Start + Age);
+  };
+  BOOST_TEST(IsTimedFirst(2900ms));
+  BOOST_TEST(!IsTimedFirst(3s));
+}
+
+BOOST_AUTO_TEST_CASE(needs_no_queue) {
+  Job Owned = jobOf(false);
+  BOOST_TEST(rankOf(Owned, nullptr, Start).Priority_ == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace filbertspring::scheduling
