--- a/packages/scheduling/tests/job_order_test.cpp
+++ b/packages/scheduling/tests/job_order_test.cpp
@@ -7,9 +7,9 @@
 
 using namespace std::chrono_literals;
 
-constexpr TimePoint Start{100s};
+constexpr TimePoint AcceptedAt{100s};
 
-/// A job of one second's work, accepted at Start.
+/// A job of one second's work, accepted at AcceptedAt.
 Job jobOf(bool IsLasting) {
   AcceptedJob Accepted;
   Accepted.Id_ = "job";
@@ -17,8 +17,8 @@
   Step.Estimate_ = 1s;
   Step.IsLasting_ = IsLasting;
   Accepted.Spec_.Steps_ = {Step};
-  Job Owned(Accepted, Start);
-  Owned.openSteps(0, Start);
+  Job Owned(Accepted, AcceptedAt);
+  Owned.openSteps(0, AcceptedAt);
   return Owned;
 }
 
@@ -37,7 +37,7 @@
   Job Owned = jobOf(false);
   Queue Policy = queueOf(0);
   auto LatenessAt = [&](Duration Age) {
-    return rankOf(Owned, &Policy, Start + Age).Lateness_;
+    return rankOf(Owned, &Policy, AcceptedAt + Age).Lateness_;
   };
   BOOST_TEST((LatenessAt(1500ms) == Lateness::InTime));
   BOOST_TEST((LatenessAt(1501ms) == Lateness::Late));
@@ -49,8 +49,8 @@
   Job Owned = jobOf(false);
   Queue Urgent = queueOf(0);
   Queue Patient = queueOf(2);
-  BOOST_TEST(
-      (rankOf(Owned, &Urgent, Start + 10s) < rankOf(Owned, &Patient, Start)));
+  BOOST_TEST((rankOf(Owned, &Urgent, AcceptedAt + 10s) <
+              rankOf(Owned, &Patient, AcceptedAt)));
 }
 
 BOOST_AUTO_TEST_CASE(is_after_timed_ones_while_it_lasts_and_waits_briefly) {
@@ -58,8 +58,8 @@
   Job Lasting = jobOf(true);
   Queue Policy = queueOf(0);
   auto IsTimedFirst = [&](Duration Age) {
-    return rankOf(Timed, &Policy, Start + Age) <
-           rankOf(Lasting, &Policy, Start + Age);
+    return rankOf(Timed, &Policy, AcceptedAt + Age) <
+           rankOf(Lasting, &Policy, AcceptedAt + Age);
   };
   BOOST_TEST(IsTimedFirst(2900ms));
   BOOST_TEST(!IsTimedFirst(3s));
@@ -67,7 +67,7 @@
 
 BOOST_AUTO_TEST_CASE(needs_no_queue) {
   Job Owned = jobOf(false);
-  BOOST_TEST(rankOf(Owned, nullptr, Start).Priority_ == 0);
+  BOOST_TEST(rankOf(Owned, nullptr, AcceptedAt).Priority_ == 0);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
