Shares are written back at a stop and taken over by the next process

Cause: a stopping process ended its lease in the same step in which it asked for the release of its shares, and a ledger is only written under a lease, so the release was never written. Shares that a killed process held were free only after their lease, six hours by default; when all processes are new, nobody holds anything.

Change: the lease is kept until the ledgers show no share of the process; then the heartbeat row is deleted. A new process takes the share of an earlier process of the same instance and address once that one's heartbeat is overdue.

--- a/packages/entry/src/threads/membership_context.cpp
+++ b/packages/entry/src/threads/membership_context.cpp
@@ -13,6 +13,7 @@
   Lease.HeartbeatInterval_ = Values.Leases_.HeartbeatInterval_;
   Lease.SuspicionTimeout_ = Values.Leases_.InstanceLapse_;
   Lease.LeaseDuration_ = Values.Shares_.Lapse_;
+  Lease.DrainLimit_ = Values.Drain_.Limit_;
   Lease.DriftPermille_ = std::max<std::int32_t>(
       1, static_cast<std::int32_t>(Values.Leases_.ClockDrift_ * Permille));
   Lease.Margin_ = Values.Leases_.Margin_;
--- a/packages/entry/src/threads/membership_service.cpp
+++ b/packages/entry/src/threads/membership_service.cpp
@@ -20,9 +20,10 @@
 constexpr Duration TickInterval = std::chrono::milliseconds(100);
 constexpr Duration ListPollInterval = std::chrono::seconds(1);
 constexpr Duration RackAssignmentInterval = std::chrono::seconds(1);
-/// How long release() waits for the table to commit the release of the shares
-/// and the heartbeat row.
-constexpr Duration ReleaseWait = std::chrono::milliseconds(1500);
+/// How long release() waits at most for the table to commit the release of the
+/// shares and the heartbeat row. Instances that stop at the same time write the
+/// same ledgers, so some of the writes are repeated.
+constexpr Duration MaxReleaseWait = std::chrono::seconds(5);
 
 } // namespace
 
@@ -213,7 +214,9 @@
 
 void MembershipService::release() {
   Impl_->Context_.post([this] { Impl_->Shares_.release(); });
-  std::this_thread::sleep_for(ReleaseWait);
+  TimePoint Limit = SchedulerClock::now() + MaxReleaseWait;
+  while (!Impl_->Shares_.isReleased() && SchedulerClock::now() < Limit)
+    std::this_thread::sleep_for(TickInterval);
 }
 
 void MembershipService::stop() {
--- a/packages/entry/src/threads/share_updater.cpp
+++ b/packages/entry/src/threads/share_updater.cpp
@@ -60,6 +60,7 @@
   if (Now - LastDemandSample_ >= DemandSampleInterval)
     sampleDemand(Now);
   handleShare(membership::ShareTick{&Liveness_});
+  continueRelease();
   publishGrants(Now);
 }
 
@@ -82,7 +83,16 @@
 void ShareUpdater::leave() { handleHeartbeat(membership::LeaveRequested{}); }
 
 void ShareUpdater::release() {
+  IsReleasing_ = true;
   handleShare(membership::ShareStopRequested{});
+}
+
+/// Deletes the heartbeat row once the shares are released: the release is
+/// written under the lease, which ends with the row.
+void ShareUpdater::continueRelease() {
+  if (!IsReleasing_ || !Shares_.isReleased())
+    return;
+  IsReleasing_ = false;
   handleHeartbeat(membership::StopRequested{});
 }
 
@@ -103,6 +113,7 @@
 void ShareUpdater::commitHeartbeat(const Transaction &Request) {
   auto Handle = [this, Id = Request.Id_](const CommitResult &Result) {
     handleHeartbeat(membership::HeartbeatCommitEnded{Id, Result});
+    IsReleased_ = Heartbeat_.isReleased();
   };
   Context_.Dependencies_.Table_.post(
       TableCommit{Request, [this, Handle](const CommitResult &Result) {
--- a/packages/entry/src/threads/share_updater.h
+++ b/packages/entry/src/threads/share_updater.h
@@ -12,6 +12,7 @@
 #include "filbertspring/membership/liveness_tracker.h"
 #include "filbertspring/membership/share_allocator.h"
 
+#include <atomic>
 #include <map>
 #include <vector>
 
@@ -29,8 +30,11 @@
   void handlePeerDemands(const std::vector<membership::DemandEntry> &Demands);
   /// Marks the instance as leaving in all later heartbeats.
   void leave();
-  /// Releases all shares and the heartbeat row.
+  /// Stops the use of all shares. The following ticks release the shares and
+  /// then the heartbeat row.
   void release();
+  /// Returns whether the shares and the heartbeat row have been released.
+  bool isReleased() const { return IsReleased_; }
 
   /// Returns the instances that have a heartbeat row, with their liveness.
   std::vector<membership::Member> members() const;
@@ -47,6 +51,7 @@
   void sampleDemand(TimePoint Now);
   void publishGrants(TimePoint Now);
   void deleteLapsedRows(TimePoint Now);
+  void continueRelease();
 
   MembershipContext &Context_;
   membership::DigestBuilder &Digests_;
@@ -57,6 +62,9 @@
   std::map<ContractName, membership::ShareGrant> PublishedGrants_;
   TimePoint LastHeartbeatScan_{};
   TimePoint LastDemandSample_{};
+  bool IsReleasing_ = false;
+  /// Read by the thread that stops the process.
+  std::atomic<bool> IsReleased_{false};
 };
 
 } // namespace filbertspring
--- a/packages/membership/include/filbertspring/membership/heartbeat_writer.h
+++ b/packages/membership/include/filbertspring/membership/heartbeat_writer.h
@@ -64,6 +64,8 @@
 
   /// Returns the lease, which may have ended or not yet begun.
   const HolderLease &lease() const;
+  /// Returns true once the row was deleted after StopRequested.
+  bool isReleased() const;
   /// Returns true once another process has taken over the name.
   bool superseded() const;
 
--- a/packages/membership/include/filbertspring/membership/lease.h
+++ b/packages/membership/include/filbertspring/membership/lease.h
@@ -23,6 +23,8 @@
   Duration LeaseDuration_ = std::chrono::seconds(10);
   /// The maximum rate error of a clock, in thousandths.
   std::int32_t DriftPermille_ = 10;
+  /// A process that drains ends at most this long after its last heartbeat.
+  Duration DrainLimit_ = std::chrono::seconds(60);
   /// Safety margin that observers add to the lease duration.
   Duration Margin_ = std::chrono::milliseconds(500);
 
--- a/packages/membership/include/filbertspring/membership/liveness_tracker.h
+++ b/packages/membership/include/filbertspring/membership/liveness_tracker.h
@@ -69,6 +69,15 @@
   /// writes no heartbeat; std::nullopt when it has not lapsed.
   std::optional<Guard> lapsedGuard(const InstanceName &Name) const;
 
+  /// Returns a guard that is satisfied as long as \p Name writes no heartbeat
+  /// if \p Name is an earlier process of the instance of \p Successor that has
+  /// ended; std::nullopt otherwise. A process that listens at an address
+  /// excludes an earlier one that admits requests there. In addition, the row
+  /// must not have changed for the suspicion timeout, and that of a process
+  /// that drained for the drain limit as well.
+  std::optional<Guard> predecessorGuard(const InstanceName &Name,
+                                        const InstanceName &Successor) const;
+
   /// Returns all instances with a row, in name order.
   std::vector<Member> members(TimePoint Now) const;
 
--- a/packages/membership/include/filbertspring/membership/share_allocator.h
+++ b/packages/membership/include/filbertspring/membership/share_allocator.h
@@ -128,6 +128,11 @@
   /// contracts.
   ShareGrant grant(const ContractName &Contract, TimePoint Now) const;
 
+  /// Returns true after ShareStopRequested once no ledger that is known holds a
+  /// share of this instance and no write is outstanding. The lease must be held
+  /// until then, since the release is written under it.
+  bool isReleased() const;
+
 private:
   struct Impl;
   std::unique_ptr<Impl> Impl_;
--- a/packages/membership/src/heartbeat_writer.cpp
+++ b/packages/membership/src/heartbeat_writer.cpp
@@ -38,6 +38,7 @@
   bool HadPredecessor_ = false;
   bool Superseded_ = false;
   bool Stopping_ = false;
+  bool IsReleased_ = false;
   std::optional<PendingTransaction> PendingTransaction_;
   std::optional<TimePoint> ReadSentAt_;
   std::optional<TimePoint> LastWriteSentAt_;
@@ -128,8 +129,10 @@
   if (!Registered_ && Exists && !IsOwn)
     HadPredecessor_ = true;
   Version_ = Exists ? Read.Row_->Version_ : AbsentVersion;
-  if (Stopping_ && !Exists)
+  if (Stopping_ && !Exists) {
+    IsReleased_ = true;
     return {};
+  }
   return write(Now);
 }
 
@@ -144,6 +147,7 @@
   case CommitOutcome::Committed:
     if (Stopping_) {
       Version_.reset();
+      IsReleased_ = true;
       return {};
     }
     Version_ = Commit.Result_.Version_;
@@ -195,6 +199,8 @@
 
 const HolderLease &HeartbeatWriter::lease() const { return Impl_->Lease_; }
 
+bool HeartbeatWriter::isReleased() const { return Impl_->IsReleased_; }
+
 bool HeartbeatWriter::superseded() const { return Impl_->Superseded_; }
 
 } // namespace filbertspring::membership
--- a/packages/membership/src/ledger_replica.h
+++ b/packages/membership/src/ledger_replica.h
@@ -56,6 +56,8 @@
   bool needsConfirmingWrite() const;
   bool hasPending() const { return !Pending_.empty(); }
 
+  /// Returns whether a valid row, or that there is none, is known.
+  bool isKnown() const { return Ledger_.has_value(); }
   const ShareLedger &ledger() const { return *Ledger_; }
   RowVersion version() const { return Version_; }
 
--- a/packages/membership/src/liveness_tracker.cpp
+++ b/packages/membership/src/liveness_tracker.cpp
@@ -17,6 +17,16 @@
   TimePoint ChangedAt_;
 };
 
+/// Returns whether two processes have the same instance name, which is followed
+/// by a point and a suffix of the process.
+bool areOfSameInstance(const InstanceName &Left, const InstanceName &Right) {
+  const std::string &First = Left.str();
+  const std::string &Second = Right.str();
+  const std::size_t Length = First.rfind('.');
+  return Length != std::string::npos && Length == Second.rfind('.') &&
+         First.compare(0, Length, Second, 0, Length) == 0;
+}
+
 } // namespace
 
 struct LivenessTracker::Impl {
@@ -120,6 +130,35 @@
                IsKnown ? It->second.Version_ : AbsentVersion};
 }
 
+std::optional<Guard>
+LivenessTracker::predecessorGuard(const InstanceName &Name,
+                                  const InstanceName &Successor) const {
+  auto Own = Impl_->Observations_.find(Successor);
+  if (Name == Successor || Own == Impl_->Observations_.end() ||
+      !areOfSameInstance(Name, Successor))
+    return std::nullopt;
+  const Guard NoHeartbeat{{RowKind::Heartbeat, Name.str()}, AbsentVersion};
+  auto It = Impl_->Observations_.find(Name);
+  // A row is deleted by its process when it no longer uses a share, or by
+  // others when its lease has ended.
+  if (It == Impl_->Observations_.end() || It->second.Version_ == AbsentVersion)
+    return NoHeartbeat;
+  const Observation &Earlier = It->second;
+  const HeartbeatRecord &Record = Earlier.Heartbeat_;
+  const HeartbeatRecord &OwnRecord = Own->second.Heartbeat_;
+  const bool IsReplaced =
+      Record.Http_ == OwnRecord.Http_ && Record.Peer_ == OwnRecord.Peer_;
+  // A process that drains has closed its address but may use its share.
+  const Duration MaxSilence =
+      Impl_->Settings_.SuspicionTimeout_ +
+      (Record.Leaving_ ? Impl_->Settings_.DrainLimit_ : Duration::zero());
+  const bool IsSilent =
+      Impl_->LastScanSentAt_ >= Earlier.ChangedAt_ + MaxSilence;
+  if (!IsReplaced || !IsSilent)
+    return std::nullopt;
+  return Guard{NoHeartbeat.Key_, Earlier.Version_};
+}
+
 std::vector<Member> LivenessTracker::members(TimePoint Now) const {
   std::vector<Member> Members;
   for (const auto &[Name, Entry] : Impl_->Observations_)
--- a/packages/membership/src/share_allocator.cpp
+++ b/packages/membership/src/share_allocator.cpp
@@ -199,7 +199,8 @@
     return false;
   if (!Lease_.holdsAt(Now) || !State.Replica_.isConfirmedIn(Lease_))
     return false;
-  return !State.LastWriteAt_ ||
+  // A stopping instance releases its share once, as soon as it can.
+  return Stopping_ || !State.LastWriteAt_ ||
          Now - *State.LastWriteAt_ >= Settings_.WriteInterval_;
 }
 
@@ -299,7 +300,10 @@
                                          const SharePlan &Plan, TimePoint Now) {
   if (!State.ReadForWriteAt_)
     State.ReadForWriteAt_ =
-        Now + writeDelay(Name, State.HadConflict_ ? 0 : Plan.DeferPermille_);
+        Stopping_ && !State.HadConflict_
+            ? Now
+            : Now + writeDelay(Name,
+                               State.HadConflict_ ? 0 : Plan.DeferPermille_);
   if (*State.ReadForWriteAt_ > Now)
     return;
   State.ReadForWriteAt_.reset();
@@ -343,4 +347,14 @@
   return {It->second.Replica_.usable(Impl_->Lease_, Now), Impl_->Lease_.Until_};
 }
 
+bool ShareAllocator::isReleased() const {
+  return Impl_->Stopping_ &&
+         std::ranges::none_of(Impl_->Contracts_, [this](const auto &Item) {
+           const LedgerReplica &Replica = Item.second.Replica_;
+           return Replica.hasPending() ||
+                  (Replica.isKnown() &&
+                   Replica.ledger().shareOf(Impl_->Self_) > 0);
+         });
+}
+
 } // namespace filbertspring::membership
--- a/packages/membership/src/share_plan.cpp
+++ b/packages/membership/src/share_plan.cpp
@@ -79,6 +79,7 @@
         Threshold_(threshold()) {}
 
   void reclaimLapsed();
+  void reclaimFromPredecessors();
   void divideUnassigned();
   void giveSurplus();
   void releaseOwn();
@@ -170,6 +171,21 @@
   }
 }
 
+/// Takes over the shares of earlier processes of this instance. Their leases
+/// may last for hours, which is too long if all instances were restarted.
+void Planner::reclaimFromPredecessors() {
+  const std::vector<InstanceShare> Holders = Ledger_.record().Shares_;
+  for (const InstanceShare &Holder : Holders) {
+    auto EndGuard =
+        Input_.Tracker_.predecessorGuard(Holder.Instance_, Input_.Self_);
+    if (!EndGuard)
+      continue;
+    updateShare(Holder.Instance_, 0);
+    updateShare(Input_.Self_, Ledger_.shareOf(Input_.Self_) + Holder.Permille_);
+    Guards_.push_back(*std::move(EndGuard));
+  }
+}
+
 void Planner::divideUnassigned() {
   const std::int32_t Free = Ledger_.unassigned();
   if (Free >= Threshold_ || hasSignificantDeficit())
@@ -220,6 +236,7 @@
 
 std::optional<SharePlan> planShares(const SharePlanInput &Input) {
   Planner Plan(Input);
+  Plan.reclaimFromPredecessors();
   if (isCoordinator(Input)) {
     Plan.reclaimLapsed();
     Plan.divideUnassigned();
--- a/packages/membership/tests/liveness_test.cpp
+++ b/packages/membership/tests/liveness_test.cpp
@@ -92,6 +92,76 @@
 
 namespace {
 
+const InstanceName Earlier("entry-2.aaaa");
+const InstanceName Successor("entry-2.bbbb");
+
+StoredRow heartbeatOf(const InstanceName &Process, RowVersion Version,
+                      std::uint16_t Port, bool Leaving = false) {
+  StoredRow Row = heartbeat(Version, Leaving);
+  Row.Key_.Name_ = Process.str();
+  auto &Record = std::get<HeartbeatRecord>(Row.Value_);
+  Record.Instance_ = Process;
+  Record.Http_ = {"10.0.0.1", Port};
+  return Row;
+}
+
+struct RestartFixture : TrackerFixture {
+  void scanBoth(Duration Since, bool Leaving = false, std::uint16_t Port = 80) {
+    scan(Since, {heartbeatOf(Earlier, 5, Port, Leaving),
+                 heartbeatOf(Successor, Since / 1s + 10, 80)});
+  }
+  bool hasEnded() const {
+    return Tracker_.predecessorGuard(Earlier, Successor).has_value();
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(an_earlier_process_of_an_instance, RestartFixture)
+
+BOOST_AUTO_TEST_CASE(has_ended_once_its_heartbeat_is_overdue) {
+  scanBoth(1s);
+  scanBoth(1s + Settings.SuspicionTimeout_ - 1us);
+  BOOST_TEST(!hasEnded());
+  scanBoth(1s + Settings.SuspicionTimeout_);
+  BOOST_REQUIRE(hasEnded());
+  BOOST_TEST(Tracker_.predecessorGuard(Earlier, Successor)->Expected_ == 5);
+}
+
+BOOST_AUTO_TEST_CASE(may_still_drain) {
+  scanBoth(1s, true);
+  scanBoth(1s + Settings.SuspicionTimeout_, true);
+  BOOST_TEST(!hasEnded());
+  scanBoth(1s + Settings.SuspicionTimeout_ + Settings.DrainLimit_, true);
+  BOOST_TEST(hasEnded());
+}
+
+BOOST_AUTO_TEST_CASE(has_ended_once_its_row_is_deleted) {
+  scanBoth(1s);
+  scan(2s, {heartbeatOf(Successor, 12, 80)});
+  BOOST_REQUIRE(hasEnded());
+  BOOST_TEST(Tracker_.predecessorGuard(Earlier, Successor)->Expected_ ==
+             AbsentVersion);
+}
+
+BOOST_AUTO_TEST_CASE(may_run_if_it_listens_elsewhere) {
+  scanBoth(1s, false, 81);
+  scanBoth(1h, false, 81);
+  BOOST_TEST(!hasEnded());
+}
+
+BOOST_AUTO_TEST_CASE(is_not_one_of_another_instance) {
+  scan(1s, {heartbeatOf(Successor, 12, 80)});
+  scan(1h, {heartbeatOf(Successor, 13, 80)});
+  for (const char *Name : {"entry-3.aaaa", "entry-2", "entry-2.bbbb"})
+    BOOST_TEST(
+        !Tracker_.predecessorGuard(InstanceName(Name), Successor).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
 struct HeartbeatWriterFixture {
   HeartbeatWriterFixture() {
     HeartbeatRecord Self;
--- a/packages/membership/tests/share_allocator_test.cpp
+++ b/packages/membership/tests/share_allocator_test.cpp
@@ -101,4 +101,28 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(when_processes_stop, SettledCluster)
+
+BOOST_AUTO_TEST_CASE(are_released_even_if_all_stop_at_once) {
+  for (int Index = 0; Index < Instances; ++Index)
+    Cluster_.stop(Index);
+  Cluster_.run(MaxReclaimTime);
+  const RowKey Key{RowKind::ShareLedger, "booking"};
+  const auto Row = Cluster_.table().read(Key);
+  BOOST_REQUIRE(Row.has_value());
+  for (const InstanceShare &Share :
+       std::get<ShareLedgerRecord>(Row->Value_).Shares_)
+    BOOST_TEST(Share.Permille_ == 0);
+  BOOST_TEST(Cluster_.table().scan(RowKind::Heartbeat).empty());
+}
+
+BOOST_AUTO_TEST_CASE(pass_to_the_others_if_one_stops) {
+  Cluster_.stop(2);
+  Cluster_.run(MaxFollowTime);
+  BOOST_TEST(Cluster_.usable(2) == 0);
+  BOOST_TEST(Cluster_.largestDeficit() < Hysteresis);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/membership/tests/share_cluster.cpp
+++ b/packages/membership/tests/share_cluster.cpp
@@ -60,6 +60,7 @@
                       1.0,
                       0,
                       false,
+                      false,
                       {},
                       {},
                       Duration::min(),
@@ -194,6 +195,14 @@
   Demands_[static_cast<std::size_t>(Instance)] = Permille;
 }
 
+void ShareCluster::stop(int Instance) {
+  InstanceProcess &Process =
+      *Processes_[CurrentProcesses_[static_cast<std::size_t>(Instance)]];
+  Process.IsStopping_ = true;
+  feed(Process, HeartbeatEvent(LeaveRequested{}));
+  feed(Process, ShareEvent(ShareStopRequested{}));
+}
+
 void ShareCluster::kill(int Instance) {
   Processes_[CurrentProcesses_[static_cast<std::size_t>(Instance)]]->IsDead_ =
       true;
@@ -236,6 +245,10 @@
     scanHeartbeats(Process);
   feed(Process, HeartbeatEvent(HeartbeatTick{}));
   feed(Process, ShareEvent(ShareTick{&Process.Tracker_}));
+  if (!Process.IsStopping_ || !Process.Allocator_.isReleased())
+    return;
+  feed(Process, HeartbeatEvent(StopRequested{}));
+  Process.IsDead_ = Process.HeartbeatWriter_.isReleased();
 }
 
 void ShareCluster::replace(InstanceProcess &Process) {
--- a/packages/membership/tests/share_cluster.h
+++ b/packages/membership/tests/share_cluster.h
@@ -82,6 +82,7 @@
   double Rate_ = 1.0;
   std::int64_t OffsetMicros_ = 0;
   bool IsDead_ = false;
+  bool IsStopping_ = false;
   Duration PausedUntil_{};
   Duration DisconnectedUntil_{};
   Duration LastScan_{};
@@ -103,6 +104,8 @@
   void endFaults();
   /// Sets the demand of an instance. All instances receive it within a second.
   void setDemand(int Instance, std::int32_t Permille);
+  /// Lets the current process of an instance release its share and end.
+  void stop(int Instance);
   /// Ends the current process of an instance abruptly.
   void kill(int Instance);
   /// Disconnects an instance from the table.
--- a/tests/drain_system_test.cpp
+++ b/tests/drain_system_test.cpp
@@ -96,3 +96,52 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_restart_of_all_entry_instances)
+
+namespace {
+
+/// Longer than a heartbeat may be overdue before its process counts as failed,
+/// a read and two writes of the share ledger.
+constexpr int MaxSecondsWithoutShare = 30;
+
+void restartAll(Cluster &System) {
+  for (Node &Entry : System.entries())
+    System.restartEntry(Entry);
+  for (const Node &Entry : System.entries())
+    BOOST_TEST(eventually(
+        [&] { return call(Entry.Port_, "GET", "/readyz").Status_ == 200; }));
+}
+
+bool serves(const Cluster &System, const Node &Entry) {
+  return eventually(
+      [&] {
+        Reply Answer = System.request(Entry, "restarted-" + Entry.Name_);
+        return Answer.header("x-outcome") == "completed";
+      },
+      MaxSecondsWithoutShare);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(serves_requests_after_a_drain) {
+  Cluster System({});
+  for (Node &Entry : System.entries())
+    Entry.Process_.signal(SIGTERM);
+  for (Node &Entry : System.entries())
+    BOOST_TEST(Entry.Process_.wait(60).value_or(-1) == 0);
+  restartAll(System);
+  for (const Node &Entry : System.entries())
+    BOOST_TEST(serves(System, Entry));
+}
+
+BOOST_AUTO_TEST_CASE(serves_requests_after_a_loss_of_power) {
+  Cluster System({});
+  for (Node &Entry : System.entries())
+    Entry.Process_.kill();
+  restartAll(System);
+  for (const Node &Entry : System.entries())
+    BOOST_TEST(serves(System, Entry));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -85,6 +85,10 @@
   return (Directory_ / (Name + ".log")).string();
 }
 
+std::string Cluster::settingsFile(const std::string &Name) const {
+  return (Directory_ / (Name + ".json")).string();
+}
+
 void Cluster::startExecutor(const std::string &Zone) {
   std::string Name = fmt::format("executor-{}", Executors_.size());
   std::uint16_t Port = freePort();
@@ -130,13 +134,19 @@
                      {"timeout", "800ms"}}}};
   if (!Options_.ExtraSettings_.empty())
     Settings.merge_patch(json::parse(Options_.ExtraSettings_));
-  std::string File = (Directory_ / (Name + ".json")).string();
+  std::string File = settingsFile(Name);
   std::ofstream(File) << Settings.dump(2);
   Entries_.push_back(
       {Name, Zone, Port,
        Process("filbertspring", {"--settings", File}, logFile(Name))});
 }
 
+void Cluster::restartEntry(Node &Entry) const {
+  Entry.Process_ =
+      Process("filbertspring", {"--settings", settingsFile(Entry.Name_)},
+              logFile(Entry.Name_ + "-restarted"));
+}
+
 Node &Cluster::addEntry(const std::string &Zone) {
   startEntry(Zone);
   return Entries_.back();
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -52,6 +52,8 @@
 
   /// Starts another entry instance in \p Zone without waiting for readiness.
   Node &addEntry(const std::string &Zone);
+  /// Starts \p Entry again with the same settings. Its process must have ended.
+  void restartEntry(Node &Entry) const;
   /// Sets the platform's faults, see docs/PROTOCOLS.md.
   void setFaults(const nlohmann::json &Faults) const;
 
@@ -72,6 +74,7 @@
   void startWorker(const std::string &Zone);
   void applyContract();
   std::string logFile(const std::string &Name) const;
+  std::string settingsFile(const std::string &Name) const;
 
   ClusterOptions Options_;
   std::filesystem::path Directory_;
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -35,6 +35,11 @@
 Process::Process(Process &&Other) noexcept
     : Pid_(std::exchange(Other.Pid_, -1)) {}
 
+Process &Process::operator=(Process &&Other) noexcept {
+  std::swap(Pid_, Other.Pid_);
+  return *this;
+}
+
 Process::~Process() { kill(); }
 
 void Process::signal(int Number) const {
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -21,7 +21,7 @@
           const std::string &LogFile);
   ~Process();
   Process(Process &&Other) noexcept;
-  Process &operator=(Process &&) = delete;
+  Process &operator=(Process &&Other) noexcept;
   Process(const Process &) = delete;
   Process &operator=(const Process &) = delete;
 
