Progress is stored in the order of changes; lasting tasks leave draining workers

Causes, each shown by a test that fails on the code before: - A transaction took 90 changed jobs in the order of their ids and acknowledged ends only if no job stayed changed. Where more than 90 jobs change between two transactions, jobs with high ids were hardly ever stored (their tasks did not start) and no end was acknowledged (storage_test). Now the job that changed first is stored first, and an end is acknowledged once all jobs that changed before it are stored. - Lasting tasks stayed on a worker that drains until it was gone, and were missed until the lease of 6 s had expired (worker_loss_test). Now they are stopped if another worker has capacity, and leases on workers that drain are 2.5 s. - A lasting task whose worker was lost counted as waiting only from the expiry of the lease, so timed jobs still went first for 3 s. It now counts from the last report. - Stored progress of a job with hundreds of tasks took 75 bytes a placed task; a row holds 64 KiB. Ranges and shared run numbers: 25 bytes, and finished tasks next to nothing. The earlier form is read.

--- a/packages/scheduling/src/progress_codec.cpp
+++ b/packages/scheduling/src/progress_codec.cpp
@@ -13,12 +13,22 @@
 
 using nlohmann::json;
 
+/// Bounds the memory that a malformed range of tasks can take.
+constexpr std::uint32_t MaxStepTasks = 1'000'000;
+
+/// Identifies a step of one occurrence within the text of a job.
+using StepKey = std::pair<std::uint32_t, std::uint32_t>;
+
+/// Returns whether only the worker and the run number of \p Progress differ
+/// from those of a task that was never placed.
+bool isOnlyPlaced(const TaskProgress &Progress) {
+  TaskProgress Placed;
+  Placed.Worker_ = Progress.Worker_;
+  Placed.LastRun_ = Progress.LastRun_;
+  return !Progress.Worker_.empty() && Progress == Placed;
+}
+
 void appendTask(std::string &Into, const TaskProgress &Progress) {
-  // Most stored tasks are done; a single number represents them.
-  if (Progress.IsDone_ && Progress.Failures_ == 0) {
-    Into += '1';
-    return;
-  }
   fmt::format_to(std::back_inserter(Into), "[{},{},{},", Progress.IsDone_,
                  Progress.Failures_, Progress.LastFailedRun_);
   appendJsonString(Into, Progress.Checkpoint_);
@@ -42,22 +52,137 @@
   return Progress;
 }
 
+/// Appends the sorted \p Numbers as a list of the first and the last number of
+/// each range.
+void appendRanges(std::string &Into,
+                  const std::vector<std::uint32_t> &Numbers) {
+  Into += '[';
+  for (auto First = Numbers.begin(); First != Numbers.end();) {
+    auto End = std::next(First);
+    while (End != Numbers.end() && *End == *std::prev(End) + 1)
+      ++End;
+    fmt::format_to(std::back_inserter(Into), "{}{},{}",
+                   First == Numbers.begin() ? "" : ",", *First,
+                   *std::prev(End));
+    First = End;
+  }
+  Into += ']';
+}
+
+void decodeDone(const json &Steps, const std::string &Job, JobProgress &Into) {
+  TaskProgress Done;
+  Done.IsDone_ = true;
+  for (const json &Step : Steps) {
+    TaskName Name{Job, Step.at(0).get<std::uint32_t>(),
+                  Step.at(1).get<std::uint32_t>(), 0};
+    const json &Ranges = Step.at(2);
+    for (std::size_t Next = 0; Next < Ranges.size(); Next += 2) {
+      auto First = Ranges.at(Next).get<std::uint32_t>();
+      auto Last = Ranges.at(Next + 1).get<std::uint32_t>();
+      if (Last < First || Last - First >= MaxStepTasks)
+        throw json::out_of_range::create(401, "not a range of tasks", &Ranges);
+      for (std::uint32_t Offset = 0; Offset <= Last - First; ++Offset) {
+        Name.Index_ = First + Offset;
+        Into.Tasks_[Name.text()] = Done;
+      }
+    }
+  }
+}
+
+void decodePlaced(const json &Runs, const std::string &Job, JobProgress &Into) {
+  for (const json &Run : Runs) {
+    TaskProgress Placed;
+    Placed.LastRun_ = Run.at(0).get<std::uint64_t>();
+    for (const json &Entry : Run.at(1)) {
+      TaskName Name{Job, Entry.at(0).get<std::uint32_t>(),
+                    Entry.at(1).get<std::uint32_t>(),
+                    Entry.at(2).get<std::uint32_t>()};
+      Placed.Worker_ = Entry.at(3).get<std::string>();
+      Into.Tasks_[Name.text()] = Placed;
+    }
+  }
+}
+
+/// The tasks of a job, by the form in which they are written.
+struct GroupedTasks {
+  std::string Job_;
+  std::map<StepKey, std::vector<std::uint32_t>> Done_;
+  /// By run number, which most tasks of a job share.
+  std::map<std::uint64_t, std::vector<std::pair<TaskName, std::string_view>>>
+      Placed_;
+  std::vector<std::pair<std::string_view, const TaskProgress *>> Others_;
+
+  explicit GroupedTasks(const JobProgress &Progress) {
+    for (const auto &[Text, Entry] : Progress.Tasks_) {
+      std::optional<TaskName> Name = parseTaskName(Text);
+      bool IsOfJob = Name && (Job_.empty() || Name->Job_ == Job_);
+      if (IsOfJob)
+        Job_ = Name->Job_;
+      if (IsOfJob && Entry.IsDone_ && Entry.Failures_ == 0)
+        Done_[{Name->Occurrence_, Name->Step_}].push_back(Name->Index_);
+      else if (IsOfJob && isOnlyPlaced(Entry))
+        Placed_[Entry.LastRun_].emplace_back(*Name, Entry.Worker_);
+      else
+        Others_.emplace_back(Text, &Entry);
+    }
+    for (auto &[Step, Numbers] : Done_)
+      std::sort(Numbers.begin(), Numbers.end());
+  }
+};
+
+void appendDone(std::string &Into, const GroupedTasks &Tasks) {
+  const char *Before = ",\"done\":[";
+  for (const auto &[Step, Numbers] : Tasks.Done_) {
+    fmt::format_to(std::back_inserter(Into), "{}[{},{},", Before, Step.first,
+                   Step.second);
+    appendRanges(Into, Numbers);
+    Into += ']';
+    Before = ",";
+  }
+  Into += Tasks.Done_.empty() ? "" : "]";
+}
+
+void appendPlaced(std::string &Into, const GroupedTasks &Tasks) {
+  const char *Before = ",\"placed\":[";
+  for (const auto &[Run, Placements] : Tasks.Placed_) {
+    fmt::format_to(std::back_inserter(Into), "{}[{},[", Before, Run);
+    for (const auto &[Name, Worker] : Placements) {
+      fmt::format_to(std::back_inserter(Into), "{}[{},{},{},",
+                     Name == Placements.front().first ? "" : ",",
+                     Name.Occurrence_, Name.Step_, Name.Index_);
+      appendJsonString(Into, Worker);
+      Into += ']';
+    }
+    Into += "]]";
+    Before = ",";
+  }
+  Into += Tasks.Placed_.empty() ? "" : "]";
+}
+
 } // namespace
 
 // Called at each end of a task, so the JSON text is built directly, without a
-// document.
+// document. Ranges and shared run numbers keep a job of hundreds of tasks
+// within a few kilobytes.
 std::string encodeProgress(const JobProgress &Progress) {
+  GroupedTasks Tasks(Progress);
   std::string Text =
       fmt::format("{{\"state\":\"{}\"", nameOf(JobStateNames, Progress.State_));
+  if (!Tasks.Job_.empty()) {
+    Text += ",\"job\":";
+    appendJsonString(Text, Tasks.Job_);
+  }
+  appendDone(Text, Tasks);
+  appendPlaced(Text, Tasks);
   const char *Before = ",\"tasks\":{";
-  for (const auto &[Name, Entry] : Progress.Tasks_) {
+  for (const auto &[Name, Entry] : Tasks.Others_) {
     Text += Before;
     appendJsonString(Text, Name);
     Text += ':';
-    appendTask(Text, Entry);
+    appendTask(Text, *Entry);
     Before = ",";
   }
-  Text += Progress.Tasks_.empty() ? "}" : "}}";
+  Text += Tasks.Others_.empty() ? "}" : "}}";
   return Text;
 }
 
@@ -70,6 +195,12 @@
     if (!State)
       return fail(Errc::InvalidJson);
     Progress.State_ = *State;
+    std::string Job = Value.value("job", std::string());
+    if (Value.contains("done"))
+      decodeDone(Value["done"], Job, Progress);
+    if (Value.contains("placed"))
+      decodePlaced(Value["placed"], Job, Progress);
+    // Earlier versions wrote all tasks in this form.
     if (Value.contains("tasks"))
       for (const auto &[Name, Entry] : Value["tasks"].items())
         Progress.Tasks_[Name] = decodeTask(Entry);
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -10,6 +10,12 @@
 constexpr Duration UnreachableRetryInterval = std::chrono::milliseconds(400);
 /// Interval between two reports of a worker without runs.
 constexpr Duration IdleReportInterval = std::chrono::milliseconds(2000);
+/// The lease of tasks on a worker that drains. Longer than two renewals that
+/// each wait for an end.
+constexpr Duration DrainingLease = std::chrono::milliseconds(2500);
+/// Interval between two searches for other workers that could take the
+/// long-running tasks of a worker that drains.
+constexpr Duration DrainCheckInterval = std::chrono::milliseconds(200);
 /// Interval between two stop commands for one run. Several fit into the time
 /// for which a task of a cancelled job may continue to run.
 constexpr Duration StopRetryInterval = std::chrono::milliseconds(300);
@@ -95,7 +101,7 @@
 /// Updates the indices after a change of a job's tasks or state.
 void Scheduler::Impl::handleJobChange(JobRecord &Record, TimePoint Now) {
   const std::string &Id = Record.Job_.accepted().Id_;
-  DirtyJobs_.insert(Id);
+  DirtyJobs_.add(Id);
   JobsToRelease_.insert(Id);
   if (!isFinal(Record.Job_.state()) || Record.FinalAt_)
     return;
@@ -181,6 +187,8 @@
                 {{"worker", Worker.Entry_.Id_},
                  {"runs", std::to_string(Worker.Runs_.size())},
                  {"cause", Cause}});
+  // The tasks may have been away since the last report.
+  TimePoint LastSeenAt = Worker.ClockMs_ ? Worker.ClockAt_ : Now;
   std::unordered_map<std::string, Run> LostRuns = std::move(Worker.Runs_);
   Worker.Runs_.clear();
   Worker.Used_ = {};
@@ -194,7 +202,7 @@
     if (!Record)
       continue;
     Record->Job_.keepCheckpoint(ActiveRun.Name_, ActiveRun.Checkpoint_);
-    requeueRun(Worker, *Record, ActiveRun.Name_, ActiveRun.Number_, Now,
+    requeueRun(Worker, *Record, ActiveRun.Name_, ActiveRun.Number_, LastSeenAt,
                Duration::zero());
   }
 }
@@ -210,10 +218,25 @@
   Record.Job_.requeue(Name, Now, Now + Delay);
   if (!isFinal(Record.Job_.state()))
     JobsWithWaitingTasks_.insert(Record.Job_.accepted().Id_);
-  DirtyJobs_.insert(Name.Job_);
+  DirtyJobs_.add(Name.Job_);
   NeedsPlacement_ = true;
 }
 
+/// Stops the long-running tasks of workers that drain if another worker has
+/// capacity, so that they are not lost when their worker leaves.
+void Scheduler::Impl::moveFromDrainingWorkers(TimePoint Now) {
+  for (auto &[Id, Worker] : Workers_) {
+    bool IsLeaving = Worker.IsRegistered_ && Worker.Entry_.IsDraining_;
+    if (!IsLeaving || !Worker.isReachable() || Worker.NextDrainCheckAt_ > Now)
+      continue;
+    Worker.NextDrainCheckAt_ = Now + DrainCheckInterval;
+    for (auto &[Text, ActiveRun] : Worker.Runs_)
+      if (ActiveRun.IsLongRunning_ && ActiveRun.Phase_ == RunPhase::Confirmed &&
+          hasBetterWorker(Worker, ActiveRun, Now))
+        requestStop(Worker, ActiveRun, Now);
+  }
+}
+
 /// Abandons the runs of unreachable workers whose leases have expired. Another
 /// owner may have renewed a lease unless this tenure was confirmed after the
 /// expiry.
@@ -263,10 +286,14 @@
   // The lease of an unreachable worker is not extended, so that its runs end at
   // a known time.
   if (MayExtendLease && Clock && Worker.FailedRenewals_ == 0) {
-    Renewal.DeadlineMs_ =
-        *Clock + Settings_.LeaseDuration_ / std::chrono::milliseconds(1);
+    // A worker that drains leaves soon, and its runs with it. The shorter its
+    // lease, the sooner they are known to have ended.
+    Duration Lease = Worker.Entry_.IsDraining_
+                         ? std::min(DrainingLease, Settings_.LeaseDuration_)
+                         : Settings_.LeaseDuration_;
+    Renewal.DeadlineMs_ = *Clock + Lease / std::chrono::milliseconds(1);
     auto MaxDuration = std::chrono::duration_cast<Duration>(
-        Settings_.LeaseDuration_ * (1.0 + Settings_.ClockDrift_));
+        Lease * (1.0 + Settings_.ClockDrift_));
     Worker.LeaseExpiresAt_ = std::max(
         Worker.LeaseExpiresAt_, Now + MaxDuration + Settings_.KillTimeout_);
   }
@@ -312,7 +339,8 @@
                        {{"worker", Id}, {"zone", Worker->Entry_.Zone_}});
   if (Outcome != CallOutcome::OtherInstance)
     return;
-  // Another incarnation uses the address, so this one has ended.
+  // Another incarnation uses the address, so this one has ended. A refused
+  // connection shows nothing: a partition may reject connections.
   Impl_->abandonRuns(*Worker, Now, "other life at its address");
   Worker->HasReported_ = true;
   Worker->IsExpired_ = true;
@@ -325,6 +353,7 @@
   Impl_->expireLeases(Now, ConfirmedAt);
   if (MaySendCommands)
     Impl_->releaseDueSteps(Now);
+  Impl_->moveFromDrainingWorkers(Now);
   Impl_->sendStops(Now);
   Impl_->sendDueRenewals(Now, MaySendCommands);
 }
--- a/packages/scheduling/src/scheduler_commands.cpp
+++ b/packages/scheduling/src/scheduler_commands.cpp
@@ -72,7 +72,7 @@
       Target.Phase_ = RunPhase::Confirmed;
       Target.ConfirmedAt_ = Now;
       if (Record && Record->Job_.markStarted())
-        Impl_->DirtyJobs_.insert(Name.Job_);
+        Impl_->DirtyJobs_.add(Name.Job_);
       if (Target.IsFiller_)
         Impl_->updatePaces(*Worker, Now);
     }
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -6,6 +6,7 @@
 /// in scheduler_reports.cpp, responses to commands in scheduler_commands.cpp;
 /// placement is in scheduler_placement.cpp and storage in scheduler_writes.cpp.
 
+#include "progress_queue.h"
 #include "worker_state.h"
 
 #include <map>
@@ -32,6 +33,12 @@
   std::uint64_t Number_ = 0;
 };
 
+/// The ends of one incarnation of a worker up to a number.
+struct EndsOfWorker {
+  std::uint64_t LastNumber_ = 0;
+  std::int64_t StartedAtMs_ = 0;
+};
+
 /// The requirements for placing a task.
 struct PlacementRequest {
   const StepSpec &Step_;
@@ -77,17 +84,21 @@
   WorkerState *findWorker(const std::string &Id);
   void resetWorker(WorkerState &Worker, const WorkerEntry &Entry);
   void abandonRuns(WorkerState &Worker, TimePoint Now, const char *Cause);
+  void moveFromDrainingWorkers(TimePoint Now);
   void expireLeases(TimePoint Now, TimePoint ConfirmedAt);
   void sendDueRenewals(TimePoint Now, bool MaySendCommands);
   void sendRenewal(WorkerState &Worker, TimePoint Now, bool MayExtendLease);
   void sendStops(TimePoint Now);
   void updatePaces(WorkerState &Worker, TimePoint Now);
   void migrateSlowFillers(WorkerState &Worker, TimePoint Now);
-  /// Returns whether another worker could run \p Filler at full speed.
-  bool hasBetterWorker(const WorkerState &Present, const Run &Filler,
+  /// Returns whether a worker other than \p Present could run the task of
+  /// \p Movable, a filler at full speed.
+  bool hasBetterWorker(const WorkerState &Present, const Run &Movable,
                        TimePoint Now);
 
   // Reports.
+  void processEnds(WorkerState &Worker, const WorkerReport &Report,
+                   TimePoint Now);
   void processEnd(WorkerState &Worker, const EndedTask &End, TimePoint Now);
   void processSuccess(WorkerState &Worker, JobRecord &Record,
                       const EndedTask &End, TimePoint Now);
@@ -129,6 +140,9 @@
                Task &Waiting);
   void sendPlannedStarts(TimePoint Now);
 
+  // Storage.
+  void takeStoredEnds();
+
   void recordEvent(LogEvent Event,
                    std::vector<std::pair<std::string, std::string>> Fields);
 
@@ -143,13 +157,15 @@
   std::set<std::string> JobsToRelease_;
   std::set<std::string> JobsWithWaitingTasks_;
   /// Jobs whose progress is to be stored.
-  std::set<std::string> DirtyJobs_;
+  ProgressQueue DirtyJobs_;
+  /// The jobs whose progress is part of the outstanding transaction.
+  std::vector<ProgressQueue::Entry> JobsInFlight_;
   std::set<std::string> WorkersToStore_;
   std::set<std::string> WorkersToRemove_;
   std::set<std::string> JobsToRemove_;
   /// For each worker, the highest end whose effect is stored when the
   /// outstanding transaction commits.
-  std::map<std::string, std::uint64_t> EndsInFlight_;
+  std::map<std::string, EndsOfWorker> EndsInFlight_;
   /// Runs whose placement is to be stored.
   std::vector<PlannedRun> PlannedRuns_;
   /// Runs whose placement is part of the outstanding transaction.
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -284,13 +284,13 @@
 }
 
 bool Scheduler::Impl::hasBetterWorker(const WorkerState &Present,
-                                      const Run &Filler, TimePoint Now) {
-  JobRecord *Record = findJob(Filler.Name_.Job_);
+                                      const Run &Movable, TimePoint Now) {
+  JobRecord *Record = findJob(Movable.Name_.Job_);
   if (!Record)
     return false;
-  const StepSpec &Step = Record->Job_.step(Filler.Name_);
-  PlacementRequest Request{Step, Present.Entry_.Service_, Filler.Name_,
-                           Filler.Name_.text(), Filler.Reserved_};
+  const StepSpec &Step = Record->Job_.step(Movable.Name_);
+  PlacementRequest Request{Step, Present.Entry_.Service_, Movable.Name_,
+                           Movable.Name_.text(), Movable.Reserved_};
   for (auto &[Id, Worker] : Workers_)
     if (&Worker != &Present && isEligible(Worker, Request, Now) &&
         placementCost(Worker, Step))
@@ -307,7 +307,7 @@
   Run PlannedTask = makeRun(Record.Job_, Name, Number);
   PlannedTask.ReadyAt_ = Waiting.ReadyAt_;
   Record.Job_.place(Name, Number, Worker.Entry_.Id_);
-  DirtyJobs_.insert(Name.Job_);
+  DirtyJobs_.add(Name.Job_);
   Worker.addRun(std::move(PlannedTask));
   PlannedRuns_.push_back({Worker.Entry_.Id_, Name, Number});
 }
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -91,12 +91,7 @@
   if (!WasReachable)
     Impl_->NeedsPlacement_ = true;
 
-  for (const EndedTask &End : Report.EndedTasks_)
-    if (End.Number_ > Worker->ProcessedEnd_) {
-      Impl_->processEnd(*Worker, End, Now);
-      Worker->ProcessedEnd_ = End.Number_;
-      Impl_->HasNewEnds_ = true;
-    }
+  Impl_->processEnds(*Worker, Report, Now);
   ++Worker->ReportCount_;
   for (const RunningTask &Running : Report.RunningTasks_)
     Impl_->processRunning(*Worker, Running, Now);
@@ -109,6 +104,21 @@
   Impl_->observeTailLatencies(*Worker, Now);
 }
 
+void Scheduler::Impl::processEnds(WorkerState &Worker,
+                                  const WorkerReport &Report, TimePoint Now) {
+  std::uint64_t Before = Worker.ProcessedEnd_;
+  for (const EndedTask &End : Report.EndedTasks_)
+    if (End.Number_ > Worker.ProcessedEnd_) {
+      processEnd(Worker, End, Now);
+      Worker.ProcessedEnd_ = End.Number_;
+    }
+  if (Worker.ProcessedEnd_ == Before)
+    return;
+  HasNewEnds_ = true;
+  Worker.UnstoredEnds_.push_back(
+      {Worker.ProcessedEnd_, DirtyJobs_.nextPosition()});
+}
+
 void Scheduler::Impl::processEnd(WorkerState &Worker, const EndedTask &End,
                                  TimePoint Now) {
   std::string Text = End.Name_.text();
@@ -189,7 +199,7 @@
                                           const EndedTask &End, TimePoint Now) {
   if (!End.Checkpoint_.empty()) {
     Record.Job_.keepCheckpoint(End.Name_, End.Checkpoint_);
-    DirtyJobs_.insert(End.Name_.Job_);
+    DirtyJobs_.add(End.Name_.Job_);
   }
   requeueRun(Worker, Record, End.Name_, End.Run_, Now, Duration::zero());
 }
@@ -211,7 +221,7 @@
   JobRecord *Record =
       ListedRun.IsStartRecorded_ ? nullptr : findJob(ListedRun.Name_.Job_);
   if (Record && Record->Job_.markStarted())
-    DirtyJobs_.insert(ListedRun.Name_.Job_);
+    DirtyJobs_.add(ListedRun.Name_.Job_);
   ListedRun.IsStartRecorded_ = true;
   if (!Running.Checkpoint_.empty())
     ListedRun.Checkpoint_ = Running.Checkpoint_;
@@ -243,7 +253,7 @@
   if (IsWanted) {
     Record->Job_.place(Running.Name_, Running.Run_, Worker.Entry_.Id_);
     Record->Job_.markStarted();
-    DirtyJobs_.insert(Running.Name_.Job_);
+    DirtyJobs_.add(Running.Name_.Job_);
   } else {
     requestStop(Worker, AdoptedRun, Now);
   }
--- a/packages/scheduling/src/scheduler_writes.cpp
+++ b/packages/scheduling/src/scheduler_writes.cpp
@@ -24,10 +24,14 @@
     if (WorkerState *Worker = Impl_->findWorker(Id))
       Writes.StoredWorkers_.push_back(Worker->Entry_);
   });
-  Take(Impl_->DirtyJobs_, [&](const std::string &Id) {
-    if (JobRecord *Record = Impl_->findJob(Id))
-      Writes.Progress_.emplace_back(Id, Record->Job_.progress());
-  });
+  for (Impl_->JobsInFlight_.clear(); Room > 0; --Room) {
+    std::optional<ProgressQueue::Entry> Taken = Impl_->DirtyJobs_.takeFirst();
+    if (!Taken)
+      break;
+    if (JobRecord *Record = Impl_->findJob(Taken->Job_))
+      Writes.Progress_.emplace_back(Taken->Job_, Record->Job_.progress());
+    Impl_->JobsInFlight_.push_back(std::move(*Taken));
+  }
   Take(Impl_->WorkersToRemove_,
        [&](const std::string &Id) { Writes.RemovedWorkers_.push_back(Id); });
   Take(Impl_->JobsToRemove_,
@@ -42,24 +46,34 @@
   std::erase_if(Impl_->PlannedRuns_, [&](const PlannedRun &Planned) {
     return Stored.contains(Planned.Name_.Job_);
   });
-  Impl_->EndsInFlight_.clear();
-  if (!Impl_->DirtyJobs_.empty())
-    return Writes;
-  Impl_->HasNewEnds_ = false;
-  for (const auto &[Id, Worker] : Impl_->Workers_)
-    if (Worker.ProcessedEnd_ > Worker.StoredEnd_)
-      Impl_->EndsInFlight_[Id] = Worker.ProcessedEnd_;
+  Impl_->takeStoredEnds();
   return Writes;
 }
 
+/// Determines the ends whose effect is stored once the jobs that were taken up
+/// to now are stored.
+void Scheduler::Impl::takeStoredEnds() {
+  EndsInFlight_.clear();
+  HasNewEnds_ = false;
+  std::uint64_t FirstQueued = DirtyJobs_.firstPosition();
+  for (const auto &[Id, Worker] : Workers_)
+    for (const UnstoredEnds &Ends : Worker.UnstoredEnds_)
+      if (Ends.QueuePosition_ <= FirstQueued)
+        EndsInFlight_[Id] = {Ends.LastNumber_, Worker.Entry_.StartedAtMs_};
+}
+
 void Scheduler::writesStored(const PendingWrites &Writes, TimePoint Now) {
-  for (const auto &[Id, End] : Impl_->EndsInFlight_)
-    if (WorkerState *Worker = Impl_->findWorker(Id))
-      // The numbers of ends start again with each incarnation.
-      if (Worker->ProcessedEnd_ >= End) {
-        Worker->StoredEnd_ = std::max(Worker->StoredEnd_, End);
-        Worker->NextRenewalAt_ = std::min(Worker->NextRenewalAt_, Now);
-      }
+  for (const auto &[Id, Ends] : Impl_->EndsInFlight_) {
+    WorkerState *Worker = Impl_->findWorker(Id);
+    // The numbers of ends start again with each incarnation.
+    if (!Worker || Worker->Entry_.StartedAtMs_ != Ends.StartedAtMs_)
+      continue;
+    Worker->StoredEnd_ = std::max(Worker->StoredEnd_, Ends.LastNumber_);
+    Worker->NextRenewalAt_ = std::min(Worker->NextRenewalAt_, Now);
+    while (!Worker->UnstoredEnds_.empty() &&
+           Worker->UnstoredEnds_.front().LastNumber_ <= Ends.LastNumber_)
+      Worker->UnstoredEnds_.pop_front();
+  }
   Impl_->EndsInFlight_.clear();
   Impl_->sendPlannedStarts(Now);
   for (const WorkerEntry &Entry : Writes.StoredWorkers_) {
@@ -79,8 +93,8 @@
                              Impl_->PlannedRunsInFlight_.end());
   Impl_->PlannedRunsInFlight_.clear();
   Impl_->EndsInFlight_.clear();
-  for (const auto &[Id, Progress] : Writes.Progress_)
-    Impl_->DirtyJobs_.insert(Id);
+  for (const ProgressQueue::Entry &Taken : Impl_->JobsInFlight_)
+    Impl_->DirtyJobs_.restore(Taken);
   for (const WorkerEntry &Entry : Writes.StoredWorkers_)
     Impl_->WorkersToStore_.insert(Entry.Id_);
   for (const std::string &Id : Writes.RemovedWorkers_)
--- a/packages/scheduling/src/worker_state.h
+++ b/packages/scheduling/src/worker_state.h
@@ -8,6 +8,7 @@
 #include "filbertspring/scheduling/scheduler.h"
 #include "filbertspring/scheduling/worker.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -63,6 +64,15 @@
   std::optional<TimePoint> SlowSince_;
 };
 
+/// Ends that were processed and whose effect is not known to be stored.
+struct UnstoredEnds {
+  /// The highest of their numbers.
+  std::uint64_t LastNumber_ = 0;
+  /// Their effect is stored once all jobs before this position of the progress
+  /// queue are stored.
+  std::uint64_t QueuePosition_ = 0;
+};
+
 /// The state of one incarnation of a worker.
 struct WorkerState {
   WorkerEntry Entry_;
@@ -84,6 +94,8 @@
   /// stored.
   std::uint64_t ProcessedEnd_ = 0;
   std::uint64_t StoredEnd_ = 0;
+  /// In the order of their numbers; one entry for each report with new ends.
+  std::deque<UnstoredEnds> UnstoredEnds_;
   /// The highest end that the last renewal sent acknowledges, and the highest
   /// end that a successful renewal has acknowledged.
   std::uint64_t SentAcknowledgement_ = 0;
@@ -108,6 +120,8 @@
   std::int64_t LastDeadlineMs_ = 0;
   /// The worker gets no start commands before this time.
   TimePoint AvoidUntil_{};
+  /// When a worker that drains is next searched for tasks to move.
+  TimePoint NextDrainCheckAt_{};
   std::uint32_t StartsInFlight_ = 0;
   std::uint32_t FailureStreak_ = 0;
 
--- a/packages/scheduling/tests/job_test.cpp
+++ b/packages/scheduling/tests/job_test.cpp
@@ -85,7 +85,12 @@
 BOOST_AUTO_TEST_CASE(of_another_form_is_an_error) {
   for (const char *Text :
        {"", "{}", "{\"state\":\"lost\"}", "{\"state\":5}",
-        "{\"state\":\"running\",\"tasks\":{\"a\":[1]}}", "\xff"})
+        "{\"state\":\"running\",\"tasks\":{\"a\":[1]}}", "\xff",
+        R"({"state":"running","job":"a","done":7})",
+        R"({"state":"running","job":"a","done":[[0,1,[5]]]})",
+        R"({"state":"running","job":"a","done":[[0,1,[5,4]]]})",
+        R"({"state":"running","job":"a","done":[[0,1,[0,4294967295]]]})",
+        R"({"state":"running","job":"a","placed":[[1,[[0,0,"w"]]]]})"})
     BOOST_TEST(!decodeProgress(Text).has_value());
 }
 
@@ -110,11 +115,43 @@
   BOOST_REQUIRE(Read.has_value());
   BOOST_TEST((Read->State_ == JobState::Running));
   BOOST_TEST((Read->Tasks_ == Progress.Tasks_));
+  Progress.Tasks_["other.0.0.0"] = Done;
+  Progress.Tasks_["not a task"] = Running;
+  Read = decodeProgress(encodeProgress(Progress));
+  BOOST_REQUIRE(Read.has_value());
+  BOOST_TEST((Read->Tasks_ == Progress.Tasks_));
   auto Empty = decodeProgress(encodeProgress({}));
   BOOST_REQUIRE(Empty.has_value());
   BOOST_TEST(Empty->Tasks_.empty());
 }
 
+BOOST_AUTO_TEST_CASE(of_a_job_with_thousands_of_tasks_fits_into_a_row) {
+  constexpr std::size_t MaxRowBytes = 65536;
+  JobProgress Progress;
+  Progress.State_ = JobState::Running;
+  for (std::uint32_t Index = 0; Index < 4000; ++Index) {
+    TaskProgress Task;
+    Task.IsDone_ = Index % 2 == 0;
+    Task.Worker_ = Task.IsDone_ ? "" : "i-0123456789";
+    Task.LastRun_ = Task.IsDone_ ? 0 : 1'000'001;
+    Progress.Tasks_[TaskName{"0123456789abcdef", 0, 1, Index}.text()] = Task;
+  }
+  std::string Text = encodeProgress(Progress);
+  BOOST_TEST(Text.size() <= MaxRowBytes);
+  auto Read = decodeProgress(Text);
+  BOOST_REQUIRE(Read.has_value());
+  BOOST_TEST((Read->Tasks_ == Progress.Tasks_));
+}
+
+BOOST_AUTO_TEST_CASE(of_the_earlier_version_is_read) {
+  auto Read = decodeProgress(
+      R"({"state":"running","tasks":{"j.0.0.0":1,"j.0.0.1":[false,0,0,"","w",7]}})");
+  BOOST_REQUIRE(Read.has_value());
+  BOOST_TEST(Read->Tasks_.at("j.0.0.0").IsDone_);
+  BOOST_TEST(Read->Tasks_.at("j.0.0.1").Worker_ == "w");
+  BOOST_TEST(Read->Tasks_.at("j.0.0.1").LastRun_ == 7U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(stored_interference_estimates)
--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -2,126 +2,13 @@
 /// Tests of single decisions. The tests read the actions of the scheduler and
 /// answer them; no workers or owners are simulated.
 
-#include "filbertspring/scheduling/scheduler.h"
+#include "cell_fixture.h"
 
 #include <boost/test/unit_test.hpp>
 
-namespace filbertspring::scheduling {
+namespace filbertspring::scheduling::test {
 namespace {
 
-using namespace std::chrono_literals;
-
-/// A scheduler with two healthy workers and one queue.
-struct Cell {
-  Cell() : Scheduler_(SchedulerSettings(), Now_) {
-    auto Queues = std::make_shared<QueueTable>();
-    Queue Batch;
-    Batch.Name_ = "batch";
-    Batch.Service_ = "service";
-    Batch.Attempts_ = 2;
-    Queues->Queues_ = {Batch};
-    Scheduler_.configure(Queues);
-    for (const char *Id : {"w1", "w2"})
-      list(Id, false);
-    step();
-    answerRenewals();
-    step();
-  }
-
-  void list(const std::string &Id, bool IsDraining, std::int64_t Born = 1) {
-    WorkerEntry Entry;
-    Entry.Id_ = Id;
-    Entry.Service_ = "service";
-    Entry.Address_ = "address-" + Id;
-    Entry.Zone_ = Id == "w1" ? "zone-a" : "zone-b";
-    Entry.IsDraining_ = IsDraining;
-    Entry.Capacity_ = {8000, 16000, 0};
-    Entry.StartedAtMs_ = Born;
-    Scheduler_.workerRegistered(Entry, Now_);
-  }
-
-  /// Advances the time, completes or fails a transaction, and collects actions.
-  void step(Duration Time = 20ms, bool IsStored = true) {
-    Now_ += Time;
-    Scheduler_.advance(Now_, 0, Now_, true);
-    Scheduler_.place(Now_);
-    collect();
-    if (!Scheduler_.hasWrites())
-      return;
-    PendingWrites Writes = Scheduler_.takeWrites(90);
-    LastWrites_ = Writes;
-    if (IsStored)
-      Scheduler_.writesStored(Writes, Now_);
-    else
-      Scheduler_.writesFailed(Writes);
-    collect();
-  }
-
-  void collect() {
-    for (Action &NextAction : Scheduler_.takeActions()) {
-      if (auto *Start = std::get_if<StartTask>(&NextAction))
-        Starts_.push_back(*Start);
-      if (auto *Stop = std::get_if<StopTask>(&NextAction))
-        Stops_.push_back(*Stop);
-      if (auto *Renewal = std::get_if<RenewLease>(&NextAction))
-        Renewals_.push_back(*Renewal);
-    }
-  }
-
-  void answerRenewals() {
-    for (const RenewLease &Renewal : std::exchange(Renewals_, {})) {
-      WorkerReport Report;
-      Report.ClockMs_ = Now_.time_since_epoch() / 1ms;
-      Report.StartedAtMs_ = 1;
-      Report.RunningTasks_ = RunningTasks_[Renewal.Worker_];
-      Report.EndedTasks_ = EndedTasks_[Renewal.Worker_];
-      Scheduler_.renewalAnswered(Renewal.Worker_, Report, Now_);
-    }
-  }
-
-  void acceptStarts() {
-    for (const StartTask &Start : Starts_) {
-      RunningTasks_[Start.Worker_].push_back(
-          {Start.Name_, Start.Run_, "", 0, 0});
-      Scheduler_.startAnswered(Start.Worker_, Start.Name_, Start.Run_,
-                               CallOutcome::Accepted, Now_);
-    }
-  }
-
-  void submit(const std::string &Id, std::vector<StepSpec> Steps) {
-    AcceptedJob Job;
-    Job.Id_ = Id;
-    Job.Queue_ = "batch";
-    Job.Service_ = "service";
-    Job.Spec_.Steps_ = std::move(Steps);
-    Scheduler_.addJob(Job, Now_);
-  }
-
-  static StepSpec task(std::uint32_t Count, std::int64_t MilliCpu = 1000) {
-    StepSpec Step;
-    Step.Count_ = Count;
-    Step.Request_ = {MilliCpu, 100, 0};
-    return Step;
-  }
-
-  /// Ends the run of the first start command on its worker.
-  void end(EndReason Reason) {
-    const StartTask &Start = Starts_.front();
-    RunningTasks_[Start.Worker_].clear();
-    EndedTasks_[Start.Worker_].push_back(
-        {1, Start.Name_, Start.Run_, Reason, ""});
-  }
-
-  TimePoint Now_{100s};
-  Scheduler Scheduler_;
-  std::vector<StartTask> Starts_;
-  std::vector<StopTask> Stops_;
-  std::vector<RenewLease> Renewals_;
-  std::map<std::string, std::vector<RunningTask>> RunningTasks_;
-  std::map<std::string, std::vector<EndedTask>> EndedTasks_;
-  PendingWrites LastWrites_;
-};
-
 BOOST_AUTO_TEST_SUITE(a_submitted_job)
 
 BOOST_FIXTURE_TEST_CASE(starts_once_its_placement_is_stored, Cell) {
@@ -410,4 +297,4 @@
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
-} // namespace filbertspring::scheduling
+} // namespace filbertspring::scheduling::test
