--- a/benchmark/experiments/cell_load_simulation.cpp
+++ b/benchmark/experiments/cell_load_simulation.cpp
@@ -350,6 +350,7 @@
     {
       Stopwatch Time(Result_.Time_.Writes_);
       Writes = Scheduler_.takeWrites(RowsOfTransaction);
+      Result_.StoredBytes_ += encodeJournal(Writes.Journal_.Entries_).size();
       for (const auto &[Job, Progress] : Writes.Progress_)
         Result_.StoredBytes_ += encodeProgress(Progress).size();
     }
--- a/packages/node/src/cell_loading.cpp
+++ b/packages/node/src/cell_loading.cpp
@@ -36,6 +36,38 @@
   return static_cast<std::int64_t>(Value);
 }
 
+void logUnreadableProgress(const Row &StoredRow) {
+  logEvent(LogEvent::ForeignRow,
+           {{"table", ProgressTable}, {"key", StoredRow.Key_.Key_}});
+}
+
+/// Restores the progress of all jobs from \p Rows, which hold their snapshots
+/// and the journal in the order of their keys.
+void restoreProgress(const std::vector<Row> &Rows,
+                     scheduling::Scheduler &Into) {
+  std::map<std::string, scheduling::JobProgress> Progress;
+  std::vector<scheduling::JournalRow> Journal;
+  for (const Row &StoredRow : Rows) {
+    const std::string &Key = StoredRow.Key_.Key_;
+    if (auto Number = journalNumberFromKey(Key)) {
+      if (auto Entries = scheduling::decodeJournal(StoredRow.Value_))
+        Journal.push_back({*Number, std::move(*Entries)});
+      else
+        logUnreadableProgress(StoredRow);
+    } else if (auto Snapshot = scheduling::decodeProgress(StoredRow.Value_)) {
+      Progress[Key] = std::move(*Snapshot);
+    } else {
+      logUnreadableProgress(StoredRow);
+    }
+  }
+  for (const scheduling::JournalRow &Row : Journal)
+    applyJournalRow(Row, Progress);
+  for (const auto &[Job, Entry] : Progress)
+    Into.restoreProgress(Job, Entry);
+  for (const scheduling::JournalRow &Row : Journal)
+    Into.restoreJournalRow(Row);
+}
+
 } // namespace
 
 void CellOwner::retryLoad(const TenureRef &Reference) {
@@ -137,15 +169,7 @@
           return;
         if (!Page)
           return retryLoad(Reference);
-        for (const Row &StoredRow : Page->Rows_) {
-          auto Progress = scheduling::decodeProgress(StoredRow.Value_);
-          if (Progress)
-            ActiveTenure->Scheduler_.restoreProgress(StoredRow.Key_.Key_,
-                                                     *Progress);
-          else
-            logEvent(LogEvent::ForeignRow,
-                     {{"table", ProgressTable}, {"key", StoredRow.Key_.Key_}});
-        }
+        restoreProgress(Page->Rows_, ActiveTenure->Scheduler_);
         for (const std::string &Job : std::exchange(CancelledJobs_, {}))
           ActiveTenure->Scheduler_.cancelJob(Job, SchedulerClock::now());
         ActiveTenure->IsLoaded_ = true;
--- a/packages/node/src/cell_owner.cpp
+++ b/packages/node/src/cell_owner.cpp
@@ -313,6 +313,12 @@
   if (!Sent.Model_.empty())
     Changes.Writes_.push_back(makeRow(modelKey(), Sent.Model_));
   const PendingWrites &Writes = Sent.Writes_;
+  if (!Writes.Journal_.Entries_.empty())
+    Changes.Writes_.push_back(
+        makeRow(journalKey(Writes.Journal_.Number_),
+                scheduling::encodeJournal(Writes.Journal_.Entries_)));
+  for (std::uint64_t Number : Writes.RemovedJournalRows_)
+    Changes.Removals_.push_back(journalKey(Number));
   for (const auto &[Job, Progress] : Writes.Progress_)
     Changes.Writes_.push_back(
         makeRow(progressKey(Job), scheduling::encodeProgress(Progress)));
--- a/packages/node/src/rows.cpp
+++ b/packages/node/src/rows.cpp
@@ -2,6 +2,8 @@
 
 #include "platform/caller_codec.h"
 
+#include <charconv>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <xxhash.h>
 
@@ -13,6 +15,8 @@
 using scheduling::RowKey;
 
 constexpr std::string_view CancelSuffix = ".cancel";
+/// Not the beginning of a job's id, which is hexadecimal.
+constexpr std::string_view JournalPrefix = "journal-";
 
 std::string dump(const json &Value) {
   return Value.dump(-1, ' ', false, json::error_handler_t::replace);
@@ -41,6 +45,23 @@
   return {ProgressTable, CellPartition, Job};
 }
 
+RowKey journalKey(std::uint64_t Number) {
+  return {ProgressTable, CellPartition,
+          fmt::format("{}{:020}", JournalPrefix, Number)};
+}
+
+std::optional<std::uint64_t> journalNumberFromKey(std::string_view Key) {
+  if (!Key.starts_with(JournalPrefix))
+    return std::nullopt;
+  Key.remove_prefix(JournalPrefix.size());
+  std::uint64_t Number = 0;
+  auto [End, Error] =
+      std::from_chars(Key.data(), Key.data() + Key.size(), Number);
+  if (Error != std::errc() || End != Key.data() + Key.size())
+    return std::nullopt;
+  return Number;
+}
+
 RowKey knownWorkerKey(const std::string &Worker) {
   return {KnownWorkerTable, CellPartition, Worker};
 }
--- a/packages/node/src/rows.h
+++ b/packages/node/src/rows.h
@@ -47,6 +47,11 @@
 scheduling::RowKey jobKey(const std::string &Job);
 scheduling::RowKey cancellationKey(const std::string &Job);
 scheduling::RowKey progressKey(const std::string &Job);
+/// Keys of journal rows are in the order of their numbers.
+scheduling::RowKey journalKey(std::uint64_t Number);
+/// Returns the number of a journal row, or nothing if \p Key is not that of
+/// one.
+std::optional<std::uint64_t> journalNumberFromKey(std::string_view Key);
 scheduling::RowKey knownWorkerKey(const std::string &Worker);
 scheduling::RowKey ownerKey();
 scheduling::RowKey statusKey();
--- a/packages/scheduling/include/filbertspring/scheduling/job.h
+++ b/packages/scheduling/include/filbertspring/scheduling/job.h
@@ -64,6 +64,8 @@
 /// The stored progress of a job.
 struct JobProgress {
   JobState State_ = JobState::Queued;
+  /// Changes in rows of the journal up to this number are included.
+  std::uint64_t IncludedJournal_ = 0;
   /// Progress by task name; tasks in their initial state are omitted.
   std::map<std::string, TaskProgress> Tasks_;
 };
@@ -119,6 +121,15 @@
   /// Returns the progress to store.
   JobProgress progress() const;
 
+  /// Returns whether tasks have changed that were not taken.
+  bool hasChanges() const { return !ChangedSlots_.empty(); }
+  /// Takes up to \p MaxTasks of the tasks that have changed.
+  std::vector<std::uint32_t> takeChanges(std::size_t MaxTasks);
+  /// Marks tasks as changed, also those whose changes could not be stored.
+  void markChanged(const std::vector<std::uint32_t> &Slots);
+  /// Returns the state of the job and the progress of the tasks in \p Slots.
+  JobProgress progressOf(const std::vector<std::uint32_t> &Slots) const;
+
   /// Releases every step that is due at \p WallMs and whose dependencies are
   /// done. Returns whether any step was released.
   bool releaseSteps(std::int64_t WallMs, TimePoint Now);
@@ -185,6 +196,8 @@
   std::vector<bool> IsReleased_;
   std::uint32_t RemainingTasks_ = 0;
   std::set<std::uint32_t> Waiting_;
+  /// May hold a slot several times.
+  std::vector<std::uint32_t> ChangedSlots_;
 };
 
 } // namespace filbertspring::scheduling
--- a/packages/scheduling/include/filbertspring/scheduling/progress_codec.h
+++ b/packages/scheduling/include/filbertspring/scheduling/progress_codec.h
@@ -8,6 +8,7 @@
 #include "filbertspring/base/result.h"
 #include "filbertspring/scheduling/interference.h"
 #include "filbertspring/scheduling/job.h"
+#include "filbertspring/scheduling/progress_journal.h"
 #include "filbertspring/scheduling/worker.h"
 
 #include <span>
@@ -22,6 +23,11 @@
 /// Reads what encodeProgress() returns; Errc::InvalidJson otherwise.
 Result<JobProgress> decodeProgress(std::string_view Text);
 
+/// Returns the stored text of one row of the journal.
+std::string encodeJournal(const JournalEntries &Entries);
+/// Reads what encodeJournal() returns; Errc::InvalidJson otherwise.
+Result<JournalEntries> decodeJournal(std::string_view Text);
+
 /// Returns the stored text of the fields of \p Entry that a new owner needs to
 /// reach the worker.
 std::string encodeStoredWorker(const WorkerEntry &Entry);
--- a/packages/scheduling/include/filbertspring/scheduling/scheduler.h
+++ b/packages/scheduling/include/filbertspring/scheduling/scheduler.h
@@ -15,6 +15,7 @@
 #include "filbertspring/base/time.h"
 #include "filbertspring/scheduling/interference.h"
 #include "filbertspring/scheduling/job.h"
+#include "filbertspring/scheduling/progress_journal.h"
 #include "filbertspring/scheduling/queue_table.h"
 #include "filbertspring/scheduling/worker.h"
 
@@ -112,6 +113,12 @@
 /// Changes to store in one transaction.
 struct PendingWrites {
   std::uint64_t Sequence_ = 0;
+  /// Changes of all jobs that have changed, except for those with a snapshot;
+  /// to be written as one row. Empty if there are none.
+  JournalRow Journal_;
+  /// Rows of the journal to remove.
+  std::vector<std::uint64_t> RemovedJournalRows_;
+  /// Snapshots of jobs, which replace the stored ones.
   std::vector<std::pair<std::string, JobProgress>> Progress_;
   /// Workers to add to the stored set of workers that this owner uses.
   std::vector<WorkerEntry> StoredWorkers_;
@@ -120,7 +127,8 @@
   std::vector<std::string> RemovedJobs_;
 
   bool empty() const {
-    return Progress_.empty() && StoredWorkers_.empty() &&
+    return Journal_.Entries_.empty() && RemovedJournalRows_.empty() &&
+           Progress_.empty() && StoredWorkers_.empty() &&
            RemovedWorkers_.empty() && RemovedJobs_.empty();
   }
 };
@@ -153,6 +161,9 @@
   /// have been added. Placed tasks count as running until a report of their
   /// worker or the expiry of their lease shows otherwise.
   void restoreProgress(const std::string &Job, const JobProgress &Progress);
+  /// Notes a row of the journal that an earlier tenure wrote. Its changes must
+  /// be included in the calls of restoreProgress().
+  void restoreJournalRow(const JournalRow &Row);
   void cancelJob(const std::string &Job, TimePoint Now);
 
   /// Adds a worker that the previous owner may have used.
--- a/packages/scheduling/src/job.cpp
+++ b/packages/scheduling/src/job.cpp
@@ -84,6 +84,29 @@
   return Result;
 }
 
+std::vector<std::uint32_t> Job::takeChanges(std::size_t MaxTasks) {
+  std::sort(ChangedSlots_.begin(), ChangedSlots_.end());
+  ChangedSlots_.erase(std::unique(ChangedSlots_.begin(), ChangedSlots_.end()),
+                      ChangedSlots_.end());
+  std::size_t Count = std::min(MaxTasks, ChangedSlots_.size());
+  auto End = ChangedSlots_.begin() + static_cast<std::ptrdiff_t>(Count);
+  std::vector<std::uint32_t> Taken(ChangedSlots_.begin(), End);
+  ChangedSlots_.erase(ChangedSlots_.begin(), End);
+  return Taken;
+}
+
+void Job::markChanged(const std::vector<std::uint32_t> &Slots) {
+  ChangedSlots_.insert(ChangedSlots_.end(), Slots.begin(), Slots.end());
+}
+
+JobProgress Job::progressOf(const std::vector<std::uint32_t> &Slots) const {
+  JobProgress Result;
+  Result.State_ = State_;
+  for (std::uint32_t Slot : Slots)
+    Result.Tasks_[nameOf(Slot).text()] = Tasks_[Slot].Progress_;
+  return Result;
+}
+
 bool Job::isStepDone(std::uint32_t Occurrence, std::uint32_t Step) const {
   return RemainingInStep_[Occurrence * Accepted_.Spec_.Steps_.size() + Step] ==
          0;
@@ -166,6 +189,7 @@
   PlacedTask.Progress_.LastRun_ = std::max(PlacedTask.Progress_.LastRun_, Run);
   PlacedTask.Progress_.Worker_ = Worker;
   Waiting_.erase(*Slot);
+  ChangedSlots_.push_back(*Slot);
 }
 
 bool Job::markStarted() {
@@ -185,14 +209,17 @@
   TheTask.Progress_.Worker_.clear();
   TheTask.ReadyAt_ = Now;
   TheTask.NotBefore_ = NotBefore;
+  ChangedSlots_.push_back(*Slot);
   if (!isFinal(State_))
     Waiting_.insert(*Slot);
 }
 
 void Job::keepCheckpoint(const TaskName &Name, const std::string &Checkpoint) {
-  Task *TheTask = find(Name);
-  if (TheTask && !Checkpoint.empty())
-    TheTask->Progress_.Checkpoint_ = Checkpoint;
+  std::optional<std::uint32_t> Slot = slotOf(Name);
+  if (!Slot || Checkpoint.empty())
+    return;
+  Tasks_[*Slot].Progress_.Checkpoint_ = Checkpoint;
+  ChangedSlots_.push_back(*Slot);
 }
 
 bool Job::complete(const TaskName &Name) {
@@ -205,6 +232,7 @@
   TheTask.Progress_.Checkpoint_.clear();
   TheTask.Progress_.Worker_.clear();
   Waiting_.erase(*Slot);
+  ChangedSlots_.push_back(*Slot);
   markStarted();
   --RemainingInStep_[Name.Occurrence_ * Accepted_.Spec_.Steps_.size() +
                      Name.Step_];
@@ -220,6 +248,7 @@
     return false;
   TheTask->Progress_.LastFailedRun_ = Run;
   TheTask->LastFailedWorker_ = Worker;
+  ChangedSlots_.push_back(*slotOf(Name));
   if (step(Name).IsLongRunning_)
     return true;
   ++TheTask->Progress_.Failures_;
--- a/packages/scheduling/src/progress_codec.cpp
+++ b/packages/scheduling/src/progress_codec.cpp
@@ -174,6 +174,9 @@
   GroupedTasks Tasks(Progress);
   std::string Text =
       fmt::format("{{\"state\":\"{}\"", nameOf(JobStateNames, Progress.State_));
+  if (Progress.IncludedJournal_ != 0)
+    fmt::format_to(std::back_inserter(Text), ",\"journal\":{}",
+                   Progress.IncludedJournal_);
   if (!Tasks.Job_.empty()) {
     Text += ",\"job\":";
     appendJsonString(Text, Tasks.Job_);
@@ -192,25 +195,59 @@
   return Text;
 }
 
+namespace {
+
+JobProgress decodeProgressObject(const json &Value) {
+  JobProgress Progress;
+  std::optional<JobState> State =
+      valueOf(JobStateNames, Value.at("state").get<std::string>());
+  if (!State)
+    throw json::out_of_range::create(403, "unknown state", &Value);
+  Progress.State_ = *State;
+  Progress.IncludedJournal_ = Value.value("journal", std::uint64_t{0});
+  std::string Job = Value.value("job", std::string());
+  if (Value.contains("done"))
+    decodeDone(Value["done"], Job, Progress);
+  if (Value.contains("placed"))
+    decodePlaced(Value["placed"], Job, Progress);
+  // Earlier versions wrote all tasks in this form.
+  if (Value.contains("tasks"))
+    for (const auto &[Name, Entry] : Value["tasks"].items())
+      Progress.Tasks_[Name] = decodeTask(Entry);
+  return Progress;
+}
+
+} // namespace
+
 Result<JobProgress> decodeProgress(std::string_view Text) {
+  try {
+    return decodeProgressObject(json::parse(Text));
+  } catch (const json::exception &) {
+    return fail(Errc::InvalidJson);
+  }
+}
+
+std::string encodeJournal(const JournalEntries &Entries) {
+  std::string Text = "{";
+  for (const auto &[Job, Changes] : Entries) {
+    if (Text.size() > 1)
+      Text += ',';
+    appendJsonString(Text, Job);
+    Text += ':';
+    Text += encodeProgress(Changes);
+  }
+  return Text + '}';
+}
+
+Result<JournalEntries> decodeJournal(std::string_view Text) {
   try {
     json Value = json::parse(Text);
-    JobProgress Progress;
-    std::optional<JobState> State =
-        valueOf(JobStateNames, Value.at("state").get<std::string>());
-    if (!State)
+    if (!Value.is_object())
       return fail(Errc::InvalidJson);
-    Progress.State_ = *State;
-    std::string Job = Value.value("job", std::string());
-    if (Value.contains("done"))
-      decodeDone(Value["done"], Job, Progress);
-    if (Value.contains("placed"))
-      decodePlaced(Value["placed"], Job, Progress);
-    // Earlier versions wrote all tasks in this form.
-    if (Value.contains("tasks"))
-      for (const auto &[Name, Entry] : Value["tasks"].items())
-        Progress.Tasks_[Name] = decodeTask(Entry);
-    return Progress;
+    JournalEntries Entries;
+    for (const auto &[Job, Changes] : Value.items())
+      Entries.emplace_back(Job, decodeProgressObject(Changes));
+    return Entries;
   } catch (const json::exception &) {
     return fail(Errc::InvalidJson);
   }
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -8,6 +8,8 @@
 /// Interval between two renewals that are sent to an unreachable worker: a
 /// quarter of the shortest time that a restarted worker takes to register.
 constexpr Duration UnreachableRetryInterval = std::chrono::milliseconds(400);
+/// More than a tenure writes, so that numbers rise across tenures.
+constexpr std::uint64_t JournalRowsPerTenure = 1'000'000'000;
 /// Interval between two reports of a worker without runs.
 constexpr Duration IdleReportInterval = std::chrono::milliseconds(2000);
 /// The lease of tasks on a worker that drains. Longer than two renewals that
@@ -26,7 +28,8 @@
 
 Scheduler::Impl::Impl(SchedulerSettings Settings, TimePoint Now)
     : Settings_(Settings), TenureStart_(Now),
-      Queues_(std::make_shared<QueueTable>()) {}
+      Queues_(std::make_shared<QueueTable>()),
+      Journal_(Settings.Tenure_ * JournalRowsPerTenure) {}
 
 Scheduler::Scheduler(SchedulerSettings Settings, TimePoint Now)
     : Impl_(std::make_unique<Impl>(Settings, Now)) {}
@@ -75,6 +78,7 @@
   JobRecord *Record = Impl_->findJob(Id);
   if (!Record)
     return;
+  Record->StoredState_ = Progress.State_;
   for (const TaskName &Name : Record->Job_.restore(Progress)) {
     const TaskProgress &Stored = Record->Job_.find(Name)->Progress_;
     Run Restored = Impl_->makeRun(Record->Job_, Name, Stored.LastRun_);
@@ -91,6 +95,13 @@
   Impl_->stopAllRuns(Record->Job_, Impl_->TenureStart_);
 }
 
+void Scheduler::restoreJournalRow(const JournalRow &Row) {
+  Impl_->Journal_.restore(Row);
+  // The stored snapshots do not show the changes to callers.
+  for (const auto &[Job, Changes] : Row.Entries_)
+    Impl_->Snapshots_.add(Job);
+}
+
 void Scheduler::cancelJob(const std::string &Id, TimePoint Now) {
   JobRecord *Record = Impl_->findJob(Id);
   if (!Record || isFinal(Record->Job_.state()))
@@ -400,6 +411,8 @@
   for (const std::string &Id : Jobs) {
     Impl_->Jobs_.erase(Id);
     Impl_->DirtyJobs_.erase(Id);
+    Impl_->Snapshots_.erase(Id);
+    Impl_->Journal_.unpin(Id);
     Impl_->JobsToRelease_.erase(Id);
     Impl_->JobsWithWaitingTasks_.erase(Id);
     Impl_->JobsToRemove_.insert(Id);
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -21,6 +21,8 @@
   Job Job_;
   /// When the job reached a final state.
   std::optional<TimePoint> FinalAt_;
+  /// The state in the stored snapshot, which callers see.
+  JobState StoredState_ = JobState::Queued;
 
   JobRecord(AcceptedJob Accepted, TimePoint Now)
       : Job_(std::move(Accepted), Now) {}
@@ -39,6 +41,12 @@
   std::int64_t StartedAtMs_ = 0;
 };
 
+/// A job whose changes are part of the outstanding transaction.
+struct JobInFlight {
+  ProgressQueue::Entry Queued_;
+  std::vector<std::uint32_t> Slots_;
+};
+
 /// The requirements for placing a task.
 struct PlacementRequest {
   const StepSpec &Step_;
@@ -142,6 +150,9 @@
   void sendPlannedStarts(TimePoint Now);
 
   // Storage.
+  void takeChanges();
+  void takeSnapshots(PendingWrites &Writes, std::size_t MaxRows);
+  void takePlannedRuns();
   void takeStoredEnds();
 
   void recordEvent(LogEvent Event,
@@ -160,7 +171,11 @@
   /// Jobs whose progress is to be stored.
   ProgressQueue DirtyJobs_;
   /// The jobs whose progress is part of the outstanding transaction.
-  std::vector<ProgressQueue::Entry> JobsInFlight_;
+  std::vector<JobInFlight> JobsInFlight_;
+  ProgressJournal Journal_;
+  /// Jobs of which snapshots are to be written.
+  ProgressQueue Snapshots_;
+  std::vector<ProgressQueue::Entry> SnapshotsInFlight_;
   std::set<std::string> WorkersToStore_;
   std::set<std::string> WorkersToRemove_;
   std::set<std::string> JobsToRemove_;
--- a/packages/scheduling/src/scheduler_writes.cpp
+++ b/packages/scheduling/src/scheduler_writes.cpp
@@ -1,11 +1,25 @@
 #include "scheduler_impl.h"
 
+#include <algorithm>
+#include <iterator>
+#include <unordered_set>
+
 namespace filbertspring::scheduling {
+namespace {
+
+/// Tasks in one row of the journal. A task takes at most a hundred bytes, and a
+/// row 64 KiB, of which the encoding of binary values takes a quarter.
+constexpr std::size_t MaxJournalTasks = 450;
+/// Rows of the journal that a transaction removes at most. More than one, so
+/// that the journal becomes shorter.
+constexpr std::size_t MaxRemovedJournalRows = 8;
+
+} // namespace
 
 bool Scheduler::hasWrites() const {
   return Impl_->HasNewEnds_ || !Impl_->DirtyJobs_.empty() ||
          !Impl_->WorkersToStore_.empty() || !Impl_->WorkersToRemove_.empty() ||
-         !Impl_->JobsToRemove_.empty();
+         !Impl_->JobsToRemove_.empty() || !Impl_->Snapshots_.empty();
 }
 
 PendingWrites Scheduler::takeWrites(std::size_t MaxRows) {
@@ -24,32 +38,97 @@
     if (WorkerState *Worker = Impl_->findWorker(Id))
       Writes.StoredWorkers_.push_back(Worker->Entry_);
   });
-  for (Impl_->JobsInFlight_.clear(); Room > 0; --Room) {
-    std::optional<ProgressQueue::Entry> Taken = Impl_->DirtyJobs_.takeFirst();
-    if (!Taken)
-      break;
-    if (JobRecord *Record = Impl_->findJob(Taken->Job_))
-      Writes.Progress_.emplace_back(Taken->Job_, Record->Job_.progress());
-    Impl_->JobsInFlight_.push_back(std::move(*Taken));
-  }
+  Impl_->takeChanges();
+  Impl_->takeSnapshots(Writes, Room);
+  Room -= Writes.Progress_.size() + Writes.RemovedJournalRows_.size();
   Take(Impl_->WorkersToRemove_,
        [&](const std::string &Id) { Writes.RemovedWorkers_.push_back(Id); });
   Take(Impl_->JobsToRemove_,
        [&](const std::string &Id) { Writes.RemovedJobs_.push_back(Id); });
-  Impl_->PlannedRunsInFlight_.clear();
-  std::set<std::string> Stored;
-  for (const auto &[Id, Progress] : Writes.Progress_)
-    Stored.insert(Id);
-  for (const PlannedRun &Planned : Impl_->PlannedRuns_)
-    if (Stored.contains(Planned.Name_.Job_))
-      Impl_->PlannedRunsInFlight_.push_back(Planned);
-  std::erase_if(Impl_->PlannedRuns_, [&](const PlannedRun &Planned) {
-    return Stored.contains(Planned.Name_.Job_);
-  });
+  Impl_->takePlannedRuns();
   Impl_->takeStoredEnds();
   return Writes;
 }
 
+/// Takes the changes of the jobs that changed first, as many as fit into a row.
+void Scheduler::Impl::takeChanges() {
+  JobsInFlight_.clear();
+  std::size_t Room = MaxJournalTasks;
+  while (Room > 0) {
+    std::optional<ProgressQueue::Entry> First = DirtyJobs_.takeFirst();
+    if (!First)
+      break;
+    JobRecord *Record = findJob(First->Job_);
+    if (!Record)
+      continue;
+    std::vector<std::uint32_t> Slots = Record->Job_.takeChanges(Room);
+    Room -= Slots.size();
+    if (Record->Job_.state() != Record->StoredState_)
+      Snapshots_.add(First->Job_);
+    // The rest of the changes keeps its place, so that no end is acknowledged
+    // before it is stored.
+    if (Record->Job_.hasChanges())
+      DirtyJobs_.restore(*First);
+    JobsInFlight_.push_back({std::move(*First), std::move(Slots)});
+  }
+}
+
+/// Takes snapshots of jobs, at most \p MaxRows with the rows of the journal
+/// that become unneeded, and adds the changes of all other jobs to the journal.
+void Scheduler::Impl::takeSnapshots(PendingWrites &Writes,
+                                    std::size_t MaxRows) {
+  Writes.RemovedJournalRows_ =
+      Journal_.unneededRows(std::min(MaxRows / 4, MaxRemovedJournalRows));
+  std::size_t Room = MaxRows - Writes.RemovedJournalRows_.size();
+  for (const std::string &Job : Journal_.jobsToSnapshot(Room))
+    if (findJob(Job))
+      Snapshots_.add(Job);
+    else
+      Journal_.unpin(Job);
+  Writes.Journal_.Number_ = Journal_.nextNumber();
+  std::set<std::string> Covered;
+  for (SnapshotsInFlight_.clear(); Room > 0; --Room) {
+    std::optional<ProgressQueue::Entry> Taken = Snapshots_.takeFirst();
+    if (!Taken)
+      break;
+    if (JobRecord *Record = findJob(Taken->Job_)) {
+      JobProgress Snapshot = Record->Job_.progress();
+      Snapshot.IncludedJournal_ = Writes.Journal_.Number_;
+      Writes.Progress_.emplace_back(Taken->Job_, std::move(Snapshot));
+      Covered.insert(Taken->Job_);
+    }
+    SnapshotsInFlight_.push_back(std::move(*Taken));
+  }
+  for (const JobInFlight &Changed : JobsInFlight_) {
+    const std::string &Id = Changed.Queued_.Job_;
+    JobRecord *Record = findJob(Id);
+    if (Record && !Changed.Slots_.empty() && !Covered.contains(Id))
+      Writes.Journal_.Entries_.emplace_back(
+          Id, Record->Job_.progressOf(Changed.Slots_));
+  }
+  if (!Writes.Journal_.Entries_.empty())
+    Journal_.addRow(Writes.Journal_.Number_);
+}
+
+/// Determines the planned runs whose placement is stored with the changes that
+/// were taken.
+void Scheduler::Impl::takePlannedRuns() {
+  PlannedRunsInFlight_.clear();
+  std::unordered_set<std::string> Stored;
+  for (const JobInFlight &Changed : JobsInFlight_) {
+    const JobRecord *Record = findJob(Changed.Queued_.Job_);
+    if (Record && !Record->Job_.hasChanges())
+      Stored.insert(Changed.Queued_.Job_);
+  }
+  auto Kept = std::stable_partition(
+      PlannedRuns_.begin(), PlannedRuns_.end(), [&](const PlannedRun &Planned) {
+        return !Stored.contains(Planned.Name_.Job_);
+      });
+  PlannedRunsInFlight_.assign(std::make_move_iterator(Kept),
+                              std::make_move_iterator(PlannedRuns_.end()));
+  PlannedRuns_.erase(Kept, PlannedRuns_.end());
+}
+
 /// Determines the ends whose effect is stored once the jobs that were taken up
 /// to now are stored.
 void Scheduler::Impl::takeStoredEnds() {
@@ -63,6 +142,14 @@
 }
 
 void Scheduler::writesStored(const PendingWrites &Writes, TimePoint Now) {
+  for (const auto &[Id, Progress] : Writes.Progress_) {
+    Impl_->Journal_.unpin(Id);
+    if (JobRecord *Record = Impl_->findJob(Id))
+      Record->StoredState_ = Progress.State_;
+  }
+  for (const auto &[Id, Changes] : Writes.Journal_.Entries_)
+    Impl_->Journal_.pin(Id, Writes.Journal_.Number_);
+  Impl_->Journal_.rowsRemoved(Writes.RemovedJournalRows_);
   for (const auto &[Id, Ends] : Impl_->EndsInFlight_) {
     WorkerState *Worker = Impl_->findWorker(Id);
     // The numbers of ends start again with each incarnation.
@@ -93,8 +180,15 @@
                              Impl_->PlannedRunsInFlight_.end());
   Impl_->PlannedRunsInFlight_.clear();
   Impl_->EndsInFlight_.clear();
-  for (const ProgressQueue::Entry &Taken : Impl_->JobsInFlight_)
-    Impl_->DirtyJobs_.restore(Taken);
+  for (const JobInFlight &Changed : Impl_->JobsInFlight_) {
+    JobRecord *Record = Impl_->findJob(Changed.Queued_.Job_);
+    if (!Record)
+      continue;
+    Record->Job_.markChanged(Changed.Slots_);
+    Impl_->DirtyJobs_.restore(Changed.Queued_);
+  }
+  for (const ProgressQueue::Entry &Taken : Impl_->SnapshotsInFlight_)
+    Impl_->Snapshots_.restore(Taken);
   for (const WorkerEntry &Entry : Writes.StoredWorkers_)
     Impl_->WorkersToStore_.insert(Entry.Id_);
   for (const std::string &Id : Writes.RemovedWorkers_)
--- a/packages/scheduling/tests/cell_fixture.h
+++ b/packages/scheduling/tests/cell_fixture.h
@@ -57,6 +57,8 @@
       return;
     PendingWrites Writes = Scheduler_.takeWrites(90);
     LastWrites_ = Writes;
+    if (IsStored)
+      store(Writes);
     if (IsStored)
       Scheduler_.writesStored(Writes, Now_);
     else
@@ -64,6 +66,24 @@
     collect();
   }
 
+  /// Applies \p Writes to the stored rows.
+  void store(const PendingWrites &Writes) {
+    for (const auto &[Id, Progress] : Writes.Progress_)
+      Snapshots_[Id] = Progress;
+    if (!Writes.Journal_.Entries_.empty())
+      Journal_[Writes.Journal_.Number_] = Writes.Journal_;
+    for (std::uint64_t Number : Writes.RemovedJournalRows_)
+      Journal_.erase(Number);
+  }
+
+  /// Returns what a new owner reads of all jobs.
+  std::map<std::string, JobProgress> storedProgress() const {
+    std::map<std::string, JobProgress> Progress = Snapshots_;
+    for (const auto &[Number, Row] : Journal_)
+      applyJournalRow(Row, Progress);
+    return Progress;
+  }
+
   void collect() {
     for (Action &NextAction : Scheduler_.takeActions()) {
       if (auto *Start = std::get_if<StartTask>(&NextAction))
@@ -132,6 +152,8 @@
   std::map<std::string, std::vector<RunningTask>> RunningTasks_;
   std::map<std::string, std::vector<EndedTask>> EndedTasks_;
   PendingWrites LastWrites_;
+  std::map<std::string, JobProgress> Snapshots_;
+  std::map<std::uint64_t, JournalRow> Journal_;
 };
 
 } // namespace filbertspring::scheduling::test
--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -18,10 +18,8 @@
   step();
   BOOST_REQUIRE(Starts_.size() == 1);
   BOOST_TEST(Starts_.front().Run_ == 1);
-  BOOST_REQUIRE(LastWrites_.Progress_.size() == 1);
-  BOOST_TEST(
-      LastWrites_.Progress_.front().second.Tasks_.at("job.0.0.0").Worker_ ==
-      Starts_.front().Worker_);
+  BOOST_TEST(storedProgress()["job"].Tasks_.at("job.0.0.0").Worker_ ==
+             Starts_.front().Worker_);
 }
 
 BOOST_FIXTURE_TEST_CASE(counts_as_waiting_until_a_worker_confirms_a_start,
--- a/packages/scheduling/tests/simulated_cell.cpp
+++ b/packages/scheduling/tests/simulated_cell.cpp
@@ -112,8 +112,10 @@
       CellOwner->Scheduler_.workerRegistered(Worker->entry(), Now_);
   for (const auto &[Id, Job] : Jobs_)
     CellOwner->Scheduler_.addJob(Job, Now_);
-  for (const auto &[Id, Text] : Progress_)
-    CellOwner->Scheduler_.restoreProgress(Id, *decodeProgress(Text));
+  for (const auto &[Id, Progress] : storedProgress())
+    CellOwner->Scheduler_.restoreProgress(Id, Progress);
+  for (const auto &[Number, Text] : Journal_)
+    CellOwner->Scheduler_.restoreJournalRow({Number, *decodeJournal(Text)});
   for (const std::string &Id : Cancelled_)
     CellOwner->Scheduler_.cancelJob(Id, Now_);
   after(Duration::zero(), [this, CellOwner] { tick(CellOwner); });
@@ -347,7 +349,20 @@
   });
 }
 
+std::map<std::string, JobProgress> SimulatedCell::storedProgress() const {
+  std::map<std::string, JobProgress> Progress;
+  for (const auto &[Id, Text] : Progress_)
+    Progress[Id] = *decodeProgress(Text);
+  for (const auto &[Number, Text] : Journal_)
+    applyJournalRow({Number, *decodeJournal(Text)}, Progress);
+  return Progress;
+}
+
 void SimulatedCell::apply(const PendingWrites &Writes) {
+  if (!Writes.Journal_.Entries_.empty())
+    Journal_[Writes.Journal_.Number_] = encodeJournal(Writes.Journal_.Entries_);
+  for (std::uint64_t Number : Writes.RemovedJournalRows_)
+    Journal_.erase(Number);
   for (const auto &[Id, Progress] : Writes.Progress_)
     Progress_[Id] = encodeProgress(Progress);
   for (const WorkerEntry &Entry : Writes.StoredWorkers_)
--- a/packages/scheduling/tests/simulated_cell.h
+++ b/packages/scheduling/tests/simulated_cell.h
@@ -96,6 +96,8 @@
             const std::function<void(CallOutcome)> &Answered);
   void write(const std::shared_ptr<Owner> &CellOwner);
   void apply(const PendingWrites &Writes);
+  /// Returns the stored snapshots with the changes in the journal.
+  std::map<std::string, JobProgress> storedProgress() const;
   void refreshRegistrations();
   Duration latency();
 
@@ -118,6 +120,7 @@
   std::map<std::string, AcceptedJob> Jobs_;
   std::set<std::string> Cancelled_;
   std::map<std::string, std::string> Progress_;
+  std::map<std::uint64_t, std::string> Journal_;
   std::map<std::string, WorkerEntry> StoredWorkers_;
 };
 
--- a/packages/scheduling/tests/storage_test.cpp
+++ b/packages/scheduling/tests/storage_test.cpp
@@ -3,6 +3,7 @@
 /// more changed jobs than fit into one transaction.
 
 #include "cell_fixture.h"
+#include "filbertspring/scheduling/progress_codec.h"
 
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
@@ -88,18 +89,95 @@
     step(300ms, false);
     submitMany();
     BOOST_TEST(highestAcknowledgement() == 0);
+    BOOST_TEST((storedProgress()["z"].State_ != JobState::Completed));
   }
-  // The job is not the first one: two transactions were filled before its end.
   answerRenewals();
-  bool IsStored = false;
-  for (int Round = 0; Round < 8 && !IsStored; ++Round) {
-    BOOST_TEST(highestAcknowledgement() == 0);
-    answerRenewals();
-    step(300ms);
-    for (const auto &[Job, Progress] : LastWrites_.Progress_)
-      IsStored |= Job == "z" && Progress.State_ == JobState::Completed;
+  step(300ms);
+  BOOST_TEST((storedProgress()["z"].State_ == JobState::Completed));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(the_journal)
+
+BOOST_FIXTURE_TEST_CASE(holds_the_changes_of_all_jobs_in_one_row, LoadedCell) {
+  submitMany();
+  submitMany();
+  step();
+  BOOST_TEST(LastWrites_.Journal_.Entries_.size() == 2U * JobsOfTransaction);
+  BOOST_TEST(LastWrites_.Progress_.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(is_bounded_by_snapshots, LoadedCell) {
+  submit("long", {task(1, 1)});
+  step();
+  acceptStarts();
+  std::size_t Longest = 0;
+  for (int Round = 0; Round < 400; ++Round) {
+    submit(fmt::format("b{:06}", Round), {task(1, 1)});
+    step();
+    acceptStarts();
+    Longest = std::max(Longest, Journal_.size());
   }
-  BOOST_TEST(IsStored);
+  // A new owner reads at most a page of rows.
+  BOOST_TEST(Longest < 100U);
+  BOOST_TEST(storedProgress()["long"].Tasks_.at("long.0.0.0").Worker_ ==
+             Starts_.front().Worker_);
+}
+
+BOOST_FIXTURE_TEST_CASE(is_written_again_after_a_failure, LoadedCell) {
+  submit("z", {task(3, 1)});
+  step(20ms, false);
+  BOOST_TEST(Starts_.empty());
+  step();
+  BOOST_TEST(Starts_.size() == 3U);
+  BOOST_TEST(storedProgress()["z"].Tasks_.size() == 3U);
+}
+
+BOOST_FIXTURE_TEST_CASE(takes_a_step_that_is_larger_than_a_row_in_parts,
+                        LoadedCell) {
+  submit("large", {task(1000, 1)});
+  step();
+  BOOST_TEST(LastWrites_.Journal_.Entries_.front().second.Tasks_.size() <
+             1000U);
+  BOOST_TEST(Starts_.empty());
+  for (int Round = 0; Round < 3; ++Round)
+    step();
+  BOOST_TEST(storedProgress()["large"].Tasks_.size() == 1000U);
+  BOOST_TEST(!Starts_.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_row_of_the_journal)
+
+BOOST_AUTO_TEST_CASE(is_read_as_it_was_written) {
+  JobProgress Changes;
+  Changes.State_ = JobState::Running;
+  Changes.Tasks_["0a.0.0.1"].Worker_ = "w";
+  Changes.Tasks_["0a.0.0.1"].LastRun_ = 3;
+  auto Entries = decodeJournal(encodeJournal({{"0a", Changes}, {"0b", {}}}));
+  BOOST_REQUIRE(Entries.has_value());
+  BOOST_REQUIRE(Entries->size() == 2U);
+  BOOST_TEST(Entries->front().first == "0a");
+  BOOST_TEST((Entries->front().second.State_ == JobState::Running));
+  BOOST_TEST((Entries->front().second.Tasks_ == Changes.Tasks_));
+  for (const char *Text : {"", "[]", "7", R"({"0a":7})", R"({"0a":{}})"})
+    BOOST_TEST(!decodeJournal(Text).has_value(), Text);
+}
+
+BOOST_AUTO_TEST_CASE(does_not_replace_a_newer_snapshot) {
+  std::map<std::string, JobProgress> Progress;
+  Progress["0a"].IncludedJournal_ = 7;
+  Progress["0a"].Tasks_["0a.0.0.0"].LastRun_ = 5;
+  JournalRow Row{7, {{"0a", {}}}};
+  Row.Entries_.front().second.Tasks_["0a.0.0.0"].LastRun_ = 4;
+  applyJournalRow(Row, Progress);
+  BOOST_TEST(Progress["0a"].Tasks_["0a.0.0.0"].LastRun_ == 5U);
+  Row.Number_ = 8;
+  Row.Entries_.front().second.Tasks_["0a.0.0.0"].LastRun_ = 6;
+  applyJournalRow(Row, Progress);
+  BOOST_TEST(Progress["0a"].Tasks_["0a.0.0.0"].LastRun_ == 6U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
