--- a/packages/node/src/cell_owner.cpp
+++ b/packages/node/src/cell_owner.cpp
@@ -207,6 +207,7 @@
     for (const scheduling::Action &SchedulerAction :
          Tenure_->Scheduler_.takeActions())
       Tenure_->Calls_.execute(SchedulerAction);
+    Tenure_->Calls_.channel().flush();
     logSchedulerNotes();
     if (Tenure_->Scheduler_.isFenced()) {
       return endTenure("a worker has seen a higher fencing token");
--- a/packages/node/src/worker_call_batch.h
+++ b/packages/node/src/worker_call_batch.h
@@ -18,7 +18,8 @@
 
 /// The path of batches of calls at the address for other instances.
 inline constexpr std::string_view WorkerCallsPath = "/worker-calls";
-/// The path of batches of answers at the address for other instances.
+/// The path of batches of answers at the address for other instances. A batch
+/// of calls can also be answered with a batch of answers.
 inline constexpr std::string_view WorkerAnswersPath = "/worker-answers";
 /// Batches are sent when they have reached this size. An instance accepts
 /// requests of four times this size.
--- a/packages/node/src/worker_channel.cpp
+++ b/packages/node/src/worker_channel.cpp
@@ -15,9 +15,6 @@
 /// The timeout for connecting to a relay. Several times the round trip between
 /// availability zones.
 constexpr Duration BatchConnectTimeout = std::chrono::milliseconds(150);
-/// Calls within this time are sent together: those of one or two scheduling
-/// cycles.
-constexpr Duration BatchDelay = std::chrono::milliseconds(10);
 /// How often relayed calls are checked for their timeouts.
 constexpr Duration ExpiryInterval = std::chrono::milliseconds(50);
 
@@ -61,17 +58,10 @@
   Waiting.Bytes_ += Request.Body_.size();
   Counters_.counter("worker_calls_relayed_total").add();
   if (Waiting.Bytes_ >= MaxBatchBytes)
-    return flush();
-  if (std::exchange(IsFlushRequested_, true))
-    return;
-  Loop_.after(BatchDelay, [this, IsAlive = IsAlive_] {
-    if (*IsAlive)
-      flush();
-  });
+    flush();
 }
 
 void WorkerChannel::flush() {
-  IsFlushRequested_ = false;
   for (auto &[Relay, Waiting] : std::exchange(Outboxes_, {}))
     sendBatch(Relay, std::move(Waiting.Calls_));
 }
@@ -98,7 +88,7 @@
     const Result<HttpAnswer> &Answer) {
   bool IsTaken = Answer && Answer->Status_ == 200;
   if (IsTaken)
-    return;
+    return handleAnswersInBody(Relay, SentAt, Answer->Body_);
   noteFailure(Relay, SentAt);
   // The relay may have made the calls; their answers may still arrive.
   if (!Answer && Answer.error() != Errc::ConnectFailed)
@@ -107,6 +97,19 @@
     redirect(Call);
 }
 
+/// Handles the answers that a relay had when it answered a batch.
+void WorkerChannel::handleAnswersInBody(const std::string &Relay,
+                                        TimePoint SentAt,
+                                        std::string_view Body) {
+  if (Body.empty())
+    return;
+  Result<WorkerAnswerBatch> Batch = decodeWorkerAnswers(Body);
+  if (Batch)
+    return handleAnswers(std::move(*Batch));
+  logEvent(LogEvent::PeerMessageRejected, {{"relay", Relay}});
+  noteFailure(Relay, SentAt);
+}
+
 void WorkerChannel::redirect(const RelayedWorkerCall &Call) {
   auto It = Pending_.find(Call.Id_);
   if (It == Pending_.end())
--- a/packages/node/src/worker_channel.h
+++ b/packages/node/src/worker_channel.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -36,6 +37,9 @@
   /// Sends \p Request to the worker at \p Address.
   void send(const std::string &Address, const HttpRequest &Request,
             Duration Timeout, HttpCallback Callback);
+  /// Sends the calls that wait to be relayed. To be called after each group of
+  /// calls.
+  void flush();
   /// Handles answers that \p Batch brings for this tenure.
   void handleAnswers(WorkerAnswerBatch Batch);
 
@@ -56,12 +60,13 @@
   void sendRelayed(const std::string &Relay, const std::string &Address,
                    const HttpRequest &Request, Duration Timeout,
                    HttpCallback Callback);
-  void flush();
   void sendBatch(const std::string &Relay,
                  std::vector<RelayedWorkerCall> Calls);
   void handleBatchResult(const std::string &Relay, TimePoint SentAt,
                          const std::vector<RelayedWorkerCall> &Calls,
                          const Result<HttpAnswer> &Answer);
+  void handleAnswersInBody(const std::string &Relay, TimePoint SentAt,
+                           std::string_view Body);
   /// Makes a call directly that its relay certainly did not make.
   void redirect(const RelayedWorkerCall &Call);
   void noteFailure(const std::string &Relay, TimePoint SentAt);
@@ -77,7 +82,6 @@
   std::map<std::string, Outbox> Outboxes_;
   std::unordered_map<std::uint64_t, PendingCall> Pending_;
   std::uint64_t LastId_ = 0;
-  bool IsFlushRequested_ = false;
   /// Set to false by the destructor; callbacks check it before they use this
   /// object.
   std::shared_ptr<bool> IsAlive_;
--- a/packages/node/src/worker_relay.cpp
+++ b/packages/node/src/worker_relay.cpp
@@ -31,11 +31,11 @@
   } else if (IsStopping_ || CallsInFlight_ > MaxCallsInFlight) {
     Answer.Status_ = 503;
   }
-  bool IsTaken = Answer.Status_ == 200;
-  Respond(std::move(Answer));
-  if (!IsTaken)
-    return;
+  if (Answer.Status_ != 200)
+    return Respond(std::move(Answer));
   Receiver Owner(Batch->OwnerAddress_, Batch->OwnerToken_);
+  OpenBatches_[Owner].push_back(Respond);
+  requestFlush();
   for (RelayedWorkerCall &Call : Batch->Calls_)
     makeCall(Owner, std::move(Call));
 }
@@ -53,6 +53,10 @@
 void WorkerRelay::addAnswer(const Receiver &Owner, RelayedWorkerAnswer Answer) {
   Answers_[Owner].push_back(std::move(Answer));
   ++UnsentAnswers_;
+  requestFlush();
+}
+
+void WorkerRelay::requestFlush() {
   if (std::exchange(IsFlushRequested_, true))
     return;
   Loop_.after(AnswerDelay, [this] { flush(); });
@@ -62,20 +66,6 @@
   IsFlushRequested_ = false;
   UnsentAnswers_ = 0;
   for (auto &[Owner, Answers] : std::exchange(Answers_, {})) {
-    HttpRequest Request;
-    Request.Method_ = "POST";
-    Request.Path_ = WorkerAnswersPath;
-    auto Send = [&](std::vector<RelayedWorkerAnswer> Part) {
-      Request.Body_ = encodeWorkerAnswers({Owner.second, std::move(Part)});
-      // The owner takes calls without an answer for calls that may have been
-      // executed.
-      OwnerClient_.send(
-          Owner.first, Request, AnswerTimeout,
-          [this](const Result<HttpAnswer> &Outcome) {
-            if (!Outcome || Outcome->Status_ != 200)
-              Counters_.counter("worker_answers_lost_total").add();
-          });
-    };
     std::vector<RelayedWorkerAnswer> Part;
     std::size_t Bytes = 0;
     for (RelayedWorkerAnswer &Entry : Answers) {
@@ -83,12 +73,38 @@
       Part.push_back(std::move(Entry));
       if (Bytes < MaxBatchBytes)
         continue;
-      Send(std::exchange(Part, {}));
+      send(Owner, std::exchange(Part, {}));
       Bytes = 0;
     }
     if (!Part.empty())
-      Send(std::move(Part));
+      send(Owner, std::move(Part));
+  }
+  for (auto &[Owner, Batches] : std::exchange(OpenBatches_, {}))
+    for (const HttpResponder &Respond : Batches)
+      Respond({});
+}
+
+void WorkerRelay::send(const Receiver &Owner,
+                       std::vector<RelayedWorkerAnswer> Answers) {
+  std::string Body = encodeWorkerAnswers({Owner.second, std::move(Answers)});
+  std::vector<HttpResponder> &Batches = OpenBatches_[Owner];
+  if (!Batches.empty()) {
+    HttpAnswer Answer;
+    Answer.Body_ = std::move(Body);
+    Batches.back()(std::move(Answer));
+    return Batches.pop_back();
   }
+  HttpRequest Request;
+  Request.Method_ = "POST";
+  Request.Path_ = WorkerAnswersPath;
+  Request.Body_ = std::move(Body);
+  // The owner takes calls without an answer for calls that may have been
+  // executed.
+  OwnerClient_.send(Owner.first, Request, AnswerTimeout,
+                    [this](const Result<HttpAnswer> &Outcome) {
+                      if (!Outcome || Outcome->Status_ != 200)
+                        Counters_.counter("worker_answers_lost_total").add();
+                    });
 }
 
 } // namespace filbertspring::node
--- a/packages/node/src/worker_relay.h
+++ b/packages/node/src/worker_relay.h
@@ -19,9 +19,11 @@
 namespace filbertspring::node {
 
 /// Makes the calls of batches that an owner sends, and sends the answers back
-/// in batches. Decides nothing: a call carries the owner's fencing token and,
-/// if it starts a task, the time after which the worker rejects it, so a call
-/// that is made late has no effect. Not thread-safe.
+/// in batches: with the answer to a batch, which is delayed for that, or in a
+/// request of its own if no batch is open. Decides nothing: a call carries the
+/// owner's fencing token and, if it starts a task, the time after which the
+/// worker rejects it, so a call that is made late has no effect. Not
+/// thread-safe.
 class WorkerRelay {
 public:
   WorkerRelay(EventLoop &Loop, CounterRegistry &Counters);
@@ -40,13 +42,18 @@
 
   void makeCall(const Receiver &Owner, RelayedWorkerCall Call);
   void addAnswer(const Receiver &Owner, RelayedWorkerAnswer Answer);
+  void requestFlush();
   void flush();
+  /// Sends \p Answers with the answer to an open batch, if there is one.
+  void send(const Receiver &Owner, std::vector<RelayedWorkerAnswer> Answers);
 
   EventLoop &Loop_;
   CounterRegistry &Counters_;
   WorkerConnections Workers_;
   AsyncHttpClient OwnerClient_;
   std::map<Receiver, std::vector<RelayedWorkerAnswer>> Answers_;
+  /// The batches that are not answered yet.
+  std::map<Receiver, std::vector<HttpResponder>> OpenBatches_;
   std::size_t CallsInFlight_ = 0;
   std::size_t UnsentAnswers_ = 0;
   bool IsFlushRequested_ = false;
--- a/packages/node/tests/worker_channel_test.cpp
+++ b/packages/node/tests/worker_channel_test.cpp
@@ -86,6 +86,7 @@
       Outcome.emplace(std::move(Answer));
       Loop_.stop();
     });
+    Channel_->flush();
     Loop_.context().restart();
     Loop_.run();
     BOOST_REQUIRE(Outcome.has_value());
