--- a/benchmark/experiments/cell_load_simulation.cpp
+++ b/benchmark/experiments/cell_load_simulation.cpp
@@ -228,7 +228,7 @@
     Job.Spec_.Steps_ = {Spec};
     LongRunningMilliCpu_ += static_cast<double>(Spec.Count_) *
                             static_cast<double>(Spec.Request_.MilliCpu_);
-    LongRunningAsked_.emplace_back(Now_, Spec.Count_);
+    LongRunningRequested_.emplace_back(Now_, Spec.Count_);
     Specs_[Job.Id_] = Job.Spec_;
     after(CallTime, [this, Job] { Scheduler_.addJob(Job, Now_); });
   }
@@ -243,15 +243,15 @@
   /// they ask for.
   static double fillerSpeed(const Worker &Of) {
     double Free = WorkerMilliCpu;
-    double Asked = 0;
+    double Requested = 0;
     for (const ActiveRun &Each : Of.Runs_) {
       auto MilliCpu = static_cast<double>(Each.Step_.Request_.MilliCpu_);
       if (Each.Step_.IsFiller_)
-        Asked += MilliCpu * Each.Pace_ / 100.0;
+        Requested += MilliCpu * Each.Pace_ / 100.0;
       else
         Free -= MilliCpu * (Each.Step_.IsLongRunning_ ? LongRunningUsage : 1);
     }
-    return Asked <= 0 ? 1 : std::clamp(Free / Asked, 0.05, 1.0);
+    return Requested <= 0 ? 1 : std::clamp(Free / Requested, 0.05, 1.0);
   }
 
   double tailOf(const Worker &Of, const ActiveRun &Serving, double Speed) {
@@ -446,10 +446,11 @@
   }
 
   void finish(TimePoint /*Start*/) {
-    double Asked = 0;
-    for (const auto &[At, Tasks] : LongRunningAsked_)
-      Asked += seconds(Now_ - At) * Tasks;
-    Result_.LongRunningShare_ = Asked > 0 ? LongRunningSeconds_ / Asked : 1;
+    double Requested = 0;
+    for (const auto &[At, Tasks] : LongRunningRequested_)
+      Requested += seconds(Now_ - At) * Tasks;
+    Result_.LongRunningShare_ =
+        Requested > 0 ? LongRunningSeconds_ / Requested : 1;
   }
 
   struct Event {
@@ -470,7 +471,7 @@
   std::uint64_t LastEvent_ = 0;
   std::map<std::string, SubmittedJob> Jobs_;
   std::map<std::string, JobSpec> Specs_;
-  std::vector<std::pair<TimePoint, std::uint32_t>> LongRunningAsked_;
+  std::vector<std::pair<TimePoint, std::uint32_t>> LongRunningRequested_;
   double LongRunningMilliCpu_ = 0;
   double LongRunningSeconds_ = 0;
   bool Submissions_ = false;
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -213,7 +213,7 @@
                  {"runs", std::to_string(Worker.Runs_.size())},
                  {"cause", Cause}});
   // The tasks may have been away since the last report.
-  TimePoint LastSeenAt = Worker.ClockMs_ ? Worker.ClockAt_ : Now;
+  TimePoint LastReportAt = Worker.ClockMs_ ? Worker.ClockAt_ : Now;
   std::unordered_map<std::string, Run> LostRuns = std::move(Worker.Runs_);
   Worker.Runs_.clear();
   Worker.Used_ = {};
@@ -228,8 +228,8 @@
     if (!Record)
       continue;
     Record->Job_.keepCheckpoint(ActiveRun.Name_, ActiveRun.Checkpoint_);
-    requeueRun(Worker, *Record, ActiveRun.Name_, ActiveRun.Number_, LastSeenAt,
-               Duration::zero());
+    requeueRun(Worker, *Record, ActiveRun.Name_, ActiveRun.Number_,
+               LastReportAt, Duration::zero());
   }
 }
 
