--- a/tests/soak.cpp
+++ b/tests/soak.cpp
@@ -53,6 +53,7 @@
   /// Returns the broken promises.
   std::vector<std::string> run() {
     std::vector<std::thread> Threads;
+    Threads.reserve(Callers);
     for (int Caller = 0; Caller < Callers; ++Caller)
       Threads.emplace_back([this, Caller] { callUntilStopped(Caller); });
     auto End =
