--- a/packages/node/src/worker_relay.cpp
+++ b/packages/node/src/worker_relay.cpp
@@ -36,11 +36,12 @@
   Receiver Owner(Batch->OwnerAddress_, Batch->OwnerToken_);
   OpenBatches_[Owner].push_back(Respond);
   requestFlush();
-  for (RelayedWorkerCall &Call : Batch->Calls_)
-    makeCall(Owner, std::move(Call));
+  for (const RelayedWorkerCall &Call : Batch->Calls_)
+    makeCall(Owner, Call);
 }
 
-void WorkerRelay::makeCall(const Receiver &Owner, RelayedWorkerCall Call) {
+void WorkerRelay::makeCall(const Receiver &Owner,
+                           const RelayedWorkerCall &Call) {
   ++CallsInFlight_;
   Counters_.counter("worker_calls_for_owner_total").add();
   Workers_.send(Call.Address_, Call.Request_, Call.Timeout_,
--- a/packages/node/src/worker_relay.h
+++ b/packages/node/src/worker_relay.h
@@ -40,7 +40,7 @@
   /// The answers for one tenure of one owner.
   using Receiver = std::pair<std::string, std::uint64_t>;
 
-  void makeCall(const Receiver &Owner, RelayedWorkerCall Call);
+  void makeCall(const Receiver &Owner, const RelayedWorkerCall &Call);
   void addAnswer(const Receiver &Owner, RelayedWorkerAnswer Answer);
   void requestFlush();
   void flush();
--- a/packages/node/tests/worker_channel_test.cpp
+++ b/packages/node/tests/worker_channel_test.cpp
@@ -153,7 +153,8 @@
   HttpRequest Malformed;
   Malformed.Body_ = "1:a99:b";
   int Status = 0;
-  Relay_.handle(Malformed, [&](HttpAnswer Answer) { Status = Answer.Status_; });
+  Relay_.handle(Malformed,
+                [&](const HttpAnswer &Answer) { Status = Answer.Status_; });
   BOOST_TEST(Status == 400);
   BOOST_TEST(call().has_value());
 }
