--- a/packages/base/include/filbertspring/base/log_event.h
+++ b/packages/base/include/filbertspring/base/log_event.h
@@ -58,6 +58,8 @@
   CellLost = 4005,
   WorkerRelayFailed = 4006,
   PeerMessageRejected = 4007,
+  CellLoadFailed = 4008,
+  CellTakeoverFailed = 4009,
 
   PlatformUnavailable = 5001,
   PlatformRecovered = 5002,
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -89,6 +89,10 @@
     {LogEvent::PeerMessageRejected, Warning, "peer_message_rejected",
      "A message of an instance or a part of a worker's report cannot be read; "
      "it is ignored."},
+    {LogEvent::CellLoadFailed, Warning, "cell_load_failed",
+     "The cell's owner could not read a part of its state; it tries again."},
+    {LogEvent::CellTakeoverFailed, Warning, "cell_takeover_failed",
+     "The store did not accept that this instance takes the cell over."},
     {LogEvent::PlatformUnavailable, Warning, "platform_unavailable",
      "The table service does not answer."},
     {LogEvent::PlatformRecovered, Info, "platform_recovered",
--- a/packages/node/include/filbertspring/node/node_settings.h
+++ b/packages/node/include/filbertspring/node/node_settings.h
@@ -40,6 +40,9 @@
   /// The factor by which a task runs longer when it is not placed on the rack
   /// of its data.
   double RemoteDataSlowdown_ = 3.0;
+
+  /// Returns the processor capacity of the instance, in reference cores.
+  double capacityCores() const { return CpuShare_ * RelativeCoreSpeed_; }
 };
 
 /// The result of parsing settings; the settings are usable only if there are no
--- a/packages/node/src/cell_directory.cpp
+++ b/packages/node/src/cell_directory.cpp
@@ -36,9 +36,10 @@
 CellDirectory::CellDirectory(EventLoop &Loop, StoreClient &Store,
                              const NodeSettings &Settings,
                              const std::string &Nonce)
-    : Loop_(Loop), Store_(Store), Instance_(Settings.Instance_),
-      OwnAnnouncement_{Settings.PeerAddress_, Settings.Zone_,
-                       Settings.CpuShare_ * Settings.RelativeCoreSpeed_},
+    : Loop_(Loop), Store_(Store),
+      Instance_(Settings.Instance_), OwnAnnouncement_{Settings.PeerAddress_,
+                                                      Settings.Zone_,
+                                                      Settings.capacityCores()},
       Lease_(ownRecord(Settings, Nonce), {}) {}
 
 void CellDirectory::start(std::function<void()> RowsRead,
--- a/packages/node/src/cell_loading.cpp
+++ b/packages/node/src/cell_loading.cpp
@@ -70,7 +70,10 @@
 
 } // namespace
 
-void CellOwner::retryLoad(const TenureRef &Reference) {
+void CellOwner::retryLoad(const TenureRef &Reference, std::string_view Table,
+                          std::error_code Error) {
+  logEvent(LogEvent::CellLoadFailed,
+           {{"table", Table}, {"error", Error.message()}});
   Loop_.after(StoreRetryDelay, [this, Reference] { load(Reference); });
 }
 
@@ -88,7 +91,7 @@
         if (!ActiveTenure)
           return;
         if (!Page)
-          return retryLoad(Reference);
+          return retryLoad(Reference, KnownWorkerTable, Page.error());
         for (const Row &StoredRow : Page->Rows_) {
           auto Registration = scheduling::decodeStoredWorker(StoredRow.Value_);
           if (!Registration)
@@ -111,7 +114,7 @@
         if (!ActiveTenure)
           return;
         if (!Page)
-          return retryLoad(Reference);
+          return retryLoad(Reference, ModelTable, Page.error());
         for (const Row &StoredRow : Page->Rows_) {
           auto Estimates = scheduling::decodeInterference(StoredRow.Value_);
           if (Estimates)
@@ -130,7 +133,8 @@
                    if (Reference.expired())
                      return;
                    if (!Page)
-                     return retryLoad(Reference);
+                     return retryLoad(Reference, platform::WorkerTable,
+                                      Page.error());
                    for (const Row &StoredRow : Page->Rows_)
                      handleWorkerRow(StoredRow);
                    loadJobs(Reference, Page->Version_);
@@ -145,7 +149,7 @@
         if (Reference.expired())
           return;
         if (!Page)
-          return retryLoad(Reference);
+          return retryLoad(Reference, JobTable, Page.error());
         for (const Row &StoredRow : Page->Rows_)
           if (!cancelledJobFromKey(StoredRow.Key_.Key_))
             handleJobRow(StoredRow);
@@ -168,16 +172,19 @@
         if (!ActiveTenure)
           return;
         if (!Page)
-          return retryLoad(Reference);
+          return retryLoad(Reference, ProgressTable, Page.error());
         restoreProgress(Page->Rows_, ActiveTenure->Scheduler_);
         for (const std::string &Job : std::exchange(CancelledJobs_, {}))
           ActiveTenure->Scheduler_.cancelJob(Job, SchedulerClock::now());
         ActiveTenure->IsLoaded_ = true;
         scheduling::SchedulerCounts Counts = ActiveTenure->Scheduler_.counts();
-        logEvent(LogEvent::CellLoaded,
-                 {{"jobs", toLogNumber(Counts.Jobs_)},
-                  {"workers", toLogNumber(Counts.Workers_)},
-                  {"placed", toLogNumber(Counts.PlacedTasks_)}});
+        logEvent(
+            LogEvent::CellLoaded,
+            {{"took_ms", (SchedulerClock::now() - ActiveTenure->StartedAt_) /
+                             std::chrono::milliseconds(1)},
+             {"jobs", toLogNumber(Counts.Jobs_)},
+             {"workers", toLogNumber(Counts.Workers_)},
+             {"placed", toLogNumber(Counts.PlacedTasks_)}});
         followJobs(Reference, JobsVersion);
         followWorkers(Reference, WorkersVersion);
         requestSchedulingCycle();
--- a/packages/node/src/cell_owner.cpp
+++ b/packages/node/src/cell_owner.cpp
@@ -1,10 +1,14 @@
 #include "cell_owner.h"
 
+#include "filbertspring/base/enum_table.h"
 #include "filbertspring/base/log.h"
 #include "filbertspring/scheduling/progress_codec.h"
 #include "rows.h"
 #include "store_access.h"
 
+#include <algorithm>
+#include <fmt/format.h>
+
 namespace filbertspring::node {
 namespace {
 
@@ -44,6 +48,16 @@
 /// are reserved for the owner's row and the status.
 constexpr std::size_t MaxProgressRows = platform::MaxTransactionRows - 10;
 
+constexpr EnumTable<CommitOutcome, 4> CommitOutcomeNames{
+    {{CommitOutcome::Committed, "committed"},
+     {CommitOutcome::Conflict, "conflict"},
+     {CommitOutcome::Refused, "refused"},
+     {CommitOutcome::Unknown, "unknown"}}};
+
+std::int64_t toMilliseconds(Duration Time) {
+  return Time / std::chrono::milliseconds(1);
+}
+
 Row makeRow(scheduling::RowKey Key, std::string Value) {
   Row NewRow;
   NewRow.Key_ = std::move(Key);
@@ -110,22 +124,36 @@
   IsTakingOver_ = true;
   TimePoint SentAt = SchedulerClock::now();
   OwnerRecord NewOwner = Lease_.takeoverRecord();
+  Predecessor_ = Lease_.record().Holder_;
   PredecessorSilence_ = Lease_.unchangedDuration();
   RowTransaction Takeover;
   Takeover.Conditions_.push_back({ownerKey(), Lease_.version()});
   Takeover.Writes_.push_back(
       makeRow(ownerKey(), scheduling::encodeOwnerRecord(NewOwner)));
-  Store_.commit(Takeover, StoreCallTimeout,
-                [this, NewOwner, SentAt](const CommitResult &Outcome) {
-                  IsTakingOver_ = false;
-                  if (Outcome.Outcome_ == CommitOutcome::Refused ||
-                      Outcome.Outcome_ == CommitOutcome::Unknown)
-                    return Lease_.takeoverFailed(SchedulerClock::now());
-                  if (Outcome.Outcome_ != CommitOutcome::Committed)
-                    return;
-                  Lease_.rowWritten(NewOwner, Outcome.Version_, SentAt);
-                  beginTenure();
-                });
+  Store_.commit(
+      Takeover, StoreCallTimeout,
+      [this, NewOwner, SentAt](const CommitResult &Outcome) {
+        IsTakingOver_ = false;
+        if (Outcome.Outcome_ != CommitOutcome::Committed)
+          logEvent(LogEvent::CellTakeoverFailed,
+                   {{"outcome", nameOf(CommitOutcomeNames, Outcome.Outcome_)},
+                    {"took_ms", toMilliseconds(SchedulerClock::now() - SentAt)},
+                    {"owner", Lease_.record().Holder_}});
+        if (Outcome.Outcome_ == CommitOutcome::Refused ||
+            Outcome.Outcome_ == CommitOutcome::Unknown)
+          return Lease_.takeoverFailed(SchedulerClock::now());
+        if (Outcome.Outcome_ != CommitOutcome::Committed)
+          return;
+        Lease_.rowWritten(NewOwner, Outcome.Version_, SentAt);
+        beginTenure();
+      });
+}
+
+double CellOwner::strongestCores() const {
+  double Strongest = Settings_.capacityCores();
+  for (const RelayCandidate &Other : Relays_)
+    Strongest = std::max(Strongest, Other.CapacityCores_);
+  return Strongest;
 }
 
 void CellOwner::beginTenure() {
@@ -151,7 +179,11 @@
   Tenure_->Scheduler_.setClosedZones(ClosedZones_);
   logEvent(LogEvent::CellOwned,
            {{"token", static_cast<std::int64_t>(Settings.OwnerToken_)},
-            {"tenure", static_cast<std::int64_t>(Settings.Tenure_)}});
+            {"tenure", static_cast<std::int64_t>(Settings.Tenure_)},
+            {"predecessor", Predecessor_},
+            {"silent_ms", toMilliseconds(PredecessorSilence_)},
+            {"cores", fmt::format("{:.3}", Settings_.capacityCores())},
+            {"strongest_cores", fmt::format("{:.3}", strongestCores())}});
   load(Tenure_);
 }
 
--- a/packages/node/src/cell_owner.h
+++ b/packages/node/src/cell_owner.h
@@ -23,10 +23,11 @@
   Tenure(EventLoop &Loop, CounterRegistry &Counters, std::string OwnAddress,
          scheduling::SchedulerSettings Settings, TimePoint Now,
          std::function<void()> Changed)
-      : Scheduler_(Settings, Now),
+      : StartedAt_(Now), Scheduler_(Settings, Now),
         Calls_(Loop, Counters, Scheduler_, std::move(OwnAddress),
                Settings.OwnerToken_, std::move(Changed)) {}
 
+  TimePoint StartedAt_;
   scheduling::Scheduler Scheduler_;
   WorkerCalls Calls_;
   bool IsLoaded_ = false;
@@ -82,6 +83,8 @@
   void takeOverIfDue();
   void takeOver();
   void beginTenure();
+  /// Returns the capacity of the strongest announced instance.
+  double strongestCores() const;
   void endTenure(const char *Cause);
 
   using TenureRef = std::weak_ptr<Tenure>;
@@ -91,7 +94,9 @@
   void loadJobs(const TenureRef &Reference, std::uint64_t WorkersVersion);
   void loadProgress(const TenureRef &Reference, std::uint64_t WorkersVersion,
                     std::uint64_t JobsVersion);
-  void retryLoad(const TenureRef &Reference);
+  /// Logs that \p Table could not be read, and loads the cell again.
+  void retryLoad(const TenureRef &Reference, std::string_view Table,
+                 std::error_code Error);
   void followJobs(const TenureRef &Reference, std::uint64_t After);
   void rereadJobs(const TenureRef &Reference);
   void followWorkers(const TenureRef &Reference, std::uint64_t After);
@@ -134,6 +139,8 @@
   /// The time for which the previous owner had not renewed its row at the
   /// takeover.
   Duration PredecessorSilence_{};
+  /// The instance that owned the cell before; empty if it released the cell.
+  std::string Predecessor_;
   bool IsTakingOver_ = false;
   bool IsReleased_ = false;
   bool IsCycleRequested_ = false;
