An owner with a slow connection loads the cell

Cause: an instance with a link of 10 Mbit/s had become the owner. It reads the 16 partitions of the jobs at once, each with pages of up to 500 rows, and each page has to arrive within 900 ms. About 4 MB over that link take 3 s, so all pages time out together, and every failure starts the load from its beginning. Meanwhile the owner renews its row, so that no other instance takes over.

Evidence: the owner's log has cell_owned at 37.4 s and 42.6 s without a cell_loaded after it, and platform_unavailable call=read took_ms=900 about every 1.3 s. Ruled out: a store that refuses the owner's writes (the renewals are stored), a cell without an owner, instances that fail after the restart (they accept jobs).

Change: the pages of bulk reads share a pace. A page is tried six times, and a failed step of the load is repeated without those before it.

Test: a_cell_owner_with_a_slow_connection_to_the_store/loads_the_cell, 160 jobs over 300 kB/s.

That a weak instance becomes and stays the owner is another fault.

--- a/packages/node/src/cell_loading.cpp
+++ b/packages/node/src/cell_loading.cpp
@@ -71,16 +71,19 @@
 } // namespace
 
 void CellOwner::retryLoad(const TenureRef &Reference, std::string_view Table,
-                          std::error_code Error) {
+                          std::error_code Error, std::function<void()> Step) {
   logEvent(LogEvent::CellLoadFailed,
            {{"table", Table}, {"error", Error.message()}});
-  Loop_.after(StoreRetryDelay, [this, Reference] { load(Reference); });
+  Loop_.after(StoreRetryDelay, [Reference, Step = std::move(Step)] {
+    if (!Reference.expired())
+      Step();
+  });
 }
 
 /// Loads the workers that the previous tenure may have used, the interference
 /// model, the registrations, the jobs, and finally the progress of the jobs,
-/// which refers to the workers of running tasks. Every failed read restarts the
-/// sequence.
+/// which refers to the workers of running tasks. A read that fails is repeated;
+/// what was read before is kept.
 void CellOwner::load(const TenureRef &Reference) {
   if (Reference.expired())
     return;
@@ -91,7 +94,8 @@
         if (!ActiveTenure)
           return;
         if (!Page)
-          return retryLoad(Reference, KnownWorkerTable, Page.error());
+          return retryLoad(Reference, KnownWorkerTable, Page.error(),
+                           [this, Reference] { load(Reference); });
         for (const Row &StoredRow : Page->Rows_) {
           auto Registration = scheduling::decodeStoredWorker(StoredRow.Value_);
           if (!Registration)
@@ -114,7 +118,8 @@
         if (!ActiveTenure)
           return;
         if (!Page)
-          return retryLoad(Reference, ModelTable, Page.error());
+          return retryLoad(Reference, ModelTable, Page.error(),
+                           [this, Reference] { loadModel(Reference); });
         for (const Row &StoredRow : Page->Rows_) {
           auto Estimates = scheduling::decodeInterference(StoredRow.Value_);
           if (Estimates)
@@ -133,8 +138,9 @@
                    if (Reference.expired())
                      return;
                    if (!Page)
-                     return retryLoad(Reference, platform::WorkerTable,
-                                      Page.error());
+                     return retryLoad(
+                         Reference, platform::WorkerTable, Page.error(),
+                         [this, Reference] { loadWorkers(Reference); });
                    for (const Row &StoredRow : Page->Rows_)
                      handleWorkerRow(StoredRow);
                    loadJobs(Reference, Page->Version_);
@@ -149,7 +155,10 @@
         if (Reference.expired())
           return;
         if (!Page)
-          return retryLoad(Reference, JobTable, Page.error());
+          return retryLoad(Reference, JobTable, Page.error(),
+                           [this, Reference, WorkersVersion] {
+                             loadJobs(Reference, WorkersVersion);
+                           });
         for (const Row &StoredRow : Page->Rows_)
           if (!cancelledJobFromKey(StoredRow.Key_.Key_))
             handleJobRow(StoredRow);
@@ -172,7 +181,11 @@
         if (!ActiveTenure)
           return;
         if (!Page)
-          return retryLoad(Reference, ProgressTable, Page.error());
+          return retryLoad(Reference, ProgressTable, Page.error(),
+                           [this, Reference, WorkersVersion, JobsVersion] {
+                             loadProgress(Reference, WorkersVersion,
+                                          JobsVersion);
+                           });
         restoreProgress(Page->Rows_, ActiveTenure->Scheduler_);
         for (const std::string &Job : std::exchange(CancelledJobs_, {}))
           ActiveTenure->Scheduler_.cancelJob(Job, SchedulerClock::now());
--- a/packages/node/src/cell_owner.h
+++ b/packages/node/src/cell_owner.h
@@ -94,9 +94,9 @@
   void loadJobs(const TenureRef &Reference, std::uint64_t WorkersVersion);
   void loadProgress(const TenureRef &Reference, std::uint64_t WorkersVersion,
                     std::uint64_t JobsVersion);
-  /// Logs that \p Table could not be read, and loads the cell again.
+  /// Logs that \p Table could not be read, and repeats \p Step later.
   void retryLoad(const TenureRef &Reference, std::string_view Table,
-                 std::error_code Error);
+                 std::error_code Error, std::function<void()> Step);
   void followJobs(const TenureRef &Reference, std::uint64_t After);
   void rereadJobs(const TenureRef &Reference);
   void followWorkers(const TenureRef &Reference, std::uint64_t After);
--- a/packages/node/src/store_client.cpp
+++ b/packages/node/src/store_client.cpp
@@ -2,6 +2,7 @@
 
 #include "filbertspring/base/log.h"
 #include "rows.h"
+#include "store_access.h"
 #include "store_relay.h"
 
 #include <algorithm>
@@ -24,6 +25,9 @@
 /// The maximum number of relays tried for one call. More than one, because a
 /// relay may have lost its connection to the store, too.
 constexpr unsigned MaxRelayAttempts = 2;
+/// The maximum number of tries of one page of a bulk read. As many as it takes
+/// until the smallest page is tried.
+constexpr unsigned MaxPageAttempts = 6;
 /// The timeout for connecting to a relay. Several times the round trip between
 /// availability zones.
 constexpr Duration RelayConnectTimeout = std::chrono::milliseconds(150);
@@ -58,7 +62,7 @@
 
 StoreClient::StoreClient(EventLoop &Loop, std::string Address,
                          CounterRegistry &Counters)
-    : Address_(std::move(Address)), Counters_(Counters),
+    : Loop_(Loop), Address_(std::move(Address)), Counters_(Counters),
       DirectClient_(Loop, callLimits()), FeedClient_(Loop, callLimits()),
       PeerCallClient_(Loop, callLimits()), RelayClient_(Loop, relayLimits()) {}
 
@@ -209,30 +213,68 @@
   send(std::move(Call), Timeout);
 }
 
+/// The state of a read of all pages of one range.
+struct StoreClient::PagedRead {
+  platform::RowRange Range_;
+  Duration Timeout_;
+  RowsCallback Callback_;
+  RowPage Rows_;
+  /// The number of times that the next page was read without success.
+  unsigned FailedAttempts_ = 0;
+};
+
 void StoreClient::readAll(platform::RowRange Range, Duration Timeout,
                           RowsCallback Callback) {
-  readRemaining(std::move(Range), Timeout, {}, std::move(Callback));
+  readNextPage(std::make_shared<PagedRead>(
+      PagedRead{std::move(Range), Timeout, std::move(Callback), {}}));
+}
+
+void StoreClient::readNextPage(std::shared_ptr<PagedRead> Read) {
+  WaitingReads_.push_back(std::move(Read));
+  startPageReads();
+}
+
+void StoreClient::startPageReads() {
+  while (!WaitingReads_.empty() &&
+         PageReadsInFlight_ < ReadPace_.parallelReads()) {
+    std::shared_ptr<PagedRead> Read = std::move(WaitingReads_.front());
+    WaitingReads_.pop_front();
+    Read->Range_.Limit_ = ReadPace_.pageRows();
+    ++PageReadsInFlight_;
+    read(Read->Range_, Read->Timeout_,
+         [this, Read, SentAt = SchedulerClock::now()](Result<RowPage> Page) {
+           --PageReadsInFlight_;
+           handlePage(Read, SentAt, std::move(Page));
+           startPageReads();
+         });
+  }
 }
 
-void StoreClient::readRemaining(platform::RowRange Range, Duration Timeout,
-                                RowPage Accumulated, RowsCallback Callback) {
-  read(Range, Timeout,
-       [this, Range, Timeout, Accumulated = std::move(Accumulated),
-        Callback = std::move(Callback)](Result<RowPage> Page) mutable {
-         if (!Page)
-           return Callback(fail(Page.error()));
-         if (Accumulated.Version_ == 0)
-           Accumulated.Version_ = Page->Version_;
-         for (scheduling::Row &StoredRow : Page->Rows_)
-           Accumulated.Rows_.push_back(std::move(StoredRow));
-         if (!Page->IsTruncated_ || Page->Rows_.empty())
-           return Callback(std::move(Accumulated));
-         // Continue behind the last key that was read. In byte order, no key
-         // lies in between.
-         Range.FirstKey_ = Accumulated.Rows_.back().Key_.Key_ + '\x01';
-         readRemaining(std::move(Range), Timeout, std::move(Accumulated),
-                       std::move(Callback));
-       });
+void StoreClient::handlePage(const std::shared_ptr<PagedRead> &Read,
+                             TimePoint SentAt, Result<RowPage> Page) {
+  TimePoint Now = SchedulerClock::now();
+  if (!Page) {
+    bool IsLate = Now - SentAt >= Read->Timeout_;
+    if (IsLate)
+      ReadPace_.pageTimedOut(SentAt, Now);
+    if (++Read->FailedAttempts_ >= MaxPageAttempts)
+      return Read->Callback_(fail(Page.error()));
+    return Loop_.after(IsLate ? Duration::zero() : StoreRetryDelay,
+                       [this, Read] { readNextPage(Read); });
+  }
+  ReadPace_.pageArrived();
+  Read->FailedAttempts_ = 0;
+  RowPage &Rows = Read->Rows_;
+  if (Rows.Version_ == 0)
+    Rows.Version_ = Page->Version_;
+  std::move(Page->Rows_.begin(), Page->Rows_.end(),
+            std::back_inserter(Rows.Rows_));
+  if (!Page->IsTruncated_ || Page->Rows_.empty())
+    return Read->Callback_(std::move(Rows));
+  // Continue behind the last key that was read. In byte order, no key lies in
+  // between.
+  Read->Range_.FirstKey_ = Rows.Rows_.back().Key_.Key_ + '\x01';
+  readNextPage(Read);
 }
 
 void StoreClient::readPartitions(std::string_view Table,
--- a/packages/node/src/store_client.h
+++ b/packages/node/src/store_client.h
@@ -4,6 +4,7 @@
 /// \file
 /// Client of the row store.
 
+#include "bulk_read_pace.h"
 #include "filbertspring/base/counters.h"
 #include "filbertspring/base/result.h"
 #include "filbertspring/scheduling/row_store.h"
@@ -12,6 +13,7 @@
 #include "platform/store_codec.h"
 #include "store_route.h"
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -47,7 +49,8 @@
   void read(const platform::RowRange &Range, Duration Timeout,
             RowsCallback Callback);
   /// Reads all pages of the rows in \p Range. The result has the version of the
-  /// first page, so a change feed that starts there misses no change.
+  /// first page, so a change feed that starts there misses no change. A page
+  /// without an answer is read again some times. \p Timeout: of one page.
   void readAll(platform::RowRange Range, Duration Timeout,
                RowsCallback Callback);
   /// Reads all pages of several partitions of \p Table in parallel. The result
@@ -76,8 +79,12 @@
   };
   using CallPtr = std::shared_ptr<PendingCall>;
 
-  void readRemaining(platform::RowRange Range, Duration Timeout,
-                     scheduling::RowPage Accumulated, RowsCallback Callback);
+  struct PagedRead;
+  void readNextPage(std::shared_ptr<PagedRead> Read);
+  /// Reads as many of the waiting pages as may be read at once.
+  void startPageReads();
+  void handlePage(const std::shared_ptr<PagedRead> &Read, TimePoint SentAt,
+                  Result<scheduling::RowPage> Page);
   void send(PendingCall NewCall, Duration Timeout);
   void sendDirect(const CallPtr &Call);
   void handleDirectAnswer(const CallPtr &Call, Result<HttpAnswer> Answer);
@@ -92,6 +99,7 @@
                           const Result<HttpAnswer> &Answer);
   void probeStore();
 
+  EventLoop &Loop_;
   std::string Address_;
   CounterRegistry &Counters_;
   AsyncHttpClient DirectClient_;
@@ -102,6 +110,9 @@
   /// Own calls that other instances relay.
   AsyncHttpClient RelayClient_;
   StoreRoute Route_;
+  BulkReadPace ReadPace_;
+  std::deque<std::shared_ptr<PagedRead>> WaitingReads_;
+  std::size_t PageReadsInFlight_ = 0;
 };
 
 } // namespace filbertspring::node
