An ended tenure ignores what arrives in the same moment

What callers would see: an instance that owns the cell is stopped, and its process ends at once by a memory fault instead of finishing the calls that it has.

Cause: endTenure() destroys the tenure in a later callback of the event loop, as its caller may run inside one of the tenure's callbacks. Until then the weak references to it are valid, and the answers of the store's change feeds that arrive in the same moment were handled with CellOwner::Tenure_, which is null.

Change: a callback goes on only if its tenure is the present one. Two of them compared the two already; all use findActiveTenure() now.

Test: node_test, ignores_changes_that_arrive_in_the_same_moment. Without the change:

fatal error: in "an_owner_that_gives_the_cell_up/ignores_changes_that_arrive_ in_the_same_moment": memory access violation at address: 0x00000000: no mapping at fault address

--- a/packages/node/src/cell_loading.cpp
+++ b/packages/node/src/cell_loading.cpp
@@ -70,12 +70,18 @@
 
 } // namespace
 
+std::shared_ptr<Tenure>
+CellOwner::findActiveTenure(const TenureRef &Reference) const {
+  std::shared_ptr<Tenure> Referenced = Reference.lock();
+  return Referenced == Tenure_ ? Referenced : nullptr;
+}
+
 void CellOwner::retryLoad(const TenureRef &Reference, std::string_view Table,
                           std::error_code Error, std::function<void()> Step) {
   logEvent(LogEvent::CellLoadFailed,
            {{"table", Table}, {"error", Error.message()}});
-  Loop_.after(StoreRetryDelay, [Reference, Step = std::move(Step)] {
-    if (!Reference.expired())
+  Loop_.after(StoreRetryDelay, [this, Reference, Step = std::move(Step)] {
+    if (findActiveTenure(Reference))
       Step();
   });
 }
@@ -85,12 +91,12 @@
 /// which refers to the workers of running tasks. A read that fails is repeated;
 /// what was read before is kept.
 void CellOwner::load(const TenureRef &Reference) {
-  if (Reference.expired())
+  if (!findActiveTenure(Reference))
     return;
   Store_.readAll(
       wholePartition(KnownWorkerTable, CellPartition), StoreCallTimeout,
       [this, Reference](const Result<RowPage> &Page) {
-        std::shared_ptr<Tenure> ActiveTenure = Reference.lock();
+        std::shared_ptr<Tenure> ActiveTenure = findActiveTenure(Reference);
         if (!ActiveTenure)
           return;
         if (!Page)
@@ -114,7 +120,7 @@
   Store_.readAll(
       wholePartition(ModelTable, CellPartition), StoreCallTimeout,
       [this, Reference](const Result<RowPage> &Page) {
-        std::shared_ptr<Tenure> ActiveTenure = Reference.lock();
+        std::shared_ptr<Tenure> ActiveTenure = findActiveTenure(Reference);
         if (!ActiveTenure)
           return;
         if (!Page)
@@ -135,7 +141,7 @@
 void CellOwner::loadWorkers(const TenureRef &Reference) {
   Store_.readAll(wholePartition(platform::WorkerTable, ""), StoreCallTimeout,
                  [this, Reference](const Result<RowPage> &Page) {
-                   if (Reference.expired())
+                   if (!findActiveTenure(Reference))
                      return;
                    if (!Page)
                      return retryLoad(
@@ -152,7 +158,7 @@
   Store_.readPartitions(
       JobTable, jobPartitions(), StoreCallTimeout,
       [this, Reference, WorkersVersion](const Result<RowPage> &Page) {
-        if (Reference.expired())
+        if (!findActiveTenure(Reference))
           return;
         if (!Page)
           return retryLoad(Reference, JobTable, Page.error(),
@@ -177,7 +183,7 @@
       wholePartition(ProgressTable, CellPartition), StoreCallTimeout,
       [this, Reference, WorkersVersion,
        JobsVersion](const Result<RowPage> &Page) {
-        std::shared_ptr<Tenure> ActiveTenure = Reference.lock();
+        std::shared_ptr<Tenure> ActiveTenure = findActiveTenure(Reference);
         if (!ActiveTenure)
           return;
         if (!Page)
@@ -223,7 +229,7 @@
 void CellOwner::followJobs(const TenureRef &Reference, std::uint64_t After) {
   Store_.feed(JobTable, After, OwnerFeedWait,
               [this, Reference, After](const Result<RowPage> &Page) {
-                if (Reference.expired())
+                if (!findActiveTenure(Reference))
                   return;
                 if (!Page && Page.error() == Errc::NotFound)
                   return rereadJobs(Reference);
@@ -243,11 +249,11 @@
 }
 
 void CellOwner::rereadJobs(const TenureRef &Reference) {
-  if (Reference.expired())
+  if (!findActiveTenure(Reference))
     return;
   Store_.readPartitions(JobTable, jobPartitions(), StoreCallTimeout,
                         [this, Reference](const Result<RowPage> &Page) {
-                          if (Reference.expired())
+                          if (!findActiveTenure(Reference))
                             return;
                           if (!Page)
                             return Loop_.after(
@@ -288,7 +294,7 @@
 void CellOwner::followWorkers(const TenureRef &Reference, std::uint64_t After) {
   Store_.feed(platform::WorkerTable, After, OwnerFeedWait,
               [this, Reference, After](const Result<RowPage> &Page) {
-                if (Reference.expired())
+                if (!findActiveTenure(Reference))
                   return;
                 if (!Page && Page.error() == Errc::NotFound)
                   return rereadWorkers(Reference);
@@ -306,11 +312,12 @@
 }
 
 void CellOwner::rereadWorkers(const TenureRef &Reference) {
-  if (Reference.expired())
+  if (!findActiveTenure(Reference))
     return;
   Store_.readAll(wholePartition(platform::WorkerTable, ""), StoreCallTimeout,
                  [this, Reference](const Result<RowPage> &Page) {
-                   std::shared_ptr<Tenure> ActiveTenure = Reference.lock();
+                   std::shared_ptr<Tenure> ActiveTenure =
+                       findActiveTenure(Reference);
                    if (!ActiveTenure)
                      return;
                    if (!Page)
--- a/packages/node/src/cell_owner.cpp
+++ b/packages/node/src/cell_owner.cpp
@@ -314,7 +314,7 @@
   Store_.commit(Changes, StoreCallTimeout,
                 [this, Reference = TenureRef(Tenure_),
                  Sent = std::move(Sent)](const CommitResult &Outcome) {
-                  if (Reference.lock() && Reference.lock() == Tenure_)
+                  if (findActiveTenure(Reference))
                     handleCommitResult(Sent, Outcome);
                 });
 }
@@ -409,7 +409,7 @@
   Store_.read(Range, StoreCallTimeout,
               [this, Reference = TenureRef(Tenure_),
                SentAt](const Result<RowPage> &Page) {
-                if (!Reference.lock() || Reference.lock() != Tenure_)
+                if (!findActiveTenure(Reference))
                   return;
                 Tenure_->IsCommitting_ = false;
                 if (!Page)
--- a/packages/node/src/cell_owner.h
+++ b/packages/node/src/cell_owner.h
@@ -88,6 +88,9 @@
   void endTenure(const char *Cause);
 
   using TenureRef = std::weak_ptr<Tenure>;
+  /// Returns the tenure that \p Reference names if it is the present one. A
+  /// tenure that has ended lives until the event loop has run its callbacks.
+  std::shared_ptr<Tenure> findActiveTenure(const TenureRef &Reference) const;
   void load(const TenureRef &Reference);
   void loadModel(const TenureRef &Reference);
   void loadWorkers(const TenureRef &Reference);
--- /dev/null
+++ b/packages/node/tests/cell_owner_test.cpp
@@ -0,0 +1,124 @@
+/// \file
+/// Tests of the cell's owner against a store whose change feeds a test answers.
+
+#include "cell_owner.h"
+#include "filbertspring/transport/async_http_server.h"
+#include "filbertspring/transport/event_loop.h"
+#include "platform/worker_codec.h"
+#include "rows.h"
+
+#include <asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+#include <map>
+#include <string>
+
+namespace filbertspring::node {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr const char *StoreAddress = "127.0.0.1:17421";
+
+/// An instance that may own the cell, and a store without rows, on one event
+/// loop.
+struct FreeCell {
+  FreeCell()
+      : Lease_(self(), {}), StoreServer_(Loop_, {},
+                                         [this](const HttpRequest &Request,
+                                                const HttpResponder &Respond) {
+                                           handleStoreCall(Request, Respond);
+                                         }),
+        Store_(Loop_, StoreAddress, Counters_),
+        Owner_(Loop_, Store_, Counters_, {}, Lease_) {
+    BOOST_REQUIRE(StoreServer_.listen(StoreAddress).has_value());
+    TimePoint Now = SchedulerClock::now();
+    Lease_.rowRead({}, 0, Now);
+    Lease_.rowUnchanged(Now + 10s);
+    Owner_.configure(std::make_shared<scheduling::QueueTable>());
+    Owner_.start();
+  }
+
+  static scheduling::OwnerRecord self() {
+    scheduling::OwnerRecord Record;
+    Record.Holder_ = "first";
+    Record.Nonce_ = "nonce";
+    return Record;
+  }
+
+  void handleStoreCall(const HttpRequest &Request,
+                       const HttpResponder &Respond) {
+    if (Request.Path_ == "/rows-feed") {
+      Feeds_[std::string(Request.query("Table"))] = Respond;
+      return;
+    }
+    Respond(makePage(""));
+  }
+
+  /// Returns an answer of the store with the encoded \p Rows.
+  static HttpAnswer makePage(const std::string &Rows) {
+    HttpAnswer Answer;
+    Answer.Body_ = fmt::format(R"({{"rows":[{}],"RecordVersion":1}})", Rows);
+    return Answer;
+  }
+
+  /// Returns an answer with one cancellation.
+  static HttpAnswer makeCancellation() {
+    return makePage(
+        R"({"Table":"jobs","part":"","Key":"00000000000000a1.cancel",)"
+        R"("Value":"e30=","RecordVersion":1})");
+  }
+
+  void runFor(Duration Time) {
+    Loop_.after(Time, [this] { Loop_.stop(); });
+    Loop_.run();
+    Loop_.context().restart();
+  }
+
+  template <typename Condition> void runUntil(Condition &&Holds) {
+    for (int Attempt = 0; Attempt < 200 && !Holds(); ++Attempt)
+      runFor(10ms);
+    BOOST_REQUIRE(Holds());
+  }
+
+  EventLoop Loop_;
+  CounterRegistry Counters_;
+  scheduling::OwnerLease Lease_;
+  AsyncHttpServer StoreServer_;
+  /// The open calls of change feeds, by their table.
+  std::map<std::string, HttpResponder> Feeds_;
+  StoreClient Store_;
+  CellOwner Owner_;
+};
+
+/// An instance that owns the cell and follows the changes of the store.
+struct OwnedCell : FreeCell {
+  OwnedCell() {
+    Owner_.handleLeaseChange();
+    runUntil([this] {
+      return Feeds_.contains(JobTable) &&
+             Feeds_.contains(std::string(platform::WorkerTable));
+    });
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(an_owner_that_gives_the_cell_up)
+
+BOOST_FIXTURE_TEST_CASE(ignores_changes_that_arrive_in_the_same_moment,
+                        OwnedCell) {
+  BOOST_TEST(Owner_.isOwner());
+  // The answers are in the socket before the tenure has ended, and are read
+  // afterwards.
+  Loop_.after(0ms, [this] {
+    Feeds_.at(JobTable)(makeCancellation());
+    Owner_.release();
+  });
+  runFor(50ms);
+  BOOST_TEST(!Owner_.isOwner());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace filbertspring::node
