A release during an open takeover is stored too

What callers would see: an instance is stopped while its takeover of the cell is on its way to the store. The takeover succeeds, the instance begins a tenure that nobody releases, and when its process ends the cell has no owner until the row has been unchanged for 2.5 s. Nothing starts, and no end is acknowledged.

Cause: release() did nothing without a tenure, and the answer to the takeover began one whatever had happened since.

Change: an instance that is released stores the release instead of beginning a tenure. The lease takes note of a release that was stored, so that it does not name this instance any more.

Test: node_test, also_releases_it_if_the_takeover_was_still_open. Without the change:

check !Owner_.isOwner() has failed check Lease_.record().Holder_.empty() has failed check Transactions_ == 2 has failed [1 != 2]

--- a/packages/node/src/cell_owner.cpp
+++ b/packages/node/src/cell_owner.cpp
@@ -145,6 +145,8 @@
         if (Outcome.Outcome_ != CommitOutcome::Committed)
           return;
         Lease_.rowWritten(NewOwner, Outcome.Version_, SentAt);
+        if (IsReleased_)
+          return storeRelease();
         beginTenure();
       });
 }
@@ -198,19 +200,29 @@
 
 void CellOwner::release() {
   IsReleased_ = true;
+  // A takeover that is still open is released once it has succeeded.
   if (!Tenure_)
     return;
+  endTenure("this instance stops");
+  storeRelease();
+}
+
+void CellOwner::storeRelease() {
+  scheduling::OwnerRecord Released = Lease_.releaseRecord();
   RowTransaction Release;
   Release.Conditions_.push_back({ownerKey(), Lease_.version()});
-  Release.Writes_.push_back(makeRow(
-      ownerKey(), scheduling::encodeOwnerRecord(Lease_.releaseRecord())));
-  endTenure("this instance stops");
-  Store_.commit(Release, StoreCallTimeout, [](const CommitResult &Outcome) {
-    // If the release is lost, candidates take over when the row is no longer
-    // renewed.
-    if (Outcome.Outcome_ != CommitOutcome::Committed)
-      logEvent(LogEvent::CommitUnknown, {{"row", OwnerKey}});
-  });
+  Release.Writes_.push_back(
+      makeRow(ownerKey(), scheduling::encodeOwnerRecord(Released)));
+  TimePoint SentAt = SchedulerClock::now();
+  Store_.commit(Release, StoreCallTimeout,
+                [this, Released, SentAt](const CommitResult &Outcome) {
+                  if (Outcome.Outcome_ == CommitOutcome::Committed)
+                    return Lease_.rowWritten(Released, Outcome.Version_,
+                                             SentAt);
+                  // If the release is lost, candidates take over when the row
+                  // is no longer renewed.
+                  logEvent(LogEvent::CommitUnknown, {{"row", OwnerKey}});
+                });
 }
 
 void CellOwner::tick() {
--- a/packages/node/src/cell_owner.h
+++ b/packages/node/src/cell_owner.h
@@ -86,6 +86,8 @@
   /// Returns the capacity of the strongest announced instance.
   double strongestCores() const;
   void endTenure(const char *Cause);
+  /// Writes to the store that this instance no longer owns the cell.
+  void storeRelease();
 
   using TenureRef = std::weak_ptr<Tenure>;
   /// Returns the tenure that \p Reference names if it is the present one. A
--- a/packages/node/tests/cell_owner_test.cpp
+++ b/packages/node/tests/cell_owner_test.cpp
@@ -52,6 +52,8 @@
       Feeds_[std::string(Request.query("Table"))] = Respond;
       return;
     }
+    if (Request.Path_ == "/rows-tx")
+      ++Transactions_;
     Respond(makePage(""));
   }
 
@@ -87,6 +89,7 @@
   AsyncHttpServer StoreServer_;
   /// The open calls of change feeds, by their table.
   std::map<std::string, HttpResponder> Feeds_;
+  int Transactions_ = 0;
   StoreClient Store_;
   CellOwner Owner_;
 };
@@ -119,6 +122,17 @@
   BOOST_TEST(!Owner_.isOwner());
 }
 
+BOOST_FIXTURE_TEST_CASE(also_releases_it_if_the_takeover_was_still_open,
+                        FreeCell) {
+  Owner_.handleLeaseChange();
+  Owner_.release();
+  runFor(300ms);
+  BOOST_TEST(!Owner_.isOwner());
+  BOOST_TEST(Lease_.record().Holder_.empty());
+  // The takeover and the release.
+  BOOST_TEST(Transactions_ == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace filbertspring::node
