A release that a renewal overtook is repeated

What callers would see: the owner is stopped while a transaction that renews its row is on its way. The renewal changes the row's version, so the release fails its condition on it, and the cell has no owner until the row has been unchanged for 2.5 s.

Change: if the row has changed and still names this instance, the release is stored again at the new version. If another instance has taken the cell over, nothing is written.

Test: node_test, also_releases_it_if_a_renewal_overtook_the_release. Without the change:

check Transactions_ == 2 has failed [1 != 2] check Lease_.record().Holder_.empty() has failed

leaves_it_to_an_instance_that_has_taken_it_over passes before and after; it limits the repetition.

--- a/packages/node/src/cell_owner.cpp
+++ b/packages/node/src/cell_owner.cpp
@@ -214,15 +214,24 @@
   Release.Writes_.push_back(
       makeRow(ownerKey(), scheduling::encodeOwnerRecord(Released)));
   TimePoint SentAt = SchedulerClock::now();
-  Store_.commit(Release, StoreCallTimeout,
-                [this, Released, SentAt](const CommitResult &Outcome) {
-                  if (Outcome.Outcome_ == CommitOutcome::Committed)
-                    return Lease_.rowWritten(Released, Outcome.Version_,
-                                             SentAt);
-                  // If the release is lost, candidates take over when the row
-                  // is no longer renewed.
-                  logEvent(LogEvent::CommitUnknown, {{"row", OwnerKey}});
-                });
+  std::uint64_t Version = Lease_.version();
+  Store_.commit(
+      Release, StoreCallTimeout,
+      [this, Released, SentAt, Version](const CommitResult &Outcome) {
+        if (Outcome.Outcome_ == CommitOutcome::Committed)
+          return Lease_.rowWritten(Released, Outcome.Version_, SentAt);
+        for (const Row &Current : Outcome.CurrentRows_)
+          if (Current.Key_.Key_ == OwnerKey)
+            Lease_.rowRead(scheduling::decodeOwnerRecord(Current.Value_),
+                           Current.Version_, SentAt);
+        // A renewal that was open at the release has changed the row's version.
+        if (Outcome.Outcome_ == CommitOutcome::Conflict && Lease_.isOwner() &&
+            Lease_.version() != Version)
+          return storeRelease();
+        // If the release is lost, candidates take over when the row is no
+        // longer renewed.
+        logEvent(LogEvent::CommitUnknown, {{"row", OwnerKey}});
+      });
 }
 
 void CellOwner::tick() {
--- a/packages/node/tests/cell_owner_test.cpp
+++ b/packages/node/tests/cell_owner_test.cpp
@@ -53,10 +53,23 @@
       return;
     }
     if (Request.Path_ == "/rows-tx")
-      ++Transactions_;
+      recordTransaction(Request.Body_);
+    if (Request.Path_ == "/rows-tx" && !ConflictingRow_.empty()) {
+      HttpAnswer Conflict = makePage(std::exchange(ConflictingRow_, {}));
+      Conflict.Status_ = 412;
+      return Respond(std::move(Conflict));
+    }
     Respond(makePage(""));
   }
 
+  void recordTransaction(const std::string &Body) {
+    ++Transactions_;
+    constexpr std::string_view Member = R"("Value":")";
+    std::size_t Begin = Body.find(Member) + Member.size();
+    if (TakeoverValue_.empty())
+      TakeoverValue_ = Body.substr(Begin, Body.find('"', Begin) - Begin);
+  }
+
   /// Returns an answer of the store with the encoded \p Rows.
   static HttpAnswer makePage(const std::string &Rows) {
     HttpAnswer Answer;
@@ -64,6 +77,13 @@
     return Answer;
   }
 
+  /// Returns the owner's row with \p Value, at a later version.
+  static std::string makeOwnerRow(const std::string &Value) {
+    return fmt::format(R"({{"Table":"cells","part":"cell","Key":"owner",)"
+                       R"("Value":"{}","RecordVersion":9}})",
+                       Value);
+  }
+
   /// Returns an answer with one cancellation.
   static HttpAnswer makeCancellation() {
     return makePage(
@@ -90,6 +110,10 @@
   /// The open calls of change feeds, by their table.
   std::map<std::string, HttpResponder> Feeds_;
   int Transactions_ = 0;
+  /// The encoded value of the first row that was written.
+  std::string TakeoverValue_;
+  /// If not empty, the next transaction fails and this row is the cause.
+  std::string ConflictingRow_;
   StoreClient Store_;
   CellOwner Owner_;
 };
@@ -133,6 +157,25 @@
   BOOST_TEST(Transactions_ == 2);
 }
 
+BOOST_FIXTURE_TEST_CASE(also_releases_it_if_a_renewal_overtook_the_release,
+                        OwnedCell) {
+  ConflictingRow_ = makeOwnerRow(TakeoverValue_);
+  Transactions_ = 0;
+  Owner_.release();
+  runFor(300ms);
+  BOOST_TEST(Transactions_ == 2);
+  BOOST_TEST(Lease_.record().Holder_.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(leaves_it_to_an_instance_that_has_taken_it_over,
+                        OwnedCell) {
+  ConflictingRow_ = makeOwnerRow("");
+  Transactions_ = 0;
+  Owner_.release();
+  runFor(300ms);
+  BOOST_TEST(Transactions_ == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace filbertspring::node
