A weak owner leaves the cell to a stronger instance

Nothing gives the cell back, so the weak instance would carry 490 workers until it stops.

Change: an owner with less than half of the cores of another instance asks it whether it can take the cell over (it is ready, and reads the owner's row), and releases the cell if so. It asks every 2 s, at most three instances, and after a release that nobody took up not again for 10 s. Safety does not depend on the answer: the release and the takeover are the conditional writes of a planned stop.

Test: a_weak_owner. With the search left out, a_weak_owner/releases_the_cell_to_a_much_stronger_instance fails: "check !Owner_.isOwner() has failed".

--- a/packages/node/src/cell_directory.cpp
+++ b/packages/node/src/cell_directory.cpp
@@ -20,8 +20,8 @@
 constexpr Duration DirectoryFeedInterval = std::chrono::milliseconds(250);
 /// The delay before a failed announcement is written again.
 constexpr Duration AnnounceRetryDelay = std::chrono::seconds(1);
-/// The maximum age of the pending job counts that are reported to callers.
-constexpr Duration MaxPendingCountAge = std::chrono::milliseconds(2000);
+/// The maximum age of what is reported to callers and to other instances.
+constexpr Duration MaxRowAge = std::chrono::milliseconds(2000);
 
 OwnerRecord ownRecord(const NodeSettings &Settings, const std::string &Nonce) {
   OwnerRecord Self;
@@ -162,14 +162,18 @@
   return Others;
 }
 
+bool CellDirectory::isCurrent(TimePoint Now) const {
+  return Now - LastReadAt_ <= MaxRowAge;
+}
+
 std::optional<std::uint64_t>
 CellDirectory::pending(const std::string &Queue) const {
   // The stored counts are valid only if the present owner wrote them and still
   // renews its row: neither a failed owner nor one that has not loaded the cell
   // counts jobs.
   bool IsCounted = Status_.Tenure_ == Lease_.record().Tenure_ &&
-                   Lease_.unchangedDuration() <= MaxPendingCountAge;
-  if (!IsCounted || SchedulerClock::now() - LastReadAt_ > MaxPendingCountAge)
+                   Lease_.unchangedDuration() <= MaxRowAge;
+  if (!IsCounted || !isCurrent(SchedulerClock::now()))
     return std::nullopt;
   auto Found = Status_.Pending_.find(Queue);
   return Found == Status_.Pending_.end() ? 0 : Found->second;
--- a/packages/node/src/cell_directory.h
+++ b/packages/node/src/cell_directory.h
@@ -34,6 +34,9 @@
   /// Returns the other instances that have announced themselves. Some of them
   /// may be gone.
   std::vector<RelayCandidate> otherInstances() const;
+  /// Returns whether the rows were read recently, so that a change of the owner
+  /// is noticed soon.
+  bool isCurrent(TimePoint Now) const;
   /// Returns the number of accepted jobs of \p Queue without a started task, or
   /// nothing if no recent count is available.
   std::optional<std::uint64_t> pending(const std::string &Queue) const;
--- a/packages/node/src/cell_owner.cpp
+++ b/packages/node/src/cell_owner.cpp
@@ -37,6 +37,13 @@
 /// The interval of periodic work; lease times and waiting times are hundreds of
 /// milliseconds.
 constexpr Duration TickInterval = std::chrono::milliseconds(50);
+/// The interval at which a weak owner looks for a stronger instance.
+constexpr Duration SuccessorSearchInterval = std::chrono::milliseconds(2000);
+/// An owner whose release was not taken up releases the cell again after this
+/// time at the earliest, because each change of the owner delays starts.
+constexpr Duration ReleaseRetryDelay = std::chrono::milliseconds(10'000);
+/// More than one, because the strongest instance may be away.
+constexpr std::size_t MaxSuccessorsAsked = 3;
 /// Added to the validity of a predecessor's grants: the drift of a worker's
 /// clock during a grant, and the time to kill a task.
 constexpr Duration GrantSlack = std::chrono::milliseconds(500);
@@ -71,7 +78,7 @@
                      CounterRegistry &Counters, const NodeSettings &Settings,
                      scheduling::OwnerLease &Lease)
     : Loop_(Loop), Store_(Store), Counters_(Counters), Settings_(Settings),
-      Lease_(Lease) {}
+      Lease_(Lease), SuccessorSearch_(Loop) {}
 
 void CellOwner::start() { tick(); }
 
@@ -112,7 +119,7 @@
 }
 
 void CellOwner::takeOverIfDue() {
-  if (IsReleased_ || IsTakingOver_ || Tenure_ || !Queues_ ||
+  if (IsReleased_ || IsReleasing_ || IsTakingOver_ || Tenure_ || !Queues_ ||
       !(Lease_.isOwner() || Lease_.shouldTakeOver(SchedulerClock::now())))
     return;
   // If the row already names this instance although it has no tenure, the
@@ -213,28 +220,51 @@
   Release.Conditions_.push_back({ownerKey(), Lease_.version()});
   Release.Writes_.push_back(
       makeRow(ownerKey(), scheduling::encodeOwnerRecord(Released)));
-  TimePoint SentAt = SchedulerClock::now();
-  std::uint64_t Version = Lease_.version();
-  Store_.commit(
-      Release, StoreCallTimeout,
-      [this, Released, SentAt, Version](const CommitResult &Outcome) {
-        if (Outcome.Outcome_ == CommitOutcome::Committed)
-          return Lease_.rowWritten(Released, Outcome.Version_, SentAt);
-        for (const Row &Current : Outcome.CurrentRows_)
-          if (Current.Key_.Key_ == OwnerKey)
-            Lease_.rowRead(scheduling::decodeOwnerRecord(Current.Value_),
-                           Current.Version_, SentAt);
-        // A renewal that was open at the release has changed the row's version.
-        if (Outcome.Outcome_ == CommitOutcome::Conflict && Lease_.isOwner() &&
-            Lease_.version() != Version)
-          return storeRelease();
-        // If the release is lost, candidates take over when the row is no
-        // longer renewed.
-        logEvent(LogEvent::CommitUnknown, {{"row", OwnerKey}});
+  IsReleasing_ = true;
+  Store_.commit(Release, StoreCallTimeout,
+                [this, Released, SentAt = SchedulerClock::now(),
+                 SentVersion = Lease_.version()](const CommitResult &Outcome) {
+                  IsReleasing_ = false;
+                  handleReleaseResult(Released, SentAt, SentVersion, Outcome);
+                });
+}
+
+void CellOwner::handleReleaseResult(const scheduling::OwnerRecord &Released,
+                                    TimePoint SentAt, std::uint64_t SentVersion,
+                                    const CommitResult &Outcome) {
+  if (Outcome.Outcome_ == CommitOutcome::Committed)
+    return Lease_.rowWritten(Released, Outcome.Version_, SentAt);
+  for (const Row &Current : Outcome.CurrentRows_)
+    if (Current.Key_.Key_ == OwnerKey)
+      Lease_.rowRead(scheduling::decodeOwnerRecord(Current.Value_),
+                     Current.Version_, SentAt);
+  // A renewal that was open at the release has changed the row's version.
+  if (Outcome.Outcome_ == CommitOutcome::Conflict && Lease_.isOwner() &&
+      Lease_.version() != SentVersion)
+    return storeRelease();
+  // If the release is lost, candidates take over when the row is no longer
+  // renewed.
+  logEvent(LogEvent::CommitUnknown, {{"row", OwnerKey}});
+}
+
+void CellOwner::seekSuccessor(TimePoint Now) {
+  if (Now < NextSuccessorSearchAt_)
+    return;
+  NextSuccessorSearchAt_ = Now + SuccessorSearchInterval;
+  SuccessorSearch_.run(
+      selectSuccessors(Relays_, Settings_.capacityCores(), MaxSuccessorsAsked),
+      [this, Reference = TenureRef(Tenure_)] {
+        if (!findActiveTenure(Reference))
+          return;
+        NextSuccessorSearchAt_ = SchedulerClock::now() + ReleaseRetryDelay;
+        endTenure("a stronger instance can own the cell");
+        storeRelease();
       });
 }
 
 void CellOwner::tick() {
+  if (Tenure_)
+    seekSuccessor(SchedulerClock::now());
   if (Tenure_)
     runSchedulingCycle();
   Loop_.after(TickInterval, [this] { tick(); });
--- a/packages/node/src/cell_owner.h
+++ b/packages/node/src/cell_owner.h
@@ -9,6 +9,7 @@
 #include "filbertspring/scheduling/owner_lease.h"
 #include "filbertspring/scheduling/scheduler.h"
 #include "store_client.h"
+#include "successor_search.h"
 #include "worker_calls.h"
 
 #include <memory>
@@ -78,6 +79,8 @@
   /// again.
   void release();
   bool isOwner() const { return Tenure_ != nullptr; }
+  /// Returns whether this instance takes the cell over once it is released.
+  bool isCandidate() const { return Queues_ && !IsReleased_ && !Tenure_; }
 
 private:
   void takeOverIfDue();
@@ -88,6 +91,12 @@
   void endTenure(const char *Cause);
   /// Writes to the store that this instance no longer owns the cell.
   void storeRelease();
+  void handleReleaseResult(const scheduling::OwnerRecord &Released,
+                           TimePoint SentAt, std::uint64_t SentVersion,
+                           const scheduling::CommitResult &Outcome);
+  /// Looks for a much stronger instance from time to time, and releases the
+  /// cell if there is one.
+  void seekSuccessor(TimePoint Now);
 
   using TenureRef = std::weak_ptr<Tenure>;
   /// Returns the tenure that \p Reference names if it is the present one. A
@@ -148,6 +157,10 @@
   std::string Predecessor_;
   bool IsTakingOver_ = false;
   bool IsReleased_ = false;
+  /// The release of an ended tenure is not stored yet.
+  bool IsReleasing_ = false;
+  SuccessorSearch SuccessorSearch_;
+  TimePoint NextSuccessorSearchAt_{};
   bool IsCycleRequested_ = false;
 };
 
--- a/packages/node/src/run_node.cpp
+++ b/packages/node/src/run_node.cpp
@@ -190,9 +190,21 @@
       return Relay_.handle(Request, Respond);
     if (Request.Path_ == WorkerAnswersPath)
       return Respond(handleWorkerAnswers(Request));
+    if (Request.Path_ == CandidatePath) {
+      HttpAnswer Answer;
+      Answer.Status_ = canTakeOver() ? 200 : 503;
+      return Respond(std::move(Answer));
+    }
     Respond(handlePeerNotice(Request));
   }
 
+  /// Returns whether this instance takes the cell over soon after it is
+  /// released.
+  bool canTakeOver() const {
+    return isReady() && Owner_.isCandidate() &&
+           Cell_.isCurrent(SchedulerClock::now());
+  }
+
   HttpAnswer handleWorkerAnswers(const HttpRequest &Request) {
     HttpAnswer Answer;
     Result<WorkerAnswerBatch> Batch = decodeWorkerAnswers(Request.Body_);
--- a/packages/node/tests/cell_owner_test.cpp
+++ b/packages/node/tests/cell_owner_test.cpp
@@ -6,6 +6,7 @@
 #include "filbertspring/transport/event_loop.h"
 #include "platform/worker_codec.h"
 #include "rows.h"
+#include "successor_search.h"
 
 #include <asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
@@ -19,18 +20,19 @@
 using namespace std::chrono_literals;
 
 constexpr const char *StoreAddress = "127.0.0.1:17421";
+constexpr const char *PeerAddress = "127.0.0.1:17422";
 
 /// An instance that may own the cell, and a store without rows, on one event
 /// loop.
 struct FreeCell {
-  FreeCell()
+  explicit FreeCell(const NodeSettings &Settings = {})
       : Lease_(self(), {}), StoreServer_(Loop_, {},
                                          [this](const HttpRequest &Request,
                                                 const HttpResponder &Respond) {
                                            handleStoreCall(Request, Respond);
                                          }),
         Store_(Loop_, StoreAddress, Counters_),
-        Owner_(Loop_, Store_, Counters_, {}, Lease_) {
+        Owner_(Loop_, Store_, Counters_, Settings, Lease_) {
     BOOST_REQUIRE(StoreServer_.listen(StoreAddress).has_value());
     TimePoint Now = SchedulerClock::now();
     Lease_.rowRead({}, 0, Now);
@@ -118,6 +120,38 @@
   CellOwner Owner_;
 };
 
+/// The owner of the cell, with a tenth of the capacity of another instance.
+struct WeakOwner : FreeCell {
+  WeakOwner()
+      : FreeCell(weakSettings()),
+        Peer_(Loop_, {},
+              [this](const HttpRequest &Request, const HttpResponder &Respond) {
+                Questions_ += Request.Path_ == CandidatePath ? 1 : 0;
+                HttpAnswer Answer;
+                Answer.Status_ = PeerStatus_;
+                Respond(std::move(Answer));
+              }) {
+    BOOST_REQUIRE(Peer_.listen(PeerAddress).has_value());
+    Owner_.handleLeaseChange();
+    runUntil([this] { return Owner_.isOwner(); });
+    Transactions_ = 0;
+  }
+
+  static NodeSettings weakSettings() {
+    NodeSettings Settings;
+    Settings.CpuShare_ = 0.05;
+    return Settings;
+  }
+
+  void announcePeer(double Cores) {
+    Owner_.setRelays({{PeerAddress, "zone", Cores}});
+  }
+
+  AsyncHttpServer Peer_;
+  int PeerStatus_ = 200;
+  int Questions_ = 0;
+};
+
 /// An instance that owns the cell and follows the changes of the store.
 struct OwnedCell : FreeCell {
   OwnedCell() {
@@ -178,4 +212,57 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_weak_owner)
+
+BOOST_FIXTURE_TEST_CASE(releases_the_cell_to_a_much_stronger_instance,
+                        WeakOwner) {
+  announcePeer(0.5);
+  runFor(3s);
+  BOOST_TEST(!Owner_.isOwner());
+  BOOST_TEST(Lease_.record().Holder_.empty());
+  BOOST_TEST(Questions_ == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(keeps_it_if_the_other_cannot_take_it_over, WeakOwner) {
+  PeerStatus_ = 503;
+  announcePeer(0.5);
+  runFor(3s);
+  BOOST_TEST(Owner_.isOwner());
+  BOOST_TEST(Questions_ >= 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(keeps_it_if_the_other_is_hardly_stronger, WeakOwner) {
+  announcePeer(0.09);
+  runFor(3s);
+  BOOST_TEST(Owner_.isOwner());
+  BOOST_TEST(Questions_ == 0);
+}
+
+// A change of the owner delays starts. If the other instance does not take the
+// cell over, the next release has to wait.
+BOOST_FIXTURE_TEST_CASE(does_not_release_it_again_at_once, WeakOwner) {
+  announcePeer(0.5);
+  runFor(3s);
+  BOOST_REQUIRE(!Owner_.isOwner());
+  Owner_.handleLeaseChange();
+  runFor(4s);
+  BOOST_TEST(Owner_.isOwner());
+  BOOST_TEST(Questions_ == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(the_successors_of_an_owner)
+
+BOOST_AUTO_TEST_CASE(are_the_strongest_instances_far_above_it) {
+  std::vector<RelayCandidate> Selected = selectSuccessors(
+      {{"a", "z", 0.3}, {"b", "z", 0.1}, {"c", "z", 0.5}, {"d", "z", 0.4}}, 0.1,
+      2);
+  BOOST_REQUIRE(Selected.size() == 2);
+  BOOST_TEST(Selected[0].Address_ == "c");
+  BOOST_TEST(Selected[1].Address_ == "d");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace filbertspring::node
--- a/packages/scheduling/include/filbertspring/scheduling/owner_lease.h
+++ b/packages/scheduling/include/filbertspring/scheduling/owner_lease.h
@@ -57,6 +57,10 @@
 /// largest has \p StrongestCores, can do so first.
 Duration takeoverDelay(double OwnCores, double StrongestCores);
 
+/// Returns whether an instance with \p OwnCores processor cores should leave
+/// the cell to one with \p OtherCores.
+bool isTooWeak(double OwnCores, double OtherCores);
+
 /// The ownership of one cell from the view of one instance. Makes decisions
 /// only and performs no I/O.
 class OwnerLease {
--- a/packages/scheduling/src/owner_lease.cpp
+++ b/packages/scheduling/src/owner_lease.cpp
@@ -30,21 +30,24 @@
   return Record;
 }
 
+bool isTooWeak(double OwnCores, double OtherCores) {
+  /// The owner of a large cell uses up to this fraction of the strongest
+  /// instance.
+  constexpr double SufficientFraction = 0.5;
+  return OwnCores < SufficientFraction * OtherCores;
+}
+
 Duration takeoverDelay(double OwnCores, double StrongestCores) {
   /// Instances with at least this fraction of the cores of the strongest one
   /// count as equal to it.
   constexpr double EqualFraction = 0.8;
-  /// The owner of a large cell uses up to this fraction of the strongest
-  /// instance.
-  constexpr double SufficientFraction = 0.5;
   /// Two intervals between reads of the row, so that a stronger instance has
   /// time to take the cell over.
   constexpr Duration ShortDelay = std::chrono::milliseconds(700);
   constexpr Duration LongDelay = std::chrono::milliseconds(1500);
   if (OwnCores >= EqualFraction * StrongestCores)
     return Duration::zero();
-  return OwnCores >= SufficientFraction * StrongestCores ? ShortDelay
-                                                         : LongDelay;
+  return isTooWeak(OwnCores, StrongestCores) ? LongDelay : ShortDelay;
 }
 
 OwnerLease::OwnerLease(OwnerRecord Self, OwnerLeaseTimings Times)
