--- a/packages/scheduling/include/filbertspring/scheduling/job.h
+++ b/packages/scheduling/include/filbertspring/scheduling/job.h
@@ -123,7 +123,9 @@
 
   /// Returns whether tasks have changed that were not taken.
   bool hasChanges() const { return !ChangedSlots_.empty(); }
-  /// Takes up to \p MaxTasks of the tasks that have changed.
+  /// Returns the slots of the tasks that have changed, in ascending order.
+  const std::vector<std::uint32_t> &changes();
+  /// Takes the first \p MaxTasks of changes().
   std::vector<std::uint32_t> takeChanges(std::size_t MaxTasks);
   /// Marks tasks as changed, also those whose changes could not be stored.
   void markChanged(const std::vector<std::uint32_t> &Slots);
--- a/packages/scheduling/include/filbertspring/scheduling/progress_codec.h
+++ b/packages/scheduling/include/filbertspring/scheduling/progress_codec.h
@@ -11,6 +11,7 @@
 #include "filbertspring/scheduling/progress_journal.h"
 #include "filbertspring/scheduling/worker.h"
 
+#include <cstddef>
 #include <span>
 #include <string>
 #include <string_view>
@@ -23,6 +24,16 @@
 /// Reads what encodeProgress() returns; Errc::InvalidJson otherwise.
 Result<JobProgress> decodeProgress(std::string_view Text);
 
+/// Maximum size of one row of the store. A row holds 64 KiB, of which the
+/// encoding of binary values takes a quarter.
+inline constexpr std::size_t MaxRowBytes = 48U << 10U;
+/// Returns an upper bound of the bytes that the changes of \p TheJob take in a
+/// row of the journal, without those of its tasks.
+std::size_t maxEncodedBytes(const Job &TheJob);
+/// Returns an upper bound of the bytes that \p Progress takes in the text of
+/// its job.
+std::size_t maxEncodedBytes(const TaskName &Name, const TaskProgress &Progress);
+
 /// Returns the stored text of one row of the journal.
 std::string encodeJournal(const JournalEntries &Entries);
 /// Reads what encodeJournal() returns; Errc::InvalidJson otherwise.
--- a/packages/scheduling/src/job.cpp
+++ b/packages/scheduling/src/job.cpp
@@ -84,11 +84,15 @@
   return Result;
 }
 
-std::vector<std::uint32_t> Job::takeChanges(std::size_t MaxTasks) {
+const std::vector<std::uint32_t> &Job::changes() {
   std::sort(ChangedSlots_.begin(), ChangedSlots_.end());
   ChangedSlots_.erase(std::unique(ChangedSlots_.begin(), ChangedSlots_.end()),
                       ChangedSlots_.end());
-  std::size_t Count = std::min(MaxTasks, ChangedSlots_.size());
+  return ChangedSlots_;
+}
+
+std::vector<std::uint32_t> Job::takeChanges(std::size_t MaxTasks) {
+  std::size_t Count = std::min(MaxTasks, changes().size());
   auto End = ChangedSlots_.begin() + static_cast<std::ptrdiff_t>(Count);
   std::vector<std::uint32_t> Taken(ChangedSlots_.begin(), End);
   ChangedSlots_.erase(ChangedSlots_.begin(), End);
--- a/packages/scheduling/src/progress_codec.cpp
+++ b/packages/scheduling/src/progress_codec.cpp
@@ -13,9 +13,6 @@
 
 using nlohmann::json;
 
-/// A row of the store holds 64 KiB, of which the encoding of binary values
-/// takes a quarter.
-constexpr std::size_t MaxProgressBytes = 48U << 10U;
 /// Bounds the memory that a malformed range of tasks can take.
 constexpr std::uint32_t MaxStepTasks = 1'000'000;
 
@@ -200,7 +197,7 @@
 // within a few kilobytes.
 std::string encodeProgress(const JobProgress &Progress) {
   std::string Text = encodeAll(Progress);
-  if (Text.size() <= MaxProgressBytes)
+  if (Text.size() <= MaxRowBytes)
     return Text;
   // Without checkpoints the work since the start of each task is lost if its
   // worker is. A row that is too large could not be stored at all.
@@ -242,6 +239,30 @@
   }
 }
 
+std::size_t maxEncodedBytes(const Job &TheJob) {
+  std::string Quoted;
+  appendJsonString(Quoted, TheJob.accepted().Id_);
+  // The id twice, the state and the names of the fields.
+  constexpr std::size_t Fields = 96;
+  return 2 * Quoted.size() + Fields;
+}
+
+std::size_t maxEncodedBytes(const TaskName &Name,
+                            const TaskProgress &Progress) {
+  // The brackets, indices and run number of a group of its own.
+  constexpr std::size_t Group = 40;
+  std::string Text;
+  if (Progress.IsDone_ && Progress.Failures_ == 0)
+    return Group;
+  if (isOnlyPlaced(Progress)) {
+    appendJsonString(Text, Progress.Worker_);
+    return Group + Text.size();
+  }
+  appendJsonString(Text, Name.text());
+  appendTask(Text, Progress);
+  return Text.size() + 2;
+}
+
 std::string encodeJournal(const JournalEntries &Entries) {
   std::string Text = "{";
   for (const auto &[Job, Changes] : Entries) {
--- a/packages/scheduling/src/scheduler_writes.cpp
+++ b/packages/scheduling/src/scheduler_writes.cpp
@@ -1,3 +1,4 @@
+#include "filbertspring/scheduling/progress_codec.h"
 #include "scheduler_impl.h"
 
 #include <algorithm>
@@ -7,13 +8,39 @@
 namespace filbertspring::scheduling {
 namespace {
 
-/// Tasks in one row of the journal. A task takes at most a hundred bytes, and a
-/// row 64 KiB, of which the encoding of binary values takes a quarter.
+/// Maximum number of tasks in one row of the journal, which bounds the time
+/// that a transaction takes to encode.
 constexpr std::size_t MaxJournalTasks = 450;
 /// Rows of the journal that a transaction removes at most. More than one, so
 /// that the journal becomes shorter.
 constexpr std::size_t MaxRemovedJournalRows = 8;
 
+/// The remaining room in a row of the journal.
+struct JournalRoom {
+  std::size_t Tasks_ = MaxJournalTasks;
+  /// The row has two braces.
+  std::size_t Bytes_ = MaxRowBytes - 2;
+
+  /// Takes the changes of \p TheJob that fit. A change that fits into no row is
+  /// taken alone; encodeProgress() leaves out its checkpoint.
+  std::vector<std::uint32_t> take(Job &TheJob) {
+    bool IsEmpty = Bytes_ == MaxRowBytes - 2;
+    std::size_t Count = 0;
+    std::size_t Used = maxEncodedBytes(TheJob);
+    for (std::uint32_t Slot : TheJob.changes()) {
+      Used += maxEncodedBytes(TheJob.nameOf(Slot), TheJob.at(Slot).Progress_);
+      bool IsFirst = IsEmpty && Count == 0;
+      if (Count == Tasks_ || (Used > Bytes_ && !IsFirst))
+        break;
+      ++Count;
+    }
+    std::vector<std::uint32_t> Slots = TheJob.takeChanges(Count);
+    Tasks_ -= Count;
+    Bytes_ -= std::min(Bytes_, Used);
+    return Slots;
+  }
+};
+
 } // namespace
 
 bool Scheduler::hasWrites() const {
@@ -53,16 +80,17 @@
 /// Takes the changes of the jobs that changed first, as many as fit into a row.
 void Scheduler::Impl::takeChanges() {
   JobsInFlight_.clear();
-  std::size_t Room = MaxJournalTasks;
-  while (Room > 0) {
+  JournalRoom Room;
+  bool IsFull = false;
+  while (!IsFull) {
     std::optional<ProgressQueue::Entry> First = DirtyJobs_.takeFirst();
     if (!First)
       break;
     JobRecord *Record = findJob(First->Job_);
     if (!Record)
       continue;
-    std::vector<std::uint32_t> Slots = Record->Job_.takeChanges(Room);
-    Room -= Slots.size();
+    std::vector<std::uint32_t> Slots = Room.take(Record->Job_);
+    IsFull = Record->Job_.hasChanges();
     if (Record->Job_.state() != Record->StoredState_)
       Snapshots_.add(First->Job_);
     // The rest of the changes keeps its place, so that no end is acknowledged
--- a/packages/scheduling/tests/storage_test.cpp
+++ b/packages/scheduling/tests/storage_test.cpp
@@ -147,6 +147,40 @@
   BOOST_TEST(!Starts_.empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(has_no_row_that_the_store_would_refuse, LoadedCell) {
+  constexpr std::size_t Jobs = 900;
+  for (std::size_t Job = 0; Job < Jobs; ++Job)
+    submit(fmt::format("{:016x}", Job), {task(1, 1)});
+  for (std::size_t Answered = 0; Answered < Jobs;) {
+    step();
+    for (std::size_t Next = std::exchange(Answered, Starts_.size());
+         Next < Starts_.size(); ++Next)
+      Scheduler_.startAnswered(Starts_[Next].Worker_, Starts_[Next].Name_,
+                               Starts_[Next].Run_, CallOutcome::Accepted, Now_);
+  }
+  // All tasks are stopped at once, each with a checkpoint, and wait.
+  for (const StartTask &Start : Starts_)
+    EndedTasks_[Start.Worker_].push_back(
+        {EndedTasks_[Start.Worker_].size() + 1, Start.Name_, Start.Run_,
+         EndReason::Stopped, fmt::format("{:016x}", Start.Run_)});
+  Scheduler_.setClosedZones({"zone-a", "zone-b"});
+  step(1200ms);
+  answerRenewals();
+  std::size_t Largest = 0;
+  for (int Round = 0; Round < 20; ++Round) {
+    step();
+    Largest =
+        std::max(Largest, encodeJournal(LastWrites_.Journal_.Entries_).size());
+  }
+  // 64 KiB, of which the encoding of binary values takes a quarter.
+  BOOST_TEST(Largest <= 48U << 10U);
+  std::map<std::string, JobProgress> Stored = storedProgress();
+  for (const StartTask &Start : Starts_) {
+    const auto &Tasks = Stored[Start.Name_.Job_].Tasks_;
+    BOOST_TEST(!Tasks.at(Start.Name_.text()).Checkpoint_.empty());
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(a_row_of_the_journal)
