--- a/packages/node/src/worker_calls.cpp
+++ b/packages/node/src/worker_calls.cpp
@@ -86,29 +86,33 @@
 
 void WorkerCalls::start(const scheduling::StartTask &Start) {
   TimePoint SentAt = SchedulerClock::now();
-  Channel_.send(Start.Address_, platform::makeStartRequest(Start, OwnerToken_),
-                WorkerCallTimeout,
-                [this, IsAlive = IsAlive_, Worker = Start.Worker_,
-                 Name = Start.Name_, Run = Start.Run_, Waited = Start.Waited_,
-                 SentAt](const Result<HttpAnswer> &Answer) {
-                  if (!*IsAlive)
-                    return;
-                  TimePoint Now = SchedulerClock::now();
-                  CallOutcome Outcome = callOutcome(Answer);
-                  Counters_.observe("task_start_seconds", Now - SentAt);
-                  Counters_.observe("task_wait_seconds", Waited);
-                  logEvent(
-                      Outcome == CallOutcome::Accepted ? LogEvent::TaskStarted
-                                                       : LogEvent::StartRefused,
-                      {{"task", Name.text()},
-                       {"run", static_cast<std::int64_t>(Run)},
-                       {"worker", Worker},
-                       {"token", static_cast<std::int64_t>(OwnerToken_)},
-                       {"waited_ms", Waited / std::chrono::milliseconds(1)},
-                       {"outcome", nameOf(OutcomeNames, Outcome)}});
-                  Scheduler_.startAnswered(Worker, Name, Run, Outcome, Now);
-                  OutcomeReported_();
-                });
+  Channel_.send(
+      Start.Address_, platform::makeStartRequest(Start, OwnerToken_),
+      WorkerCallTimeout,
+      [this, IsAlive = IsAlive_, Worker = Start.Worker_, Name = Start.Name_,
+       Run = Start.Run_, Waited = Start.Waited_, Checkpoint = Start.Checkpoint_,
+       SentAt](const Result<HttpAnswer> &Answer) {
+        if (!*IsAlive)
+          return;
+        TimePoint Now = SchedulerClock::now();
+        CallOutcome Outcome = callOutcome(Answer);
+        Counters_.observe("task_start_seconds", Now - SentAt);
+        Counters_.observe("task_wait_seconds", Waited);
+        std::vector<LogField> Fields = {
+            {"task", Name.text()},
+            {"run", static_cast<std::int64_t>(Run)},
+            {"worker", Worker},
+            {"token", static_cast<std::int64_t>(OwnerToken_)},
+            {"waited_ms", Waited / std::chrono::milliseconds(1)},
+            {"outcome", nameOf(OutcomeNames, Outcome)}};
+        if (!Checkpoint.empty())
+          Fields.emplace_back("checkpoint", Checkpoint);
+        logEvent(Outcome == CallOutcome::Accepted ? LogEvent::TaskStarted
+                                                  : LogEvent::StartRefused,
+                 Fields);
+        Scheduler_.startAnswered(Worker, Name, Run, Outcome, Now);
+        OutcomeReported_();
+      });
 }
 
 void WorkerCalls::stop(const scheduling::StopTask &Stop) {
