A worker that a relay does not reach is called directly

Callers saw: nothing yet; found by reading, while looking for ways in which a stop is not delivered. A relay that takes batches but is cut off from the workers of its zone answered each call with "not sent" or "unknown". Such answers counted as health of the relay, so the owner called these workers through it for as long as the cut lasted, although it reached them itself: leases ran out, tasks of cancelled jobs ran on until then, and nothing was placed on up to 300 workers.

Now a worker that a relay does not reach is called by the owner for 2 s, and longer each time that the relay misses it again. If the owner misses it too, the next call goes through the relay again, so a worker that is down costs no more calls than before, and a cut between owner and worker does not keep the owner from a relay that is back. worker_calls_detoured_total counts the calls.

A call that a relay reported as unknown may still be executed, as before; the owner repeats it as it repeats any call without an answer.

Failed before: worker_channel_test.cpp: error: in "a_relayed_worker_call/is_repeated_directly_if_the_relay_is_cut_off": check call().has_value() has failed (twice) ... check Batches_ == 1 has failed [3 != 1] ... check WorkerCalls_ == 2 has failed [0 != 2] worker_channel_test.cpp: error: in "a_relayed_worker_call/is_relayed_again_if_a_direct_one_fails_as_well": check Batches_ == 2 has failed [4 != 2]

--- a/packages/node/src/worker_channel.cpp
+++ b/packages/node/src/worker_channel.cpp
@@ -39,20 +39,40 @@
 
 void WorkerChannel::send(const std::string &Address, const HttpRequest &Request,
                          Duration Timeout, HttpCallback Callback) {
-  std::string Relay = Routes_.relayFor(Address, SchedulerClock::now());
+  TimePoint Now = SchedulerClock::now();
+  std::string Relay = Routes_.relayFor(Address, Now);
   if (!Relay.empty())
     return sendRelayed(Relay, Address, Request, Timeout, std::move(Callback));
+  if (Routes_.isDetoured(Address, Now))
+    return sendDetoured(Address, Request, Timeout, std::move(Callback));
   Workers_.send(Address, Request, Timeout, std::move(Callback));
 }
 
+/// Makes a call directly because a relay did not reach the worker.
+void WorkerChannel::sendDetoured(const std::string &Address,
+                                 const HttpRequest &Request, Duration Timeout,
+                                 HttpCallback Callback) {
+  Counters_.counter("worker_calls_detoured_total").add();
+  Workers_.send(Address, Request, Timeout,
+                [this, IsAlive = IsAlive_, Address,
+                 Callback = std::move(Callback)](Result<HttpAnswer> Answer) {
+                  if (!*IsAlive)
+                    return;
+                  if (!Answer)
+                    Routes_.workerMissedByOwner(Address, SchedulerClock::now());
+                  Callback(std::move(Answer));
+                });
+}
+
 void WorkerChannel::sendRelayed(const std::string &Relay,
                                 const std::string &Address,
                                 const HttpRequest &Request, Duration Timeout,
                                 HttpCallback Callback) {
   TimePoint Now = SchedulerClock::now();
   std::uint64_t Id = ++LastId_;
-  Pending_.emplace(Id, PendingCall{Relay, Now, Now + Timeout + RelayMargin,
-                                   std::move(Callback)});
+  Pending_.emplace(Id,
+                   PendingCall{Relay, Address, Now, Now + Timeout + RelayMargin,
+                               std::move(Callback)});
   Outbox &Waiting = Outboxes_[Relay];
   Waiting.Calls_.push_back({Id, Address, Request, Timeout});
   Waiting.Bytes_ += Request.Body_.size();
@@ -136,6 +156,10 @@
     PendingCall Answered = std::move(It->second);
     Pending_.erase(It);
     Routes_.relayAnswered(Answered.Relay_, Now);
+    if (Entry.Answer_)
+      Routes_.workerAnsweredRelay(Answered.Address_);
+    else
+      Routes_.workerMissedByRelay(Answered.Address_, Now);
     Answered.Callback_(std::move(Entry.Answer_));
     if (!*IsAlive)
       return;
--- a/packages/node/src/worker_channel.h
+++ b/packages/node/src/worker_channel.h
@@ -47,6 +47,8 @@
   /// A relayed call without an answer.
   struct PendingCall {
     std::string Relay_;
+    /// The address of the worker.
+    std::string Address_;
     TimePoint SentAt_{};
     TimePoint Deadline_{};
     HttpCallback Callback_;
@@ -57,6 +59,8 @@
     std::size_t Bytes_ = 0;
   };
 
+  void sendDetoured(const std::string &Address, const HttpRequest &Request,
+                    Duration Timeout, HttpCallback Callback);
   void sendRelayed(const std::string &Relay, const std::string &Address,
                    const HttpRequest &Request, Duration Timeout,
                    HttpCallback Callback);
--- a/packages/node/src/worker_routes.cpp
+++ b/packages/node/src/worker_routes.cpp
@@ -20,6 +20,11 @@
 constexpr Duration FirstPause = std::chrono::seconds(2);
 constexpr std::uint32_t MaxPauseDoublings = 4;
 
+/// Returns how long a path is not used after \p Failures earlier failures.
+Duration pauseAfter(std::uint32_t Failures) {
+  return FirstPause * (1U << std::min(Failures, MaxPauseDoublings));
+}
+
 } // namespace
 
 void WorkerRoutes::setCandidates(
@@ -56,6 +61,7 @@
     --WorkersInZone_[Zone->second];
     ZoneOfAddress_.erase(Zone);
   }
+  Detours_.erase(Known->second);
   AddressOfWorker_.erase(Known);
 }
 
@@ -63,7 +69,7 @@
                                    TimePoint Now) const {
   auto Worker = ZoneOfAddress_.find(Address);
   if (Worker == ZoneOfAddress_.end() ||
-      ZoneOfAddress_.size() < MinWorkersForRelays)
+      ZoneOfAddress_.size() < MinWorkersForRelays || isDetoured(Address, Now))
     return {};
   auto Relays = Relays_.find(Worker->second);
   if (Relays == Relays_.end())
@@ -89,9 +95,7 @@
   Health &State = Health_[Relay];
   if (State.AvoidUntil_ > Now || State.LastAnswerAt_ > SentAt)
     return false;
-  State.AvoidUntil_ =
-      Now + FirstPause * (1U << std::min(State.Failures_, MaxPauseDoublings));
-  ++State.Failures_;
+  State.AvoidUntil_ = Now + pauseAfter(State.Failures_++);
   return true;
 }
 
@@ -101,4 +105,29 @@
   State.Failures_ = 0;
 }
 
+void WorkerRoutes::workerAnsweredRelay(const std::string &Address) {
+  Detours_.erase(Address);
+}
+
+void WorkerRoutes::workerMissedByRelay(const std::string &Address,
+                                       TimePoint Now) {
+  // Without this, each call that was open at the time would lengthen the
+  // detour.
+  if (isDetoured(Address, Now) || !ZoneOfAddress_.contains(Address))
+    return;
+  Detour &Taken = Detours_[Address];
+  Taken.Until_ = Now + pauseAfter(Taken.Failures_++);
+}
+
+bool WorkerRoutes::isDetoured(const std::string &Address, TimePoint Now) const {
+  auto Taken = Detours_.find(Address);
+  return Taken != Detours_.end() && Taken->second.Until_ > Now;
+}
+
+void WorkerRoutes::workerMissedByOwner(const std::string &Address,
+                                       TimePoint Now) {
+  if (isDetoured(Address, Now))
+    Detours_[Address].Until_ = Now;
+}
+
 } // namespace filbertspring::node
--- a/packages/node/src/worker_routes.h
+++ b/packages/node/src/worker_routes.h
@@ -29,7 +29,9 @@
 /// the decision. With hundreds of workers, the strongest instances of each
 /// worker's zone make the calls; a few workers are called directly. An instance
 /// that fails is not used for a time that doubles with each further failure,
-/// and its workers are called through the others.
+/// and its workers are called through the others. A worker that an instance
+/// does not reach is called by the owner for such a time, unless the owner does
+/// not reach it either.
 class WorkerRoutes {
 public:
   /// Replaces the candidates, which exclude the owner itself.
@@ -47,6 +49,14 @@
   bool relayFailed(const std::string &Relay, TimePoint SentAt, TimePoint Now);
   /// Notes that \p Relay answered.
   void relayAnswered(const std::string &Relay, TimePoint Now);
+  /// Notes that a relay got an answer of the worker at \p Address, or got none.
+  void workerAnsweredRelay(const std::string &Address);
+  void workerMissedByRelay(const std::string &Address, TimePoint Now);
+  /// Returns whether the owner calls the worker at \p Address because a relay
+  /// did not reach it.
+  bool isDetoured(const std::string &Address, TimePoint Now) const;
+  /// Notes that the owner did not reach the worker at \p Address either.
+  void workerMissedByOwner(const std::string &Address, TimePoint Now);
 
 private:
   struct Health {
@@ -54,10 +64,17 @@
     TimePoint AvoidUntil_{};
     std::uint32_t Failures_ = 0;
   };
+  /// Calls that the owner makes in place of a relay.
+  struct Detour {
+    TimePoint Until_{};
+    std::uint32_t Failures_ = 0;
+  };
 
   /// By zone, the strongest first.
   std::map<std::string, std::vector<std::string>> Relays_;
   std::unordered_map<std::string, Health> Health_;
+  /// By the address of the worker.
+  std::unordered_map<std::string, Detour> Detours_;
   std::unordered_map<std::string, std::string> AddressOfWorker_;
   std::unordered_map<std::string, std::string> ZoneOfAddress_;
   std::map<std::string, std::size_t> WorkersInZone_;
--- a/packages/node/tests/worker_channel_test.cpp
+++ b/packages/node/tests/worker_channel_test.cpp
@@ -22,7 +22,7 @@
 constexpr std::uint64_t OwnerToken = 17;
 
 /// How the relay handles batches.
-enum class RelayBehaviour { Relay, Refuse, Ignore };
+enum class RelayBehaviour { Relay, Refuse, Ignore, ReachNoWorker };
 
 /// An owner, a relay and a worker on one event loop.
 struct RelayedWorker {
@@ -72,9 +72,23 @@
       return Respond(std::move(Refusal));
     case RelayBehaviour::Ignore:
       return Respond({});
+    case RelayBehaviour::ReachNoWorker:
+      return answerWithoutWorker(Request, Respond);
     }
   }
 
+  static void answerWithoutWorker(const HttpRequest &Request,
+                                  const HttpResponder &Respond) {
+    Result<WorkerCallBatch> Batch = decodeWorkerCalls(Request.Body_);
+    BOOST_REQUIRE(Batch.has_value());
+    WorkerAnswerBatch Answers{OwnerToken, {}};
+    for (const RelayedWorkerCall &Call : Batch->Calls_)
+      Answers.Answers_.push_back({Call.Id_, fail(Errc::OutcomeUnknown)});
+    HttpAnswer Answer;
+    Answer.Body_ = encodeWorkerAnswers(Answers);
+    Respond(std::move(Answer));
+  }
+
   /// Sends a call and returns its outcome.
   Result<HttpAnswer> call(const char *Address = WorkerAddress) {
     HttpRequest Request;
@@ -149,6 +163,23 @@
   BOOST_TEST(WorkerCalls_ == 1);
 }
 
+BOOST_FIXTURE_TEST_CASE(is_repeated_directly_if_the_relay_is_cut_off,
+                        RelayedWorker) {
+  Behaviour_ = RelayBehaviour::ReachNoWorker;
+  BOOST_TEST((call().error() == Errc::OutcomeUnknown));
+  BOOST_TEST(call().has_value());
+  BOOST_TEST(call().has_value());
+  BOOST_TEST(Batches_ == 1);
+  BOOST_TEST(WorkerCalls_ == 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(is_relayed_again_if_a_direct_one_fails_as_well,
+                        RelayedWorker) {
+  for (int Attempt = 0; Attempt < 4; ++Attempt)
+    BOOST_TEST((call(UnusedAddress).error() == Errc::ConnectFailed));
+  BOOST_TEST(Batches_ == 2);
+}
+
 BOOST_FIXTURE_TEST_CASE(survives_a_malformed_batch, RelayedWorker) {
   HttpRequest Malformed;
   Malformed.Body_ = "1:a99:b";
--- a/packages/node/tests/worker_routes_test.cpp
+++ b/packages/node/tests/worker_routes_test.cpp
@@ -120,4 +120,44 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_worker_that_a_relay_does_not_reach)
+
+BOOST_FIXTURE_TEST_CASE(is_called_by_the_owner_for_some_time,
+                        RoutesOfTwoZones) {
+  Routes_.workerMissedByRelay("address-a1", Now_);
+  BOOST_TEST(relays("a")[""] == 1);
+  BOOST_TEST(Routes_.isDetoured("address-a1", Now_));
+  Now_ += 3s;
+  BOOST_TEST(!Routes_.relayFor("address-a1", Now_).empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(is_called_by_the_owner_longer_if_it_is_missed_again,
+                        RoutesOfTwoZones) {
+  // The second call was open when the first one failed.
+  Routes_.workerMissedByRelay("address-a1", Now_);
+  Routes_.workerMissedByRelay("address-a1", Now_);
+  Now_ += 3s;
+  Routes_.workerMissedByRelay("address-a1", Now_);
+  Now_ += 3s;
+  BOOST_TEST(Routes_.isDetoured("address-a1", Now_));
+  Now_ += 2s;
+  BOOST_TEST(!Routes_.isDetoured("address-a1", Now_));
+}
+
+BOOST_FIXTURE_TEST_CASE(is_called_by_the_relay_again_once_that_reaches_it,
+                        RoutesOfTwoZones) {
+  Routes_.workerMissedByRelay("address-a1", Now_);
+  Routes_.workerAnsweredRelay("address-a1");
+  BOOST_TEST(!Routes_.relayFor("address-a1", Now_).empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(is_called_by_the_relay_again_if_the_owner_misses_it_too,
+                        RoutesOfTwoZones) {
+  Routes_.workerMissedByRelay("address-a1", Now_);
+  Routes_.workerMissedByOwner("address-a1", Now_);
+  BOOST_TEST(!Routes_.relayFor("address-a1", Now_).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace filbertspring::node
