A redirected stop does not wait for open renewals

A relay that refuses a batch, because its instance stops or is overloaded, has its calls made by the owner. They got all the time that was left, 900 ms for a stop or a start, and the timeout of a call decides which connections it uses: above 600 ms those of renewals, whose answers workers delay by a second. Two open renewals of one worker blocked the stop behind them until it had timed out.

Now a redirected call has its own timeout at most.

Failed before: worker_channel_test.cpp: fatal error: in "a_stop/does_not_wait_for_open_renewals/if_the_relay_refuses_all": critical check IsStopAnswered_ has failed

The other tests of a_stop pass on the code before as well: open renewals do not delay a stop that is made directly or relayed, and of the stops that the owner repeats every 300 ms, the third goes past a frozen relay.

--- a/packages/node/src/worker_channel.cpp
+++ b/packages/node/src/worker_channel.cpp
@@ -2,6 +2,7 @@
 
 #include "filbertspring/base/log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace filbertspring::node {
@@ -139,7 +140,9 @@
   Duration TimeLeft = Redirected.Deadline_ - SchedulerClock::now();
   if (TimeLeft <= Duration::zero())
     return Redirected.Callback_(fail(Errc::ConnectFailed));
-  Workers_.send(Call.Address_, Call.Request_, TimeLeft,
+  // The time left includes that for a relay. A longer timeout would put a
+  // command behind renewals, whose answers workers delay.
+  Workers_.send(Call.Address_, Call.Request_, std::min(TimeLeft, Call.Timeout_),
                 std::move(Redirected.Callback_));
 }
 
--- a/packages/node/tests/worker_channel_test.cpp
+++ b/packages/node/tests/worker_channel_test.cpp
@@ -20,9 +20,11 @@
 constexpr const char *WorkerAddress = "127.0.0.1:17413";
 constexpr const char *UnusedAddress = "127.0.0.1:17414";
 constexpr std::uint64_t OwnerToken = 17;
+/// The path of calls that the worker does not answer at once.
+constexpr const char *WaitingCall = "/hold";
 
 /// How the relay handles batches.
-enum class RelayBehaviour { Relay, Refuse, Ignore, ReachNoWorker };
+enum class RelayBehaviour { Relay, Refuse, Ignore, ReachNoWorker, Freeze };
 
 /// An owner, a relay and a worker on one event loop.
 struct RelayedWorker {
@@ -32,6 +34,10 @@
             Loop_, {},
             [this](const HttpRequest &Request, const HttpResponder &Respond) {
               ++WorkerCalls_;
+              if (Request.Path_ == WaitingCall) {
+                Waiting_.push_back(Respond);
+                return;
+              }
               HttpAnswer Answer;
               Answer.Body_ = Request.Path_ + " " + Request.Body_;
               Respond(std::move(Answer));
@@ -74,6 +80,9 @@
       return Respond({});
     case RelayBehaviour::ReachNoWorker:
       return answerWithoutWorker(Request, Respond);
+    case RelayBehaviour::Freeze:
+      Frozen_.push_back(Respond);
+      return;
     }
   }
 
@@ -107,6 +116,40 @@
     return *Outcome;
   }
 
+  /// Sends a renewal for whose answer the worker waits for an end.
+  void sendWaitingCall() {
+    HttpRequest Request;
+    Request.Method_ = "POST";
+    Request.Path_ = WaitingCall;
+    Request.Body_ = "body";
+    Channel_->send(WorkerAddress, Request, WorkerCallTimeout + 1s,
+                   [this](const Result<HttpAnswer> &) { ++WaitingEnded_; });
+  }
+
+  /// Sends a stop command after \p Delay without waiting for its answer.
+  void sendStopAfter(Duration Delay) {
+    Loop_.after(Delay, [this] {
+      HttpRequest Request;
+      Request.Method_ = "POST";
+      Request.Path_ = "/stop";
+      Request.Body_ = "body";
+      Channel_->send(WorkerAddress, Request, WorkerCallTimeout,
+                     [this](const Result<HttpAnswer> &Answer) {
+                       IsStopAnswered_ |= Answer.has_value();
+                       if (Answer)
+                         Loop_.stop();
+                     });
+      Channel_->flush();
+    });
+  }
+
+  /// The time limit only ends a test that would hang.
+  void runUntilStopIsAnswered() {
+    Loop_.after(10s, [this] { Loop_.stop(); });
+    Loop_.run();
+    BOOST_REQUIRE(IsStopAnswered_);
+  }
+
   EventLoop Loop_;
   CounterRegistry Counters_;
   WorkerRelay Relay_;
@@ -115,6 +158,12 @@
   AsyncHttpServer OwnerServer_;
   std::optional<WorkerChannel> Channel_;
   RelayBehaviour Behaviour_ = RelayBehaviour::Relay;
+  /// Batches that the relay does not answer.
+  std::vector<HttpResponder> Frozen_;
+  /// Calls that the worker has not answered.
+  std::vector<HttpResponder> Waiting_;
+  int WaitingEnded_ = 0;
+  bool IsStopAnswered_ = false;
   int WorkerCalls_ = 0;
   int Batches_ = 0;
 };
@@ -202,4 +251,50 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_stop)
+
+// The owner repeats a stop every 300 ms until the worker confirms it.
+BOOST_FIXTURE_TEST_CASE(bypasses_a_frozen_relay_at_the_third_attempt,
+                        RelayedWorker) {
+  Behaviour_ = RelayBehaviour::Freeze;
+  for (Duration Delay : {0ms, 300ms, 600ms, 900ms})
+    sendStopAfter(Delay);
+  runUntilStopIsAnswered();
+  BOOST_TEST(Batches_ == 2);
+  BOOST_TEST(WorkerCalls_ == 1);
+}
+
+BOOST_AUTO_TEST_SUITE(does_not_wait_for_open_renewals)
+
+BOOST_FIXTURE_TEST_CASE(that_are_relayed, RelayedWorker) {
+  sendWaitingCall();
+  sendWaitingCall();
+  sendStopAfter(0ms);
+  runUntilStopIsAnswered();
+  BOOST_TEST(WaitingEnded_ == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(that_are_made_directly, RelayedWorker) {
+  Channel_->routes().setCandidates({});
+  sendWaitingCall();
+  sendWaitingCall();
+  sendStopAfter(0ms);
+  runUntilStopIsAnswered();
+  BOOST_TEST(WaitingEnded_ == 0);
+  BOOST_TEST(Batches_ == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(if_the_relay_refuses_all, RelayedWorker) {
+  Behaviour_ = RelayBehaviour::Refuse;
+  sendWaitingCall();
+  sendWaitingCall();
+  sendStopAfter(0ms);
+  runUntilStopIsAnswered();
+  BOOST_TEST(WaitingEnded_ == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace filbertspring::node
