--- a/packages/scheduling/include/filbertspring/scheduling/progress_journal.h
+++ b/packages/scheduling/include/filbertspring/scheduling/progress_journal.h
@@ -61,6 +61,8 @@
   /// Returns up to \p MaxRows rows that hold no changes that are needed.
   std::vector<std::uint64_t> unneededRows(std::size_t MaxRows) const;
   void rowsRemoved(const std::vector<std::uint64_t> &Numbers);
+  /// Returns whether the row \p Number may be stored.
+  bool mayHoldRow(std::uint64_t Number) const { return Rows_.contains(Number); }
 
 private:
   std::uint64_t LastNumber_;
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -101,8 +101,11 @@
 void Scheduler::restoreJournalRow(const JournalRow &Row) {
   Impl_->Journal_.restore(Row);
   // The stored snapshots do not show the changes to callers.
-  for (const auto &[Job, Changes] : Row.Entries_)
+  for (const auto &[Job, Changes] : Row.Entries_) {
     Impl_->Snapshots_.add(Job);
+    if (JobRecord *Record = Impl_->findJob(Job))
+      Record->LastJournalRow_ = std::max(Record->LastJournalRow_, Row.Number_);
+  }
 }
 
 void Scheduler::cancelJob(const std::string &Id, TimePoint Now) {
@@ -413,8 +416,12 @@
   for (const auto &[Id, Record] : Impl_->Jobs_) {
     if (Expired.size() == MaxJobs)
       break;
-    if (Record.FinalAt_ &&
-        Now - *Record.FinalAt_ > Impl_->Settings_.FinalStateRetention_)
+    bool IsExpired =
+        Record.FinalAt_ &&
+        Now - *Record.FinalAt_ > Impl_->Settings_.FinalStateRetention_;
+    // Without its snapshot, changes in the journal would apply to a job that is
+    // later accepted with the same id.
+    if (IsExpired && !Impl_->Journal_.mayHoldRow(Record.LastJournalRow_))
       Expired.push_back(Id);
   }
   return Expired;
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -24,6 +24,8 @@
   std::optional<TimePoint> FinalAt_;
   /// The state in the stored snapshot, which callers see.
   JobState StoredState_ = JobState::Queued;
+  /// The last row of the journal with changes of the job, 0 if there is none.
+  std::uint64_t LastJournalRow_ = 0;
 
   JobRecord(AcceptedJob Accepted, TimePoint Now)
       : Job_(std::move(Accepted), Now) {}
--- a/packages/scheduling/src/scheduler_writes.cpp
+++ b/packages/scheduling/src/scheduler_writes.cpp
@@ -130,9 +130,11 @@
   for (const JobInFlight &Changed : JobsInFlight_) {
     const std::string &Id = Changed.Queued_.Job_;
     JobRecord *Record = findJob(Id);
-    if (Record && !Changed.Slots_.empty() && !Covered.contains(Id))
-      Writes.Journal_.Entries_.emplace_back(
-          Id, Record->Job_.progressOf(Changed.Slots_));
+    if (!Record || Changed.Slots_.empty() || Covered.contains(Id))
+      continue;
+    Record->LastJournalRow_ = Writes.Journal_.Number_;
+    Writes.Journal_.Entries_.emplace_back(
+        Id, Record->Job_.progressOf(Changed.Slots_));
   }
   if (!Writes.Journal_.Entries_.empty())
     Journal_.addRow(Writes.Journal_.Number_);
--- a/packages/scheduling/tests/cell_fixture.h
+++ b/packages/scheduling/tests/cell_fixture.h
@@ -74,6 +74,8 @@
       Journal_[Writes.Journal_.Number_] = Writes.Journal_;
     for (std::uint64_t Number : Writes.RemovedJournalRows_)
       Journal_.erase(Number);
+    for (const std::string &Id : Writes.RemovedJobs_)
+      Snapshots_.erase(Id);
   }
 
   /// Returns what a new owner reads of all jobs.
--- a/packages/scheduling/tests/storage_test.cpp
+++ b/packages/scheduling/tests/storage_test.cpp
@@ -44,6 +44,54 @@
   int NextJob_ = 0;
 };
 
+/// A cell with a job of two steps that was completed and whose acceptance was
+/// removed from the store.
+struct RemovedJob : Cell {
+  RemovedJob() {
+    // Keeps the first row of the journal and those after it.
+    submit("other", {task(1, 100)});
+    step();
+    Starts_.clear();
+    // More tasks than the workers hold at a time.
+    Steps_ = {task(3, 4500), task(1)};
+    Steps_.back().DependsOn_ = {0};
+    submit("job", Steps_);
+    for (std::uint64_t End = 1;
+         Scheduler_.stateOf("job") != std::optional(JobState::Completed);) {
+      step(300ms);
+      acceptStarts();
+      for (const StartTask &Start : std::exchange(Starts_, {}))
+        EndedTasks_[Start.Worker_].push_back(
+            {End++, Start.Name_, Start.Run_, EndReason::Done, ""});
+      RunningTasks_.clear();
+      answerRenewals();
+      BOOST_REQUIRE(End < 10U);
+    }
+    step();
+    EndedTasks_.clear();
+    Now_ += SchedulerSettings().FinalStateRetention_;
+    for (int Round = 0; Round < 3; ++Round) {
+      step();
+      answerRenewals();
+    }
+    BOOST_REQUIRE((storedProgress()["job"].State_ == JobState::Completed));
+    // The journal becomes shorter while other jobs change.
+    for (int Round = 0; Scheduler_.expiredJobs(Now_, 10).empty(); ++Round) {
+      submit(fmt::format("b{}", Round), {task(1, 1)});
+      step();
+      acceptStarts();
+      Starts_.clear();
+      BOOST_REQUIRE(Round < 100);
+    }
+    std::vector<std::string> Expired = Scheduler_.expiredJobs(Now_, 10);
+    BOOST_REQUIRE(Expired.size() == 1U);
+    BOOST_REQUIRE(Expired.front() == "job");
+    Scheduler_.jobsRemoved(Expired);
+  }
+
+  std::vector<StepSpec> Steps_;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(while_more_jobs_change_than_a_transaction_holds)
@@ -183,6 +231,28 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_job_whose_rows_were_removed)
+
+BOOST_FIXTURE_TEST_CASE(is_not_stored_again, RemovedJob) {
+  for (int Round = 0; Round < 5; ++Round)
+    step();
+  BOOST_TEST(!Snapshots_.contains("job"));
+  BOOST_TEST(LastWrites_.RemovedJobs_.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(leaves_no_progress_to_a_new_job_with_its_id,
+                        RemovedJob) {
+  submit("job", Steps_);
+  step();
+  JobProgress Stored = storedProgress()["job"];
+  BOOST_TEST(!isFinal(Stored.State_));
+  for (const auto &[Name, Task] : Stored.Tasks_)
+    BOOST_TEST(!Task.IsDone_, Name);
+  BOOST_TEST(Starts_.size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_row_of_the_journal)
 
 BOOST_AUTO_TEST_CASE(is_read_as_it_was_written) {
