--- a/benchmark/experiments/cell_load_simulation.cpp
+++ b/benchmark/experiments/cell_load_simulation.cpp
@@ -354,6 +354,8 @@
       Result_.StoredBytes_ += encodeJournal(Writes.Journal_.Entries_).size();
       for (const auto &[Job, Progress] : Writes.Progress_)
         Result_.StoredBytes_ += encodeProgress(Progress).size();
+      for (const JournalRow &Rest : Writes.SnapshotRests_)
+        Result_.StoredBytes_ += encodeJournal(Rest.Entries_).size();
     }
     ++Result_.Commits_;
     IsCommitting_ = true;
--- a/packages/node/src/cell_owner.cpp
+++ b/packages/node/src/cell_owner.cpp
@@ -401,6 +401,9 @@
     Changes.Writes_.push_back(
         makeRow(journalKey(Writes.Journal_.Number_),
                 scheduling::encodeJournal(Writes.Journal_.Entries_)));
+  for (const scheduling::JournalRow &Rest : Writes.SnapshotRests_)
+    Changes.Writes_.push_back(makeRow(
+        journalKey(Rest.Number_), scheduling::encodeJournal(Rest.Entries_)));
   for (std::uint64_t Number : Writes.RemovedJournalRows_)
     Changes.Removals_.push_back(journalKey(Number));
   for (const auto &[Job, Progress] : Writes.Progress_)
--- a/packages/scheduling/include/filbertspring/scheduling/progress_codec.h
+++ b/packages/scheduling/include/filbertspring/scheduling/progress_codec.h
@@ -34,6 +34,13 @@
 /// its job.
 std::size_t maxEncodedBytes(const TaskName &Name, const TaskProgress &Progress);
 
+/// Returns an upper bound of the size of the text of \p Progress.
+std::size_t maxEncodedBytes(const JobProgress &Progress);
+/// Splits the tasks of a snapshot such that the text of each part fits into a
+/// row. All parts have the state of the job. Checkpoints are left out if there
+/// would be too many parts for one transaction.
+std::vector<JobProgress> splitSnapshot(JobProgress Snapshot);
+
 /// Returns the stored text of one row of the journal.
 std::string encodeJournal(const JournalEntries &Entries);
 /// Reads what encodeJournal() returns; Errc::InvalidJson otherwise.
--- a/packages/scheduling/include/filbertspring/scheduling/scheduler.h
+++ b/packages/scheduling/include/filbertspring/scheduling/scheduler.h
@@ -120,6 +120,9 @@
   std::vector<std::uint64_t> RemovedJournalRows_;
   /// Snapshots of jobs, which replace the stored ones.
   std::vector<std::pair<std::string, JobProgress>> Progress_;
+  /// Rows of the journal with the tasks that do not fit into the row of a
+  /// snapshot. They are applied to it like later changes.
+  std::vector<JournalRow> SnapshotRests_;
   /// Workers to add to the stored set of workers that this owner uses.
   std::vector<WorkerEntry> StoredWorkers_;
   /// Workers to remove from that set.
--- a/packages/scheduling/src/progress_codec.cpp
+++ b/packages/scheduling/src/progress_codec.cpp
@@ -247,8 +247,9 @@
   return 2 * Quoted.size() + Fields;
 }
 
-std::size_t maxEncodedBytes(const TaskName &Name,
-                            const TaskProgress &Progress) {
+namespace {
+
+std::size_t maxTaskBytes(std::string_view Name, const TaskProgress &Progress) {
   // The brackets, indices and run number of a group of its own.
   constexpr std::size_t Group = 40;
   std::string Text;
@@ -258,11 +259,67 @@
     appendJsonString(Text, Progress.Worker_);
     return Group + Text.size();
   }
-  appendJsonString(Text, Name.text());
+  appendJsonString(Text, Name);
   appendTask(Text, Progress);
   return Text.size() + 2;
 }
 
+/// Returns an upper bound of the text of \p Progress without its tasks, also
+/// within a row of the journal.
+std::size_t maxHeaderBytes(const JobProgress &Progress) {
+  // The state, the number of the journal and the names of the fields.
+  constexpr std::size_t Fields = 140;
+  std::string Text;
+  // The id of the job is the beginning of each task's name. It occurs twice.
+  if (!Progress.Tasks_.empty())
+    for (int Time = 0; Time < 2; ++Time)
+      appendJsonString(Text, Progress.Tasks_.begin()->first);
+  return Text.size() + Fields;
+}
+
+std::vector<JobProgress> splitTasks(const JobProgress &Snapshot) {
+  JobProgress Header = Snapshot;
+  Header.Tasks_.clear();
+  const std::size_t HeaderBytes = maxHeaderBytes(Snapshot);
+  std::vector<JobProgress> Parts{Header};
+  std::size_t Bytes = HeaderBytes;
+  for (const auto &[Name, Task] : Snapshot.Tasks_) {
+    std::size_t TaskBytes = maxTaskBytes(Name, Task);
+    if (Bytes + TaskBytes > MaxRowBytes && !Parts.back().Tasks_.empty()) {
+      Parts.push_back(Header);
+      Bytes = HeaderBytes;
+    }
+    Parts.back().Tasks_.emplace(Name, Task);
+    Bytes += TaskBytes;
+  }
+  return Parts;
+}
+
+} // namespace
+
+std::size_t maxEncodedBytes(const TaskName &Name,
+                            const TaskProgress &Progress) {
+  return maxTaskBytes(Name.text(), Progress);
+}
+
+std::size_t maxEncodedBytes(const JobProgress &Progress) {
+  std::size_t Bytes = maxHeaderBytes(Progress);
+  for (const auto &[Name, Task] : Progress.Tasks_)
+    Bytes += maxTaskBytes(Name, Task);
+  return Bytes;
+}
+
+std::vector<JobProgress> splitSnapshot(JobProgress Snapshot) {
+  /// 384 KiB in the encoding of binary values, of the 1 MB of a transaction.
+  constexpr std::size_t MaxParts = 6;
+  std::vector<JobProgress> Parts = splitTasks(Snapshot);
+  if (Parts.size() <= MaxParts)
+    return Parts;
+  for (auto &[Name, Task] : Snapshot.Tasks_)
+    Task.Checkpoint_.clear();
+  return splitTasks(Snapshot);
+}
+
 std::string encodeJournal(const JournalEntries &Entries) {
   std::string Text = "{";
   for (const auto &[Job, Changes] : Entries) {
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -174,6 +174,8 @@
   // Storage.
   void takeChanges();
   void takeSnapshots(PendingWrites &Writes, std::size_t MaxRows);
+  void addSnapshot(PendingWrites &Writes, const std::string &Job,
+                   std::vector<JobProgress> Parts);
   void takePlannedRuns();
   void takeStoredEnds();
 
--- a/packages/scheduling/src/scheduler_writes.cpp
+++ b/packages/scheduling/src/scheduler_writes.cpp
@@ -67,7 +67,9 @@
   });
   Impl_->takeChanges();
   Impl_->takeSnapshots(Writes, Room);
-  Room -= Writes.Progress_.size() + Writes.RemovedJournalRows_.size();
+  Room -=
+      std::min(Room, Writes.Progress_.size() + Writes.SnapshotRests_.size() +
+                         Writes.RemovedJournalRows_.size());
   Take(Impl_->WorkersToRemove_,
        [&](const std::string &Id) { Writes.RemovedWorkers_.push_back(Id); });
   Take(Impl_->JobsToRemove_,
@@ -115,14 +117,19 @@
       Journal_.unpin(Job);
   Writes.Journal_.Number_ = Journal_.nextNumber();
   std::set<std::string> Covered;
-  for (SnapshotsInFlight_.clear(); Room > 0; --Room) {
+  for (SnapshotsInFlight_.clear(); Room > 0;) {
     std::optional<ProgressQueue::Entry> Taken = Snapshots_.takeFirst();
     if (!Taken)
       break;
     if (JobRecord *Record = findJob(Taken->Job_)) {
-      JobProgress Snapshot = Record->Job_.progress();
-      Snapshot.IncludedJournal_ = Writes.Journal_.Number_;
-      Writes.Progress_.emplace_back(Taken->Job_, std::move(Snapshot));
+      std::vector<JobProgress> Parts = splitSnapshot(Record->Job_.progress());
+      bool IsFirst = Writes.Progress_.empty();
+      if (Parts.size() > Room && !IsFirst) {
+        Snapshots_.restore(*Taken);
+        break;
+      }
+      Room -= std::min(Room, Parts.size());
+      addSnapshot(Writes, Taken->Job_, std::move(Parts));
       Covered.insert(Taken->Job_);
     }
     SnapshotsInFlight_.push_back(std::move(*Taken));
@@ -140,6 +147,23 @@
     Journal_.addRow(Writes.Journal_.Number_);
 }
 
+/// Adds the snapshot of \p Job. All parts but the first become rows of the
+/// journal.
+void Scheduler::Impl::addSnapshot(PendingWrites &Writes, const std::string &Job,
+                                  std::vector<JobProgress> Parts) {
+  Parts.front().IncludedJournal_ = Writes.Journal_.Number_;
+  Writes.Progress_.emplace_back(Job, std::move(Parts.front()));
+  for (std::size_t Part = 1; Part < Parts.size(); ++Part) {
+    JournalRow Rest{Journal_.nextNumber(), {}};
+    Rest.Entries_.emplace_back(Job, std::move(Parts[Part]));
+    Journal_.addRow(Rest.Number_);
+    // If the outcome of the transaction is unknown, the stored snapshot may
+    // need this row.
+    Journal_.pin(Job, Rest.Number_);
+    Writes.SnapshotRests_.push_back(std::move(Rest));
+  }
+}
+
 /// Determines the planned runs whose placement is stored with the changes that
 /// were taken.
 void Scheduler::Impl::takePlannedRuns() {
@@ -177,6 +201,9 @@
     if (JobRecord *Record = Impl_->findJob(Id))
       Record->StoredState_ = Progress.State_;
   }
+  for (const JournalRow &Rest : Writes.SnapshotRests_)
+    for (const auto &[Id, Tasks] : Rest.Entries_)
+      Impl_->Journal_.pin(Id, Rest.Number_);
   for (const auto &[Id, Changes] : Writes.Journal_.Entries_)
     Impl_->Journal_.pin(Id, Writes.Journal_.Number_);
   Impl_->Journal_.rowsRemoved(Writes.RemovedJournalRows_);
--- a/packages/scheduling/tests/cell_fixture.h
+++ b/packages/scheduling/tests/cell_fixture.h
@@ -72,6 +72,8 @@
       Snapshots_[Id] = Progress;
     if (!Writes.Journal_.Entries_.empty())
       Journal_[Writes.Journal_.Number_] = Writes.Journal_;
+    for (const JournalRow &Rest : Writes.SnapshotRests_)
+      Journal_[Rest.Number_] = Rest;
     for (std::uint64_t Number : Writes.RemovedJournalRows_)
       Journal_.erase(Number);
     for (const std::string &Id : Writes.RemovedJobs_)
--- a/packages/scheduling/tests/large_cell.cpp
+++ b/packages/scheduling/tests/large_cell.cpp
@@ -228,6 +228,8 @@
     LargestJournalRow_ = std::max(LargestJournalRow_, Row.size());
     Journal_[Writes.Journal_.Number_] = std::move(Row);
   }
+  for (const JournalRow &Rest : Writes.SnapshotRests_)
+    Journal_[Rest.Number_] = encodeJournal(Rest.Entries_);
   for (std::uint64_t Number : Writes.RemovedJournalRows_)
     Journal_.erase(Number);
   for (const auto &[Id, Progress] : Writes.Progress_)
--- a/packages/scheduling/tests/simulated_cell.cpp
+++ b/packages/scheduling/tests/simulated_cell.cpp
@@ -392,6 +392,8 @@
 void SimulatedCell::apply(const PendingWrites &Writes) {
   if (!Writes.Journal_.Entries_.empty())
     Journal_[Writes.Journal_.Number_] = encodeJournal(Writes.Journal_.Entries_);
+  for (const JournalRow &Rest : Writes.SnapshotRests_)
+    Journal_[Rest.Number_] = encodeJournal(Rest.Entries_);
   for (std::uint64_t Number : Writes.RemovedJournalRows_)
     Journal_.erase(Number);
   for (const auto &[Id, Changes] : Writes.Journal_.Entries_)
--- a/packages/scheduling/tests/storage_test.cpp
+++ b/packages/scheduling/tests/storage_test.cpp
@@ -41,6 +41,40 @@
     return Highest;
   }
 
+  /// Starts \p Tasks tasks, which have been submitted.
+  void startAll(std::size_t Tasks) {
+    for (std::size_t Answered = 0; Answered < Tasks;) {
+      step();
+      for (std::size_t Next = std::exchange(Answered, Starts_.size());
+           Next < Starts_.size(); ++Next)
+        Scheduler_.startAnswered(Starts_[Next].Worker_, Starts_[Next].Name_,
+                                 Starts_[Next].Run_, CallOutcome::Accepted,
+                                 Now_);
+    }
+  }
+
+  /// Stops all started tasks at once, each with a checkpoint. They wait, since
+  /// nothing can be started any more.
+  void stopAll() {
+    for (const StartTask &Start : Starts_)
+      EndedTasks_[Start.Worker_].push_back(
+          {EndedTasks_[Start.Worker_].size() + 1, Start.Name_, Start.Run_,
+           EndReason::Stopped, fmt::format("{:016x}", Start.Run_)});
+    Scheduler_.setClosedZones({"zone-a", "zone-b"});
+    step(1200ms);
+    answerRenewals();
+  }
+
+  /// Returns how many of the started tasks have a stored checkpoint.
+  std::size_t storedCheckpoints() const {
+    std::map<std::string, JobProgress> Stored = storedProgress();
+    return static_cast<std::size_t>(std::count_if(
+        Starts_.begin(), Starts_.end(), [&](const StartTask &Start) {
+          const auto &Tasks = Stored[Start.Name_.Job_].Tasks_;
+          return !Tasks.at(Start.Name_.text()).Checkpoint_.empty();
+        }));
+  }
+
   int NextJob_ = 0;
 };
 
@@ -199,21 +233,8 @@
   constexpr std::size_t Jobs = 900;
   for (std::size_t Job = 0; Job < Jobs; ++Job)
     submit(fmt::format("{:016x}", Job), {task(1, 1)});
-  for (std::size_t Answered = 0; Answered < Jobs;) {
-    step();
-    for (std::size_t Next = std::exchange(Answered, Starts_.size());
-         Next < Starts_.size(); ++Next)
-      Scheduler_.startAnswered(Starts_[Next].Worker_, Starts_[Next].Name_,
-                               Starts_[Next].Run_, CallOutcome::Accepted, Now_);
-  }
-  // All tasks are stopped at once, each with a checkpoint, and wait.
-  for (const StartTask &Start : Starts_)
-    EndedTasks_[Start.Worker_].push_back(
-        {EndedTasks_[Start.Worker_].size() + 1, Start.Name_, Start.Run_,
-         EndReason::Stopped, fmt::format("{:016x}", Start.Run_)});
-  Scheduler_.setClosedZones({"zone-a", "zone-b"});
-  step(1200ms);
-  answerRenewals();
+  startAll(Jobs);
+  stopAll();
   std::size_t Largest = 0;
   for (int Round = 0; Round < 20; ++Round) {
     step();
@@ -222,11 +243,59 @@
   }
   // 64 KiB, of which the encoding of binary values takes a quarter.
   BOOST_TEST(Largest <= 48U << 10U);
-  std::map<std::string, JobProgress> Stored = storedProgress();
-  for (const StartTask &Start : Starts_) {
-    const auto &Tasks = Stored[Start.Name_.Job_].Tasks_;
-    BOOST_TEST(!Tasks.at(Start.Name_.text()).Checkpoint_.empty());
+  BOOST_TEST(storedCheckpoints() == Jobs);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_snapshot)
+
+BOOST_FIXTURE_TEST_CASE(is_never_larger_than_a_row_of_the_store, LoadedCell) {
+  constexpr std::size_t Tasks = 2000;
+  submit("0123456789abcdef", {task(Tasks, 1)});
+  startAll(Tasks);
+  stopAll();
+  std::size_t Largest = 0;
+  // The journal becomes long, and the job is pinned in it.
+  for (int Round = 0; Round < 150; ++Round) {
+    submit(fmt::format("b{:06}", Round), {task(1, 1)});
+    Scheduler_.cancelJob(fmt::format("b{:06}", Round), Now_);
+    step();
+    for (const auto &[Job, Progress] : LastWrites_.Progress_)
+      Largest = std::max(Largest, encodeProgress(Progress).size());
+    for (const JournalRow &Rest : LastWrites_.SnapshotRests_)
+      Largest = std::max(Largest, encodeJournal(Rest.Entries_).size());
+  }
+  BOOST_TEST(Largest <= MaxRowBytes);
+  BOOST_TEST(storedCheckpoints() == Tasks);
+  // The first rows of the journal are not needed any more.
+  BOOST_TEST(Journal_.size() < 100U);
+}
+
+BOOST_FIXTURE_TEST_CASE(keeps_all_tasks_if_the_answer_to_its_row_is_lost,
+                        LoadedCell) {
+  constexpr std::size_t Tasks = 2000;
+  submit("0123456789abcdef", {task(Tasks, 1)});
+  startAll(Tasks);
+  stopAll();
+  for (int Round = 0; Round < 10; ++Round)
+    step();
+  int Lost = 0;
+  for (int Round = 0; Round < 250; ++Round) {
+    submit(fmt::format("b{:06}", Round), {task(1, 1)});
+    Scheduler_.cancelJob(fmt::format("b{:06}", Round), Now_);
+    PendingWrites Writes = Scheduler_.takeWrites(JobsOfTransaction);
+    store(Writes);
+    bool IsLost = !Writes.SnapshotRests_.empty() && ++Lost < 3;
+    if (IsLost)
+      Scheduler_.writesFailed(Writes);
+    else
+      Scheduler_.writesStored(Writes, Now_);
+    step();
+    BOOST_REQUIRE(storedCheckpoints() == Tasks);
   }
+  BOOST_TEST(Lost >= 3);
+  BOOST_TEST(Journal_.size() < 100U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
