Interference model: its row is bounded

The estimates of all pairs of images are one row, and the number of pairs grows with the images that jobs name. From about a thousand pairs on, the row was larger than the store takes. The owner adds the row to every transaction until one is stored, so no transaction would have been stored any more: no end acknowledged, no placed task started. Not seen on the present sites (some 200 pairs).

If a row cannot hold all estimates, those with the largest deviations are left out; they differ least from the prior.

Test before: interference_test.cpp(88): in "the_interference_model/fits_into_a_row_of_the_ store_whatever_the_images": check Text.size() <= MaxRowBytes has failed [286891 > 49152]

--- a/packages/scheduling/include/filbertspring/scheduling/progress_codec.h
+++ b/packages/scheduling/include/filbertspring/scheduling/progress_codec.h
@@ -52,7 +52,8 @@
 /// Reads what encodeStoredWorker() returns; Errc::InvalidJson otherwise.
 Result<WorkerEntry> decodeStoredWorker(std::string_view Text);
 
-/// Returns the stored text of \p Pairs.
+/// Returns the stored text of \p Pairs. If a row cannot hold all of them, those
+/// with the largest deviations are left out.
 std::string encodeInterference(std::span<const InterferenceEstimate> Pairs);
 /// Reads what encodeInterference() returns; Errc::InvalidJson otherwise.
 Result<std::vector<InterferenceEstimate>>
--- a/packages/scheduling/src/progress_codec.cpp
+++ b/packages/scheduling/src/progress_codec.cpp
@@ -369,15 +369,39 @@
 }
 
 std::string encodeInterference(std::span<const InterferenceEstimate> Pairs) {
-  json Value = json::array();
+  struct Entry {
+    double Deviation_;
+    std::string Text_;
+  };
+  std::vector<Entry> Entries;
+  std::size_t Bytes = 1;
   // Three digits suffice for the accuracy of the estimates, and the row is
   // written often.
   auto Rounded = [](double Number) { return std::round(Number * 1000) / 1000; };
-  for (const InterferenceEstimate &Pair : Pairs)
-    Value.push_back({Pair.ServingImage_, Pair.FillerImage_,
-                     Rounded(Pair.Value_.Mean_),
-                     Rounded(Pair.Value_.Deviation_)});
-  return Value.dump(-1, ' ', false, json::error_handler_t::replace);
+  for (const InterferenceEstimate &Pair : Pairs) {
+    json Value = {Pair.ServingImage_, Pair.FillerImage_,
+                  Rounded(Pair.Value_.Mean_), Rounded(Pair.Value_.Deviation_)};
+    Entries.push_back(
+        {Pair.Value_.Deviation_,
+         Value.dump(-1, ' ', false, json::error_handler_t::replace)});
+    Bytes += Entries.back().Text_.size() + 1;
+  }
+  if (Bytes > MaxRowBytes)
+    std::stable_sort(Entries.begin(), Entries.end(),
+                     [](const Entry &Left, const Entry &Right) {
+                       return Left.Deviation_ < Right.Deviation_;
+                     });
+  std::string Text = "[";
+  for (const Entry &Next : Entries) {
+    // With a comma or the bracket at the end.
+    if (Text.size() + Next.Text_.size() + 1 > MaxRowBytes)
+      break;
+    Text += Next.Text_;
+    Text += ',';
+  }
+  if (Text.size() > 1)
+    Text.pop_back();
+  return Text + ']';
 }
 
 Result<std::vector<InterferenceEstimate>>
--- a/packages/scheduling/tests/interference_test.cpp
+++ b/packages/scheduling/tests/interference_test.cpp
@@ -1,6 +1,8 @@
 #include "filbertspring/scheduling/interference.h"
 #include "filbertspring/scheduling/pacing.h"
+#include "filbertspring/scheduling/progress_codec.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <cmath>
 #include <random>
@@ -72,6 +74,26 @@
              boost::test_tools::tolerance(0.1));
 }
 
+BOOST_AUTO_TEST_CASE(fits_into_a_row_of_the_store_whatever_the_images) {
+  std::vector<InterferenceEstimate> Pairs;
+  for (int Serving = 0; Serving < 200; ++Serving) {
+    std::string Image = "serving-" + std::to_string(Serving);
+    Pairs.push_back({Image, "", {1.5, 0.1}});
+    for (int Filler = 0; Filler < 40; ++Filler)
+      Pairs.push_back({Image,
+                       "filler-" + std::to_string(Filler),
+                       {0.5, Filler == 0 ? 0.2 : 5.0}});
+  }
+  std::string Text = encodeInterference(Pairs);
+  BOOST_TEST(Text.size() <= MaxRowBytes);
+  Result<std::vector<InterferenceEstimate>> Read = decodeInterference(Text);
+  BOOST_REQUIRE(Read.has_value());
+  // What is known best is kept.
+  BOOST_TEST(std::count_if(Read->begin(), Read->end(), [](const auto &Pair) {
+               return Pair.Value_.Deviation_ < 1.0;
+             }) == 400);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(the_pace_of_fillers)
