Transactions of the owner are bounded by bytes

What callers saw: after a change of owner, no end is acknowledged and no placed task is started.

Cause: a transaction was bounded by rows only. With 200 stopped tasks a job that was 1.2 MB, 1.65 MB in base64: more than the 1 MB that the store takes. Smaller ones fail, too: an instance that reaches the store through another one may send 512 KB, and over a link of 2 Mbit/s 225 KB take the whole timeout of 0.9 s. The outcome was "unknown" each time, and the same transaction was tried again.

takeWrites() now bounds bytes as well as rows. Every other transaction takes one whatever its size, so that none waits for ever, and the transactions between hold the changes without it, so that ends and starts go on even if that one cannot be stored.

Test before: storage_test.cpp(290): in "a_transaction/is_sent_in_time_over_a_slow_link": check Largest <= 128U << 10U has failed [1238852 > 131072]

--- a/packages/scheduling/include/filbertspring/scheduling/scheduler.h
+++ b/packages/scheduling/include/filbertspring/scheduling/scheduler.h
@@ -136,6 +136,11 @@
   }
 };
 
+/// Maximum size of the rows of one transaction. With the encoding of binary
+/// values, it is sent in 0.7 s over a link of 2 Mbit/s, and is a sixth of what
+/// the store takes.
+inline constexpr std::size_t MaxTransactionBytes = 128U << 10U;
+
 /// Current counts, for metrics.
 struct SchedulerCounts {
   std::size_t Jobs_ = 0;
@@ -204,10 +209,12 @@
   std::vector<Action> takeActions();
   std::vector<LogRecord> takeLogRecords();
 
-  /// Returns the changes to store, at most \p MaxRows rows. Only one
-  /// transaction may be outstanding at a time; finish it with writesStored() or
-  /// writesFailed().
-  PendingWrites takeWrites(std::size_t MaxRows);
+  /// Returns the changes to store, at most \p MaxRows rows and a row of the
+  /// journal, with \p MaxBytes in all. A change or a snapshot that is larger is
+  /// taken without others of its kind. Only one transaction may be outstanding
+  /// at a time; finish it with writesStored() or writesFailed().
+  PendingWrites takeWrites(std::size_t MaxRows,
+                           std::size_t MaxBytes = MaxTransactionBytes);
   void writesStored(const PendingWrites &Writes, TimePoint Now);
   void writesFailed(const PendingWrites &Writes);
   /// Returns whether there are changes to store or ended runs to acknowledge.
--- a/packages/scheduling/src/progress_codec.cpp
+++ b/packages/scheduling/src/progress_codec.cpp
@@ -312,7 +312,12 @@
 std::vector<JobProgress> splitSnapshot(JobProgress Snapshot) {
   /// 384 KiB in the encoding of binary values, of the 1 MB of a transaction.
   constexpr std::size_t MaxParts = 6;
-  std::vector<JobProgress> Parts = splitTasks(Snapshot);
+  std::vector<JobProgress> Parts;
+  if (maxEncodedBytes(Snapshot) <= MaxRowBytes) {
+    Parts.push_back(std::move(Snapshot));
+    return Parts;
+  }
+  Parts = splitTasks(Snapshot);
   if (Parts.size() <= MaxParts)
     return Parts;
   for (auto &[Name, Task] : Snapshot.Tasks_)
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -9,6 +9,7 @@
 #include "progress_queue.h"
 #include "worker_state.h"
 
+#include <algorithm>
 #include <map>
 #include <queue>
 #include <set>
@@ -57,6 +58,20 @@
   std::int64_t StartedAtMs_ = 0;
 };
 
+/// The remaining room in a transaction.
+struct WriteRoom {
+  std::size_t Rows_ = 0;
+  std::size_t Bytes_ = 0;
+
+  bool fits(std::size_t Rows, std::size_t Bytes) const {
+    return Rows <= Rows_ && Bytes <= Bytes_;
+  }
+  void take(std::size_t Rows, std::size_t Bytes) {
+    Rows_ -= std::min(Rows, Rows_);
+    Bytes_ -= std::min(Bytes, Bytes_);
+  }
+};
+
 /// A job whose changes are part of the outstanding transaction.
 struct JobInFlight {
   ProgressQueue::Entry Queued_;
@@ -172,8 +187,9 @@
   void sendPlannedStarts(TimePoint Now);
 
   // Storage.
-  void takeChanges();
-  void takeSnapshots(PendingWrites &Writes, std::size_t MaxRows);
+  void takeChanges(WriteRoom &Room);
+  void takeSnapshots(PendingWrites &Writes, WriteRoom &Room);
+  void takeSnapshotsThatFit(PendingWrites &Writes, WriteRoom &Room);
   void addSnapshot(PendingWrites &Writes, const std::string &Job,
                    std::vector<JobProgress> Parts);
   void takePlannedRuns();
--- a/packages/scheduling/src/scheduler_writes.cpp
+++ b/packages/scheduling/src/scheduler_writes.cpp
@@ -15,30 +15,49 @@
 /// that the journal becomes shorter.
 constexpr std::size_t MaxRemovedJournalRows = 8;
 
+/// The bytes that a row of the journal has in any case, so that changes are
+/// stored whatever else there is.
+constexpr std::size_t MinJournalBytes = 4U << 10U;
+/// Upper bound of the bytes that a row of a worker or a removal takes.
+constexpr std::size_t SmallRowBytes = 700;
+
 /// The remaining room in a row of the journal.
-struct JournalRoom {
-  std::size_t Tasks_ = MaxJournalTasks;
-  /// The row has two braces.
-  std::size_t Bytes_ = MaxRowBytes - 2;
+class JournalRoom {
+public:
+  explicit JournalRoom(std::size_t MaxBytes)
+      : Bytes_(std::min(MaxBytes, MaxRowBytes) - BraceBytes) {}
 
   /// Takes the changes of \p TheJob that fit. A change that fits into no row is
   /// taken alone; encodeProgress() leaves out its checkpoint.
   std::vector<std::uint32_t> take(Job &TheJob) {
-    bool IsEmpty = Bytes_ == MaxRowBytes - 2;
+    bool IsEmpty = UsedBytes_ == BraceBytes;
     std::size_t Count = 0;
     std::size_t Used = maxEncodedBytes(TheJob);
     for (std::uint32_t Slot : TheJob.changes()) {
-      Used += maxEncodedBytes(TheJob.nameOf(Slot), TheJob.at(Slot).Progress_);
+      std::size_t Bytes =
+          maxEncodedBytes(TheJob.nameOf(Slot), TheJob.at(Slot).Progress_);
       bool IsFirst = IsEmpty && Count == 0;
-      if (Count == Tasks_ || (Used > Bytes_ && !IsFirst))
+      if (Count == Tasks_ || (Used + Bytes > Bytes_ && !IsFirst))
         break;
+      Used += Bytes;
       ++Count;
     }
     std::vector<std::uint32_t> Slots = TheJob.takeChanges(Count);
+    // A job of which only the state has changed is not in the row.
+    if (Slots.empty())
+      return Slots;
     Tasks_ -= Count;
     Bytes_ -= std::min(Bytes_, Used);
+    UsedBytes_ += Used;
     return Slots;
   }
+  std::size_t usedBytes() const { return UsedBytes_; }
+
+private:
+  static constexpr std::size_t BraceBytes = 2;
+  std::size_t Tasks_ = MaxJournalTasks;
+  std::size_t Bytes_;
+  std::size_t UsedBytes_ = BraceBytes;
 };
 
 } // namespace
@@ -49,15 +68,15 @@
          !Impl_->JobsToRemove_.empty() || !Impl_->Snapshots_.empty();
 }
 
-PendingWrites Scheduler::takeWrites(std::size_t MaxRows) {
+PendingWrites Scheduler::takeWrites(std::size_t MaxRows, std::size_t MaxBytes) {
   PendingWrites Writes;
   Writes.Sequence_ = ++Impl_->WriteSequence_;
-  std::size_t Room = MaxRows;
+  WriteRoom Room{MaxRows, MaxBytes};
   auto Take = [&Room](std::set<std::string> &From, auto &&Add) {
-    while (Room > 0 && !From.empty()) {
+    while (Room.fits(1, SmallRowBytes) && !From.empty()) {
       auto First = From.extract(From.begin());
       Add(First.value());
-      --Room;
+      Room.take(1, SmallRowBytes);
     }
   };
   // New workers first: no task is started on a worker that is not stored.
@@ -65,11 +84,8 @@
     if (WorkerState *Worker = Impl_->findWorker(Id))
       Writes.StoredWorkers_.push_back(Worker->Entry_);
   });
-  Impl_->takeChanges();
+  Impl_->takeChanges(Room);
   Impl_->takeSnapshots(Writes, Room);
-  Room -=
-      std::min(Room, Writes.Progress_.size() + Writes.SnapshotRests_.size() +
-                         Writes.RemovedJournalRows_.size());
   Take(Impl_->WorkersToRemove_,
        [&](const std::string &Id) { Writes.RemovedWorkers_.push_back(Id); });
   Take(Impl_->JobsToRemove_,
@@ -80,9 +96,9 @@
 }
 
 /// Takes the changes of the jobs that changed first, as many as fit into a row.
-void Scheduler::Impl::takeChanges() {
+void Scheduler::Impl::takeChanges(WriteRoom &Room) {
   JobsInFlight_.clear();
-  JournalRoom Room;
+  JournalRoom Row(std::max(Room.Bytes_, MinJournalBytes));
   bool IsFull = false;
   while (!IsFull) {
     std::optional<ProgressQueue::Entry> First = DirtyJobs_.takeFirst();
@@ -91,7 +107,7 @@
     JobRecord *Record = findJob(First->Job_);
     if (!Record)
       continue;
-    std::vector<std::uint32_t> Slots = Room.take(Record->Job_);
+    std::vector<std::uint32_t> Slots = Row.take(Record->Job_);
     IsFull = Record->Job_.hasChanges();
     if (Record->Job_.state() != Record->StoredState_)
       Snapshots_.add(First->Job_);
@@ -101,39 +117,25 @@
       DirtyJobs_.restore(*First);
     JobsInFlight_.push_back({std::move(*First), std::move(Slots)});
   }
+  Room.take(0, Row.usedBytes());
 }
 
-/// Takes snapshots of jobs, at most \p MaxRows with the rows of the journal
-/// that become unneeded, and adds the changes of all other jobs to the journal.
-void Scheduler::Impl::takeSnapshots(PendingWrites &Writes,
-                                    std::size_t MaxRows) {
+/// Takes snapshots of jobs and the rows of the journal that become unneeded,
+/// and adds the changes of all other jobs to the journal.
+void Scheduler::Impl::takeSnapshots(PendingWrites &Writes, WriteRoom &Room) {
   Writes.RemovedJournalRows_ =
-      Journal_.unneededRows(std::min(MaxRows / 4, MaxRemovedJournalRows));
-  std::size_t Room = MaxRows - Writes.RemovedJournalRows_.size();
-  for (const std::string &Job : Journal_.jobsToSnapshot(Room))
+      Journal_.unneededRows(std::min(Room.Rows_ / 4, MaxRemovedJournalRows));
+  Room.take(Writes.RemovedJournalRows_.size(), 0);
+  for (const std::string &Job : Journal_.jobsToSnapshot(Room.Rows_))
     if (findJob(Job))
       Snapshots_.add(Job);
     else
       Journal_.unpin(Job);
   Writes.Journal_.Number_ = Journal_.nextNumber();
+  takeSnapshotsThatFit(Writes, Room);
   std::set<std::string> Covered;
-  for (SnapshotsInFlight_.clear(); Room > 0;) {
-    std::optional<ProgressQueue::Entry> Taken = Snapshots_.takeFirst();
-    if (!Taken)
-      break;
-    if (JobRecord *Record = findJob(Taken->Job_)) {
-      std::vector<JobProgress> Parts = splitSnapshot(Record->Job_.progress());
-      bool IsFirst = Writes.Progress_.empty();
-      if (Parts.size() > Room && !IsFirst) {
-        Snapshots_.restore(*Taken);
-        break;
-      }
-      Room -= std::min(Room, Parts.size());
-      addSnapshot(Writes, Taken->Job_, std::move(Parts));
-      Covered.insert(Taken->Job_);
-    }
-    SnapshotsInFlight_.push_back(std::move(*Taken));
-  }
+  for (const auto &[Job, Progress] : Writes.Progress_)
+    Covered.insert(Job);
   for (const JobInFlight &Changed : JobsInFlight_) {
     const std::string &Id = Changed.Queued_.Job_;
     JobRecord *Record = findJob(Id);
@@ -147,6 +149,34 @@
     Journal_.addRow(Writes.Journal_.Number_);
 }
 
+/// Takes the snapshots that were requested first, as many as fit.
+void Scheduler::Impl::takeSnapshotsThatFit(PendingWrites &Writes,
+                                           WriteRoom &Room) {
+  // In every other transaction, one is taken whatever its size. If this one
+  // cannot be stored, the next one holds the changes without it.
+  bool MustTakeOne = Writes.Sequence_ % 2 == 0;
+  SnapshotsInFlight_.clear();
+  while (Room.Rows_ > 0) {
+    std::optional<ProgressQueue::Entry> Taken = Snapshots_.takeFirst();
+    if (!Taken)
+      return;
+    if (JobRecord *Record = findJob(Taken->Job_)) {
+      std::vector<JobProgress> Parts = splitSnapshot(Record->Job_.progress());
+      std::size_t Bytes = 0;
+      for (const JobProgress &Part : Parts)
+        Bytes += maxEncodedBytes(Part);
+      bool IsForced = MustTakeOne && Writes.Progress_.empty();
+      if (!Room.fits(Parts.size(), Bytes) && !IsForced) {
+        Snapshots_.restore(*Taken);
+        return;
+      }
+      Room.take(Parts.size(), Bytes);
+      addSnapshot(Writes, Taken->Job_, std::move(Parts));
+    }
+    SnapshotsInFlight_.push_back(std::move(*Taken));
+  }
+}
+
 /// Adds the snapshot of \p Job. All parts but the first become rows of the
 /// journal.
 void Scheduler::Impl::addSnapshot(PendingWrites &Writes, const std::string &Job,
--- a/packages/scheduling/tests/storage_test.cpp
+++ b/packages/scheduling/tests/storage_test.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
+#include <set>
 
 namespace filbertspring::scheduling::test {
 namespace {
@@ -322,6 +323,78 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_transaction)
+
+/// The jobs of a cell after a takeover: the journal holds changes of all of
+/// them, so each needs a new snapshot.
+struct TakenOverCell {
+  static constexpr int Jobs = 120;
+
+  TakenOverCell() {
+    JournalRow Row{7, {}};
+    for (int Job = 0; Job < Jobs; ++Job) {
+      AcceptedJob Accepted;
+      Accepted.Id_ = fmt::format("{:016x}", Job);
+      Accepted.Queue_ = "batch";
+      Accepted.Service_ = "service";
+      Accepted.Spec_.Steps_ = {Cell::task(200)};
+      Scheduler_.addJob(Accepted, TimePoint());
+      JobProgress Progress;
+      Progress.State_ = JobState::Running;
+      for (int Task = 0; Task < 200; ++Task)
+        Progress.Tasks_[fmt::format("{}.0.0.{}", Accepted.Id_, Task)] =
+            makeStoppedTask(Task);
+      Scheduler_.restoreProgress(Accepted.Id_, Progress);
+      Row.Entries_.emplace_back(Accepted.Id_, JobProgress());
+    }
+    Scheduler_.restoreJournalRow(Row);
+  }
+
+  static TaskProgress makeStoppedTask(int Number) {
+    TaskProgress Progress;
+    Progress.Checkpoint_ = fmt::format("{:016x}", Number);
+    Progress.LastRun_ = 1'000'001;
+    return Progress;
+  }
+
+  static std::size_t bytesOf(const PendingWrites &Writes) {
+    std::size_t Bytes = encodeJournal(Writes.Journal_.Entries_).size();
+    for (const auto &[Job, Progress] : Writes.Progress_)
+      Bytes += encodeProgress(Progress).size();
+    return Bytes;
+  }
+
+  SchedulerSettings settings() const {
+    SchedulerSettings Settings;
+    Settings.Tenure_ = 1;
+    return Settings;
+  }
+
+  Scheduler Scheduler_{settings(), TimePoint()};
+};
+
+BOOST_FIXTURE_TEST_CASE(is_sent_in_time_over_a_slow_link, TakenOverCell) {
+  std::set<std::string> Stored;
+  std::vector<std::uint64_t> RemovedRows;
+  std::size_t Largest = 0;
+  for (int Round = 0; Round < 60; ++Round) {
+    PendingWrites Writes = Scheduler_.takeWrites(JobsOfTransaction);
+    Largest = std::max(Largest, bytesOf(Writes));
+    for (const auto &[Job, Progress] : Writes.Progress_)
+      Stored.insert(Job);
+    RemovedRows.insert(RemovedRows.end(), Writes.RemovedJournalRows_.begin(),
+                       Writes.RemovedJournalRows_.end());
+    Scheduler_.writesStored(Writes, TimePoint());
+  }
+  // 0.7 s at 2 Mbit/s, with the encoding of binary values.
+  BOOST_TEST(Largest <= 128U << 10U);
+  BOOST_TEST(Stored.size() == std::size_t{Jobs});
+  BOOST_TEST(RemovedRows == std::vector<std::uint64_t>{7U},
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_row_of_the_journal)
 
 BOOST_AUTO_TEST_CASE(is_read_as_it_was_written) {
