A submission that the store can never take is answered 400 at once

What callers saw: a job whose row is too large was answered 503 with Retry-After each time it was submitted (the store's 400), or its insert was repeated every 150 ms until the deadline and then answered 504 (a 413).

Cause: the answers 400 to 411 counted as a refusal that may pass, and 413 as an unknown outcome. 400, 403 and 413 are now a rejection: nothing was done, and the same call never succeeds. 507 is a refusal: nothing was done. The log line names the bytes of the row.

Test before: callers_test.cpp(93): in "a_submission/that_the_store_can_never_take_is_ rejected_at_once": check submit() == 400 has failed [503 != 400] callers_test.cpp(93): ... check submit() == 400 has failed [504 != 400] callers_test.cpp(94): ... check StoreCalls_ == 1 has failed [19 != 1]

--- a/packages/node/src/callers.cpp
+++ b/packages/node/src/callers.cpp
@@ -167,11 +167,9 @@
       platform::decodeJobSpec(CallerExchange->Request_.Body_);
   std::string Problem =
       Spec ? scheduling::findSpecError(*Spec) : Spec.error().message();
-  if (!Problem.empty()) {
-    logEvent(LogEvent::JobRefused,
-             {{"job", CallerExchange->Job_}, {"problem", Problem}});
-    return CallerExchange->Respond_(makeAnswer(400));
-  }
+  if (!Problem.empty())
+    return rejectJob(CallerExchange, Problem,
+                     CallerExchange->Request_.Body_.size());
   StoredAcceptance Accepted;
   Accepted.Queue_ = CallerExchange->Queue_.Name_;
   Accepted.Service_ = CallerExchange->Queue_.Service_;
@@ -186,6 +184,16 @@
   insertJob(CallerExchange, Insert);
 }
 
+/// Answers a submission that can never succeed.
+void CallerRequestHandler::rejectJob(const ExchangePtr &CallerExchange,
+                                     std::string_view Problem,
+                                     std::size_t Bytes) {
+  logEvent(LogEvent::JobRefused, {{"job", CallerExchange->Job_},
+                                  {"problem", Problem},
+                                  {"bytes", static_cast<std::int64_t>(Bytes)}});
+  CallerExchange->Respond_(makeAnswer(400));
+}
+
 /// Inserts the job, and repeats the insert until its outcome is known or the
 /// caller's deadline has passed. The condition that the row does not exist
 /// makes repeats safe.
@@ -219,12 +227,16 @@
                     std::chrono::milliseconds(1)}});
           return CallerExchange->Respond_(makeAnswer(200));
         case CommitOutcome::Refused:
+        case CommitOutcome::Rejected:
           // An earlier insert for this request may still take effect.
           if (CallerExchange->MayBeStored_) {
             logEvent(LogEvent::JobOutcomeUnknown,
                      {{"job", CallerExchange->Job_}});
             return CallerExchange->Respond_(makeUnknownOutcomeAnswer());
           }
+          if (Outcome.Outcome_ == CommitOutcome::Rejected)
+            return rejectJob(CallerExchange, "the store takes no such row",
+                             Insert.Writes_.front().Value_.size());
           logEvent(LogEvent::JobRefused, {{"job", CallerExchange->Job_},
                                           {"problem", "store refuses calls"}});
           return CallerExchange->Respond_(makeUnavailableAnswer());
@@ -312,6 +324,7 @@
           // The row of an accepted job changes only by its removal.
           return CallerExchange->Respond_(makeAnswer(410));
         case CommitOutcome::Refused:
+        case CommitOutcome::Rejected:
           return CallerExchange->Respond_(makeUnavailableAnswer());
         case CommitOutcome::Unknown:
           return Loop_.after(StoreRetryDelay, [this, CallerExchange, Version] {
--- a/packages/node/src/cell_owner.cpp
+++ b/packages/node/src/cell_owner.cpp
@@ -55,8 +55,9 @@
 /// are reserved for the owner's row and the status.
 constexpr std::size_t MaxProgressRows = platform::MaxTransactionRows - 10;
 
-constexpr EnumTable<CommitOutcome, 4> CommitOutcomeNames{
+constexpr EnumTable<CommitOutcome, 5> CommitOutcomeNames{
     {{CommitOutcome::Committed, "committed"},
+     {CommitOutcome::Rejected, "rejected"},
      {CommitOutcome::Conflict, "conflict"},
      {CommitOutcome::Refused, "refused"},
      {CommitOutcome::Unknown, "unknown"}}};
@@ -146,11 +147,10 @@
                    {{"outcome", nameOf(CommitOutcomeNames, Outcome.Outcome_)},
                     {"took_ms", toMilliseconds(SchedulerClock::now() - SentAt)},
                     {"owner", Lease_.record().Holder_}});
-        if (Outcome.Outcome_ == CommitOutcome::Refused ||
-            Outcome.Outcome_ == CommitOutcome::Unknown)
-          return Lease_.takeoverFailed(SchedulerClock::now());
-        if (Outcome.Outcome_ != CommitOutcome::Committed)
+        if (Outcome.Outcome_ == CommitOutcome::Conflict)
           return;
+        if (Outcome.Outcome_ != CommitOutcome::Committed)
+          return Lease_.takeoverFailed(SchedulerClock::now());
         Lease_.rowWritten(NewOwner, Outcome.Version_, SentAt);
         if (IsReleased_)
           return storeRelease();
@@ -444,7 +444,8 @@
   }
   ActiveTenure.Scheduler_.writesFailed(Sent.Writes_);
   ActiveTenure.NextCommitAt_ = Now + StoreRetryDelay;
-  if (Outcome.Outcome_ == CommitOutcome::Refused)
+  if (Outcome.Outcome_ == CommitOutcome::Refused ||
+      Outcome.Outcome_ == CommitOutcome::Rejected)
     return;
   // Either another instance has taken the cell over, or an earlier write of
   // this owner took effect late.
--- a/packages/scheduling/include/filbertspring/scheduling/row_store.h
+++ b/packages/scheduling/include/filbertspring/scheduling/row_store.h
@@ -48,8 +48,12 @@
   Committed,
   /// A condition did not hold; nothing was changed.
   Conflict,
-  /// The store refused the call; nothing was changed.
+  /// The store refused the call; nothing was changed. It may take the same call
+  /// later.
   Refused,
+  /// The store takes no such call, for example because it is too large; nothing
+  /// was changed.
+  Rejected,
   /// The transaction may have taken effect, or may do so later.
   Unknown,
 };
@@ -57,6 +61,8 @@
 /// The response to a transaction.
 struct CommitResult {
   CommitOutcome Outcome_ = CommitOutcome::Unknown;
+  /// The status of the answer; 0 without an answer.
+  int Status_ = 0;
   /// The store's version after a commit.
   std::uint64_t Version_ = 0;
   /// After a conflict: the current rows that the conditions refer to, without
