An owner whose transaction is rejected continues with smaller ones

Cause: the owner tried a transaction again as it was, whatever the store had answered. One that is too large for the store, or that takes longer than the timeout on the link, is never stored, and all later changes wait behind it.

--- a/packages/node/src/cell_owner.cpp
+++ b/packages/node/src/cell_owner.cpp
@@ -51,10 +51,6 @@
 /// of the minimum time between transactions; no task starts without a
 /// transaction.
 constexpr Duration CycleDelay = std::chrono::milliseconds(8);
-/// The rows of a transaction that are available for job progress; the others
-/// are reserved for the owner's row and the status.
-constexpr std::size_t MaxProgressRows = platform::MaxTransactionRows - 10;
-
 constexpr EnumTable<CommitOutcome, 5> CommitOutcomeNames{
     {{CommitOutcome::Committed, "committed"},
      {CommitOutcome::Rejected, "rejected"},
@@ -354,7 +350,9 @@
   Sent.HasOwnerRow_ = MustRenew;
   Sent.SentAt_ = Now;
   if (ActiveTenure.IsLoaded_) {
-    Sent.Writes_ = ActiveTenure.Scheduler_.takeWrites(MaxProgressRows);
+    Sent.Writes_ = ActiveTenure.Scheduler_.takeWrites(
+        ActiveTenure.TransactionSize_.rows(),
+        ActiveTenure.TransactionSize_.bytes());
     addStatusAndModel(Sent);
   }
   if (!MustRenew && Sent.Writes_.empty() && Sent.Status_.empty() &&
@@ -426,6 +424,7 @@
   TimePoint Now = SchedulerClock::now();
   ActiveTenure.IsCommitting_ = false;
   ActiveTenure.NextCommitAt_ = Sent.SentAt_ + MinCommitInterval;
+  ActiveTenure.TransactionSize_.ended(Outcome.Outcome_);
   if (Outcome.Outcome_ == CommitOutcome::Committed) {
     if (Sent.HasOwnerRow_) {
       Lease_.rowWritten(Lease_.record(), Outcome.Version_, Sent.SentAt_);
--- a/packages/node/src/cell_owner.h
+++ b/packages/node/src/cell_owner.h
@@ -10,6 +10,7 @@
 #include "filbertspring/scheduling/scheduler.h"
 #include "store_client.h"
 #include "successor_search.h"
+#include "transaction_size.h"
 #include "worker_calls.h"
 
 #include <memory>
@@ -37,6 +38,7 @@
   /// write the owner's row, so that the late one fails its condition on it.
   bool MustWriteOwnerRow_ = false;
   TimePoint NextCommitAt_{};
+  TransactionSize TransactionSize_;
   std::string StoredStatus_;
   TimePoint NextStatusAt_{};
   std::string StoredModel_;
--- a/packages/node/tests/cell_owner_test.cpp
+++ b/packages/node/tests/cell_owner_test.cpp
@@ -12,7 +12,9 @@
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
 #include <map>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace filbertspring::node {
 namespace {
@@ -54,6 +56,11 @@
       Feeds_[std::string(Request.query("Table"))] = Respond;
       return;
     }
+    if (Request.Path_ == "/rows-tx" && isTooLarge(Request.Body_)) {
+      HttpAnswer Rejection;
+      Rejection.Status_ = RejectionStatus_;
+      return Respond(std::move(Rejection));
+    }
     if (Request.Path_ == "/rows-tx")
       recordTransaction(Request.Body_);
     if (Request.Path_ == "/rows-tx" && !ConflictingRow_.empty()) {
@@ -64,8 +71,29 @@
     Respond(makePage(""));
   }
 
+  /// Returns the keys of the written snapshots of jobs.
+  static std::vector<std::string> snapshotsIn(const std::string &Body) {
+    constexpr std::string_view Prefix =
+        R"({"Table":"progress","part":"cell","Key":")";
+    std::vector<std::string> Keys;
+    for (std::size_t At = Body.find(Prefix); At != std::string::npos;
+         At = Body.find(Prefix, At + 1)) {
+      std::size_t Begin = At + Prefix.size();
+      std::string Key = Body.substr(Begin, Body.find('"', Begin) - Begin);
+      if (!journalNumberFromKey(Key))
+        Keys.push_back(std::move(Key));
+    }
+    return Keys;
+  }
+
+  bool isTooLarge(const std::string &Body) const {
+    return RejectionStatus_ != 0 && snapshotsIn(Body).size() > MaxSnapshots;
+  }
+
   void recordTransaction(const std::string &Body) {
     ++Transactions_;
+    for (std::string &Key : snapshotsIn(Body))
+      StoredSnapshots_.insert(std::move(Key));
     constexpr std::string_view Member = R"("Value":")";
     std::size_t Begin = Body.find(Member) + Member.size();
     if (TakeoverValue_.empty())
@@ -112,6 +140,11 @@
   /// The open calls of change feeds, by their table.
   std::map<std::string, HttpResponder> Feeds_;
   int Transactions_ = 0;
+  /// If RejectionStatus_ is not 0, the store answers it to transactions with
+  /// more snapshots of jobs.
+  static constexpr std::size_t MaxSnapshots = 6;
+  int RejectionStatus_ = 0;
+  std::set<std::string> StoredSnapshots_;
   /// The encoded value of the first row that was written.
   std::string TakeoverValue_;
   /// If not empty, the next transaction fails and this row is the cause.
@@ -163,8 +196,48 @@
   }
 };
 
+/// An owner with more changes than the store takes in one transaction.
+struct BusyCell : OwnedCell {
+  static constexpr std::size_t Jobs = 40;
+
+  void cancelJobs() {
+    for (std::size_t Number = 0; Number < Jobs; ++Number) {
+      std::string Id = fmt::format("{:016x}", Number);
+      scheduling::Row Accepted;
+      Accepted.Key_ = jobKey(Id);
+      Accepted.Value_ =
+          encodeAcceptance({"q", "s", 1, R"({"Spec":"","Steps":[{"Cpu":1}]})"});
+      Owner_.handleStoredJobRow(Accepted);
+      scheduling::Row Cancelled;
+      Cancelled.Key_ = cancellationKey(Id);
+      Cancelled.Value_ = "{}";
+      Owner_.handleStoredJobRow(Cancelled);
+    }
+  }
+};
+
 } // namespace
 
+BOOST_AUTO_TEST_SUITE(an_owner_whose_transactions_are_rejected)
+
+BOOST_FIXTURE_TEST_CASE(as_invalid_stores_its_changes_in_smaller_ones,
+                        BusyCell) {
+  RejectionStatus_ = 400;
+  cancelJobs();
+  runUntil([this] { return StoredSnapshots_.size() == Jobs; });
+  BOOST_TEST(Owner_.isOwner());
+}
+
+BOOST_FIXTURE_TEST_CASE(as_too_large_stores_its_changes_in_smaller_ones,
+                        BusyCell) {
+  RejectionStatus_ = 413;
+  cancelJobs();
+  runUntil([this] { return StoredSnapshots_.size() == Jobs; });
+  BOOST_TEST(Owner_.isOwner());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(an_owner_that_gives_the_cell_up)
 
 BOOST_FIXTURE_TEST_CASE(ignores_changes_that_arrive_in_the_same_moment,
--- a/packages/scheduling/tests/storage_test.cpp
+++ b/packages/scheduling/tests/storage_test.cpp
@@ -393,6 +393,19 @@
              boost::test_tools::per_element());
 }
 
+BOOST_FIXTURE_TEST_CASE(with_little_room_still_takes_each_snapshot,
+                        TakenOverCell) {
+  std::set<std::string> Stored;
+  for (int Round = 0; Round < 3 * Jobs; ++Round) {
+    PendingWrites Writes = Scheduler_.takeWrites(1, 1024);
+    BOOST_TEST(Writes.Progress_.size() <= 1U);
+    for (const auto &[Job, Progress] : Writes.Progress_)
+      Stored.insert(Job);
+    Scheduler_.writesStored(Writes, TimePoint());
+  }
+  BOOST_TEST(Stored.size() == std::size_t{Jobs});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(a_row_of_the_journal)
