Failed transactions of the owner are logged and counted

An owner that stored nothing left no trace: its log showed `cell_owned` and `cell_loaded`, and then nothing until it lost the cell. The first failed transaction, and then one a second, is now a line with the outcome, the status of the answer, rows, bytes, the key of the largest row and the number of failures since the last success: commit_refused (new, 5006), commit_unknown or commit_conflict. owner_commits_failed_total counts all of them by outcome.

Test: as_invalid_stores_its_changes_in_smaller_ones reads the counter.

--- a/packages/base/include/filbertspring/base/log_event.h
+++ b/packages/base/include/filbertspring/base/log_event.h
@@ -66,6 +66,7 @@
   CommitUnknown = 5003,
   CommitConflict = 5004,
   ForeignRow = 5005,
+  CommitRefused = 5006,
 
   CallerRejected = 6001,
 };
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -103,6 +103,9 @@
      "A transaction lost against another one."},
     {LogEvent::ForeignRow, Warning, "foreign_row",
      "A row of the store cannot be read; it is passed over."},
+    {LogEvent::CommitRefused, Warning, "commit_refused",
+     "The store did not take a transaction of the cell's owner; nothing of it "
+     "is stored."},
     {LogEvent::CallerRejected, Warning, "caller_rejected",
      "A caller's connection was refused or closed; the reason is given."},
 });
--- a/packages/node/src/cell_owner.cpp
+++ b/packages/node/src/cell_owner.cpp
@@ -51,17 +51,47 @@
 /// of the minimum time between transactions; no task starts without a
 /// transaction.
 constexpr Duration CycleDelay = std::chrono::milliseconds(8);
-constexpr EnumTable<CommitOutcome, 5> CommitOutcomeNames{
-    {{CommitOutcome::Committed, "committed"},
-     {CommitOutcome::Rejected, "rejected"},
-     {CommitOutcome::Conflict, "conflict"},
-     {CommitOutcome::Refused, "refused"},
-     {CommitOutcome::Unknown, "unknown"}}};
+/// The minimum time between two log lines about failed transactions.
+constexpr Duration FailureLogInterval = std::chrono::seconds(1);
+
+/// Names of the outcomes in log lines and counters.
+constexpr EnumTable<CommitOutcome, 5> CommitOutcomeNames{{
+    {CommitOutcome::Committed, "committed"},
+    {CommitOutcome::Conflict, "conflict"},
+    {CommitOutcome::Refused, "refused"},
+    {CommitOutcome::Rejected, "rejected"},
+    {CommitOutcome::Unknown, "unknown"},
+}};
+
+/// Returns the event about a transaction that was not stored.
+LogEvent eventOf(CommitOutcome Outcome) {
+  switch (Outcome) {
+  case CommitOutcome::Conflict:
+    return LogEvent::CommitConflict;
+  case CommitOutcome::Refused:
+  case CommitOutcome::Rejected:
+    return LogEvent::CommitRefused;
+  default:
+    return LogEvent::CommitUnknown;
+  }
+}
 
 std::int64_t toMilliseconds(Duration Time) {
   return Time / std::chrono::milliseconds(1);
 }
 
+void addSize(const RowTransaction &Changes, CellTransaction &Into) {
+  Into.Rows_ = Changes.Writes_.size() + Changes.Removals_.size();
+  std::size_t Largest = 0;
+  for (const Row &Written : Changes.Writes_) {
+    Into.Bytes_ += Written.Value_.size();
+    if (Written.Value_.size() <= Largest)
+      continue;
+    Largest = Written.Value_.size();
+    Into.LargestRow_ = Written.Key_.Table_ + "/" + Written.Key_.Key_;
+  }
+}
+
 Row makeRow(scheduling::RowKey Key, std::string Value) {
   Row NewRow;
   NewRow.Key_ = std::move(Key);
@@ -360,6 +390,7 @@
     return ActiveTenure.Scheduler_.writesStored(Sent.Writes_, Now);
   ActiveTenure.IsCommitting_ = true;
   RowTransaction Changes = makeCellTransaction(Sent);
+  addSize(Changes, Sent);
   Store_.commit(Changes, StoreCallTimeout,
                 [this, Reference = TenureRef(Tenure_),
                  Sent = std::move(Sent)](const CommitResult &Outcome) {
@@ -426,6 +457,7 @@
   ActiveTenure.NextCommitAt_ = Sent.SentAt_ + MinCommitInterval;
   ActiveTenure.TransactionSize_.ended(Outcome.Outcome_);
   if (Outcome.Outcome_ == CommitOutcome::Committed) {
+    ActiveTenure.FailedCommits_ = 0;
     if (Sent.HasOwnerRow_) {
       Lease_.rowWritten(Lease_.record(), Outcome.Version_, Sent.SentAt_);
       ActiveTenure.MustWriteOwnerRow_ = false;
@@ -441,6 +473,7 @@
     ActiveTenure.Scheduler_.writesStored(Sent.Writes_, Now);
     return requestSchedulingCycle();
   }
+  noteFailedCommit(Sent, Outcome);
   ActiveTenure.Scheduler_.writesFailed(Sent.Writes_);
   ActiveTenure.NextCommitAt_ = Now + StoreRetryDelay;
   if (Outcome.Outcome_ == CommitOutcome::Refused ||
@@ -453,6 +486,31 @@
   reconcileOwnerRow();
 }
 
+/// Counts a transaction that was not stored, and logs the first one and one a
+/// second.
+void CellOwner::noteFailedCommit(const CellTransaction &Sent,
+                                 const CommitResult &Outcome) {
+  Tenure &ActiveTenure = *Tenure_;
+  std::string_view Name = nameOf(CommitOutcomeNames, Outcome.Outcome_);
+  Counters_
+      .counter("owner_commits_failed_total",
+               "outcome=\"" + std::string(Name) + "\"")
+      .add();
+  ++ActiveTenure.FailedCommits_;
+  TimePoint Now = SchedulerClock::now();
+  if (Now < ActiveTenure.NextFailureLogAt_)
+    return;
+  ActiveTenure.NextFailureLogAt_ = Now + FailureLogInterval;
+  logEvent(eventOf(Outcome.Outcome_),
+           {{"outcome", Name},
+            {"status", Outcome.Status_},
+            {"failures", ActiveTenure.FailedCommits_},
+            {"rows", static_cast<std::int64_t>(Sent.Rows_)},
+            {"bytes", static_cast<std::int64_t>(Sent.Bytes_)},
+            {"largest_row", Sent.LargestRow_},
+            {"took_ms", (Now - Sent.SentAt_) / std::chrono::milliseconds(1)}});
+}
+
 /// Reads the owner's row after a transaction whose outcome is unknown or whose
 /// condition on the row's version failed.
 void CellOwner::reconcileOwnerRow() {
--- a/packages/node/src/cell_owner.h
+++ b/packages/node/src/cell_owner.h
@@ -39,6 +39,9 @@
   bool MustWriteOwnerRow_ = false;
   TimePoint NextCommitAt_{};
   TransactionSize TransactionSize_;
+  /// The number of transactions that failed since the last one was stored.
+  std::int64_t FailedCommits_ = 0;
+  TimePoint NextFailureLogAt_{};
   std::string StoredStatus_;
   TimePoint NextStatusAt_{};
   std::string StoredModel_;
@@ -55,6 +58,11 @@
   std::string Status_;
   std::string Model_;
   TimePoint SentAt_{};
+  /// For logs only: the number of rows, the bytes of their values, and the key
+  /// of the largest one.
+  std::size_t Rows_ = 0;
+  std::size_t Bytes_ = 0;
+  std::string LargestRow_;
 };
 
 /// A candidate for the ownership of the cell, and its owner while this instance
@@ -135,6 +143,8 @@
   scheduling::RowTransaction
   makeCellTransaction(const CellTransaction &Sent) const;
   void reconcileOwnerRow();
+  void noteFailedCommit(const CellTransaction &Sent,
+                        const scheduling::CommitResult &Outcome);
   void handleCommitResult(const CellTransaction &Sent,
                           const scheduling::CommitResult &Outcome);
 
--- a/packages/node/tests/cell_owner_test.cpp
+++ b/packages/node/tests/cell_owner_test.cpp
@@ -226,6 +226,9 @@
   cancelJobs();
   runUntil([this] { return StoredSnapshots_.size() == Jobs; });
   BOOST_TEST(Owner_.isOwner());
+  BOOST_TEST(
+      Counters_.counter("owner_commits_failed_total", "outcome=\"rejected\"")
+          .value() >= 4U);
 }
 
 BOOST_FIXTURE_TEST_CASE(as_too_large_stores_its_changes_in_smaller_ones,
