A registration that is older than the known one is ignored

What callers would see: tasks are started on a worker that has no room for them any more, since a registration that arrives late raises the capacity again; or the runs of a worker are taken for lost, since the registration of its former incarnation arrives after that of the present one.

Cause: the last registration that arrived counted. Registrations arrive by the feed of the store and by complete reads, in no order.

Change: registrations are ordered by the start of the incarnation and by their Sequence, which rises with each. If the owner has lost the worker, any registration counts: the clock that incarnations are ordered by may have been set back.

Tests: scheduling_test, a_registration; the simulated cell delivers one in five registrations again after the next one. Without the change:

error: in "a_registration/that_arrives_after_a_newer_one/does_not_raise_the_ capacity": check Starts_.empty() has failed error: in "a_registration/that_arrives_after_a_newer_one/of_an_earlier_ incarnation_loses_no_runs": check Starts_.empty() has failed

with_an_earlier_start_counts_if_the_worker_reports_it and that_is_read_again_ changes_nothing pass before and after; they limit the rule.

--- a/packages/scheduling/include/filbertspring/scheduling/worker.h
+++ b/packages/scheduling/include/filbertspring/scheduling/worker.h
@@ -28,6 +28,8 @@
   std::vector<std::string> Labels_;
   /// Start time of this incarnation, milliseconds since 1970; 0 if unknown.
   std::int64_t StartedAtMs_ = 0;
+  /// Rises with each registration of one incarnation; 0 if unknown.
+  std::uint64_t Sequence_ = 0;
 };
 
 /// A running task as its worker reports it.
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -24,6 +24,16 @@
 /// for which a task of a cancelled job may continue to run.
 constexpr Duration StopRetryInterval = std::chrono::milliseconds(300);
 
+/// Returns whether \p Entry was registered before \p Known, as far as both
+/// tell.
+bool isOlder(const WorkerEntry &Entry, const WorkerEntry &Known) {
+  if (Entry.StartedAtMs_ == 0 || Known.StartedAtMs_ == 0)
+    return false;
+  if (Entry.StartedAtMs_ != Known.StartedAtMs_)
+    return Entry.StartedAtMs_ < Known.StartedAtMs_;
+  return Entry.Sequence_ != 0 && Entry.Sequence_ < Known.Sequence_;
+}
+
 } // namespace
 
 Scheduler::Impl::Impl(SchedulerSettings Settings, TimePoint Now)
@@ -181,6 +191,10 @@
 void Scheduler::workerRegistered(const WorkerEntry &Entry, TimePoint Now) {
   auto [It, IsNew] = Impl_->Workers_.try_emplace(Entry.Id_);
   WorkerState &Worker = It->second;
+  // Once the worker is lost, any registration is better than none: the clock
+  // that incarnations are ordered by may have been set back.
+  if (!IsNew && !Worker.IsExpired_ && isOlder(Entry, Worker.Entry_))
+    return;
   bool IsOtherIncarnation =
       !IsNew && ((Entry.StartedAtMs_ != 0 && Worker.Entry_.StartedAtMs_ != 0 &&
                   Entry.StartedAtMs_ != Worker.Entry_.StartedAtMs_) ||
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -74,6 +74,7 @@
     Impl_->abandonRuns(*Worker, Now, "report of a new life");
     WorkerEntry Entry = Worker->Entry_;
     Entry.StartedAtMs_ = Report.StartedAtMs_;
+    Entry.Sequence_ = 0;
     bool IsRegistered = Worker->IsRegistered_;
     Impl_->resetWorker(*Worker, Entry);
     Worker->IsRegistered_ = IsRegistered;
--- a/packages/scheduling/tests/cell_fixture.h
+++ b/packages/scheduling/tests/cell_fixture.h
@@ -105,7 +105,7 @@
     for (const RenewLease &Renewal : std::exchange(Renewals_, {})) {
       WorkerReport Report;
       Report.ClockMs_ = Now_.time_since_epoch() / 1ms;
-      Report.StartedAtMs_ = 1;
+      Report.StartedAtMs_ = Born_;
       Report.RunningTasks_ = RunningTasks_[Renewal.Worker_];
       Report.EndedTasks_ = EndedTasks_[Renewal.Worker_];
       Scheduler_.renewalAnswered(Renewal.Worker_, Report, Now_);
@@ -147,6 +147,8 @@
 
   TimePoint Now_{100s};
   Resources Capacity_{8000, 16000, 0};
+  /// The start time of the workers in their reports.
+  std::int64_t Born_ = 1;
   Scheduler Scheduler_;
   std::vector<StartTask> Starts_;
   std::vector<StopTask> Stops_;
--- a/packages/scheduling/tests/scheduler_fuzz_test.cpp
+++ b/packages/scheduling/tests/scheduler_fuzz_test.cpp
@@ -98,7 +98,7 @@
 std::string simulate(std::uint64_t Seed) {
   // Half of the histories also have faults on single calls.
   bool HasCallFaults = Seed % 2 == 0;
-  FaultRates Rates{0.02, 0.02, 0.02, 0.02, 0.05};
+  FaultRates Rates{0.02, 0.02, 0.02, 0.02, 0.05, 0.2};
   SimulatedCell Cell(Seed, 6, HasCallFaults ? Rates : FaultRates());
   Cell.configure(makeQueues());
   std::vector<std::string> Jobs;
--- a/packages/scheduling/tests/simulated_cell.cpp
+++ b/packages/scheduling/tests/simulated_cell.cpp
@@ -135,9 +135,9 @@
   CellOwner->Scheduler_.configure(Queues_);
   for (const auto &[Id, Entry] : StoredWorkers_)
     CellOwner->Scheduler_.restoreWorker(Entry, Now_);
-  for (const auto &[Id, Worker] : Workers_)
+  for (const auto &[Id, Entry] : Registrations_)
     if (!Stopped_.contains(Id))
-      CellOwner->Scheduler_.workerRegistered(Worker->entry(), Now_);
+      CellOwner->Scheduler_.workerRegistered(Entry, Now_);
   for (const auto &[Id, Job] : Jobs_)
     CellOwner->Scheduler_.addJob(Job, Now_);
   for (const auto &[Id, Progress] : storedProgress())
@@ -175,28 +175,36 @@
   after(std::chrono::milliseconds(1500), [this, Id] {
     Stopped_.erase(Id);
     Draining_.erase(Id);
-    Owner_->Scheduler_.workerRegistered(Workers_[Id]->entry(), Now_);
+    registerWorker(Id);
   });
 }
 
 void SimulatedCell::drainWorker(std::size_t Index) {
   std::string Id = workerId(Index);
   Draining_.insert(Id);
-  WorkerEntry Entry = Workers_[Id]->entry();
-  Entry.IsDraining_ = true;
+  registerWorker(Id);
+}
+
+/// Stores the registration of a running worker, and delivers it to the owner.
+/// The one before may be delivered again after it.
+void SimulatedCell::registerWorker(const std::string &Id) {
+  WorkerEntry Entry = Workers_[Id]->registerAgain();
+  Entry.IsDraining_ = Draining_.contains(Id);
+  if (IsStoreDown_ || !Owner_->HasStore_)
+    return;
+  WorkerEntry Previous = std::exchange(Registrations_[Id], Entry);
   Owner_->Scheduler_.workerRegistered(Entry, Now_);
+  if (!Previous.Id_.empty() && chance() < Faults_.RegistrationRepeated_)
+    after(latency(), [this, Previous] {
+      Owner_->Scheduler_.workerRegistered(Previous, Now_);
+    });
 }
 
 /// Renews the registrations of all running workers at regular intervals.
 void SimulatedCell::refreshRegistrations() {
-  for (const auto &[Id, Worker] : Workers_) {
-    if (Stopped_.contains(Id))
-      continue;
-    WorkerEntry Entry = Worker->entry();
-    Entry.IsDraining_ = Draining_.contains(Id);
-    if (!IsStoreDown_ && Owner_->HasStore_)
-      Owner_->Scheduler_.workerRegistered(Entry, Now_);
-  }
+  for (const auto &[Id, Worker] : Workers_)
+    if (!Stopped_.contains(Id))
+      registerWorker(Id);
   after(std::chrono::milliseconds(1500), [this] { refreshRegistrations(); });
 }
 
--- a/packages/scheduling/tests/simulated_cell.h
+++ b/packages/scheduling/tests/simulated_cell.h
@@ -27,6 +27,8 @@
   double CommitLost_ = 0;
   double CommitRefused_ = 0;
   double TaskFails_ = 0;
+  /// A registration is delivered again after the next one.
+  double RegistrationRepeated_ = 0;
 };
 
 /// A cell with its workers, its present owner and the previous one.
@@ -108,6 +110,7 @@
   void apply(const PendingWrites &Writes);
   /// Returns the stored snapshots with the changes in the journal.
   std::map<std::string, JobProgress> storedProgress() const;
+  void registerWorker(const std::string &Id);
   void refreshRegistrations();
   Duration latency();
 
@@ -135,6 +138,8 @@
   std::map<std::string, std::string> Progress_;
   std::map<std::uint64_t, std::string> Journal_;
   std::map<std::string, WorkerEntry> StoredWorkers_;
+  /// The registrations in the store.
+  std::map<std::string, WorkerEntry> Registrations_;
 };
 
 } // namespace filbertspring::scheduling::test
--- a/packages/scheduling/tests/simulated_worker.cpp
+++ b/packages/scheduling/tests/simulated_worker.cpp
@@ -157,6 +157,7 @@
   NextEnd_ = 1;
   StartedAt_ = Now;
   ++Entry_.StartedAtMs_;
+  Entry_.Sequence_ = 0;
 }
 
 } // namespace filbertspring::scheduling::test
--- a/packages/scheduling/tests/simulated_worker.h
+++ b/packages/scheduling/tests/simulated_worker.h
@@ -56,6 +56,11 @@
   CallOutcome renew(const RenewLease &Renewal, std::uint64_t Token,
                     std::int64_t BornMs, TimePoint Now, WorkerReport &Report);
   void crash(TimePoint Now);
+  /// Returns the next registration.
+  WorkerEntry registerAgain() {
+    ++Entry_.Sequence_;
+    return Entry_;
+  }
   bool holds(const std::string &Text) const { return Runs_.contains(Text); }
   std::int64_t clockMs(TimePoint Now) const;
 
