No start on a worker whose capacity no longer holds its runs

Users' rule: when the capacity of a worker shrinks, what runs there goes on, and nothing is started that no longer fits.

Cause: room was looked at when a task was placed only. A start that waited for the store, or that was repeated as its answer was missing, went to a worker that had shrunk meanwhile. And a worker that grew back was not looked at until something else led to a placement.

Change: the sum of all runs is compared with the present capacity also before a start is sent and before it is repeated. A start that is not repeated may still be carried out, so a stop follows, as after the last repetition. A registration with another capacity leads to a placement.

--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -206,9 +206,10 @@
     Impl_->scheduleRenewal(Worker, Now);
   }
   bool WasUsable = Worker.IsRegistered_ && !Worker.Entry_.IsDraining_;
+  bool IsResized = Worker.Entry_.Capacity_ != Entry.Capacity_;
   Worker.Entry_ = Entry;
   Worker.IsRegistered_ = true;
-  if (!WasUsable)
+  if (!WasUsable || IsResized)
     Impl_->NeedsPlacement_ = true;
   Impl_->WorkersToRemove_.erase(Entry.Id_);
   if (!Worker.IsStored_)
--- a/packages/scheduling/src/scheduler_commands.cpp
+++ b/packages/scheduling/src/scheduler_commands.cpp
@@ -101,7 +101,9 @@
     Worker->AvoidUntil_ = Now + AvoidAfterRefusal;
     if (Target.Phase_ != RunPhase::StartSent)
       return;
-    if (Target.StartsSent_ < MaxStartsSent && Record) {
+    // A command that is not repeated may still be executed, so a stop follows.
+    if (Target.StartsSent_ < MaxStartsSent && Record &&
+        Worker->holdsItsRuns()) {
       Impl_->sendStart(*Worker, Target, *Record, Now);
       return;
     }
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -348,7 +348,8 @@
     // The worker may have become ineligible since it was chosen.
     bool IsUsable = Worker->IsRegistered_ && Worker->isReachable() &&
                     Worker->ClockMs_ && !Worker->Entry_.IsDraining_ &&
-                    !ClosedZones_.contains(Worker->Entry_.Zone_);
+                    !ClosedZones_.contains(Worker->Entry_.Zone_) &&
+                    Worker->holdsItsRuns();
     if (IsUsable) {
       It->second.Phase_ = RunPhase::StartSent;
       sendStart(*Worker, It->second, *Record, Now);
--- a/packages/scheduling/src/worker_state.h
+++ b/packages/scheduling/src/worker_state.h
@@ -148,6 +148,9 @@
   /// is at least 1, so that it can be used as a divisor.
   double milliCpu() const;
   bool isReachable() const { return HasReported_ && FailedRenewals_ == 0; }
+  /// Returns whether the capacity holds all runs. It may not, since a capacity
+  /// can shrink while tasks run.
+  bool holdsItsRuns() const { return Entry_.Capacity_.fits(Used_, {}); }
   void addRun(Run NewRun);
   /// Returns the serving tasks that have a tail latency target. The result
   /// refers to strings of the runs and is invalidated when these are removed.
--- a/packages/scheduling/tests/simulated_cell.h
+++ b/packages/scheduling/tests/simulated_cell.h
@@ -52,6 +52,9 @@
   void takeOver(bool IsPredecessorAlive);
   void crashWorker(std::size_t Index, bool Restarts);
   void drainWorker(std::size_t Index);
+  /// The capacity of the worker becomes \p Share of its first one. Its next
+  /// registration shows it.
+  void resizeWorker(std::size_t Index, double Share);
   /// No call reaches the worker until restoreNetwork().
   void isolateWorker(std::size_t Index) {
     Unreachable_.insert(workerId(Index));
--- a/packages/scheduling/tests/simulated_worker.h
+++ b/packages/scheduling/tests/simulated_worker.h
@@ -56,6 +56,7 @@
   CallOutcome renew(const RenewLease &Renewal, std::uint64_t Token,
                     std::int64_t BornMs, TimePoint Now, WorkerReport &Report);
   void crash(TimePoint Now);
+  void setCapacity(const Resources &Capacity) { Entry_.Capacity_ = Capacity; }
   /// Returns the next registration.
   WorkerEntry registerAgain() {
     ++Entry_.Sequence_;
