A run of an unknown job takes the whole worker, whatever its capacity becomes

What callers would see: a task that starts beside a run of unknown size.

Cause: a run of an unknown job reserved the capacity that its worker had when the run was seen. A worker that grew afterwards had room again.

Change: such runs are counted, and a worker that has one gets no task.

Test: scheduling_test.

--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -233,14 +233,7 @@
   // The tasks may have been away since the last report.
   TimePoint LastReportAt = Worker.ClockMs_ ? Worker.ClockAt_ : Now;
   std::unordered_map<std::string, Run> LostRuns = std::move(Worker.Runs_);
-  Worker.Runs_.clear();
-  Worker.Used_ = {};
-  Worker.LongRunningMilliCpu_ = 0;
-  Worker.FillerMilliCpu_ = 0;
-  Worker.ServingImages_.clear();
-  Worker.Flexibility_.reset();
-  Worker.Headroom_.clear();
-  Worker.PacedFillerMilliCpu_.reset();
+  Worker.dropAllRuns();
   for (auto &[Text, ActiveRun] : LostRuns) {
     JobRecord *Record = findJob(ActiveRun.Name_.Job_);
     if (!Record)
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -227,7 +227,7 @@
   const WorkerEntry &Entry = Worker.Entry_;
   return Worker.IsRegistered_ && Worker.IsStored_ && Worker.isReachable() &&
          !Worker.IsExpired_ && !Entry.IsDraining_ && Worker.ClockMs_ &&
-         Worker.AvoidUntil_ <= Now &&
+         Worker.AvoidUntil_ <= Now && Worker.UnknownRuns_ == 0 &&
          Worker.StartsInFlight_ < MaxStartsInFlight &&
          !ClosedZones_.contains(Entry.Zone_);
 }
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -248,10 +248,9 @@
   if (RunningTarget) {
     AdoptedRun = makeRun(Record->Job_, Running.Name_, Running.Run_);
   } else {
-    // Its resources are unknown: the worker counts as full until the run ends.
     AdoptedRun.Name_ = Running.Name_;
     AdoptedRun.Number_ = Running.Run_;
-    AdoptedRun.Reserved_ = Worker.Entry_.Capacity_;
+    AdoptedRun.IsUnknown_ = true;
   }
   AdoptedRun.Phase_ = RunPhase::Confirmed;
   AdoptedRun.LastListedReport_ = Worker.ReportCount_;
--- a/packages/scheduling/src/worker_state.cpp
+++ b/packages/scheduling/src/worker_state.cpp
@@ -22,6 +22,7 @@
 void WorkerState::addRun(Run NewRun) {
   dropRun(NewRun.Name_.text());
   Used_ += NewRun.Reserved_;
+  UnknownRuns_ += NewRun.IsUnknown_ ? 1 : 0;
   Headroom_.clear();
   PacedFillerMilliCpu_.reset();
   if (NewRun.IsLongRunning_) {
@@ -41,6 +42,7 @@
     return;
   const Run &Dropped = It->second;
   Used_ -= Dropped.Reserved_;
+  UnknownRuns_ -= Dropped.IsUnknown_ ? 1 : 0;
   Headroom_.clear();
   PacedFillerMilliCpu_.reset();
   if (Dropped.IsLongRunning_ && --ServingImages_[Dropped.Image_] == 0) {
@@ -54,6 +56,18 @@
   Runs_.erase(It);
 }
 
+void WorkerState::dropAllRuns() {
+  Runs_.clear();
+  Used_ = {};
+  UnknownRuns_ = 0;
+  LongRunningMilliCpu_ = 0;
+  FillerMilliCpu_ = 0;
+  ServingImages_.clear();
+  Flexibility_.reset();
+  Headroom_.clear();
+  PacedFillerMilliCpu_.reset();
+}
+
 double WorkerState::milliCpu() const {
   return static_cast<double>(
       std::max<std::int64_t>(1, Entry_.Capacity_.MilliCpu_));
--- a/packages/scheduling/src/worker_state.h
+++ b/packages/scheduling/src/worker_state.h
@@ -36,6 +36,8 @@
   /// The resources that are counted against the worker's capacity.
   Resources Reserved_;
   std::int64_t RequestedMilliCpu_ = 0;
+  /// The task is of an unknown job, so that its request is unknown.
+  bool IsUnknown_ = false;
   bool IsFiller_ = false;
   bool IsLongRunning_ = false;
   std::string Image_;
@@ -127,6 +129,8 @@
 
   std::unordered_map<std::string, Run> Runs_;
   Resources Used_;
+  /// Number of runs whose request is unknown. They may use all of the worker.
+  std::uint32_t UnknownRuns_ = 0;
   std::int64_t LongRunningMilliCpu_ = 0;
   std::int64_t FillerMilliCpu_ = 0;
   /// Cached results of fillerHeadroom() by filler image; cleared when the runs
@@ -150,7 +154,9 @@
   bool isReachable() const { return HasReported_ && FailedRenewals_ == 0; }
   /// Returns whether the capacity holds all runs. It may not, since a capacity
   /// can shrink while tasks run.
-  bool holdsItsRuns() const { return Entry_.Capacity_.fits(Used_, {}); }
+  bool holdsItsRuns() const {
+    return UnknownRuns_ == 0 && Entry_.Capacity_.fits(Used_, {});
+  }
   void addRun(Run NewRun);
   /// Returns the serving tasks that have a tail latency target. The result
   /// refers to strings of the runs and is invalidated when these are removed.
@@ -164,6 +170,8 @@
   double fullShare(const Run &Filler) const;
   /// Removes the run of the task called \p Text and releases its resources.
   void dropRun(const std::string &Text);
+  /// Removes all runs and releases their resources.
+  void dropAllRuns();
 };
 
 } // namespace filbertspring::scheduling
--- a/packages/scheduling/tests/capacity_test.cpp
+++ b/packages/scheduling/tests/capacity_test.cpp
@@ -288,6 +288,27 @@
   BOOST_TEST(startsOn("w1") == 2);
 }
 
+// The task of another cell or of a removed job may use all of the worker.
+BOOST_FIXTURE_TEST_CASE(gets_no_task_beside_an_unknown_run,
+                        OneResizableWorker) {
+  resize("w1", {2000, 4000, 1});
+  RunningTasks_["w1"].push_back({{"unknown", 0, 0, 0}, 1, "", 0, 0});
+  step(3s);
+  answerRenewals();
+  step();
+  resize("w1", Capacity_);
+  submit("job", {task(1, 1000)});
+  step();
+  step(200ms);
+  BOOST_TEST(Starts_.empty());
+  RunningTasks_["w1"].clear();
+  EndedTasks_["w1"].push_back(
+      {1, {"unknown", 0, 0, 0}, 1, EndReason::Stopped, ""});
+  answerRenewals();
+  step();
+  BOOST_TEST(startsOn("w1") == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(a_registration)
