An incarnation that only a report shows gets no task before it is registered

What callers would see: a task that starts on a worker of another capacity or kind, or on one that drains.

Cause: if a report showed a new incarnation first, the registration of the former one counted for it. A new incarnation may be of a different kind, even at the same address.

Change: it counts as not registered until its own registration arrives.

--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -75,9 +75,9 @@
     WorkerEntry Entry = Worker->Entry_;
     Entry.StartedAtMs_ = Report.StartedAtMs_;
     Entry.Sequence_ = 0;
-    bool IsRegistered = Worker->IsRegistered_;
+    // Not registered: only the registration of this incarnation shows its
+    // capacity, its labels and whether it drains.
     Impl_->resetWorker(*Worker, Entry);
-    Worker->IsRegistered_ = IsRegistered;
     Impl_->scheduleRenewal(*Worker, Now);
     Impl_->WorkersToStore_.insert(Id);
     return;
--- a/packages/scheduling/tests/capacity_test.cpp
+++ b/packages/scheduling/tests/capacity_test.cpp
@@ -388,6 +388,30 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_new_incarnation_that_only_a_report_shows)
+
+BOOST_FIXTURE_TEST_CASE(gets_no_task_before_it_is_registered,
+                        OneResizableWorker) {
+  Born_ = 2;
+  step(3s);
+  answerRenewals();
+  step();
+  answerRenewals();
+  step();
+  submit("job", {task(1, 4000)});
+  step();
+  step(200ms);
+  BOOST_TEST(Starts_.empty());
+  WorkerEntry Present = entry("w1", {4000, 16000, 4});
+  Present.StartedAtMs_ = 2;
+  Present.Sequence_ = 1;
+  Scheduler_.workerRegistered(Present, Now_);
+  step();
+  BOOST_TEST(startsOn("w1") == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_successor)
 
 BOOST_FIXTURE_TEST_CASE(uses_the_capacity_that_is_registered_now,
