--- a/packages/base/include/filbertspring/base/log_event.h
+++ b/packages/base/include/filbertspring/base/log_event.h
@@ -50,6 +50,9 @@
   JobRefused = 3017,
   JobOutcomeUnknown = 3018,
   StopRequested = 3019,
+  TaskCrashSuspected = 3020,
+  TaskIsolated = 3021,
+  TaskGivenUp = 3022,
 
   PeerConnected = 4001,
   PeerLost = 4002,
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -74,6 +74,13 @@
      "The store gave no answer to a submission in time; a repeat finds out."},
     {LogEvent::StopRequested, Info, "stop_requested",
      "A caller's cancellation of a job is stored."},
+    {LogEvent::TaskCrashSuspected, Warning, "task_crash_suspected",
+     "A worker crashed, and a run of the task may be the cause."},
+    {LogEvent::TaskIsolated, Info, "task_isolated",
+     "A suspected task starts on a worker that gets no other start until the "
+     "run has settled."},
+    {LogEvent::TaskGivenUp, Error, "task_given_up",
+     "A task crashed several workers; its job has failed."},
     {LogEvent::PeerConnected, Info, "peer_connected",
      "A stream to another entry instance is open."},
     {LogEvent::PeerLost, Warning, "peer_lost",
--- a/packages/node/src/cell_owner.cpp
+++ b/packages/node/src/cell_owner.cpp
@@ -92,6 +92,20 @@
   }
 }
 
+/// Returns the counter of \p Event, or null if it is only logged.
+const char *counterOf(LogEvent Event) {
+  switch (Event) {
+  case LogEvent::TaskCrashSuspected:
+    return "task_crash_suspicions_total";
+  case LogEvent::TaskIsolated:
+    return "task_isolations_total";
+  case LogEvent::TaskGivenUp:
+    return "tasks_given_up_total";
+  default:
+    return nullptr;
+  }
+}
+
 Row makeRow(scheduling::RowKey Key, std::string Value) {
   Row NewRow;
   NewRow.Key_ = std::move(Key);
@@ -362,6 +376,8 @@
     for (const auto &[Key, Value] : SchedulerNote.Fields_)
       Fields.emplace_back(Key, Value);
     logEvent(SchedulerNote.Event_, Fields);
+    if (const char *Counter = counterOf(SchedulerNote.Event_))
+      Counters_.counter(Counter).add();
   }
 }
 
--- a/packages/scheduling/include/filbertspring/scheduling/job.h
+++ b/packages/scheduling/include/filbertspring/scheduling/job.h
@@ -58,12 +58,17 @@
   /// The highest run number that was assigned to a start command, whether or
   /// not the command has been sent.
   std::uint64_t LastRun_ = 0;
+  /// The workers that crashed while they may have run the task and for which
+  /// the task may be the cause, in the order of their crashes.
+  std::vector<std::string> CrashedWorkers_ = {};
   friend bool operator==(const TaskProgress &, const TaskProgress &) = default;
 };
 
 /// The stored progress of a job.
 struct JobProgress {
   JobState State_ = JobState::Queued;
+  /// Why the job failed, for callers; empty if a task used up its attempts.
+  std::string Cause_;
   /// Changes in rows of the journal up to this number are included.
   std::uint64_t IncludedJournal_ = 0;
   /// Progress by task name; tasks in their initial state are omitted.
@@ -105,6 +110,7 @@
 
   const AcceptedJob &accepted() const { return Accepted_; }
   JobState state() const { return State_; }
+  const std::string &cause() const { return Cause_; }
   TimePoint seenAt() const { return SeenAt_; }
   bool isLongRunning() const { return IsLongRunning_; }
   bool hasStarted() const { return HasStarted_; }
@@ -174,6 +180,14 @@
   /// times; failures of long-running tasks do not count.
   bool fail(const TaskName &Name, std::uint64_t Run, const std::string &Worker,
             std::uint32_t Attempts);
+  /// Records that \p Worker crashed, possibly because of \p Name. Has no effect
+  /// on a task that is done.
+  void recordCrash(const TaskName &Name, const std::string &Worker);
+  /// Forgets the crashes recorded for \p Name.
+  void clearCrashes(const TaskName &Name);
+  /// Fails the job because \p Name crashes the workers that run it. Has no
+  /// effect in a final state.
+  void giveUp(const TaskName &Name);
   /// Cancels the job. Has no effect in a final state.
   void cancel();
 
@@ -185,6 +199,7 @@
 
   AcceptedJob Accepted_;
   JobState State_ = JobState::Queued;
+  std::string Cause_;
   TimePoint SeenAt_;
   bool IsLongRunning_ = false;
   bool HasStarted_ = false;
--- a/packages/scheduling/src/job.cpp
+++ b/packages/scheduling/src/job.cpp
@@ -63,6 +63,7 @@
     Restored->Phase_ = TaskPhase::Placed;
     Placed.push_back(*Name);
   }
+  Cause_ = Progress.Cause_;
   if (isFinal(Progress.State_))
     finish(Progress.State_);
   else if (!isFinal(State_))
@@ -74,6 +75,7 @@
 JobProgress Job::progress() const {
   JobProgress Result;
   Result.State_ = State_;
+  Result.Cause_ = Cause_;
   // Only the state of a finished job is needed.
   if (isFinal(State_))
     return Result;
@@ -106,6 +108,7 @@
 JobProgress Job::progressOf(const std::vector<std::uint32_t> &Slots) const {
   JobProgress Result;
   Result.State_ = State_;
+  Result.Cause_ = Cause_;
   for (std::uint32_t Slot : Slots)
     Result.Tasks_[nameOf(Slot).text()] = Tasks_[Slot].Progress_;
   return Result;
@@ -261,6 +264,33 @@
   return true;
 }
 
+void Job::recordCrash(const TaskName &Name, const std::string &Worker) {
+  Task *Suspected = find(Name);
+  if (!Suspected || Suspected->Progress_.IsDone_)
+    return;
+  Suspected->Progress_.CrashedWorkers_.push_back(Worker);
+  Suspected->LastFailedWorker_ = Worker;
+  ChangedSlots_.push_back(*slotOf(Name));
+}
+
+void Job::clearCrashes(const TaskName &Name) {
+  Task *Cleared = find(Name);
+  if (!Cleared || Cleared->Progress_.CrashedWorkers_.empty())
+    return;
+  Cleared->Progress_.CrashedWorkers_.clear();
+  ChangedSlots_.push_back(*slotOf(Name));
+}
+
+void Job::giveUp(const TaskName &Name) {
+  Task *Culprit = find(Name);
+  if (!Culprit || isFinal(State_))
+    return;
+  Cause_ = "task " + Name.text() + " crashed the workers";
+  for (const std::string &Worker : Culprit->Progress_.CrashedWorkers_)
+    Cause_ += " " + Worker;
+  finish(JobState::Failed);
+}
+
 void Job::cancel() { finish(JobState::Cancelled); }
 
 void Job::finish(JobState State) {
--- a/packages/scheduling/src/progress_codec.cpp
+++ b/packages/scheduling/src/progress_codec.cpp
@@ -34,7 +34,14 @@
   appendJsonString(Into, Progress.Checkpoint_);
   Into += ',';
   appendJsonString(Into, Progress.Worker_);
-  fmt::format_to(std::back_inserter(Into), ",{}]", Progress.LastRun_);
+  fmt::format_to(std::back_inserter(Into), ",{}", Progress.LastRun_);
+  const char *Before = ",[";
+  for (const std::string &Worker : Progress.CrashedWorkers_) {
+    Into += Before;
+    appendJsonString(Into, Worker);
+    Before = ",";
+  }
+  Into += Progress.CrashedWorkers_.empty() ? "]" : "]]";
 }
 
 TaskProgress decodeTask(const json &Value) {
@@ -49,6 +56,9 @@
   Progress.Checkpoint_ = Value.at(3).get<std::string>();
   Progress.Worker_ = Value.at(4).get<std::string>();
   Progress.LastRun_ = Value.at(5).get<std::uint64_t>();
+  // Missing for a task that crashed no worker.
+  if (Value.size() > 6)
+    Progress.CrashedWorkers_ = Value[6].get<std::vector<std::string>>();
   return Progress;
 }
 
@@ -169,6 +179,10 @@
   GroupedTasks Tasks(Progress);
   std::string Text =
       fmt::format("{{\"state\":\"{}\"", nameOf(JobStateNames, Progress.State_));
+  if (!Progress.Cause_.empty()) {
+    Text += ",\"cause\":";
+    appendJsonString(Text, Progress.Cause_);
+  }
   if (Progress.IncludedJournal_ != 0)
     fmt::format_to(std::back_inserter(Text), ",\"journal\":{}",
                    Progress.IncludedJournal_);
@@ -216,6 +230,7 @@
   if (!State)
     throw json::out_of_range::create(403, "unknown state", &Value);
   Progress.State_ = *State;
+  Progress.Cause_ = Value.value("cause", std::string());
   Progress.IncludedJournal_ = Value.value("journal", std::uint64_t{0});
   std::string Job = Value.value("job", std::string());
   if (Value.contains("done"))
@@ -242,9 +257,11 @@
 std::size_t maxEncodedBytes(const Job &TheJob) {
   std::string Quoted;
   appendJsonString(Quoted, TheJob.accepted().Id_);
+  std::string Cause;
+  appendJsonString(Cause, TheJob.cause());
   // The id twice, the state and the names of the fields.
   constexpr std::size_t Fields = 96;
-  return 2 * Quoted.size() + Fields;
+  return 2 * Quoted.size() + Cause.size() + Fields;
 }
 
 namespace {
--- a/packages/scheduling/src/progress_journal.cpp
+++ b/packages/scheduling/src/progress_journal.cpp
@@ -16,6 +16,7 @@
     if (Row.Number_ <= Known.IncludedJournal_)
       continue;
     Known.State_ = Changes.State_;
+    Known.Cause_ = Changes.Cause_;
     for (const auto &[Name, Task] : Changes.Tasks_)
       Known.Tasks_[Name] = Task;
   }
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -15,6 +15,9 @@
 /// The lease of tasks on a worker that drains. Longer than two renewals that
 /// each wait for an end.
 constexpr Duration DrainingLease = std::chrono::milliseconds(2500);
+/// How long the runs of a worker whose lease has expired are remembered. Longer
+/// than a crashed worker takes to restart.
+constexpr Duration LostRunRetention = std::chrono::seconds(30);
 /// Interval between two checks of all workers for expired leases and drains.
 constexpr Duration WorkerCheckInterval = std::chrono::milliseconds(50);
 /// Interval between two searches for other workers that could take the
@@ -91,10 +94,19 @@
   Record->StoredState_ = Progress.State_;
   for (const TaskName &Name : Record->Job_.restore(Progress)) {
     const TaskProgress &Stored = Record->Job_.find(Name)->Progress_;
+    if (Impl_->hasCrashedSinceStored(Stored.Worker_)) {
+      Impl_->RestoredCrashes_[Stored.Worker_].push_back(
+          {Name, Stored.LastRun_, RunMaturity::Fresh});
+      Record->Job_.requeue(Name, Impl_->TenureStart_, Impl_->TenureStart_);
+      Impl_->handleJobChange(*Record, Impl_->TenureStart_);
+      Impl_->JobsWithWaitingTasks_.insert(Id);
+      continue;
+    }
     Run Restored = Impl_->makeRun(Record->Job_, Name, Stored.LastRun_);
     // The first report in this tenure lists the run if it is still executed.
     Restored.Phase_ = RunPhase::Confirmed;
     Restored.ConfirmedAt_ = Impl_->TenureStart_;
+    Restored.IsSuspect_ = !Stored.CrashedWorkers_.empty();
     auto [It, IsNew] = Impl_->Workers_.try_emplace(Stored.Worker_);
     WorkerState &Worker = It->second;
     Worker.Entry_.Id_ = Stored.Worker_;
@@ -171,6 +183,7 @@
   auto [It, IsNew] = Impl_->Workers_.try_emplace(Entry.Id_);
   WorkerState &Worker = It->second;
   Worker.IsStored_ = true;
+  Impl_->StoredStartTimes_[Entry.Id_] = Entry.StartedAtMs_;
   if (IsNew) {
     Worker.Entry_ = Entry;
     Impl_->scheduleRenewal(Worker, Now);
@@ -183,7 +196,9 @@
   bool IsStored = Worker.IsStored_ &&
                   Worker.Entry_.Address_ == Entry.Address_ &&
                   Worker.Entry_.StartedAtMs_ == Entry.StartedAtMs_;
+  std::optional<TimePoint> CrashedAt = Worker.CrashedAt_;
   Worker = WorkerState();
+  Worker.CrashedAt_ = CrashedAt;
   Worker.Entry_ = Entry;
   Worker.IsStored_ = IsStored;
 }
@@ -200,7 +215,7 @@
                   Entry.StartedAtMs_ != Worker.Entry_.StartedAtMs_) ||
                  Entry.Address_ != Worker.Entry_.Address_);
   if (IsOtherIncarnation)
-    Impl_->abandonRuns(Worker, Now, "new life");
+    Impl_->handleNextIncarnation(Worker, Now, "new life");
   if (IsNew || IsOtherIncarnation) {
     Impl_->resetWorker(Worker, Entry);
     Impl_->scheduleRenewal(Worker, Now);
@@ -240,10 +255,32 @@
       continue;
     Record->Job_.keepCheckpoint(ActiveRun.Name_, ActiveRun.Checkpoint_);
     requeueRun(Worker, *Record, ActiveRun.Name_, ActiveRun.Number_,
-               LastReportAt, Duration::zero());
+               LastReportAt, Now - LastReportAt + crashRetryDelay(ActiveRun));
   }
 }
 
+void Scheduler::Impl::handleNextIncarnation(WorkerState &Worker, TimePoint Now,
+                                            const char *Cause) {
+  // A worker that drains has announced its end.
+  if (!Worker.Entry_.IsDraining_) {
+    Worker.CrashedAt_ = Now;
+    std::vector<LostRun> Lost = Worker.possibleRuns();
+    Lost.insert(Lost.end(), Worker.LostRuns_.begin(), Worker.LostRuns_.end());
+    attributeCrash(Worker, Lost, Now);
+  }
+  Worker.LostRuns_.clear();
+  abandonRuns(Worker, Now, Cause);
+}
+
+/// Returns whether the next incarnation of a worker that the previous owner
+/// used is registered.
+bool Scheduler::Impl::hasCrashedSinceStored(const std::string &Id) {
+  auto Stored = StoredStartTimes_.find(Id);
+  const WorkerState *Worker = findWorker(Id);
+  return Worker && Worker->IsRegistered_ && Stored != StoredStartTimes_.end() &&
+         Stored->second != 0 && Worker->Entry_.StartedAtMs_ > Stored->second;
+}
+
 void Scheduler::Impl::requeueRun(WorkerState &Worker, JobRecord &Record,
                                  const TaskName &Name, std::uint64_t Number,
                                  TimePoint Now, Duration Delay) {
@@ -286,10 +323,15 @@
                              : TenureStart_ + Settings_.PredecessorLeaseLimit_;
     if (IsUnreachable && Now > LeaseEnd && ConfirmedAt > LeaseEnd &&
         !Worker.IsExpired_) {
+      Worker.LostRuns_ = Worker.possibleRuns();
+      Worker.LostAt_ = Now;
       abandonRuns(Worker, Now, "lease expired");
       Worker.IsExpired_ = true;
     }
-    if (Worker.IsExpired_ && !Worker.IsRegistered_ && Worker.Runs_.empty())
+    if (Now - Worker.LostAt_ > LostRunRetention)
+      Worker.LostRuns_.clear();
+    if (Worker.IsExpired_ && !Worker.IsRegistered_ && Worker.Runs_.empty() &&
+        Worker.LostRuns_.empty())
       ExpiredWorkers.push_back(Id);
   }
   for (const std::string &Id : ExpiredWorkers) {
@@ -388,7 +430,7 @@
     return;
   // Another incarnation uses the address, so this one has ended. A refused
   // connection shows nothing: a partition may reject connections.
-  Impl_->abandonRuns(*Worker, Now, "other life at its address");
+  Impl_->handleNextIncarnation(*Worker, Now, "other life at its address");
   Worker->HasReported_ = true;
   Worker->IsExpired_ = true;
   Worker->LeaseExpiresAt_ = Now;
@@ -397,6 +439,7 @@
 void Scheduler::advance(TimePoint Now, std::int64_t WallMs,
                         TimePoint ConfirmedAt, bool MaySendCommands) {
   Impl_->WallMs_ = WallMs;
+  Impl_->attributeRestoredCrashes(Now);
   if (Now >= Impl_->NextWorkerCheckAt_) {
     Impl_->NextWorkerCheckAt_ = Now + WorkerCheckInterval;
     Impl_->expireLeases(Now, ConfirmedAt);
--- /dev/null
+++ b/packages/scheduling/src/scheduler_crashes.cpp
@@ -0,0 +1,119 @@
+/// \file
+/// The part of the scheduler that finds the tasks which crash their workers.
+
+#include "scheduler_impl.h"
+
+#include <algorithm>
+
+namespace filbertspring::scheduling {
+namespace {
+
+/// Workers of a zone that are lost within this time may have a common cause,
+/// such as a loss of power.
+constexpr Duration CommonCauseTime = std::chrono::seconds(3);
+/// The smallest number of lost workers that shows a common cause.
+constexpr std::size_t MinCommonLosses = 3;
+/// Delay before a task that may have caused several crashes is placed again.
+constexpr Duration RepeatedCrashDelay = std::chrono::milliseconds(500);
+
+} // namespace
+
+Duration Scheduler::Impl::crashRetryDelay(const Run &Lost) {
+  JobRecord *Record = findJob(Lost.Name_.Job_);
+  Task *LostTask = Record ? Record->Job_.find(Lost.Name_) : nullptr;
+  bool HasSeveral = LostTask && LostTask->Progress_.CrashedWorkers_.size() > 1;
+  return HasSeveral ? RepeatedCrashDelay : Duration::zero();
+}
+
+bool Scheduler::Impl::isZoneLost(const std::string &Zone, TimePoint Now) const {
+  std::size_t Known = 0;
+  std::size_t Lost = 0;
+  for (const auto &[Id, Worker] : Workers_) {
+    if (Worker.Entry_.Zone_ != Zone)
+      continue;
+    ++Known;
+    bool IsLost =
+        !Worker.isReachable() ||
+        (Worker.CrashedAt_ && Now - *Worker.CrashedAt_ < CommonCauseTime);
+    Lost += IsLost ? 1 : 0;
+  }
+  return Lost >= MinCommonLosses && 2 * Lost > Known;
+}
+
+/// Records which tasks may have caused the crash of \p Worker, and gives up
+/// those that surely did. \p Runs: what it executed, or may have executed.
+void Scheduler::Impl::attributeCrash(const WorkerState &Worker,
+                                     const std::vector<LostRun> &Runs,
+                                     TimePoint Now) {
+  std::vector<LostRun> Open;
+  std::vector<CrashSuspect> Suspects;
+  for (const LostRun &Lost : Runs) {
+    JobRecord *Record = findJob(Lost.Name_.Job_);
+    Task *LostTask = Record ? Record->Job_.find(Lost.Name_) : nullptr;
+    // A task that was done on another worker since then is not the cause.
+    if (!LostTask || LostTask->Progress_.IsDone_)
+      continue;
+    Open.push_back(Lost);
+    Suspects.push_back(
+        {Lost.Maturity_, LostTask->Progress_.CrashedWorkers_.size()});
+  }
+  std::vector<CrashVerdict> Verdicts =
+      judgeCrash(Suspects, isZoneLost(Worker.Entry_.Zone_, Now));
+  for (std::size_t Index = 0; Index < Open.size(); ++Index)
+    if (Verdicts[Index] != CrashVerdict::Unlikely)
+      recordCrash(Worker, Open[Index], Verdicts[Index], Now);
+}
+
+void Scheduler::Impl::recordCrash(const WorkerState &Worker,
+                                  const LostRun &Lost, CrashVerdict Verdict,
+                                  TimePoint Now) {
+  JobRecord &Record = *findJob(Lost.Name_.Job_);
+  if (isFinal(Record.Job_.state()))
+    return;
+  Record.Job_.recordCrash(Lost.Name_, Worker.Entry_.Id_);
+  std::size_t Crashes =
+      Record.Job_.find(Lost.Name_)->Progress_.CrashedWorkers_.size();
+  recordEvent(LogEvent::TaskCrashSuspected,
+              {{"task", Lost.Name_.text()},
+               {"run", std::to_string(Lost.Number_)},
+               {"worker", Worker.Entry_.Id_},
+               {"crashes", std::to_string(Crashes)},
+               {"proven", Verdict == CrashVerdict::Proven ? "1" : "0"}});
+  if (Verdict == CrashVerdict::Proven) {
+    Record.Job_.giveUp(Lost.Name_);
+    recordEvent(LogEvent::TaskGivenUp, {{"task", Lost.Name_.text()},
+                                        {"crashes", std::to_string(Crashes)}});
+    recordEvent(LogEvent::JobFinished, {{"job", Lost.Name_.Job_},
+                                        {"state", "failed"},
+                                        {"task", Lost.Name_.text()}});
+  }
+  handleJobChange(Record, Now);
+}
+
+/// Attributes the crashes of workers whose next incarnation was registered
+/// before this tenure began.
+void Scheduler::Impl::attributeRestoredCrashes(TimePoint Now) {
+  for (const auto &[Id, Runs] : std::exchange(RestoredCrashes_, {}))
+    if (const WorkerState *Worker = findWorker(Id))
+      attributeCrash(*Worker, Runs, Now);
+}
+
+/// Notes that a report lists \p Listed. A task that has worked for long is not
+/// suspected any more.
+void Scheduler::Impl::noteListed(WorkerState &Worker, Run &Listed,
+                                 TimePoint Now) {
+  if (Listed.ConfirmedAt_ == TimePoint())
+    return;
+  Worker.noteListed(Listed, Now - Listed.ConfirmedAt_);
+  if (!Listed.IsSuspect_ ||
+      maturityOf(Listed.ListedFor_) != RunMaturity::Established)
+    return;
+  Listed.IsSuspect_ = false;
+  JobRecord *Record = findJob(Listed.Name_.Job_);
+  if (!Record)
+    return;
+  Record->Job_.clearCrashes(Listed.Name_);
+  DirtyJobs_.add(Listed.Name_.Job_);
+}
+
+} // namespace filbertspring::scheduling
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -88,6 +88,8 @@
   std::string TaskText_;
   /// The resources that are counted against a worker's capacity.
   Resources Needed_;
+  /// The task may crash its worker: all runs on the worker must have settled.
+  bool NeedsIsolation_ = false;
 };
 
 /// Requests for which no worker was found in the present placement pass. Free
@@ -124,6 +126,9 @@
   WorkerState *findWorker(const std::string &Id);
   void resetWorker(WorkerState &Worker, const WorkerEntry &Entry);
   void abandonRuns(WorkerState &Worker, TimePoint Now, const char *Cause);
+  /// Abandons the runs of a worker whose process has ended.
+  void handleNextIncarnation(WorkerState &Worker, TimePoint Now,
+                             const char *Cause);
   void moveFromDrainingWorkers(TimePoint Now);
   void expireLeases(TimePoint Now, TimePoint ConfirmedAt);
   /// Sets the time of the next renewal, unless one is outstanding then.
@@ -138,6 +143,19 @@
   bool hasBetterWorker(const WorkerState &Present, const Run &Movable,
                        TimePoint Now);
 
+  // Crashes.
+  void attributeCrash(const WorkerState &Worker,
+                      const std::vector<LostRun> &Runs, TimePoint Now);
+  void attributeRestoredCrashes(TimePoint Now);
+  void recordCrash(const WorkerState &Worker, const LostRun &Lost,
+                   CrashVerdict Verdict, TimePoint Now);
+  /// Returns how long to wait before the task of \p Lost is placed again.
+  Duration crashRetryDelay(const Run &Lost);
+  bool hasCrashedSinceStored(const std::string &Id);
+  /// Returns whether most workers of \p Zone have been lost recently.
+  bool isZoneLost(const std::string &Zone, TimePoint Now) const;
+  void noteListed(WorkerState &Worker, Run &Listed, TimePoint Now);
+
   // Reports.
   void processEnds(WorkerState &Worker, const WorkerReport &Report,
                    TimePoint Now);
@@ -205,6 +223,11 @@
   std::set<std::string> ClosedZones_;
   std::map<std::string, JobRecord> Jobs_;
   std::unordered_map<std::string, WorkerState> Workers_;
+  /// The start times of the workers that the previous owner stored.
+  std::unordered_map<std::string, std::int64_t> StoredStartTimes_;
+  /// The runs of workers that crashed before this tenure, until they are
+  /// attributed.
+  std::map<std::string, std::vector<LostRun>> RestoredCrashes_;
   std::priority_queue<RenewalTime> RenewalTimes_;
   /// Workers that may have a run which waits for a stop command.
   std::set<std::string> WorkersWithStops_;
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -26,6 +26,9 @@
 /// units of a fully used worker. Leaves such workers to the filler images that
 /// are harmful elsewhere.
 constexpr double FlexibilityCost = 1.0;
+/// How long a task that may have crashed a worker waits for a worker on which
+/// it is isolated.
+constexpr Duration MaxIsolationWait = std::chrono::milliseconds(1000);
 /// A job that takes longer than this multiple of its objective has no value for
 /// its caller.
 constexpr int WorthlessFactor = 3;
@@ -33,6 +36,15 @@
 /// used worker.
 constexpr double RemoteDataCost = 2.0;
 
+/// Returns whether a waiting task is to be placed on a worker without other
+/// fresh runs, because it may crash its worker. It does not wait for such a
+/// worker for long.
+bool needsIsolation(const Task &Waiting, TimePoint Now) {
+  return !Waiting.Progress_.CrashedWorkers_.empty() &&
+         Now - std::max(Waiting.ReadyAt_, Waiting.NotBefore_) <
+             MaxIsolationWait;
+}
+
 /// Returns the number of serving images on \p Worker other than \p Image.
 std::size_t countOtherImages(const WorkerState &Worker,
                              const std::string &Image) {
@@ -141,11 +153,16 @@
   for (std::uint32_t Slot : TheJob.waiting())
     if (TheJob.at(Slot).NotBefore_ <= Now)
       Slots.push_back(Slot);
-  auto IsOtherStep = [&TheJob](std::uint32_t Left, std::uint32_t Right) {
+  std::stable_partition(Slots.begin(), Slots.end(), [&](std::uint32_t Slot) {
+    return needsIsolation(TheJob.at(Slot), Now);
+  });
+  auto IsOtherStep = [&](std::uint32_t Left, std::uint32_t Right) {
     TaskName First = TheJob.nameOf(Left);
     TaskName Second = TheJob.nameOf(Right);
     return First.Occurrence_ != Second.Occurrence_ ||
-           First.Step_ != Second.Step_;
+           First.Step_ != Second.Step_ ||
+           needsIsolation(TheJob.at(Left), Now) !=
+               needsIsolation(TheJob.at(Right), Now);
   };
   for (auto StepBegin = Slots.begin(); StepBegin != Slots.end();) {
     auto StepEnd =
@@ -165,7 +182,9 @@
   Job &TheJob = Record.Job_;
   TaskName First = TheJob.nameOf(Slots.front());
   const StepSpec &Step = TheJob.step(First);
-  PlacementRequest Request{Step, Service, First, {}, Step.Request_};
+  PlacementRequest Request{
+      Step, Service,       First,
+      {},   Step.Request_, needsIsolation(TheJob.at(Slots.front()), Now)};
   if (Step.IsFiller_)
     Request.Needed_.MilliCpu_ = 0;
   if (Unplaceable_.covers(Request))
@@ -187,8 +206,9 @@
   for (const UsableWorker &Usable : UsableWorkers_)
     if (Usable.Free_.fits({}, Request.Needed_))
       AddOffer(*Usable.Worker_);
-  // A step with a limit per worker may fail where others succeed.
-  if (Offers.empty() && Step.MaxPerWorker_ == 0)
+  // A step with a limit per worker or an isolated task may fail where others
+  // succeed.
+  if (Offers.empty() && Step.MaxPerWorker_ == 0 && !Request.NeedsIsolation_)
     Unplaceable_.add(Request);
   for (std::uint32_t Slot : Slots) {
     TaskName Name = TheJob.nameOf(Slot);
@@ -218,6 +238,9 @@
     if (!Chosen)
       return;
     planRun(*Chosen, Record, Name, Waiting);
+    if (Request.NeedsIsolation_)
+      recordEvent(LogEvent::TaskIsolated,
+                  {{"task", Text}, {"worker", Chosen->Entry_.Id_}});
     UsableWorkers_[Chosen->UsablePosition_].Free_ -= Request.Needed_;
     AddOffer(*Chosen);
   }
@@ -229,7 +252,7 @@
          !Worker.IsExpired_ && !Entry.IsDraining_ && Worker.ClockMs_ &&
          Worker.AvoidUntil_ <= Now && Worker.UnknownRuns_ == 0 &&
          Worker.StartsInFlight_ < MaxStartsInFlight &&
-         !ClosedZones_.contains(Entry.Zone_);
+         Worker.FreshSuspects_ == 0 && !ClosedZones_.contains(Entry.Zone_);
 }
 
 bool Scheduler::Impl::isEligible(const WorkerState &Worker,
@@ -238,7 +261,8 @@
   const WorkerEntry &Entry = Worker.Entry_;
   if (!isUsable(Worker, Now) ||
       !Entry.Capacity_.fits(Worker.Used_, Request.Needed_) ||
-      Entry.Service_ != Request.Service_)
+      Entry.Service_ != Request.Service_ ||
+      (Request.NeedsIsolation_ && Worker.FreshRuns_ > 0))
     return false;
   const StepSpec &Step = Request.Step_;
   const std::vector<std::string> &Labels = Entry.Labels_;
@@ -328,6 +352,7 @@
       1;
   Run PlannedTask = makeRun(Record.Job_, Name, Number);
   PlannedTask.ReadyAt_ = Waiting.ReadyAt_;
+  PlannedTask.IsSuspect_ = !Waiting.Progress_.CrashedWorkers_.empty();
   Record.Job_.place(Name, Number, Worker.Entry_.Id_);
   DirtyJobs_.add(Name.Job_);
   Worker.addRun(std::move(PlannedTask));
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -71,7 +71,7 @@
                             Worker->Entry_.StartedAtMs_ != 0 &&
                             Report.StartedAtMs_ != Worker->Entry_.StartedAtMs_;
   if (IsOtherIncarnation) {
-    Impl_->abandonRuns(*Worker, Now, "report of a new life");
+    Impl_->handleNextIncarnation(*Worker, Now, "report of a new life");
     WorkerEntry Entry = Worker->Entry_;
     Entry.StartedAtMs_ = Report.StartedAtMs_;
     Entry.Sequence_ = 0;
@@ -94,6 +94,7 @@
   Worker->IsRenewing_ = false;
   Worker->HasReported_ = true;
   Worker->IsExpired_ = false;
+  Worker->LostRuns_.clear();
   Worker->AcknowledgedEnd_ = Worker->SentAcknowledgement_;
   Worker->FailedRenewals_ = 0;
   Worker->ClockMs_ = Report.ClockMs_;
@@ -228,6 +229,7 @@
     ListedRun.Phase_ = RunPhase::Confirmed;
     ListedRun.ConfirmedAt_ = Now;
   }
+  noteListed(Worker, ListedRun, Now);
   JobRecord *Record =
       ListedRun.IsStartRecorded_ ? nullptr : findJob(ListedRun.Name_.Job_);
   if (Record && Record->Job_.markStarted())
@@ -247,6 +249,7 @@
   Run AdoptedRun;
   if (RunningTarget) {
     AdoptedRun = makeRun(Record->Job_, Running.Name_, Running.Run_);
+    AdoptedRun.IsSuspect_ = !RunningTarget->Progress_.CrashedWorkers_.empty();
   } else {
     AdoptedRun.Name_ = Running.Name_;
     AdoptedRun.Number_ = Running.Run_;
--- a/packages/scheduling/src/worker_state.cpp
+++ b/packages/scheduling/src/worker_state.cpp
@@ -33,6 +33,7 @@
     LongRunningMilliCpu_ += NewRun.RequestedMilliCpu_;
   if (NewRun.IsFiller_)
     FillerMilliCpu_ += NewRun.RequestedMilliCpu_;
+  countFresh(NewRun, 1);
   Runs_.insert_or_assign(NewRun.Name_.text(), std::move(NewRun));
 }
 
@@ -53,6 +54,7 @@
     LongRunningMilliCpu_ -= Dropped.RequestedMilliCpu_;
   if (Dropped.IsFiller_)
     FillerMilliCpu_ -= Dropped.RequestedMilliCpu_;
+  countFresh(Dropped, -1);
   Runs_.erase(It);
 }
 
@@ -62,12 +64,40 @@
   UnknownRuns_ = 0;
   LongRunningMilliCpu_ = 0;
   FillerMilliCpu_ = 0;
+  FreshRuns_ = 0;
+  FreshSuspects_ = 0;
   ServingImages_.clear();
   Flexibility_.reset();
   Headroom_.clear();
   PacedFillerMilliCpu_.reset();
 }
 
+void WorkerState::countFresh(const Run &Counted, int Change) {
+  if (maturityOf(Counted.ListedFor_) != RunMaturity::Fresh)
+    return;
+  FreshRuns_ += Change;
+  if (Counted.IsSuspect_)
+    FreshSuspects_ += Change;
+}
+
+void WorkerState::noteListed(Run &Listed, Duration ListedFor) {
+  countFresh(Listed, -1);
+  Listed.ListedFor_ = ListedFor;
+  countFresh(Listed, 1);
+}
+
+std::vector<LostRun> WorkerState::possibleRuns() const {
+  std::vector<LostRun> Possible;
+  for (const auto &[Text, ActiveRun] : Runs_) {
+    bool WasSent =
+        ActiveRun.StartsSent_ > 0 || ActiveRun.ConfirmedAt_ != TimePoint();
+    if (WasSent)
+      Possible.push_back({ActiveRun.Name_, ActiveRun.Number_,
+                          maturityOf(ActiveRun.ListedFor_)});
+  }
+  return Possible;
+}
+
 double WorkerState::milliCpu() const {
   return static_cast<double>(
       std::max<std::int64_t>(1, Entry_.Capacity_.MilliCpu_));
--- a/packages/scheduling/src/worker_state.h
+++ b/packages/scheduling/src/worker_state.h
@@ -4,6 +4,7 @@
 /// \file
 /// The scheduler's view of one worker.
 
+#include "crash_attribution.h"
 #include "filbertspring/scheduling/pacing.h"
 #include "filbertspring/scheduling/scheduler.h"
 #include "filbertspring/scheduling/worker.h"
@@ -13,6 +14,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace filbertspring::scheduling {
 
@@ -47,6 +49,10 @@
   /// A report that was requested after this time lists the run if the worker
   /// still executes it.
   TimePoint ConfirmedAt_{};
+  /// How long after ConfirmedAt_ the last report came that lists the run.
+  Duration ListedFor_{};
+  /// Its task may have crashed a worker before.
+  bool IsSuspect_ = false;
   std::optional<TimePoint> StopConfirmedAt_;
   TimePoint NextStopAt_{};
   std::uint32_t StartsSent_ = 0;
@@ -75,6 +81,13 @@
   std::uint64_t QueuePosition_ = 0;
 };
 
+/// A run that its worker may have executed when contact with it was lost.
+struct LostRun {
+  TaskName Name_;
+  std::uint64_t Number_ = 0;
+  RunMaturity Maturity_ = RunMaturity::Fresh;
+};
+
 /// The state of one incarnation of a worker.
 struct WorkerState {
   WorkerEntry Entry_;
@@ -126,6 +139,12 @@
   TimePoint NextDrainCheckAt_{};
   std::uint32_t StartsInFlight_ = 0;
   std::uint32_t FailureStreak_ = 0;
+  /// When the crash of this incarnation or its predecessor was seen.
+  std::optional<TimePoint> CrashedAt_;
+  /// The runs whose leases expired. Whether they ended with a crash is known
+  /// once a report or the next incarnation is seen.
+  std::vector<LostRun> LostRuns_;
+  TimePoint LostAt_{};
 
   std::unordered_map<std::string, Run> Runs_;
   Resources Used_;
@@ -133,6 +152,9 @@
   std::uint32_t UnknownRuns_ = 0;
   std::int64_t LongRunningMilliCpu_ = 0;
   std::int64_t FillerMilliCpu_ = 0;
+  /// The runs that have not settled, and those of them that are suspected.
+  std::size_t FreshRuns_ = 0;
+  std::size_t FreshSuspects_ = 0;
   /// Cached results of fillerHeadroom() by filler image; cleared when the runs
   /// or the model change.
   std::unordered_map<std::string, double> Headroom_;
@@ -158,6 +180,10 @@
     return UnknownRuns_ == 0 && Entry_.Capacity_.fits(Used_, {});
   }
   void addRun(Run NewRun);
+  /// Notes for how long reports have listed \p Listed, a run of this worker.
+  void noteListed(Run &Listed, Duration ListedFor);
+  /// Returns the runs that the worker executes or may execute.
+  std::vector<LostRun> possibleRuns() const;
   /// Returns the serving tasks that have a tail latency target. The result
   /// refers to strings of the runs and is invalidated when these are removed.
   std::vector<ServingSample> servingSamples() const;
@@ -172,6 +198,10 @@
   void dropRun(const std::string &Text);
   /// Removes all runs and releases their resources.
   void dropAllRuns();
+
+private:
+  /// Adds \p Change to the counts of fresh runs if \p Counted has not settled.
+  void countFresh(const Run &Counted, int Change);
 };
 
 } // namespace filbertspring::scheduling
--- a/packages/scheduling/tests/crash_test.cpp
+++ b/packages/scheduling/tests/crash_test.cpp
@@ -2,18 +2,339 @@
 /// Tests of tasks that crash the workers that start them. Such a task takes
 /// other tasks with it, so it has to be told from them before it is given up.
 
+#include "cell_fixture.h"
 #include "crash_attribution.h"
 
+#include "filbertspring/scheduling/progress_codec.h"
+
 #include <boost/test/unit_test.hpp>
 
+#include <set>
+
 namespace filbertspring::scheduling::test {
 namespace {
 
 using enum CrashVerdict;
 using enum RunMaturity;
 
+/// Eight workers that restart three seconds after a crash. Tasks take 700 ms.
+struct CellWithCrashes : Cell {
+  struct ActiveTask {
+    StartTask Start_;
+    TimePoint EndsAt_;
+  };
+  struct Machine {
+    std::int64_t Born_ = 1;
+    std::optional<TimePoint> DownUntil_;
+    std::vector<ActiveTask> Tasks_;
+    std::vector<EndedTask> Ends_;
+  };
+
+  CellWithCrashes() {
+    Capacity_ = {8000, 16000, 0};
+    for (int Number = 1; Number <= 8; ++Number) {
+      std::string Id = "w" + std::to_string(Number);
+      Machines_[Id];
+      list(Id, false);
+    }
+    run(500ms);
+  }
+
+  void run(Duration Time) {
+    for (TimePoint End = Now_ + Time; Now_ < End;) {
+      step();
+      startTasks();
+      restartWorkers();
+      answerAll();
+    }
+  }
+
+  void crash(const std::string &Id) {
+    Machine &Crashed = Machines_[Id];
+    Crashed.Tasks_.clear();
+    Crashed.Ends_.clear();
+    Crashed.DownUntil_ = Now_ + DownTime_;
+  }
+
+  void startTasks() {
+    for (const StartTask &Start : std::exchange(Starts_, {})) {
+      Machine &Target = Machines_[Start.Worker_];
+      if (!Target.DownUntil_) {
+        ++StartCounts_[Start.Name_.text()];
+        LastWorker_[Start.Name_.text()] = Start.Worker_;
+      }
+      bool IsDeadly = Deadly_.contains(Start.Name_.text());
+      if (!Target.DownUntil_ && !IsDeadly)
+        Target.Tasks_.push_back({Start, Now_ + WorkTime_});
+      else if (!Target.DownUntil_)
+        crash(Start.Worker_);
+      Scheduler_.startAnswered(Start.Worker_, Start.Name_, Start.Run_,
+                               Target.DownUntil_ ? CallOutcome::NoAnswer
+                                                 : CallOutcome::Accepted,
+                               Now_);
+      collect();
+    }
+  }
+
+  void restartWorkers() {
+    for (auto &[Id, Target] : Machines_)
+      if (Target.DownUntil_ && *Target.DownUntil_ <= Now_) {
+        Target.DownUntil_.reset();
+        list(Id, false, ++Target.Born_);
+      }
+  }
+
+  void answerAll() {
+    for (const RenewLease &Renewal : std::exchange(Renewals_, {})) {
+      Machine &Target = Machines_[Renewal.Worker_];
+      if (Target.DownUntil_ || Silent_.contains(Renewal.Worker_)) {
+        Scheduler_.renewalFailed(Renewal.Worker_, CallOutcome::NoAnswer, Now_);
+        continue;
+      }
+      for (const ActiveTask &Active : Target.Tasks_)
+        if (Active.EndsAt_ <= Now_)
+          Target.Ends_.push_back({Target.Ends_.size() + 1, Active.Start_.Name_,
+                                  Active.Start_.Run_, EndReason::Done, ""});
+      std::erase_if(Target.Tasks_, [this](const ActiveTask &Active) {
+        return Active.EndsAt_ <= Now_;
+      });
+      WorkerReport Report;
+      Report.ClockMs_ = Now_.time_since_epoch() / 1ms;
+      Report.StartedAtMs_ = Target.Born_;
+      for (const ActiveTask &Active : Target.Tasks_)
+        Report.RunningTasks_.push_back(
+            {Active.Start_.Name_, Active.Start_.Run_, "", 0, 0});
+      Report.EndedTasks_ = Target.Ends_;
+      Scheduler_.renewalAnswered(Renewal.Worker_, Report, Now_);
+    }
+  }
+
+  std::vector<std::string> crashesOf(const std::string &Task) const {
+    std::string Job = Task.substr(0, Task.find('.'));
+    return storedProgress().at(Job).Tasks_[Task].CrashedWorkers_;
+  }
+
+  Duration DownTime_ = 3s;
+  Duration WorkTime_ = 700ms;
+  std::map<std::string, Machine> Machines_;
+  std::set<std::string> Deadly_;
+  std::set<std::string> Silent_;
+  std::map<std::string, int> StartCounts_;
+  std::map<std::string, std::string> LastWorker_;
+};
+
+/// Users tolerate two starts after three crashes.
+constexpr int MaxStarts = 5;
+
 } // namespace
 
+BOOST_AUTO_TEST_SUITE(a_task_that_crashes_its_workers)
+
+BOOST_FIXTURE_TEST_CASE(is_given_up_before_its_sixth_start, CellWithCrashes) {
+  Deadly_ = {"bad.0.0.0"};
+  submit("bad", {task(4)});
+  run(60s);
+  BOOST_TEST(StartCounts_["bad.0.0.0"] <= MaxStarts);
+  BOOST_TEST((Scheduler_.stateOf("bad") == JobState::Failed));
+}
+
+BOOST_FIXTURE_TEST_CASE(leaves_the_jobs_beside_it_unharmed, CellWithCrashes) {
+  Deadly_ = {"bad.0.0.0", "worse.0.0.1"};
+  submit("bad", {task(4)});
+  submit("worse", {task(4)});
+  for (int Number = 0; Number < 40; ++Number) {
+    submit("good" + std::to_string(Number), {task(4)});
+    run(250ms);
+  }
+  run(60s);
+  for (int Number = 0; Number < 40; ++Number)
+    BOOST_TEST((Scheduler_.stateOf("good" + std::to_string(Number)) ==
+                JobState::Completed));
+}
+
+BOOST_FIXTURE_TEST_CASE(is_given_up_on_workers_that_are_always_busy,
+                        CellWithCrashes) {
+  Deadly_ = {"bad.0.0.0"};
+  submit("bad", {task(1)});
+  for (int Number = 0; Number < 300; ++Number) {
+    submit("good" + std::to_string(Number), {task(8)});
+    run(100ms);
+  }
+  BOOST_TEST(StartCounts_["bad.0.0.0"] <= MaxStarts);
+  BOOST_TEST((Scheduler_.stateOf("bad") == JobState::Failed));
+}
+
+BOOST_FIXTURE_TEST_CASE(is_given_up_if_all_tasks_of_the_job_are_like_it,
+                        CellWithCrashes) {
+  for (int Index = 0; Index < 8; ++Index)
+    Deadly_.insert("bad.0.0." + std::to_string(Index));
+  submit("bad", {task(8)});
+  run(60s);
+  for (const std::string &Task : Deadly_)
+    BOOST_TEST(StartCounts_[Task] <= MaxStarts);
+  BOOST_TEST((Scheduler_.stateOf("bad") == JobState::Failed));
+}
+
+BOOST_FIXTURE_TEST_CASE(is_given_up_if_the_job_is_long_running,
+                        CellWithCrashes) {
+  Deadly_ = {"bad.0.0.0"};
+  StepSpec Lasting = task(3);
+  Lasting.IsLongRunning_ = true;
+  submit("bad", {Lasting});
+  run(60s);
+  BOOST_TEST(StartCounts_["bad.0.0.0"] <= MaxStarts);
+  BOOST_TEST((Scheduler_.stateOf("bad") == JobState::Failed));
+}
+
+BOOST_FIXTURE_TEST_CASE(is_given_up_if_workers_return_after_their_leases,
+                        CellWithCrashes) {
+  DownTime_ = 9s;
+  Deadly_ = {"bad.0.0.0"};
+  submit("bad", {task(1)});
+  run(120s);
+  BOOST_TEST(StartCounts_["bad.0.0.0"] <= MaxStarts);
+  BOOST_TEST((Scheduler_.stateOf("bad") == JobState::Failed));
+}
+
+BOOST_FIXTURE_TEST_CASE(is_named_with_its_workers_in_the_stored_state,
+                        CellWithCrashes) {
+  Deadly_ = {"bad.0.0.0"};
+  submit("bad", {task(1)});
+  run(60s);
+  JobProgress Stored = *decodeProgress(encodeProgress(Snapshots_.at("bad")));
+  BOOST_TEST((Stored.State_ == JobState::Failed));
+  BOOST_TEST(Stored.Cause_.starts_with("task bad.0.0.0 crashed the workers w"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_suspected_task)
+
+BOOST_FIXTURE_TEST_CASE(starts_on_a_worker_that_gets_no_other_start,
+                        CellWithCrashes) {
+  Deadly_ = {"bad.0.0.0"};
+  submit("bad", {task(1)});
+  run(100ms);
+  std::string First = LastWorker_["bad.0.0.0"];
+  Deadly_.clear();
+  WorkTime_ = 5s;
+  run(3200ms);
+  std::string Second = LastWorker_["bad.0.0.0"];
+  BOOST_REQUIRE(StartCounts_["bad.0.0.0"] == 2);
+  BOOST_TEST(Second != First);
+  submit("good", {task(40, 1400)});
+  run(100ms);
+  for (int Index = 0; Index < 40; ++Index)
+    BOOST_TEST(LastWorker_["good.0.0." + std::to_string(Index)] != Second);
+  run(1500ms);
+  int Beside = 0;
+  for (const auto &[Task, Worker] : LastWorker_)
+    Beside += Worker == Second ? 1 : 0;
+  BOOST_TEST(Beside > 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(is_cleared_after_it_has_worked_for_long,
+                        CellWithCrashes) {
+  WorkTime_ = 60s;
+  submit("good", {task(1)});
+  run(100ms);
+  crash(LastWorker_["good.0.0.0"]);
+  run(5s);
+  BOOST_TEST(crashesOf("good.0.0.0").size() == 1);
+  run(25s);
+  BOOST_TEST(crashesOf("good.0.0.0").empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(is_remembered_by_the_next_owner, CellWithCrashes) {
+  submit("bad", {task(1)});
+  WorkTime_ = 60s;
+  run(1s);
+  std::string Worker = LastWorker_["bad.0.0.0"];
+  // The worker crashes and restarts while no instance owns the cell.
+  SchedulerSettings Settings;
+  Settings.Tenure_ = 1;
+  Settings.OwnerToken_ = 2;
+  Scheduler Next(Settings, Now_);
+  WorkerEntry Entry;
+  Entry.Id_ = Worker;
+  Entry.Service_ = "service";
+  Entry.Address_ = "address-" + Worker;
+  Entry.Capacity_ = Capacity_;
+  Entry.StartedAtMs_ = 1;
+  Next.restoreWorker(Entry, Now_);
+  Entry.StartedAtMs_ = 2;
+  Next.workerRegistered(Entry, Now_);
+  AcceptedJob Job;
+  Job.Id_ = "bad";
+  Job.Queue_ = "batch";
+  Job.Service_ = "service";
+  Job.Spec_.Steps_ = {task(1)};
+  Next.addJob(Job, Now_);
+  Next.restoreProgress("bad", storedProgress().at("bad"));
+  Next.advance(Now_, 0, Now_, true);
+  PendingWrites Writes = Next.takeWrites(90);
+  std::map<std::string, JobProgress> Stored = storedProgress();
+  for (const auto &[Id, Progress] : Writes.Progress_)
+    Stored[Id] = Progress;
+  JournalRow Row{Writes.Journal_.Number_,
+                 *decodeJournal(encodeJournal(Writes.Journal_.Entries_))};
+  applyJournalRow(Row, Stored);
+  BOOST_TEST(Stored["bad"].Tasks_["bad.0.0.0"].CrashedWorkers_ ==
+                 std::vector<std::string>{Worker},
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(no_task_is_suspected)
+
+// Its job goes on with the next step when the lost worker returns.
+BOOST_FIXTURE_TEST_CASE(that_was_done_on_another_worker, CellWithCrashes) {
+  StepSpec Next = task(1);
+  Next.DependsOn_ = {0};
+  submit("good", {task(1), Next});
+  run(100ms);
+  crash(LastWorker_["good.0.0.0"]);
+  run(3200ms);
+  BOOST_REQUIRE(StartCounts_["good.0.0.0"] == 2);
+  DownTime_ = 12s;
+  crash(LastWorker_["good.0.0.0"]);
+  for (int Round = 0; Round < 500 && StartCounts_["good.0.0.0"] < 3; ++Round)
+    run(20ms);
+  BOOST_REQUIRE(StartCounts_["good.0.0.0"] == 3);
+  WorkTime_ = 60s;
+  run(14s);
+  BOOST_REQUIRE(StartCounts_["good.0.1.0"] == 1);
+  BOOST_TEST((Scheduler_.stateOf("good") == JobState::Running));
+}
+
+BOOST_FIXTURE_TEST_CASE(of_a_worker_that_was_only_silent, CellWithCrashes) {
+  WorkTime_ = 60s;
+  submit("good", {task(1)});
+  run(100ms);
+  std::string Worker = LastWorker_["good.0.0.0"];
+  Silent_ = {Worker};
+  run(9s);
+  Machines_[Worker].Tasks_.clear();
+  Silent_.clear();
+  run(5s);
+  BOOST_TEST(crashesOf("good.0.0.0").empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(of_a_worker_that_drained, CellWithCrashes) {
+  WorkTime_ = 60s;
+  submit("good", {task(1)});
+  run(100ms);
+  std::string Worker = LastWorker_["good.0.0.0"];
+  list(Worker, true);
+  run(1s);
+  crash(Worker);
+  run(8s);
+  BOOST_TEST(crashesOf("good.0.0.0").empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(the_verdict_on_a_crash)
 
 BOOST_AUTO_TEST_CASE(suspects_all_runs_that_have_not_settled) {
--- a/packages/scheduling/tests/oracle.cpp
+++ b/packages/scheduling/tests/oracle.cpp
@@ -18,6 +18,8 @@
 /// The time after which a smaller capacity counts: the shortest StableWindowMs
 /// and one HeartbeatMs.
 constexpr Duration ShrinkLimit = std::chrono::milliseconds(3000 + 1500);
+/// How often a task may start after three workers have crashed under it.
+constexpr std::size_t MaxStartsAfterThirdCrash = 2;
 
 } // namespace
 
@@ -35,6 +37,10 @@
   Jobs_.at(Job).CancelledAt_ = Now;
 }
 
+void Oracle::crashedBy(const TaskName &Name) {
+  ++Jobs_.at(Name.Job_).Tasks_[Name.text()].Crashes_;
+}
+
 void Oracle::checkStepOrder(const JobHistory &Job, const TaskName &Name) {
   const JobSpec &Spec = Job.Accepted_.Spec_;
   for (std::uint32_t Earlier : Spec.Steps_[Name.Step_].DependsOn_)
@@ -172,6 +178,9 @@
   if (!Step.IsLongRunning_ &&
       History.AcknowledgedFailures_.size() >= Job.Attempts_)
     report("budget", Text);
+  if (History.Crashes_ >= 3 &&
+      ++History.StartsAfterThirdCrash_ > MaxStartsAfterThirdCrash)
+    report("crashes", fmt::format("{} on {}", Text, Worker));
   if (Job.CancelledAt_ && Now > *Job.CancelledAt_ + CancelLimit)
     report("cancelled", Text);
   checkCheckpoint(History, Start, Token, Now);
--- a/packages/scheduling/tests/oracle.h
+++ b/packages/scheduling/tests/oracle.h
@@ -26,6 +26,8 @@
 public:
   void accepted(const AcceptedJob &Job, std::uint32_t Attempts);
   void cancelled(const std::string &Job, TimePoint Now);
+  /// A run of \p Name crashed its worker.
+  void crashedBy(const TaskName &Name);
   /// The worker has \p Capacity from now on. A smaller one counts once an owner
   /// can have learned of it.
   void registered(const std::string &Worker, const Resources &Capacity,
@@ -74,6 +76,8 @@
     std::map<std::uint64_t, std::uint64_t> ReportedCheckpoints_;
     /// Checkpoints that must not be lost, each newer than the one before.
     std::vector<SavedCheckpoint> SavedCheckpoints_;
+    std::size_t Crashes_ = 0;
+    std::size_t StartsAfterThirdCrash_ = 0;
   };
   struct JobHistory {
     AcceptedJob Accepted_;
--- a/packages/scheduling/tests/scheduler_fuzz_test.cpp
+++ b/packages/scheduling/tests/scheduler_fuzz_test.cpp
@@ -120,6 +120,8 @@
     if (!LongRunningJobs.empty())
       Cancel(LongRunningJobs[Cell.random()() % LongRunningJobs.size()]);
   };
+  bool HasDeadlyTasks = Seed % 3 == 0;
+  std::set<std::string> Deadly;
   for (int Turn = 0; Turn < 60; ++Turn) {
     if (Cell.chance() < 0.5) {
       AcceptedJob Job = makeJob(Cell, Jobs.size());
@@ -127,6 +129,10 @@
       if (Job.Spec_.isLongRunning())
         LongRunningJobs.push_back(Job.Id_);
       Cell.submit(Job);
+      if (HasDeadlyTasks && Cell.chance() < 0.15) {
+        Deadly.insert(Job.Id_);
+        Cell.makeDeadly(Job.Id_ + ".0.0.0");
+      }
     }
     if (!Jobs.empty() && Cell.chance() < 0.05)
       Cancel(Jobs[Cell.random()() % Jobs.size()]);
@@ -165,6 +171,11 @@
                          Job);
     if (State == JobState::Cancelled && !Cancelled.contains(Job))
       return fmt::format("seed {}: {} is cancelled without cause", Seed, Job);
+    if (!Cell.storedCause(Job).empty() && !Deadly.contains(Job))
+      return fmt::format("seed {}: {} was given up: {}", Seed, Job,
+                         Cell.storedCause(Job));
+    if (State == JobState::Completed && Deadly.contains(Job))
+      return fmt::format("seed {}: {} cannot be completed", Seed, Job);
   }
   return {};
 }
--- a/packages/scheduling/tests/simulated_cell.cpp
+++ b/packages/scheduling/tests/simulated_cell.cpp
@@ -43,7 +43,16 @@
     Entry.StartedAtMs_ = 1;
     double Rate = 0.98 + 0.02 * chance();
     Workers_[Entry.Id_] = std::make_unique<SimulatedWorker>(
-        Entry, Rate, Oracle_, [this](const TaskName &Name, std::uint64_t) {
+        Entry, Rate, Oracle_,
+        [this, Index](const TaskName &Name, std::uint64_t) {
+          if (Deadly_.contains(Name.text()))
+            after(latency(), [this, Index, Name] {
+              if (Stopped_.contains(workerId(Index)) ||
+                  !Workers_.at(workerId(Index))->holds(Name.text()))
+                return;
+              Oracle_.crashedBy(Name);
+              crashWorker(Index, true);
+            });
           return drawOutcome(Name);
         });
   }
@@ -426,6 +435,11 @@
     StoredWorkers_.erase(Id);
 }
 
+std::string SimulatedCell::storedCause(const std::string &Job) const {
+  auto It = Progress_.find(Job);
+  return It == Progress_.end() ? "" : decodeProgress(It->second)->Cause_;
+}
+
 std::optional<JobState>
 SimulatedCell::storedState(const std::string &Job) const {
   auto It = Progress_.find(Job);
--- a/packages/scheduling/tests/simulated_cell.h
+++ b/packages/scheduling/tests/simulated_cell.h
@@ -47,6 +47,8 @@
   /// Stores a job and adds it to the present owner's scheduler.
   void submit(const AcceptedJob &Job);
   void cancel(const std::string &Job);
+  /// Makes \p Task crash each worker that starts it.
+  void makeDeadly(const std::string &Task) { Deadly_.insert(Task); }
   /// Another instance takes the cell over. The previous owner has ended, or
   /// continues to run without access to the store.
   void takeOver(bool IsPredecessorAlive);
@@ -70,6 +72,8 @@
   /// Returns the state of a job that is reported to callers; nothing if the job
   /// is unknown.
   std::optional<JobState> storedState(const std::string &Job) const;
+  /// Returns the stored cause of the job's failure; empty if there is none.
+  std::string storedCause(const std::string &Job) const;
   Scheduler &scheduler();
   const SimulatedWorker &worker(std::size_t Index) const {
     return *Workers_.at(workerId(Index));
@@ -138,6 +142,7 @@
   bool IsStoreDown_ = false;
   std::map<std::string, AcceptedJob> Jobs_;
   std::set<std::string> Cancelled_;
+  std::set<std::string> Deadly_;
   std::map<std::string, std::string> Progress_;
   std::map<std::uint64_t, std::string> Journal_;
   std::map<std::string, WorkerEntry> StoredWorkers_;
