--- a/packages/node/src/callers.cpp
+++ b/packages/node/src/callers.cpp
@@ -252,10 +252,10 @@
 }
 
 void CallerRequestHandler::answerJobState(const ExchangePtr &CallerExchange) {
-  if (std::optional<JobState> Final =
+  if (std::optional<FinalJob> Final =
           JobCache_.finalState(CallerExchange->Job_))
-    return CallerExchange->Respond_(
-        makeAnswer(200, platform::encodeJobState(*Final)));
+    return CallerExchange->Respond_(makeAnswer(
+        200, platform::encodeJobState(Final->State_, Final->Cause_)));
   Store_.read(
       singleRowRange(progressKey(CallerExchange->Job_)),
       timeLeft(*CallerExchange),
@@ -275,9 +275,10 @@
         if (!Progress)
           return CallerExchange->Respond_(makeUnavailableAnswer());
         if (isFinal(Progress->State_))
-          JobCache_.insertFinalState(CallerExchange->Job_, Progress->State_);
-        CallerExchange->Respond_(
-            makeAnswer(200, platform::encodeJobState(Progress->State_)));
+          JobCache_.insertFinalState(CallerExchange->Job_,
+                                     {Progress->State_, Progress->Cause_});
+        CallerExchange->Respond_(makeAnswer(
+            200, platform::encodeJobState(Progress->State_, Progress->Cause_)));
       });
 }
 
--- a/packages/node/src/job_cache.cpp
+++ b/packages/node/src/job_cache.cpp
@@ -1,5 +1,7 @@
 #include "job_cache.h"
 
+#include <utility>
+
 namespace filbertspring::node {
 namespace {
 
@@ -9,9 +11,8 @@
 
 } // namespace
 
-void JobCache::insertFinalState(const std::string &Job,
-                                scheduling::JobState State) {
-  if (!FinalStates_.insert_or_assign(Job, State).second)
+void JobCache::insertFinalState(const std::string &Job, FinalJob State) {
+  if (!FinalStates_.insert_or_assign(Job, std::move(State)).second)
     return;
   InsertionOrder_.push_back(Job);
   if (InsertionOrder_.size() <= MaxCachedJobs)
@@ -20,8 +21,7 @@
   InsertionOrder_.pop_front();
 }
 
-std::optional<scheduling::JobState>
-JobCache::finalState(const std::string &Job) const {
+std::optional<FinalJob> JobCache::finalState(const std::string &Job) const {
   auto Found = FinalStates_.find(Job);
   if (Found == FinalStates_.end())
     return std::nullopt;
--- a/packages/node/src/job_cache.h
+++ b/packages/node/src/job_cache.h
@@ -14,15 +14,22 @@
 
 namespace filbertspring::node {
 
+/// The final state of a job.
+struct FinalJob {
+  scheduling::JobState State_ = scheduling::JobState::Completed;
+  /// Why the job failed; see JobProgress::Cause_.
+  std::string Cause_;
+};
+
 /// Keeps the final states of recent jobs. The size is limited; the state that
 /// was inserted first is evicted first. Operations take constant time.
 class JobCache {
 public:
-  void insertFinalState(const std::string &Job, scheduling::JobState State);
-  std::optional<scheduling::JobState> finalState(const std::string &Job) const;
+  void insertFinalState(const std::string &Job, FinalJob State);
+  std::optional<FinalJob> finalState(const std::string &Job) const;
 
 private:
-  std::unordered_map<std::string, scheduling::JobState> FinalStates_;
+  std::unordered_map<std::string, FinalJob> FinalStates_;
   std::deque<std::string> InsertionOrder_;
 };
 
--- a/packages/node/tests/rows_test.cpp
+++ b/packages/node/tests/rows_test.cpp
@@ -77,9 +77,11 @@
   JobCache Cache;
   for (int Number = 0; Number < MoreThanCapacity; ++Number)
     Cache.insertFinalState(std::to_string(Number),
-                           scheduling::JobState::Completed);
+                           {scheduling::JobState::Failed, "cause"});
   BOOST_TEST(!Cache.finalState("0").has_value());
-  BOOST_TEST((Cache.finalState("1") == scheduling::JobState::Completed));
+  BOOST_REQUIRE(Cache.finalState("1").has_value());
+  BOOST_TEST((Cache.finalState("1")->State_ == scheduling::JobState::Failed));
+  BOOST_TEST(Cache.finalState("1")->Cause_ == "cause");
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/scheduling/src/progress_codec.cpp
+++ b/packages/scheduling/src/progress_codec.cpp
@@ -287,6 +287,7 @@
   // The state, the number of the journal and the names of the fields.
   constexpr std::size_t Fields = 140;
   std::string Text;
+  appendJsonString(Text, Progress.Cause_);
   // The id of the job is the beginning of each task's name. It occurs twice.
   if (!Progress.Tasks_.empty())
     for (int Time = 0; Time < 2; ++Time)
