--- a/packages/scheduling/src/scheduler_writes.cpp
+++ b/packages/scheduling/src/scheduler_writes.cpp
@@ -141,7 +141,8 @@
     JobRecord *Record = findJob(Id);
     if (!Record || Changed.Slots_.empty() || Covered.contains(Id))
       continue;
-    Record->LastJournalRow_ = Writes.Journal_.Number_;
+    Record->LastJournalRow_ =
+        std::max(Record->LastJournalRow_, Writes.Journal_.Number_);
     Writes.Journal_.Entries_.emplace_back(
         Id, Record->Job_.progressOf(Changed.Slots_));
   }
@@ -190,6 +191,8 @@
     // If the outcome of the transaction is unknown, the stored snapshot may
     // need this row.
     Journal_.pin(Job, Rest.Number_);
+    if (JobRecord *Record = findJob(Job))
+      Record->LastJournalRow_ = Rest.Number_;
     Writes.SnapshotRests_.push_back(std::move(Rest));
   }
 }
--- a/packages/scheduling/tests/storage_test.cpp
+++ b/packages/scheduling/tests/storage_test.cpp
@@ -310,6 +310,38 @@
   BOOST_TEST(LastWrites_.RemovedJobs_.size() == 1U);
 }
 
+BOOST_FIXTURE_TEST_CASE(had_no_rest_of_a_snapshot_in_the_journal, LoadedCell) {
+  const std::string Large = "0123456789abcdef";
+  constexpr std::size_t Tasks = 2000;
+  submit(Large, {task(Tasks, 1)});
+  startAll(Tasks);
+  stopAll();
+  int Other = 0;
+  auto ChangeAnother = [&] {
+    submit(fmt::format("b{:06}", ++Other), {task(1, 1)});
+    Scheduler_.cancelJob(fmt::format("b{:06}", Other), Now_);
+    step();
+  };
+  do {
+    ChangeAnother();
+    BOOST_REQUIRE(Other < 200);
+  } while (LastWrites_.SnapshotRests_.empty());
+  Scheduler_.cancelJob(Large, Now_);
+  step();
+  Now_ += SchedulerSettings().FinalStateRetention_;
+  auto IsExpired = [&] {
+    std::vector<std::string> Expired = Scheduler_.expiredJobs(Now_, 1000);
+    return std::find(Expired.begin(), Expired.end(), Large) != Expired.end();
+  };
+  do {
+    ChangeAnother();
+    BOOST_REQUIRE(Other < 1000);
+  } while (!IsExpired());
+  for (const auto &[Number, Row] : Journal_)
+    for (const auto &[Job, Changes] : Row.Entries_)
+      BOOST_TEST(Job != Large, Number);
+}
+
 BOOST_FIXTURE_TEST_CASE(leaves_no_progress_to_a_new_job_with_its_id,
                         RemovedJob) {
   submit("job", Steps_);
