--- a/packages/scheduling/tests/simulated_worker.cpp
+++ b/packages/scheduling/tests/simulated_worker.cpp
@@ -19,8 +19,7 @@
   return static_cast<std::int64_t>(Age.count() * ClockRate_) + 1000;
 }
 
-void SimulatedWorker::end(std::string Text, EndReason Reason,
-                          TimePoint Now) {
+void SimulatedWorker::end(std::string Text, EndReason Reason, TimePoint Now) {
   // A stop saves the progress.
   if (Reason == EndReason::Stopped)
     saveCheckpoint(Runs_.at(Text));
