A status or model row that the store rejects holds up no other changes

The cell's status grows with the number of queues and is not bounded. It and the model were part of every transaction until one was stored, so a row of theirs that the store rejects stopped the cell for good, however small the transaction.

Test before: cell_owner_test.cpp(134): fatal error: in "an_owner_whose_transactions_are_ rejected/because_of_the_status_stores_its_changes_without_it": critical check Holds() has failed

--- a/packages/node/src/cell_owner.cpp
+++ b/packages/node/src/cell_owner.cpp
@@ -472,20 +472,24 @@
   ActiveTenure.IsCommitting_ = false;
   ActiveTenure.NextCommitAt_ = Sent.SentAt_ + MinCommitInterval;
   ActiveTenure.TransactionSize_.ended(Outcome.Outcome_);
+  // If the store rejects one of these rows, the next transactions hold the
+  // other changes without it.
+  bool IsAnswered = Outcome.Outcome_ == CommitOutcome::Committed ||
+                    Outcome.Outcome_ == CommitOutcome::Rejected;
+  if (IsAnswered && !Sent.Status_.empty())
+    ActiveTenure.NextStatusAt_ = Now + MinStatusInterval;
+  if (IsAnswered && !Sent.Model_.empty())
+    ActiveTenure.NextModelAt_ = Now + MinModelInterval;
   if (Outcome.Outcome_ == CommitOutcome::Committed) {
     ActiveTenure.FailedCommits_ = 0;
     if (Sent.HasOwnerRow_) {
       Lease_.rowWritten(Lease_.record(), Outcome.Version_, Sent.SentAt_);
       ActiveTenure.MustWriteOwnerRow_ = false;
     }
-    if (!Sent.Status_.empty()) {
+    if (!Sent.Status_.empty())
       ActiveTenure.StoredStatus_ = Sent.Status_;
-      ActiveTenure.NextStatusAt_ = Now + MinStatusInterval;
-    }
-    if (!Sent.Model_.empty()) {
+    if (!Sent.Model_.empty())
       ActiveTenure.StoredModel_ = Sent.Model_;
-      ActiveTenure.NextModelAt_ = Now + MinModelInterval;
-    }
     ActiveTenure.Scheduler_.writesStored(Sent.Writes_, Now);
     return requestSchedulingCycle();
   }
--- a/packages/node/tests/cell_owner_test.cpp
+++ b/packages/node/tests/cell_owner_test.cpp
@@ -56,7 +56,7 @@
       Feeds_[std::string(Request.query("Table"))] = Respond;
       return;
     }
-    if (Request.Path_ == "/rows-tx" && isTooLarge(Request.Body_)) {
+    if (Request.Path_ == "/rows-tx" && isRejected(Request.Body_)) {
       HttpAnswer Rejection;
       Rejection.Status_ = RejectionStatus_;
       return Respond(std::move(Rejection));
@@ -86,8 +86,11 @@
     return Keys;
   }
 
-  bool isTooLarge(const std::string &Body) const {
-    return RejectionStatus_ != 0 && snapshotsIn(Body).size() > MaxSnapshots;
+  bool isRejected(const std::string &Body) const {
+    bool HasRow =
+        !RejectedRow_.empty() && Body.find(RejectedRow_) != std::string::npos;
+    return RejectionStatus_ != 0 &&
+           (HasRow || snapshotsIn(Body).size() > MaxSnapshots);
   }
 
   void recordTransaction(const std::string &Body) {
@@ -144,6 +147,8 @@
   /// more snapshots of jobs.
   static constexpr std::size_t MaxSnapshots = 6;
   int RejectionStatus_ = 0;
+  /// The encoded beginning of a row that is rejected, too, if not empty.
+  std::string RejectedRow_;
   std::set<std::string> StoredSnapshots_;
   /// The encoded value of the first row that was written.
   std::string TakeoverValue_;
@@ -231,6 +236,16 @@
           .value() >= 4U);
 }
 
+BOOST_FIXTURE_TEST_CASE(because_of_the_status_stores_its_changes_without_it,
+                        BusyCell) {
+  RejectionStatus_ = 400;
+  RejectedRow_ = R"("Table":"cells","part":"cell","Key":"status")";
+  // Its size grows with the number of queues.
+  runFor(1s);
+  cancelJobs();
+  runUntil([this] { return StoredSnapshots_.size() == Jobs; });
+}
+
 BOOST_FIXTURE_TEST_CASE(as_too_large_stores_its_changes_in_smaller_ones,
                         BusyCell) {
   RejectionStatus_ = 413;
