A cancellation that may be stored is not answered with 503

Callers saw: 503, which says that nothing was done, for a DELETE whose row was stored, so that the job was cancelled. If the first transaction got no answer and the store refused the repeat, the answer was that of the repeat. Found by reading; submissions already tell the two apart.

Now a refusal after a transaction without an answer is answered with 504, as for submissions.

Failed before, with a store that carries out a transaction without answering it and then refuses all calls: node_system_test.cpp(222): error: in "a_request_whose_transaction_got_no_answer/is_not_refused_if_it_cancels_a_job": check Cancellation.get() == 504 has failed [503 != 504] The same test for a submission passes on the code before as well.

--- a/packages/node/src/callers.cpp
+++ b/packages/node/src/callers.cpp
@@ -97,7 +97,8 @@
   /// A copy, since the configuration may change before the answer.
   Queue Queue_;
   std::string Job_;
-  /// An insert of the job had an unknown outcome, so the job may be stored.
+  /// An insert had an unknown outcome, so the row of the job or of its
+  /// cancellation may be stored.
   bool MayBeStored_ = false;
 };
 
@@ -326,8 +327,12 @@
           return CallerExchange->Respond_(makeAnswer(410));
         case CommitOutcome::Refused:
         case CommitOutcome::Rejected:
-          return CallerExchange->Respond_(makeUnavailableAnswer());
+          // An earlier insert for this request may still take effect.
+          return CallerExchange->Respond_(CallerExchange->MayBeStored_
+                                              ? makeUnknownOutcomeAnswer()
+                                              : makeUnavailableAnswer());
         case CommitOutcome::Unknown:
+          CallerExchange->MayBeStored_ = true;
           return Loop_.after(StoreRetryDelay, [this, CallerExchange, Version] {
             insertCancellation(CallerExchange, Version);
           });
