Crashes of workers one after another are no common cause

A crash is no proof while most workers of the zone are lost, since then they may have lost power. Every worker that was down or had returned within 3 s counted as lost, whenever it had been lost, so that deadly tasks looked like a loss of power.

Workers that lose power do so at the same time. What counts is now when a worker was lost: between its last report and the first renewal that failed. Only workers that may have been lost within 0.5 s of the crash have a common cause with it.

--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -196,7 +196,7 @@
   bool IsStored = Worker.IsStored_ &&
                   Worker.Entry_.Address_ == Entry.Address_ &&
                   Worker.Entry_.StartedAtMs_ == Entry.StartedAtMs_;
-  std::optional<TimePoint> CrashedAt = Worker.CrashedAt_;
+  std::optional<LossTime> CrashedAt = Worker.CrashedAt_;
   Worker = WorkerState();
   Worker.CrashedAt_ = CrashedAt;
   Worker.Entry_ = Entry;
@@ -263,7 +263,9 @@
                                             const char *Cause) {
   // A worker that drains has announced its end.
   if (!Worker.Entry_.IsDraining_) {
-    Worker.CrashedAt_ = Now;
+    Worker.CrashedAt_ = Worker.FailedRenewals_ > 0
+                            ? Worker.lossTime()
+                            : LossTime{Worker.ClockAt_, Now};
     std::vector<LostRun> Lost = Worker.possibleRuns();
     Lost.insert(Lost.end(), Worker.LostRuns_.begin(), Worker.LostRuns_.end());
     attributeCrash(Worker, Lost, Now);
@@ -423,9 +425,11 @@
     Impl_->IsFenced_ = true;
     return;
   }
-  if (Worker->FailedRenewals_++ == 0)
+  if (Worker->FailedRenewals_++ == 0) {
+    Worker->UnreachableSince_ = Now;
     Impl_->recordEvent(LogEvent::WorkerUnreachable,
                        {{"worker", Id}, {"zone", Worker->Entry_.Zone_}});
+  }
   if (Outcome != CallOutcome::OtherInstance)
     return;
   // Another incarnation uses the address, so this one has ended. A refused
--- a/packages/scheduling/src/scheduler_crashes.cpp
+++ b/packages/scheduling/src/scheduler_crashes.cpp
@@ -10,12 +10,18 @@
 
 /// Workers of a zone that are lost within this time may have a common cause,
 /// such as a loss of power.
-constexpr Duration CommonCauseTime = std::chrono::seconds(3);
+constexpr Duration CommonCauseTime = std::chrono::milliseconds(500);
 /// The smallest number of lost workers that shows a common cause.
 constexpr std::size_t MinCommonLosses = 3;
 /// Delay before a task that may have caused several crashes is placed again.
 constexpr Duration RepeatedCrashDelay = std::chrono::milliseconds(500);
 
+/// Returns whether two workers may have been lost at the same time.
+bool areSimultaneous(const LossTime &Left, const LossTime &Right) {
+  return Left.Earliest_ < Right.Latest_ + CommonCauseTime &&
+         Right.Earliest_ < Left.Latest_ + CommonCauseTime;
+}
+
 } // namespace
 
 Duration Scheduler::Impl::crashRetryDelay(const Run &Lost) {
@@ -25,17 +31,17 @@
   return HasSeveral ? RepeatedCrashDelay : Duration::zero();
 }
 
-bool Scheduler::Impl::isZoneLost(const std::string &Zone, TimePoint Now) const {
+bool Scheduler::Impl::isZoneLost(const WorkerState &Crashed) const {
+  if (!Crashed.CrashedAt_)
+    return false;
   std::size_t Known = 0;
   std::size_t Lost = 0;
   for (const auto &[Id, Worker] : Workers_) {
-    if (Worker.Entry_.Zone_ != Zone)
+    if (Worker.Entry_.Zone_ != Crashed.Entry_.Zone_)
       continue;
     ++Known;
-    bool IsLost =
-        !Worker.isReachable() ||
-        (Worker.CrashedAt_ && Now - *Worker.CrashedAt_ < CommonCauseTime);
-    Lost += IsLost ? 1 : 0;
+    std::optional<LossTime> Loss = Worker.lossTime();
+    Lost += Loss && areSimultaneous(*Loss, *Crashed.CrashedAt_) ? 1 : 0;
   }
   return Lost >= MinCommonLosses && 2 * Lost > Known;
 }
@@ -57,8 +63,7 @@
     Suspects.push_back(
         {Lost.Maturity_, LostTask->Progress_.CrashedWorkers_.size()});
   }
-  std::vector<CrashVerdict> Verdicts =
-      judgeCrash(Suspects, isZoneLost(Worker.Entry_.Zone_, Now));
+  std::vector<CrashVerdict> Verdicts = judgeCrash(Suspects, isZoneLost(Worker));
   for (std::size_t Index = 0; Index < Open.size(); ++Index)
     if (Verdicts[Index] != CrashVerdict::Unlikely)
       recordCrash(Worker, Open[Index], Verdicts[Index], Now);
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -152,8 +152,9 @@
   /// Returns how long to wait before the task of \p Lost is placed again.
   Duration crashRetryDelay(const Run &Lost);
   bool hasCrashedSinceStored(const std::string &Id);
-  /// Returns whether most workers of \p Zone have been lost recently.
-  bool isZoneLost(const std::string &Zone, TimePoint Now) const;
+  /// Returns whether most workers of the zone of \p Crashed were lost when it
+  /// was.
+  bool isZoneLost(const WorkerState &Crashed) const;
   void noteListed(WorkerState &Worker, Run &Listed, TimePoint Now);
 
   // Reports.
--- a/packages/scheduling/src/worker_state.cpp
+++ b/packages/scheduling/src/worker_state.cpp
@@ -98,6 +98,12 @@
   return Possible;
 }
 
+std::optional<LossTime> WorkerState::lossTime() const {
+  if (FailedRenewals_ > 0)
+    return LossTime{ClockAt_, UnreachableSince_};
+  return CrashedAt_;
+}
+
 double WorkerState::milliCpu() const {
   return static_cast<double>(
       std::max<std::int64_t>(1, Entry_.Capacity_.MilliCpu_));
--- a/packages/scheduling/src/worker_state.h
+++ b/packages/scheduling/src/worker_state.h
@@ -81,6 +81,14 @@
   std::uint64_t QueuePosition_ = 0;
 };
 
+/// The time within which a worker was lost.
+struct LossTime {
+  /// The last report came then.
+  TimePoint Earliest_;
+  /// The next renewal failed then.
+  TimePoint Latest_;
+};
+
 /// A run that its worker may have executed when contact with it was lost.
 struct LostRun {
   TaskName Name_;
@@ -139,8 +147,10 @@
   TimePoint NextDrainCheckAt_{};
   std::uint32_t StartsInFlight_ = 0;
   std::uint32_t FailureStreak_ = 0;
-  /// When the crash of this incarnation or its predecessor was seen.
-  std::optional<TimePoint> CrashedAt_;
+  /// When the previous incarnation crashed.
+  std::optional<LossTime> CrashedAt_;
+  /// When the first of the failed renewals failed.
+  TimePoint UnreachableSince_{};
   /// The runs whose leases expired. Whether they ended with a crash is known
   /// once a report or the next incarnation is seen.
   std::vector<LostRun> LostRuns_;
@@ -174,6 +184,9 @@
   /// is at least 1, so that it can be used as a divisor.
   double milliCpu() const;
   bool isReachable() const { return HasReported_ && FailedRenewals_ == 0; }
+  /// Returns when contact with this incarnation was lost, or else when the
+  /// previous one crashed.
+  std::optional<LossTime> lossTime() const;
   /// Returns whether the capacity holds all runs. It may not, since a capacity
   /// can shrink while tasks run.
   bool holdsItsRuns() const {
--- a/packages/scheduling/tests/crash_test.cpp
+++ b/packages/scheduling/tests/crash_test.cpp
@@ -196,6 +196,19 @@
   BOOST_TEST((Scheduler_.stateOf("bad") == JobState::Failed));
 }
 
+BOOST_FIXTURE_TEST_CASE(is_found_while_others_crash_one_worker_after_another,
+                        CellWithCrashes) {
+  for (int Number = 0; Number < 4; ++Number) {
+    std::string Id = "bad" + std::to_string(Number);
+    Deadly_.insert(Id + ".0.0.0");
+    submit(Id, {task(1)});
+    run(900ms);
+  }
+  run(60s);
+  for (const std::string &Task : Deadly_)
+    BOOST_TEST(StartCounts_[Task] <= 3, Task << ": " << StartCounts_[Task]);
+}
+
 BOOST_FIXTURE_TEST_CASE(is_named_with_its_workers_in_the_stored_state,
                         CellWithCrashes) {
   Deadly_ = {"bad.0.0.0"};
@@ -335,6 +348,26 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(no_task_is_given_up)
+
+BOOST_FIXTURE_TEST_CASE(of_a_zone_that_loses_power_again_and_again,
+                        CellWithCrashes) {
+  WorkTime_ = 60s;
+  // The only worker of the other zone.
+  list("w1", true);
+  submit("good", {task(1)});
+  run(100ms);
+  for (int Cut = 0; Cut < 3; ++Cut) {
+    for (int Number = 2; Number <= 8; ++Number)
+      crash("w" + std::to_string(Number));
+    run(3900ms);
+  }
+  BOOST_TEST(StartCounts_["good.0.0.0"] == 4);
+  BOOST_TEST((Scheduler_.stateOf("good") != JobState::Failed));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(the_verdict_on_a_crash)
 
 BOOST_AUTO_TEST_CASE(suspects_all_runs_that_have_not_settled) {
