A job is given up only after crashes of its isolated task

Callers saw jobs as failed that could be done: workers that crash by themselves, or beside tasks that crash their workers late, were taken for proof against whatever task had just started there.

Cause: a second crash with one fresh run on the worker counted as proof. Whether the run had been started in isolation was not known, only that no other run was fresh; a worker that has just restarted is empty, so tasks were isolated on exactly the workers that crash by themselves. And while any run was fresh, the others were cleared, so that a task that crashes its worker 1.5 s after its start was never counted while its neighbours were.

A run now knows that it was started in isolation, and a crash proves something only then, if it is the only fresh run, and if the worker has no other unexplained crash in the last 30 s; such workers are the last choice. Two such crashes are needed, since one happens by coincidence; five crashes end a task in any case, which are the five starts that the users tolerate. Runs that had settled are counted as exposed; a task that is exposed twice is suspected and settles after 3 s. Suspected tasks are placed before the others, and a worker is reserved for them if none is quiet, so that they need not be started beside fresh runs on busy workers. Reports of a worker with an unsettled suspected run are waited for 250 ms instead of a second.

Verdict tests are replaced: proof needs more than before; the cap is five crashes instead of four, with the same bound of starts in the tests (MaxStarts). The simulated cell has workers that delay reports, a restart time and tasks that crash late.

--- a/packages/scheduling/include/filbertspring/scheduling/job.h
+++ b/packages/scheduling/include/filbertspring/scheduling/job.h
@@ -61,6 +61,11 @@
   /// The workers that crashed while they may have run the task and for which
   /// the task may be the cause, in the order of their crashes.
   std::vector<std::string> CrashedWorkers_ = {};
+  /// How many of those crashes happened while the task was isolated.
+  std::uint32_t IsolatedCrashes_ = 0;
+  /// The number of crashes of workers on which the task had worked for a while,
+  /// so that it is an unlikely cause.
+  std::uint32_t Exposures_ = 0;
   friend bool operator==(const TaskProgress &, const TaskProgress &) = default;
 };
 
@@ -182,7 +187,11 @@
             std::uint32_t Attempts);
   /// Records that \p Worker crashed, possibly because of \p Name. Has no effect
   /// on a task that is done.
-  void recordCrash(const TaskName &Name, const std::string &Worker);
+  void recordCrash(const TaskName &Name, const std::string &Worker,
+                   bool IsIsolated);
+  /// Records that the worker of \p Name crashed, probably because of another
+  /// task.
+  void recordExposure(const TaskName &Name);
   /// Forgets the crashes recorded for \p Name.
   void clearCrashes(const TaskName &Name);
   /// Fails the job because \p Name crashes the workers that run it. Has no
--- a/packages/scheduling/src/crash_attribution.cpp
+++ b/packages/scheduling/src/crash_attribution.cpp
@@ -5,18 +5,44 @@
 namespace filbertspring::scheduling {
 namespace {
 
-/// Crashes after which a task is given up if it was isolated during the last.
-constexpr std::size_t MaxIsolatedCrashes = 2;
+/// Crashes with the task in isolation that prove its guilt. One may be due to
+/// the worker itself.
+constexpr std::size_t MinIsolatedCrashes = 2;
 /// Crashes after which a task is given up in any case. Users tolerate two more
 /// starts after the third crash.
-constexpr std::size_t MaxCrashes = 4;
+constexpr std::size_t MaxCrashes = 5;
+/// Crashes of workers on which the task had settled, after which it is
+/// suspected itself.
+constexpr std::uint32_t MinExposures = 2;
+
+CrashVerdict judgeFresh(const CrashSuspect &Suspect, bool IsAlone) {
+  bool IsIsolated = Suspect.IsIsolated_ && IsAlone;
+  std::size_t IsolatedCrashes = Suspect.IsolatedCrashes_ + (IsIsolated ? 1 : 0);
+  if (Suspect.EarlierCrashes_ + 1 >= MaxCrashes ||
+      (IsIsolated && IsolatedCrashes >= MinIsolatedCrashes))
+    return CrashVerdict::Proven;
+  return IsIsolated ? CrashVerdict::SuspectedAlone : CrashVerdict::Suspected;
+}
 
 } // namespace
 
-RunMaturity maturityOf(Duration ListedFor) {
+RunMaturity maturityOf(Duration ListedFor, Duration Settling) {
   if (ListedFor >= EstablishedTime)
     return RunMaturity::Established;
-  return ListedFor >= SettlingTime ? RunMaturity::Settled : RunMaturity::Fresh;
+  return ListedFor >= Settling ? RunMaturity::Settled : RunMaturity::Fresh;
+}
+
+bool isSuspected(const TaskProgress &Progress) {
+  return !Progress.CrashedWorkers_.empty() ||
+         Progress.Exposures_ >= MinExposures;
+}
+
+bool isSuspectedRepeatedly(const TaskProgress &Progress) {
+  return Progress.CrashedWorkers_.size() + Progress.Exposures_ > 1;
+}
+
+Duration settlingTime(const TaskProgress &Progress) {
+  return Progress.Exposures_ >= MinExposures ? LongSettlingTime : SettlingTime;
 }
 
 std::vector<CrashVerdict> judgeCrash(std::span<const CrashSuspect> Suspects,
@@ -25,28 +51,20 @@
       Suspects.begin(), Suspects.end(), [](const CrashSuspect &Suspect) {
         return Suspect.Maturity_ == RunMaturity::Fresh;
       });
-  // A task that crashes its worker later is found by its earlier crashes, which
-  // the others on the worker have in common with it by chance only.
-  std::size_t MostCrashes = 0;
-  for (const CrashSuspect &Suspect : Suspects)
-    if (Suspect.Maturity_ == RunMaturity::Settled)
-      MostCrashes = std::max(MostCrashes, Suspect.EarlierCrashes_);
+  bool IsAlone = FreshRuns == 1 && !HasCommonCause;
   std::vector<CrashVerdict> Verdicts;
-  for (const CrashSuspect &Suspect : Suspects) {
-    bool IsSuspected = FreshRuns > 0
-                           ? Suspect.Maturity_ == RunMaturity::Fresh
-                           : Suspect.Maturity_ == RunMaturity::Settled &&
-                                 Suspect.EarlierCrashes_ == MostCrashes;
-    std::size_t Crashes = Suspect.EarlierCrashes_ + 1;
-    bool IsProven =
-        Crashes >= MaxCrashes ||
-        (FreshRuns == 1 && !HasCommonCause && Crashes >= MaxIsolatedCrashes);
-    if (!IsSuspected)
+  for (const CrashSuspect &Suspect : Suspects)
+    switch (Suspect.Maturity_) {
+    case RunMaturity::Fresh:
+      Verdicts.push_back(judgeFresh(Suspect, IsAlone));
+      break;
+    case RunMaturity::Settled:
+      Verdicts.push_back(CrashVerdict::Exposed);
+      break;
+    case RunMaturity::Established:
       Verdicts.push_back(CrashVerdict::Unlikely);
-    else
-      Verdicts.push_back(IsProven ? CrashVerdict::Proven
-                                  : CrashVerdict::Suspected);
-  }
+      break;
+    }
   return Verdicts;
 }
 
--- a/packages/scheduling/src/job.cpp
+++ b/packages/scheduling/src/job.cpp
@@ -264,20 +264,32 @@
   return true;
 }
 
-void Job::recordCrash(const TaskName &Name, const std::string &Worker) {
+void Job::recordCrash(const TaskName &Name, const std::string &Worker,
+                      bool IsIsolated) {
   Task *Suspected = find(Name);
   if (!Suspected || Suspected->Progress_.IsDone_)
     return;
   Suspected->Progress_.CrashedWorkers_.push_back(Worker);
+  Suspected->Progress_.IsolatedCrashes_ += IsIsolated ? 1 : 0;
   Suspected->LastFailedWorker_ = Worker;
   ChangedSlots_.push_back(*slotOf(Name));
 }
 
+void Job::recordExposure(const TaskName &Name) {
+  Task *Exposed = find(Name);
+  if (!Exposed || Exposed->Progress_.IsDone_)
+    return;
+  ++Exposed->Progress_.Exposures_;
+  ChangedSlots_.push_back(*slotOf(Name));
+}
+
 void Job::clearCrashes(const TaskName &Name) {
   Task *Cleared = find(Name);
-  if (!Cleared || Cleared->Progress_.CrashedWorkers_.empty())
+  if (!Cleared)
     return;
   Cleared->Progress_.CrashedWorkers_.clear();
+  Cleared->Progress_.IsolatedCrashes_ = 0;
+  Cleared->Progress_.Exposures_ = 0;
   ChangedSlots_.push_back(*slotOf(Name));
 }
 
--- a/packages/scheduling/src/progress_codec.cpp
+++ b/packages/scheduling/src/progress_codec.cpp
@@ -28,6 +28,19 @@
   return !Progress.Worker_.empty() && Progress == Placed;
 }
 
+void appendCrashes(std::string &Into, const TaskProgress &Progress) {
+  if (Progress.CrashedWorkers_.empty() && Progress.Exposures_ == 0)
+    return;
+  Into += ",[";
+  for (const std::string &Worker : Progress.CrashedWorkers_) {
+    if (&Worker != &Progress.CrashedWorkers_.front())
+      Into += ',';
+    appendJsonString(Into, Worker);
+  }
+  fmt::format_to(std::back_inserter(Into), "],{},{}", Progress.IsolatedCrashes_,
+                 Progress.Exposures_);
+}
+
 void appendTask(std::string &Into, const TaskProgress &Progress) {
   fmt::format_to(std::back_inserter(Into), "[{},{},{},", Progress.IsDone_,
                  Progress.Failures_, Progress.LastFailedRun_);
@@ -35,13 +48,8 @@
   Into += ',';
   appendJsonString(Into, Progress.Worker_);
   fmt::format_to(std::back_inserter(Into), ",{}", Progress.LastRun_);
-  const char *Before = ",[";
-  for (const std::string &Worker : Progress.CrashedWorkers_) {
-    Into += Before;
-    appendJsonString(Into, Worker);
-    Before = ",";
-  }
-  Into += Progress.CrashedWorkers_.empty() ? "]" : "]]";
+  appendCrashes(Into, Progress);
+  Into += ']';
 }
 
 TaskProgress decodeTask(const json &Value) {
@@ -56,9 +64,12 @@
   Progress.Checkpoint_ = Value.at(3).get<std::string>();
   Progress.Worker_ = Value.at(4).get<std::string>();
   Progress.LastRun_ = Value.at(5).get<std::uint64_t>();
-  // Missing for a task that crashed no worker.
-  if (Value.size() > 6)
+  // Missing for a task whose workers did not crash.
+  if (Value.size() > 8) {
     Progress.CrashedWorkers_ = Value[6].get<std::vector<std::string>>();
+    Progress.IsolatedCrashes_ = Value[7].get<std::uint32_t>();
+    Progress.Exposures_ = Value[8].get<std::uint32_t>();
+  }
   return Progress;
 }
 
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -15,6 +15,9 @@
 /// The lease of tasks on a worker that drains. Longer than two renewals that
 /// each wait for an end.
 constexpr Duration DrainingLease = std::chrono::milliseconds(2500);
+/// Shorter waits show sooner that a suspected task has settled, until when its
+/// worker gets no other start.
+constexpr Duration SuspectReportWait = std::chrono::milliseconds(250);
 /// How long the runs of a worker whose lease has expired are remembered. Longer
 /// than a crashed worker takes to restart.
 constexpr Duration LostRunRetention = std::chrono::seconds(30);
@@ -92,11 +95,14 @@
   if (!Record)
     return;
   Record->StoredState_ = Progress.State_;
+  if (std::any_of(Progress.Tasks_.begin(), Progress.Tasks_.end(),
+                  [](const auto &Entry) { return isSuspected(Entry.second); }))
+    Impl_->JobsWithSuspects_.insert(Id);
   for (const TaskName &Name : Record->Job_.restore(Progress)) {
     const TaskProgress &Stored = Record->Job_.find(Name)->Progress_;
     if (Impl_->hasCrashedSinceStored(Stored.Worker_)) {
       Impl_->RestoredCrashes_[Stored.Worker_].push_back(
-          {Name, Stored.LastRun_, RunMaturity::Fresh});
+          {Name, Stored.LastRun_, RunMaturity::Fresh, false});
       Record->Job_.requeue(Name, Impl_->TenureStart_, Impl_->TenureStart_);
       Impl_->handleJobChange(*Record, Impl_->TenureStart_);
       Impl_->JobsWithWaitingTasks_.insert(Id);
@@ -106,7 +112,7 @@
     // The first report in this tenure lists the run if it is still executed.
     Restored.Phase_ = RunPhase::Confirmed;
     Restored.ConfirmedAt_ = Impl_->TenureStart_;
-    Restored.IsSuspect_ = !Stored.CrashedWorkers_.empty();
+    Restored.IsSuspect_ = isSuspected(Stored);
     auto [It, IsNew] = Impl_->Workers_.try_emplace(Stored.Worker_);
     WorkerState &Worker = It->second;
     Worker.Entry_.Id_ = Stored.Worker_;
@@ -390,7 +396,9 @@
   }
   // A worker without tasks answers at once: there is no end to wait for.
   if (Worker.isReachable() && !Worker.Runs_.empty())
-    Renewal.Wait_ = Settings_.ReportWait_;
+    Renewal.Wait_ = Worker.FreshSuspects_ > 0
+                        ? std::min(SuspectReportWait, Settings_.ReportWait_)
+                        : Settings_.ReportWait_;
   Worker.IsRenewing_ = true;
   Worker.RenewalSentAt_ = Now;
   Actions_.emplace_back(std::move(Renewal));
@@ -434,7 +442,9 @@
     return;
   // Another incarnation uses the address, so this one has ended. A refused
   // connection shows nothing: a partition may reject connections.
-  Impl_->handleNextIncarnation(*Worker, Now, "other life at its address");
+  if (!Worker->HasEnded_)
+    Impl_->handleNextIncarnation(*Worker, Now, "other life at its address");
+  Worker->HasEnded_ = true;
   Worker->HasReported_ = true;
   Worker->IsExpired_ = true;
   Worker->LeaseExpiresAt_ = Now;
@@ -489,6 +499,7 @@
     Impl_->Snapshots_.erase(Id);
     Impl_->Journal_.unpin(Id);
     Impl_->JobsToRelease_.erase(Id);
+    Impl_->JobsWithSuspects_.erase(Id);
     Impl_->JobsWithWaitingTasks_.erase(Id);
     Impl_->JobsToRemove_.insert(Id);
   }
--- a/packages/scheduling/src/scheduler_commands.cpp
+++ b/packages/scheduling/src/scheduler_commands.cpp
@@ -92,6 +92,8 @@
     // it.
     return ReleaseRun(AvoidAfterPastDeadline);
   case CallOutcome::NotSent:
+    Worker->LastStartAt_ = {};
+    return ReleaseRun(AvoidAfterRefusal);
   case CallOutcome::RejectedNoCapacity:
   case CallOutcome::RejectedOther:
   case CallOutcome::Unhealthy:
--- a/packages/scheduling/src/scheduler_crashes.cpp
+++ b/packages/scheduling/src/scheduler_crashes.cpp
@@ -15,6 +15,13 @@
 constexpr std::size_t MinCommonLosses = 3;
 /// Delay before a task that may have caused several crashes is placed again.
 constexpr Duration RepeatedCrashDelay = std::chrono::milliseconds(500);
+/// How long a crash without a known cause is held against its worker.
+constexpr Duration UnsteadyTime = std::chrono::seconds(30);
+/// A worker with more of these crashes probably crashes by itself.
+constexpr std::uint32_t MaxUnexplainedCrashes = 1;
+/// How long a task that may have crashed a worker waits for a worker on which
+/// it is isolated. Reserved workers become available before.
+constexpr Duration MaxIsolationWait = std::chrono::seconds(5);
 
 /// Returns whether two workers may have been lost at the same time.
 bool areSimultaneous(const LossTime &Left, const LossTime &Right) {
@@ -31,6 +38,32 @@
   return HasSeveral ? RepeatedCrashDelay : Duration::zero();
 }
 
+Isolation Scheduler::Impl::neededIsolation(const Task &Waiting,
+                                           TimePoint Now) const {
+  const TaskProgress &Progress = Waiting.Progress_;
+  if (!isSuspected(Progress))
+    return Isolation::None;
+  TimePoint WaitsSince = std::max(Waiting.ReadyAt_, Waiting.NotBefore_);
+  bool IsRepeated = isSuspectedRepeatedly(Progress);
+  if (!IsRepeated && Now - WaitsSince >= MaxIsolationWait)
+    return Isolation::None;
+  return IsRepeated ? Isolation::LongSettled : Isolation::Settled;
+}
+
+std::uint32_t Scheduler::Impl::unexplainedCrashes(const WorkerState &Worker,
+                                                  TimePoint Now) const {
+  auto Crashed = UnexplainedCrashes_.find(Worker.Entry_.Id_);
+  bool IsRecent = Crashed != UnexplainedCrashes_.end() &&
+                  Now - Crashed->second.LastAt_ < UnsteadyTime;
+  return IsRecent ? Crashed->second.Count_ : 0;
+}
+
+bool Scheduler::Impl::canIsolate(const WorkerState &Worker,
+                                 TimePoint Now) const {
+  return Worker.YoungRuns_ == 0 &&
+         unexplainedCrashes(Worker, Now) <= MaxUnexplainedCrashes;
+}
+
 bool Scheduler::Impl::isZoneLost(const WorkerState &Crashed) const {
   if (!Crashed.CrashedAt_)
     return false;
@@ -60,34 +93,62 @@
     if (!LostTask || LostTask->Progress_.IsDone_)
       continue;
     Open.push_back(Lost);
-    Suspects.push_back(
-        {Lost.Maturity_, LostTask->Progress_.CrashedWorkers_.size()});
+    Suspects.push_back({Lost.Maturity_, Lost.IsIsolated_,
+                        LostTask->Progress_.CrashedWorkers_.size(),
+                        LostTask->Progress_.IsolatedCrashes_});
   }
-  std::vector<CrashVerdict> Verdicts = judgeCrash(Suspects, isZoneLost(Worker));
+  bool HasCommonCause = isZoneLost(Worker);
+  std::erase_if(UnexplainedCrashes_, [Now](const auto &Entry) {
+    return Now - Entry.second.LastAt_ >= UnsteadyTime;
+  });
+  // Without both, the crash was before this tenure, and is attributed with the
+  // stored runs.
+  bool IsKnown = Worker.HasReported_ || !Runs.empty();
+  if (IsKnown && !HasCommonCause)
+    UnexplainedCrashes_[Worker.Entry_.Id_] = {
+        unexplainedCrashes(Worker, Now) + 1, Now};
+  std::vector<CrashVerdict> Verdicts = judgeCrash(Suspects, HasCommonCause);
   for (std::size_t Index = 0; Index < Open.size(); ++Index)
-    if (Verdicts[Index] != CrashVerdict::Unlikely)
-      recordCrash(Worker, Open[Index], Verdicts[Index], Now);
+    applyVerdict(Worker, Open[Index], Verdicts[Index], Now);
+}
+
+void Scheduler::Impl::applyVerdict(const WorkerState &Worker,
+                                   const LostRun &Lost, CrashVerdict Verdict,
+                                   TimePoint Now) {
+  JobRecord &Record = *findJob(Lost.Name_.Job_);
+  if (Verdict == CrashVerdict::Unlikely || isFinal(Record.Job_.state()))
+    return;
+  JobsWithSuspects_.insert(Lost.Name_.Job_);
+  if (Verdict != CrashVerdict::Exposed)
+    return recordCrash(Worker, Lost, Verdict, Now);
+  Record.Job_.recordExposure(Lost.Name_);
+  DirtyJobs_.add(Lost.Name_.Job_);
 }
 
 void Scheduler::Impl::recordCrash(const WorkerState &Worker,
                                   const LostRun &Lost, CrashVerdict Verdict,
                                   TimePoint Now) {
   JobRecord &Record = *findJob(Lost.Name_.Job_);
-  if (isFinal(Record.Job_.state()))
-    return;
-  Record.Job_.recordCrash(Lost.Name_, Worker.Entry_.Id_);
-  std::size_t Crashes =
-      Record.Job_.find(Lost.Name_)->Progress_.CrashedWorkers_.size();
+  Record.Job_.recordCrash(Lost.Name_, Worker.Entry_.Id_,
+                          Verdict != CrashVerdict::Suspected);
+  const std::vector<std::string> &Crashed =
+      Record.Job_.find(Lost.Name_)->Progress_.CrashedWorkers_;
+  std::string Crashes = std::to_string(Crashed.size());
   recordEvent(LogEvent::TaskCrashSuspected,
               {{"task", Lost.Name_.text()},
                {"run", std::to_string(Lost.Number_)},
                {"worker", Worker.Entry_.Id_},
-               {"crashes", std::to_string(Crashes)},
+               {"crashes", Crashes},
                {"proven", Verdict == CrashVerdict::Proven ? "1" : "0"}});
   if (Verdict == CrashVerdict::Proven) {
+    for (const std::string &Id : Crashed) {
+      auto It = UnexplainedCrashes_.find(Id);
+      if (It != UnexplainedCrashes_.end() && --It->second.Count_ == 0)
+        UnexplainedCrashes_.erase(It);
+    }
     Record.Job_.giveUp(Lost.Name_);
-    recordEvent(LogEvent::TaskGivenUp, {{"task", Lost.Name_.text()},
-                                        {"crashes", std::to_string(Crashes)}});
+    recordEvent(LogEvent::TaskGivenUp,
+                {{"task", Lost.Name_.text()}, {"crashes", Crashes}});
     recordEvent(LogEvent::JobFinished, {{"job", Lost.Name_.Job_},
                                         {"state", "failed"},
                                         {"task", Lost.Name_.text()}});
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -78,6 +78,22 @@
   std::vector<std::uint32_t> Slots_;
 };
 
+/// The crashes of a worker whose cause is unknown.
+struct UnexplainedCrashes {
+  std::uint32_t Count_ = 0;
+  TimePoint LastAt_;
+};
+
+/// What a task that may crash its worker requires of the other runs there. Each
+/// value includes the ones before it.
+enum class Isolation {
+  None,
+  /// They have been listed for SettlingTime.
+  Settled,
+  /// They have been listed for LongSettlingTime.
+  LongSettled,
+};
+
 /// The requirements for placing a task.
 struct PlacementRequest {
   const StepSpec &Step_;
@@ -88,8 +104,7 @@
   std::string TaskText_;
   /// The resources that are counted against a worker's capacity.
   Resources Needed_;
-  /// The task may crash its worker: all runs on the worker must have settled.
-  bool NeedsIsolation_ = false;
+  Isolation Isolation_ = Isolation::None;
 };
 
 /// Requests for which no worker was found in the present placement pass. Free
@@ -108,6 +123,7 @@
     /// The image of a filler; empty for other tasks.
     std::string FillerImage_;
     Resources Requested_;
+    Isolation Isolation_ = Isolation::None;
   };
   std::vector<Entry> Entries_;
 };
@@ -147,6 +163,8 @@
   void attributeCrash(const WorkerState &Worker,
                       const std::vector<LostRun> &Runs, TimePoint Now);
   void attributeRestoredCrashes(TimePoint Now);
+  void applyVerdict(const WorkerState &Worker, const LostRun &Lost,
+                    CrashVerdict Verdict, TimePoint Now);
   void recordCrash(const WorkerState &Worker, const LostRun &Lost,
                    CrashVerdict Verdict, TimePoint Now);
   /// Returns how long to wait before the task of \p Lost is placed again.
@@ -155,6 +173,15 @@
   /// Returns whether most workers of the zone of \p Crashed were lost when it
   /// was.
   bool isZoneLost(const WorkerState &Crashed) const;
+  /// Returns how often \p Worker has crashed lately, except because of tasks
+  /// that were given up.
+  std::uint32_t unexplainedCrashes(const WorkerState &Worker,
+                                   TimePoint Now) const;
+  /// Returns whether the next crash of \p Worker is due to a task that is
+  /// isolated on it, since there is no other likely cause.
+  bool canIsolate(const WorkerState &Worker, TimePoint Now) const;
+  /// Returns the isolation in which \p Waiting is to be placed now.
+  Isolation neededIsolation(const Task &Waiting, TimePoint Now) const;
   void noteListed(WorkerState &Worker, Run &Listed, TimePoint Now);
 
   // Reports.
@@ -189,7 +216,11 @@
   void releaseDueSteps(TimePoint Now);
   void placeWaitingTasks(TimePoint Now);
   void findUsableWorkers(TimePoint Now);
-  void placeJob(JobRecord &Record, const Queue *Policy, TimePoint Now);
+  /// Places the waiting tasks of a job that are suspected, or the others.
+  void placeJob(JobRecord &Record, const Queue *Policy, bool AreSuspected,
+                TimePoint Now);
+  /// Reserves a worker for a suspected task, so that its runs settle.
+  void reserveWorker(const PlacementRequest &Request, TimePoint Now);
   void placeStep(JobRecord &Record, const std::string &Service,
                  std::span<const std::uint32_t> Slots, TimePoint Now);
   /// Returns whether \p Worker gets tasks now.
@@ -229,6 +260,10 @@
   /// The runs of workers that crashed before this tenure, until they are
   /// attributed.
   std::map<std::string, std::vector<LostRun>> RestoredCrashes_;
+  /// Recent crashes of workers whose cause is unknown.
+  std::unordered_map<std::string, UnexplainedCrashes> UnexplainedCrashes_;
+  /// Jobs that may have suspected tasks.
+  std::set<std::string> JobsWithSuspects_;
   std::priority_queue<RenewalTime> RenewalTimes_;
   /// Workers that may have a run which waits for a stop command.
   std::set<std::string> WorkersWithStops_;
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -26,9 +26,19 @@
 /// units of a fully used worker. Leaves such workers to the filler images that
 /// are harmful elsewhere.
 constexpr double FlexibilityCost = 1.0;
-/// How long a task that may have crashed a worker waits for a worker on which
-/// it is isolated.
-constexpr Duration MaxIsolationWait = std::chrono::milliseconds(1000);
+/// Cost for a suspected task of each recent crash of a worker, in units of a
+/// fully used worker.
+constexpr double UnsteadyCost = 20.0;
+/// Cost for a suspected task of a worker with runs that may be the cause of its
+/// next crash, too.
+constexpr double YoungRunsCost = 10.0;
+/// How long a worker is reserved for suspected tasks. Its other runs settle
+/// before.
+constexpr Duration ReservationTime = std::chrono::milliseconds(2000);
+constexpr Duration LongReservationTime = std::chrono::milliseconds(5000);
+/// Reserved workers are at most this fraction of all, which bounds the capacity
+/// that is left unused.
+constexpr std::size_t ReservedDivisor = 4;
 /// A job that takes longer than this multiple of its objective has no value for
 /// its caller.
 constexpr int WorthlessFactor = 3;
@@ -36,13 +46,18 @@
 /// used worker.
 constexpr double RemoteDataCost = 2.0;
 
-/// Returns whether a waiting task is to be placed on a worker without other
-/// fresh runs, because it may crash its worker. It does not wait for such a
-/// worker for long.
-bool needsIsolation(const Task &Waiting, TimePoint Now) {
-  return !Waiting.Progress_.CrashedWorkers_.empty() &&
-         Now - std::max(Waiting.ReadyAt_, Waiting.NotBefore_) <
-             MaxIsolationWait;
+/// Returns whether a task that requires \p Needed may be started beside the
+/// runs of \p Worker.
+bool satisfies(const WorkerState &Worker, Isolation Needed, TimePoint Now) {
+  switch (Needed) {
+  case Isolation::None:
+    return Worker.ReservedUntil_ <= Now;
+  case Isolation::Settled:
+    return Worker.FreshRuns_ == 0;
+  case Isolation::LongSettled:
+    return Worker.YoungRuns_ == 0;
+  }
+  return false;
 }
 
 /// Returns the number of serving images on \p Worker other than \p Image.
@@ -67,7 +82,7 @@
   const StepSpec &Step = Request.Step_;
   Entries_.push_back({Request.Service_, Step.RequiredLabel_,
                       Step.IsFiller_ ? Step.Image_ : std::string(),
-                      Step.Request_});
+                      Step.Request_, Request.Isolation_});
 }
 
 bool UnplaceableRequests::covers(const PlacementRequest &Request) const {
@@ -79,6 +94,7 @@
                Failed.Requested_.MemoryMb_ <= Step.Request_.MemoryMb_ &&
                Failed.Requested_.Accelerators_ <= Step.Request_.Accelerators_ &&
                Failed.FillerImage_ == Image &&
+               Failed.Isolation_ <= Request.Isolation_ &&
                Failed.Service_ == Request.Service_ &&
                (Failed.RequiredLabel_.empty() ||
                 Failed.RequiredLabel_ == Step.RequiredLabel_);
@@ -126,8 +142,12 @@
             });
   Unplaceable_.clear();
   findUsableWorkers(Now);
+  // Suspected tasks get the few workers on which all runs have settled.
+  for (const Candidate &Waiting : Candidates)
+    if (JobsWithSuspects_.contains(Waiting.Record_->Job_.accepted().Id_))
+      placeJob(*Waiting.Record_, Waiting.Policy_, true, Now);
   for (const Candidate &Waiting : Candidates)
-    placeJob(*Waiting.Record_, Waiting.Policy_, Now);
+    placeJob(*Waiting.Record_, Waiting.Policy_, false, Now);
 }
 
 /// Collects the workers that can get a task at all, with their free capacity.
@@ -144,25 +164,23 @@
 }
 
 void Scheduler::Impl::placeJob(JobRecord &Record, const Queue *Policy,
-                               TimePoint Now) {
+                               bool AreSuspected, TimePoint Now) {
   Job &TheJob = Record.Job_;
   const std::string &Service =
       Policy ? Policy->Service_ : TheJob.accepted().Service_;
   // Copied because placing a task removes it from the set.
   std::vector<std::uint32_t> Slots;
   for (std::uint32_t Slot : TheJob.waiting())
-    if (TheJob.at(Slot).NotBefore_ <= Now)
+    if (TheJob.at(Slot).NotBefore_ <= Now &&
+        isSuspected(TheJob.at(Slot).Progress_) == AreSuspected)
       Slots.push_back(Slot);
-  std::stable_partition(Slots.begin(), Slots.end(), [&](std::uint32_t Slot) {
-    return needsIsolation(TheJob.at(Slot), Now);
-  });
   auto IsOtherStep = [&](std::uint32_t Left, std::uint32_t Right) {
     TaskName First = TheJob.nameOf(Left);
     TaskName Second = TheJob.nameOf(Right);
     return First.Occurrence_ != Second.Occurrence_ ||
            First.Step_ != Second.Step_ ||
-           needsIsolation(TheJob.at(Left), Now) !=
-               needsIsolation(TheJob.at(Right), Now);
+           neededIsolation(TheJob.at(Left), Now) !=
+               neededIsolation(TheJob.at(Right), Now);
   };
   for (auto StepBegin = Slots.begin(); StepBegin != Slots.end();) {
     auto StepEnd =
@@ -184,7 +202,7 @@
   const StepSpec &Step = TheJob.step(First);
   PlacementRequest Request{
       Step, Service,       First,
-      {},   Step.Request_, needsIsolation(TheJob.at(Slots.front()), Now)};
+      {},   Step.Request_, neededIsolation(TheJob.at(Slots.front()), Now)};
   if (Step.IsFiller_)
     Request.Needed_.MilliCpu_ = 0;
   if (Unplaceable_.covers(Request))
@@ -195,10 +213,15 @@
     bool operator<(const Offer &Other) const { return Cost_ > Other.Cost_; }
   };
   std::vector<Offer> Offers;
+  bool IsIsolated = Request.Isolation_ != Isolation::None;
   auto AddOffer = [&](WorkerState &Worker) {
     if (!isEligible(Worker, Request, Now))
       return;
     if (std::optional<double> Cost = placementCost(Worker, Step)) {
+      if (IsIsolated)
+        *Cost += UnsteadyCost * unexplainedCrashes(Worker, Now);
+      if (IsIsolated && Worker.YoungRuns_ > 0)
+        *Cost += YoungRunsCost;
       Offers.push_back({*Cost, &Worker});
       std::push_heap(Offers.begin(), Offers.end());
     }
@@ -206,9 +229,8 @@
   for (const UsableWorker &Usable : UsableWorkers_)
     if (Usable.Free_.fits({}, Request.Needed_))
       AddOffer(*Usable.Worker_);
-  // A step with a limit per worker or an isolated task may fail where others
-  // succeed.
-  if (Offers.empty() && Step.MaxPerWorker_ == 0 && !Request.NeedsIsolation_)
+  // A step with a limit per worker may fail where others succeed.
+  if (Offers.empty() && Step.MaxPerWorker_ == 0)
     Unplaceable_.add(Request);
   for (std::uint32_t Slot : Slots) {
     TaskName Name = TheJob.nameOf(Slot);
@@ -235,10 +257,14 @@
       Offers.push_back(Skipped);
       std::push_heap(Offers.begin(), Offers.end());
     }
+    if (!Chosen && IsIsolated)
+      reserveWorker(Request, Now);
     if (!Chosen)
       return;
+    bool IsAlone = IsIsolated && canIsolate(*Chosen, Now);
     planRun(*Chosen, Record, Name, Waiting);
-    if (Request.NeedsIsolation_)
+    Chosen->Runs_.at(Text).IsIsolated_ = IsAlone;
+    if (IsIsolated)
       recordEvent(LogEvent::TaskIsolated,
                   {{"task", Text}, {"worker", Chosen->Entry_.Id_}});
     UsableWorkers_[Chosen->UsablePosition_].Free_ -= Request.Needed_;
@@ -246,6 +272,32 @@
   }
 }
 
+void Scheduler::Impl::reserveWorker(const PlacementRequest &Request,
+                                    TimePoint Now) {
+  std::size_t Reserved = 0;
+  WorkerState *Best = nullptr;
+  auto IsWorse = [this, Now](const WorkerState &Left,
+                             const WorkerState &Right) {
+    return std::pair(unexplainedCrashes(Left, Now), Left.YoungRuns_) >
+           std::pair(unexplainedCrashes(Right, Now), Right.YoungRuns_);
+  };
+  PlacementRequest Relaxed = Request;
+  Relaxed.Isolation_ = Isolation::None;
+  for (const UsableWorker &Usable : UsableWorkers_) {
+    WorkerState &Worker = *Usable.Worker_;
+    if (Worker.ReservedUntil_ > Now) {
+      ++Reserved;
+      continue;
+    }
+    if (isEligible(Worker, Relaxed, Now) && (!Best || IsWorse(*Best, Worker)))
+      Best = &Worker;
+  }
+  if (Best && Reserved <= UsableWorkers_.size() / ReservedDivisor)
+    Best->ReservedUntil_ = Now + (Request.Isolation_ == Isolation::LongSettled
+                                      ? LongReservationTime
+                                      : ReservationTime);
+}
+
 bool Scheduler::Impl::isUsable(const WorkerState &Worker, TimePoint Now) const {
   const WorkerEntry &Entry = Worker.Entry_;
   return Worker.IsRegistered_ && Worker.IsStored_ && Worker.isReachable() &&
@@ -262,7 +314,7 @@
   if (!isUsable(Worker, Now) ||
       !Entry.Capacity_.fits(Worker.Used_, Request.Needed_) ||
       Entry.Service_ != Request.Service_ ||
-      (Request.NeedsIsolation_ && Worker.FreshRuns_ > 0))
+      !satisfies(Worker, Request.Isolation_, Now))
     return false;
   const StepSpec &Step = Request.Step_;
   const std::vector<std::string> &Labels = Entry.Labels_;
@@ -352,7 +404,9 @@
       1;
   Run PlannedTask = makeRun(Record.Job_, Name, Number);
   PlannedTask.ReadyAt_ = Waiting.ReadyAt_;
-  PlannedTask.IsSuspect_ = !Waiting.Progress_.CrashedWorkers_.empty();
+  PlannedTask.IsSuspect_ = isSuspected(Waiting.Progress_);
+  PlannedTask.SettlingTime_ = settlingTime(Waiting.Progress_);
+  Worker.ReservedUntil_ = {};
   Record.Job_.place(Name, Number, Worker.Entry_.Id_);
   DirtyJobs_.add(Name.Job_);
   Worker.addRun(std::move(PlannedTask));
@@ -391,6 +445,7 @@
                                 JobRecord &Record, TimePoint Now) {
   ++Target.StartsSent_;
   ++Worker.StartsInFlight_;
+  Worker.LastStartAt_ = Now;
   scheduleRenewal(Worker, std::min(Worker.NextRenewalAt_, Now));
   Worker.LastIdleReportAt_ = {};
   Worker.LeaseExpiresAt_ =
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -249,7 +249,7 @@
   Run AdoptedRun;
   if (RunningTarget) {
     AdoptedRun = makeRun(Record->Job_, Running.Name_, Running.Run_);
-    AdoptedRun.IsSuspect_ = !RunningTarget->Progress_.CrashedWorkers_.empty();
+    AdoptedRun.IsSuspect_ = isSuspected(RunningTarget->Progress_);
   } else {
     AdoptedRun.Name_ = Running.Name_;
     AdoptedRun.Number_ = Running.Run_;
--- a/packages/scheduling/src/worker_state.cpp
+++ b/packages/scheduling/src/worker_state.cpp
@@ -66,6 +66,7 @@
   FillerMilliCpu_ = 0;
   FreshRuns_ = 0;
   FreshSuspects_ = 0;
+  YoungRuns_ = 0;
   ServingImages_.clear();
   Flexibility_.reset();
   Headroom_.clear();
@@ -73,7 +74,10 @@
 }
 
 void WorkerState::countFresh(const Run &Counted, int Change) {
-  if (maturityOf(Counted.ListedFor_) != RunMaturity::Fresh)
+  if (maturityOf(Counted.ListedFor_, LongSettlingTime) == RunMaturity::Fresh)
+    YoungRuns_ += Change;
+  if (maturityOf(Counted.ListedFor_, Counted.SettlingTime_) !=
+      RunMaturity::Fresh)
     return;
   FreshRuns_ += Change;
   if (Counted.IsSuspect_)
@@ -92,15 +96,17 @@
     bool WasSent =
         ActiveRun.StartsSent_ > 0 || ActiveRun.ConfirmedAt_ != TimePoint();
     if (WasSent)
-      Possible.push_back({ActiveRun.Name_, ActiveRun.Number_,
-                          maturityOf(ActiveRun.ListedFor_)});
+      Possible.push_back(
+          {ActiveRun.Name_, ActiveRun.Number_,
+           maturityOf(ActiveRun.ListedFor_, ActiveRun.SettlingTime_),
+           ActiveRun.IsIsolated_});
   }
   return Possible;
 }
 
 std::optional<LossTime> WorkerState::lossTime() const {
   if (FailedRenewals_ > 0)
-    return LossTime{ClockAt_, UnreachableSince_};
+    return LossTime{std::max(ClockAt_, LastStartAt_), UnreachableSince_};
   return CrashedAt_;
 }
 
--- a/packages/scheduling/src/worker_state.h
+++ b/packages/scheduling/src/worker_state.h
@@ -53,6 +53,10 @@
   Duration ListedFor_{};
   /// Its task may have crashed a worker before.
   bool IsSuspect_ = false;
+  /// It was started in isolation in this tenure.
+  bool IsIsolated_ = false;
+  /// It counts as fresh until it has been listed for this long.
+  Duration SettlingTime_ = SettlingTime;
   std::optional<TimePoint> StopConfirmedAt_;
   TimePoint NextStopAt_{};
   std::uint32_t StartsSent_ = 0;
@@ -83,7 +87,7 @@
 
 /// The time within which a worker was lost.
 struct LossTime {
-  /// The last report came then.
+  /// The last report came, or the last start command was sent, then.
   TimePoint Earliest_;
   /// The next renewal failed then.
   TimePoint Latest_;
@@ -94,6 +98,7 @@
   TaskName Name_;
   std::uint64_t Number_ = 0;
   RunMaturity Maturity_ = RunMaturity::Fresh;
+  bool IsIsolated_ = false;
 };
 
 /// The state of one incarnation of a worker.
@@ -149,8 +154,14 @@
   std::uint32_t FailureStreak_ = 0;
   /// When the previous incarnation crashed.
   std::optional<LossTime> CrashedAt_;
+  /// When the last start command was sent that was not refused.
+  TimePoint LastStartAt_{};
+  /// Another incarnation was seen at its address.
+  bool HasEnded_ = false;
   /// When the first of the failed renewals failed.
   TimePoint UnreachableSince_{};
+  /// Until then only suspected tasks are started.
+  TimePoint ReservedUntil_{};
   /// The runs whose leases expired. Whether they ended with a crash is known
   /// once a report or the next incarnation is seen.
   std::vector<LostRun> LostRuns_;
@@ -165,6 +176,8 @@
   /// The runs that have not settled, and those of them that are suspected.
   std::size_t FreshRuns_ = 0;
   std::size_t FreshSuspects_ = 0;
+  /// The runs that were listed for less than LongSettlingTime.
+  std::size_t YoungRuns_ = 0;
   /// Cached results of fillerHeadroom() by filler image; cleared when the runs
   /// or the model change.
   std::unordered_map<std::string, double> Headroom_;
@@ -213,7 +226,8 @@
   void dropAllRuns();
 
 private:
-  /// Adds \p Change to the counts of fresh runs if \p Counted has not settled.
+  /// Adds \p Change to the counts of runs that have not settled, if \p Counted
+  /// is one.
   void countFresh(const Run &Counted, int Change);
 };
 
--- a/packages/scheduling/tests/crash_test.cpp
+++ b/packages/scheduling/tests/crash_test.cpp
@@ -196,6 +196,20 @@
   BOOST_TEST((Scheduler_.stateOf("bad") == JobState::Failed));
 }
 
+BOOST_FIXTURE_TEST_CASE(keeps_its_budget_if_most_workers_are_down,
+                        CellWithCrashes) {
+  for (int Number = 0; Number < 8; ++Number) {
+    std::string Id = "bad" + std::to_string(Number);
+    Deadly_.insert(Id + ".0.0.0");
+    submit(Id, {task(1)});
+    run(600ms);
+  }
+  run(60s);
+  for (const std::string &Task : Deadly_)
+    BOOST_TEST(StartCounts_[Task] <= MaxStarts,
+               Task << ": " << StartCounts_[Task]);
+}
+
 BOOST_FIXTURE_TEST_CASE(is_found_while_others_crash_one_worker_after_another,
                         CellWithCrashes) {
   for (int Number = 0; Number < 4; ++Number) {
@@ -299,6 +313,22 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(the_crashes_of_a_task)
+
+BOOST_AUTO_TEST_CASE(are_part_of_its_stored_progress) {
+  JobProgress Progress;
+  TaskProgress &Suspected = Progress.Tasks_["job.0.0.0"];
+  Suspected.CrashedWorkers_ = {"w1", "w\"2"};
+  Suspected.IsolatedCrashes_ = 1;
+  Suspected.Exposures_ = 3;
+  Progress.Tasks_["job.0.0.1"].Exposures_ = 1;
+  Result<JobProgress> Read = decodeProgress(encodeProgress(Progress));
+  BOOST_REQUIRE(Read.has_value());
+  BOOST_TEST((Read->Tasks_ == Progress.Tasks_));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(no_task_is_suspected)
 
 // Its job goes on with the next step when the lost worker returns.
@@ -370,40 +400,50 @@
 
 BOOST_AUTO_TEST_SUITE(the_verdict_on_a_crash)
 
+/// A run that was started in isolation and had not settled.
+CrashSuspect isolated(std::size_t EarlierCrashes, std::size_t Isolated = 0) {
+  return {Fresh, true, EarlierCrashes, Isolated};
+}
+
+CrashVerdict judgeFirst(std::vector<CrashSuspect> Runs,
+                        bool HasCommonCause = false) {
+  return judgeCrash(Runs, HasCommonCause).front();
+}
+
 BOOST_AUTO_TEST_CASE(suspects_all_runs_that_have_not_settled) {
-  std::vector<CrashSuspect> Runs{{Fresh, 0}, {Settled, 1}, {Fresh, 0}};
-  std::vector<CrashVerdict> Expected{Suspected, Unlikely, Suspected};
+  std::vector<CrashSuspect> Runs{
+      {Fresh}, {Settled, false, 1}, {Fresh}, {Established}};
+  std::vector<CrashVerdict> Expected{Suspected, Exposed, Suspected, Unlikely};
   BOOST_TEST((judgeCrash(Runs, false) == Expected));
 }
 
-BOOST_AUTO_TEST_CASE(is_proof_if_a_suspected_run_is_the_only_fresh_one) {
-  std::vector<CrashSuspect> Runs{{Fresh, 1}, {Settled, 0}};
-  std::vector<CrashVerdict> Expected{Proven, Unlikely};
-  BOOST_TEST((judgeCrash(Runs, false) == Expected));
+BOOST_AUTO_TEST_CASE(is_proof_if_an_isolated_run_is_the_only_fresh_one_twice) {
+  BOOST_TEST((judgeFirst({isolated(1), {Settled}}) == SuspectedAlone));
+  BOOST_TEST((judgeFirst({isolated(2, 1), {Settled}}) == Proven));
 }
 
 BOOST_AUTO_TEST_CASE(is_no_proof_at_the_first_crash) {
-  std::vector<CrashSuspect> Runs{{Fresh, 0}};
-  BOOST_TEST((judgeCrash(Runs, false).front() == Suspected));
+  BOOST_TEST((judgeFirst({isolated(0)}) == SuspectedAlone));
+}
+
+BOOST_AUTO_TEST_CASE(is_no_proof_if_the_run_is_alone_by_chance_only) {
+  BOOST_TEST((judgeFirst({{Fresh, false, 2, 1}}) == Suspected));
+}
+
+BOOST_AUTO_TEST_CASE(is_no_proof_if_another_run_is_fresh) {
+  BOOST_TEST((judgeFirst({isolated(2, 1), {Fresh}}) == Suspected));
 }
 
 BOOST_AUTO_TEST_CASE(is_no_proof_while_most_of_the_zone_is_lost) {
-  std::vector<CrashSuspect> Runs{{Fresh, 1}};
-  BOOST_TEST((judgeCrash(Runs, true).front() == Suspected));
+  BOOST_TEST((judgeFirst({isolated(2, 1)}, true) == Suspected));
 }
 
-BOOST_AUTO_TEST_CASE(ends_a_task_after_four_crashes_in_any_case) {
-  std::vector<CrashSuspect> Runs{{Fresh, 3}, {Fresh, 0}};
+BOOST_AUTO_TEST_CASE(ends_a_task_after_five_crashes_in_any_case) {
+  std::vector<CrashSuspect> Runs{{Fresh, false, 4}, {Fresh}};
   std::vector<CrashVerdict> Expected{Proven, Suspected};
   BOOST_TEST((judgeCrash(Runs, true) == Expected));
 }
 
-BOOST_AUTO_TEST_CASE(follows_earlier_crashes_if_all_runs_have_settled) {
-  std::vector<CrashSuspect> Runs{{Settled, 1}, {Settled, 0}, {Established, 3}};
-  std::vector<CrashVerdict> Expected{Suspected, Unlikely, Unlikely};
-  BOOST_TEST((judgeCrash(Runs, false) == Expected));
-}
-
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace filbertspring::scheduling::test
--- a/packages/scheduling/tests/simulated_cell.cpp
+++ b/packages/scheduling/tests/simulated_cell.cpp
@@ -45,15 +45,19 @@
     Workers_[Entry.Id_] = std::make_unique<SimulatedWorker>(
         Entry, Rate, Oracle_,
         [this, Index](const TaskName &Name, std::uint64_t) {
-          if (Deadly_.contains(Name.text()))
-            after(latency(), [this, Index, Name] {
+          auto Deadly = Deadly_.find(Name.text());
+          if (Deadly != Deadly_.end())
+            after(latency() + Deadly->second, [this, Index, Name] {
               if (Stopped_.contains(workerId(Index)) ||
                   !Workers_.at(workerId(Index))->holds(Name.text()))
                 return;
               Oracle_.crashedBy(Name);
               crashWorker(Index, true);
             });
-          return drawOutcome(Name);
+          TaskOutcome Outcome = drawOutcome(Name);
+          if (Deadly != Deadly_.end())
+            Outcome = {std::chrono::hours(1)};
+          return Outcome;
         });
   }
   takeOver(false);
@@ -181,7 +185,7 @@
           [this, Id] { Owner_->Scheduler_.workerDeregistered(Id, Now_); });
     return;
   }
-  after(std::chrono::milliseconds(1500), [this, Id] {
+  after(RestartTime_, [this, Id] {
     Stopped_.erase(Id);
     Draining_.erase(Id);
     registerWorker(Id);
@@ -304,13 +308,29 @@
           CallOutcome Outcome = Execute(Target, Born);
           if (IsLost)
             return Answer(CallTimeout, CallOutcome::NoAnswer);
-          // Renewals are answered without waiting, so a report is only as old
-          // as the latency of the response.
-          Answer(latency(), Outcome);
-          (void)Wait;
+          if (!HasReportWaits_ || Wait == Duration::zero() ||
+              Outcome != CallOutcome::Accepted)
+            return Answer(latency(), Outcome);
+          waitForEnd(Worker, Born, Now_ + Wait,
+                     [this, Born, &Target, Execute, Answer](bool IsAlive) {
+                       Answer(latency(), IsAlive ? Execute(Target, Born)
+                                                 : CallOutcome::NoAnswer);
+                     });
         });
 }
 
+void SimulatedCell::waitForEnd(
+    const std::string &Worker, std::int64_t Born, TimePoint Until,
+    const std::function<void(bool IsAlive)> &Answer) {
+  bool IsAlive = !Stopped_.contains(Worker) &&
+                 Workers_.at(Worker)->entry().StartedAtMs_ == Born;
+  if (!IsAlive || Now_ >= Until || Workers_.at(Worker)->hasEnds())
+    return Answer(IsAlive);
+  after(Tick, [this, Worker, Born, Until, Answer] {
+    waitForEnd(Worker, Born, Until, Answer);
+  });
+}
+
 void SimulatedCell::execute(const std::shared_ptr<Owner> &CellOwner,
                             const Action &NextAction) {
   std::uint64_t Token = CellOwner->Token_;
--- a/packages/scheduling/tests/simulated_cell.h
+++ b/packages/scheduling/tests/simulated_cell.h
@@ -47,8 +47,14 @@
   /// Stores a job and adds it to the present owner's scheduler.
   void submit(const AcceptedJob &Job);
   void cancel(const std::string &Job);
-  /// Makes \p Task crash each worker that starts it.
-  void makeDeadly(const std::string &Task) { Deadly_.insert(Task); }
+  /// Makes \p Task crash each worker that starts it, \p After its start.
+  void makeDeadly(const std::string &Task, Duration After = {}) {
+    Deadly_[Task] = After;
+  }
+  /// How long a crashed worker takes to restart.
+  void setRestartTime(Duration Time) { RestartTime_ = Time; }
+  /// Workers delay the answers to renewals until a task ends.
+  void enableReportWaits() { HasReportWaits_ = true; }
   /// Another instance takes the cell over. The previous owner has ended, or
   /// continues to run without access to the store.
   void takeOver(bool IsPredecessorAlive);
@@ -83,6 +89,9 @@
     Faults_ = HasFaults ? InitialFaults_ : FaultRates();
   }
   std::size_t workerCount() const { return WorkerCount_; }
+  bool isDown(std::size_t Index) const {
+    return Stopped_.contains(workerId(Index));
+  }
 
 private:
   struct Owner;
@@ -113,6 +122,10 @@
             const std::function<CallOutcome(SimulatedWorker &, std::int64_t)>
                 &Execute,
             const std::function<void(CallOutcome)> &Answered);
+  /// Calls \p Answer when a task has ended on \p Worker, at \p Until, or at
+  /// once if the worker crashes before.
+  void waitForEnd(const std::string &Worker, std::int64_t Born, TimePoint Until,
+                  const std::function<void(bool IsAlive)> &Answer);
   void write(const std::shared_ptr<Owner> &CellOwner);
   void apply(const PendingWrites &Writes);
   /// Returns the stored snapshots with the changes in the journal.
@@ -142,7 +155,9 @@
   bool IsStoreDown_ = false;
   std::map<std::string, AcceptedJob> Jobs_;
   std::set<std::string> Cancelled_;
-  std::set<std::string> Deadly_;
+  std::map<std::string, Duration> Deadly_;
+  Duration RestartTime_ = std::chrono::milliseconds(1500);
+  bool HasReportWaits_ = false;
   std::map<std::string, std::string> Progress_;
   std::map<std::uint64_t, std::string> Journal_;
   std::map<std::string, WorkerEntry> StoredWorkers_;
--- a/packages/scheduling/tests/simulated_worker.cpp
+++ b/packages/scheduling/tests/simulated_worker.cpp
@@ -135,6 +135,7 @@
                            Now);
     Ends_.pop_front();
   }
+  Report = {};
   Report.ClockMs_ = clockMs(Now);
   Report.StartedAtMs_ = Entry_.StartedAtMs_;
   for (const auto &[Text, Run] : Runs_)
--- a/packages/scheduling/tests/simulated_worker.h
+++ b/packages/scheduling/tests/simulated_worker.h
@@ -63,6 +63,7 @@
     return Entry_;
   }
   bool holds(const std::string &Text) const { return Runs_.contains(Text); }
+  bool hasEnds() const { return !Ends_.empty(); }
   std::int64_t clockMs(TimePoint Now) const;
 
 private:
