A task is held back while it is unknown how often it crashed workers

If a worker takes longer to return than its lease lasts, its tasks are placed again before it is known whether it crashed. A task that crashes its workers was then started once in each lease until the first of them returned, and exceeded the five starts that users tolerate.

The runs that were lost when their leases expired, and had not settled, count as possible crashes until their worker returns, is heard again, or 30 s have passed. A task with five possible crashes waits for that. A silence counts for nothing once the worker is heard.

--- a/packages/scheduling/include/filbertspring/scheduling/job.h
+++ b/packages/scheduling/include/filbertspring/scheduling/job.h
@@ -101,6 +101,9 @@
   TimePoint NotBefore_{};
   /// The time at which the task last became ready to be placed.
   TimePoint ReadyAt_{};
+  /// Runs whose leases expired before the task can have settled. Whether their
+  /// workers crashed is not known yet.
+  std::uint32_t PendingLosses_ = 0;
 };
 
 /// A job and the states of its tasks.
--- a/packages/scheduling/src/crash_attribution.cpp
+++ b/packages/scheduling/src/crash_attribution.cpp
@@ -41,6 +41,12 @@
   return Progress.CrashedWorkers_.size() + Progress.Exposures_ > 1;
 }
 
+bool isHeldBack(const Task &Waiting) {
+  return Waiting.PendingLosses_ > 0 &&
+         Waiting.Progress_.CrashedWorkers_.size() + Waiting.PendingLosses_ >=
+             MaxCrashes;
+}
+
 Duration settlingTime(const TaskProgress &Progress) {
   return Progress.Exposures_ >= MinExposures ? LongSettlingTime : SettlingTime;
 }
--- a/packages/scheduling/src/crash_attribution.h
+++ b/packages/scheduling/src/crash_attribution.h
@@ -46,6 +46,10 @@
 /// Returns whether a task may have caused several crashes.
 bool isSuspectedRepeatedly(const TaskProgress &Progress);
 
+/// Returns whether \p Waiting must not be started before it is known which of
+/// the workers that were lost with it have crashed.
+bool isHeldBack(const Task &Waiting);
+
 /// Returns for how long reports have to list a run until it has settled. A task
 /// that was there when several workers crashed may crash them late.
 Duration settlingTime(const TaskProgress &Progress);
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -276,7 +276,7 @@
     Lost.insert(Lost.end(), Worker.LostRuns_.begin(), Worker.LostRuns_.end());
     attributeCrash(Worker, Lost, Now);
   }
-  Worker.LostRuns_.clear();
+  forgetLostRuns(Worker);
   abandonRuns(Worker, Now, Cause);
 }
 
@@ -331,13 +331,12 @@
                              : TenureStart_ + Settings_.PredecessorLeaseLimit_;
     if (IsUnreachable && Now > LeaseEnd && ConfirmedAt > LeaseEnd &&
         !Worker.IsExpired_) {
-      Worker.LostRuns_ = Worker.possibleRuns();
-      Worker.LostAt_ = Now;
+      rememberLostRuns(Worker, Now);
       abandonRuns(Worker, Now, "lease expired");
       Worker.IsExpired_ = true;
     }
     if (Now - Worker.LostAt_ > LostRunRetention)
-      Worker.LostRuns_.clear();
+      forgetLostRuns(Worker);
     if (Worker.IsExpired_ && !Worker.IsRegistered_ && Worker.Runs_.empty() &&
         Worker.LostRuns_.empty())
       ExpiredWorkers.push_back(Id);
--- a/packages/scheduling/src/scheduler_crashes.cpp
+++ b/packages/scheduling/src/scheduler_crashes.cpp
@@ -156,6 +156,31 @@
   handleJobChange(Record, Now);
 }
 
+void Scheduler::Impl::rememberLostRuns(WorkerState &Worker, TimePoint Now) {
+  forgetLostRuns(Worker);
+  Worker.LostRuns_ = Worker.possibleRuns();
+  Worker.LostAt_ = Now;
+  countPendingLosses(Worker, 1);
+}
+
+void Scheduler::Impl::forgetLostRuns(WorkerState &Worker) {
+  if (Worker.LostRuns_.empty())
+    return;
+  countPendingLosses(Worker, -1);
+  Worker.LostRuns_.clear();
+  NeedsPlacement_ = true;
+}
+
+void Scheduler::Impl::countPendingLosses(const WorkerState &Worker,
+                                         int Change) {
+  for (const LostRun &Lost : Worker.LostRuns_) {
+    JobRecord *Record = findJob(Lost.Name_.Job_);
+    Task *LostTask = Record ? Record->Job_.find(Lost.Name_) : nullptr;
+    if (LostTask && Lost.Maturity_ == RunMaturity::Fresh)
+      LostTask->PendingLosses_ += Change;
+  }
+}
+
 /// Attributes the crashes of workers whose next incarnation was registered
 /// before this tenure began.
 void Scheduler::Impl::attributeRestoredCrashes(TimePoint Now) {
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -169,6 +169,11 @@
                    CrashVerdict Verdict, TimePoint Now);
   /// Returns how long to wait before the task of \p Lost is placed again.
   Duration crashRetryDelay(const Run &Lost);
+  /// Remembers the runs of \p Worker, whose leases have expired, until it is
+  /// known whether it crashed.
+  void rememberLostRuns(WorkerState &Worker, TimePoint Now);
+  void forgetLostRuns(WorkerState &Worker);
+  void countPendingLosses(const WorkerState &Worker, int Change);
   bool hasCrashedSinceStored(const std::string &Id);
   /// Returns whether most workers of the zone of \p Crashed were lost when it
   /// was.
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -171,7 +171,7 @@
   // Copied because placing a task removes it from the set.
   std::vector<std::uint32_t> Slots;
   for (std::uint32_t Slot : TheJob.waiting())
-    if (TheJob.at(Slot).NotBefore_ <= Now &&
+    if (TheJob.at(Slot).NotBefore_ <= Now && !isHeldBack(TheJob.at(Slot)) &&
         isSuspected(TheJob.at(Slot).Progress_) == AreSuspected)
       Slots.push_back(Slot);
   auto IsOtherStep = [&](std::uint32_t Left, std::uint32_t Right) {
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -94,7 +94,7 @@
   Worker->IsRenewing_ = false;
   Worker->HasReported_ = true;
   Worker->IsExpired_ = false;
-  Worker->LostRuns_.clear();
+  Impl_->forgetLostRuns(*Worker);
   Worker->AcknowledgedEnd_ = Worker->SentAcknowledgement_;
   Worker->FailedRenewals_ = 0;
   Worker->ClockMs_ = Report.ClockMs_;
--- a/packages/scheduling/tests/crash_histories_test.cpp
+++ b/packages/scheduling/tests/crash_histories_test.cpp
@@ -292,6 +292,16 @@
   check(History);
 }
 
+BOOST_AUTO_TEST_CASE(are_the_deadly_ones_if_workers_return_late) {
+  CrashHistory History;
+  History.DeadlyJobs_ = 0.1;
+  History.JobsPerSecond_ = 5;
+  History.RestartTime_ = 9s;
+  check(History);
+  History.RestartTime_ = 20s;
+  check(History);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
