A search for any worker says nothing about reserved ones

If no worker was found for a task that need not be isolated, isolated tasks that asked for at least as much were skipped in the same pass. The former cannot use workers that are reserved, the latter can, so that on a full cell a suspected task that had waited too long for isolation kept the others from the workers reserved for them. Found by review; no test shows it. scheduling_test and scheduling_fuzz_test pass.

--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -88,6 +88,8 @@
 bool UnplaceableRequests::covers(const PlacementRequest &Request) const {
   const StepSpec &Step = Request.Step_;
   std::string_view Image = Step.IsFiller_ ? Step.Image_ : std::string_view();
+  // Reserved workers are available to isolated tasks only.
+  bool IsAnywhere = Request.Isolation_ == Isolation::None;
   return std::any_of(
       Entries_.begin(), Entries_.end(), [&](const Entry &Failed) {
         return Failed.Requested_.MilliCpu_ <= Step.Request_.MilliCpu_ &&
@@ -95,6 +97,7 @@
                Failed.Requested_.Accelerators_ <= Step.Request_.Accelerators_ &&
                Failed.FillerImage_ == Image &&
                Failed.Isolation_ <= Request.Isolation_ &&
+               (Failed.Isolation_ == Isolation::None) == IsAnywhere &&
                Failed.Service_ == Request.Service_ &&
                (Failed.RequiredLabel_.empty() ||
                 Failed.RequiredLabel_ == Step.RequiredLabel_);
