--- a/packages/scheduling/tests/simulated_worker.cpp
+++ b/packages/scheduling/tests/simulated_worker.cpp
@@ -19,7 +19,8 @@
   return static_cast<std::int64_t>(Age.count() * ClockRate_) + 1000;
 }
 
-void SimulatedWorker::end(std::string Text, EndReason Reason, TimePoint Now) {
+void SimulatedWorker::end(const std::string &Text, EndReason Reason,
+                          TimePoint Now) {
   // A stop saves the progress.
   if (Reason == EndReason::Stopped)
     saveCheckpoint(Runs_.at(Text));
@@ -56,8 +57,11 @@
     end(Text, Runs_.at(Text).Fails_ ? EndReason::Failed : EndReason::Done, Now);
   if (clockMs(Now) <= DeadlineMs_)
     return;
-  while (!Runs_.empty())
-    end(Runs_.begin()->first, EndReason::LeaseExpired, Now);
+  while (!Runs_.empty()) {
+    // A copy, since the run is erased.
+    std::string First = Runs_.begin()->first;
+    end(First, EndReason::LeaseExpired, Now);
+  }
   for (UnacknowledgedEnd &End : Ends_)
     End.HasLeaseExpired_ = true;
 }
--- a/packages/scheduling/tests/simulated_worker.h
+++ b/packages/scheduling/tests/simulated_worker.h
@@ -80,7 +80,7 @@
     EndedTask Task_;
     bool HasLeaseExpired_ = false;
   };
-  void end(std::string Text, EndReason Reason, TimePoint Now);
+  void end(const std::string &Text, EndReason Reason, TimePoint Now);
   void saveCheckpoint(ActiveRun &Saved);
 
   WorkerEntry Entry_;
