A stopping instance releases a takeover whose answer was lost

What callers would see: the cell has no owner for 2.5 s after an instance was stopped. Found by review: a takeover of unknown outcome ended before the release was looked at, and nothing released the cell when the owner's row was read later.

Test: also_releases_it_if_the_answer_to_the_takeover_was_lost. Before: "check Lease_.record().Holder_.empty() has failed", "check Transactions_ == 2 has failed [1 != 2]".

--- a/packages/node/src/cell_owner.cpp
+++ b/packages/node/src/cell_owner.cpp
@@ -156,6 +156,9 @@
 void CellOwner::handleLeaseChange() {
   if (Tenure_ && !Lease_.isOwner())
     endTenure("another owner's row was read");
+  // A takeover whose answer was lost took effect after the release.
+  if (IsReleased_ && !IsReleasing_ && !IsTakingOver_ && Lease_.isOwner())
+    return storeRelease();
   takeOverIfDue();
 }
 
--- a/packages/node/tests/cell_owner_test.cpp
+++ b/packages/node/tests/cell_owner_test.cpp
@@ -63,6 +63,8 @@
     }
     if (Request.Path_ == "/rows-tx")
       recordTransaction(Request.Body_);
+    if (Request.Path_ == "/rows-tx" && std::exchange(LosesAnswer_, false))
+      return;
     if (Request.Path_ == "/rows-tx" && !ConflictingRow_.empty()) {
       HttpAnswer Conflict = makePage(std::exchange(ConflictingRow_, {}));
       Conflict.Status_ = 412;
@@ -154,6 +156,8 @@
   std::string TakeoverValue_;
   /// If not empty, the next transaction fails and this row is the cause.
   std::string ConflictingRow_;
+  /// The next transaction gets no answer.
+  bool LosesAnswer_ = false;
   StoreClient Store_;
   CellOwner Owner_;
 };
@@ -282,6 +286,23 @@
   BOOST_TEST(Transactions_ == 2);
 }
 
+BOOST_FIXTURE_TEST_CASE(also_releases_it_if_the_answer_to_the_takeover_was_lost,
+                        FreeCell) {
+  LosesAnswer_ = true;
+  Owner_.handleLeaseChange();
+  Owner_.release();
+  runFor(1200ms);
+  // The row that the takeover wrote is read afterwards.
+  scheduling::OwnerRecord Written = self();
+  Written.Tenure_ = 1;
+  Lease_.rowRead(Written, 1, SchedulerClock::now());
+  Owner_.handleLeaseChange();
+  runFor(300ms);
+  BOOST_TEST(!Owner_.isOwner());
+  BOOST_TEST(Lease_.record().Holder_.empty());
+  BOOST_TEST(Transactions_ == 2);
+}
+
 BOOST_FIXTURE_TEST_CASE(also_releases_it_if_a_renewal_overtook_the_release,
                         OwnedCell) {
   ConflictingRow_ = makeOwnerRow(TakeoverValue_);
