--- a/packages/scheduling/tests/crash_histories_test.cpp
+++ b/packages/scheduling/tests/crash_histories_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <cmath>
 #include <cstdlib>
 #include <fmt/format.h>
 
@@ -83,12 +84,11 @@
            std::chrono::duration_cast<Duration>(
                Cell.chance() * (History.MaxUptime_ - History.MinUptime_));
   };
-  auto Unstable = static_cast<std::size_t>(
-      History.UnstableWorkers_ * static_cast<double>(History.Workers_) + 0.5);
+  auto Unstable = static_cast<std::size_t>(std::lround(
+      History.UnstableWorkers_ * static_cast<double>(History.Workers_)));
   for (std::size_t Worker = 0; Worker < Unstable; ++Worker)
     CrashAt[Worker] = Start + std::chrono::duration_cast<Duration>(
                                   Cell.chance() * History.MaxUptime_);
-  double Due = 0;
   std::size_t Ticks = 0;
   TimePoint TakeOverAt = History.TenureTime_ > Duration::zero()
                              ? Start + History.TenureTime_
@@ -97,10 +97,10 @@
   TimePoint End = LastSubmission + 60s;
   while (Cell.now() < End) {
     bool IsBusy = Cell.now() < LastSubmission;
-    if (IsBusy)
-      Due +=
-          History.JobsPerSecond_ * std::chrono::duration<double>(Turn).count();
-    for (; Due >= 1; --Due) {
+    std::chrono::duration<double> Elapsed = Cell.now() + Turn - Start;
+    auto Due =
+        static_cast<std::size_t>(History.JobsPerSecond_ * Elapsed.count());
+    while (IsBusy && Jobs.size() < Due) {
       AcceptedJob Job;
       Job.Id_ = fmt::format("{:016x}", Jobs.size());
       Job.Queue_ = "batch";
