Pages of bulk reads become smaller whatever keeps them from arriving

Found by review. A page above 8 MB, the largest answer that the client takes, ended at once rather than late, so it stayed as large and was read again without an end. And 8 rows of 64 KB do not arrive within 900 ms on a link of less than 4.7 Mbit/s. Any page without an answer now makes the next one smaller, down to a row. No test plays an answer above 8 MB.

--- a/packages/node/src/bulk_read_pace.cpp
+++ b/packages/node/src/bulk_read_pace.cpp
@@ -22,7 +22,7 @@
   ParallelReads_ = std::min(2 * ParallelReads_, MaxParallelReads);
 }
 
-void BulkReadPace::pageTimedOut(TimePoint SentAt, TimePoint Now) {
+void BulkReadPace::pageFailed(TimePoint SentAt, TimePoint Now) {
   if (SentAt < ReducedAt_)
     return;
   PagesInTime_ = 0;
--- a/packages/node/src/bulk_read_pace.h
+++ b/packages/node/src/bulk_read_pace.h
@@ -16,14 +16,14 @@
 namespace filbertspring::node {
 
 /// The pace of an instance's bulk reads. Pages become smaller and fewer when
-/// one is too late, and larger again after a series that arrived in time. Does
-/// no I/O itself.
+/// one does not arrive, and larger again after a series that did. Does no I/O
+/// itself.
 class BulkReadPace {
 public:
   /// The most rows that the store returns in one page.
   static constexpr std::size_t MaxPageRows = 500;
-  /// Enough rows that their transfer takes most of the time of a call.
-  static constexpr std::size_t MinPageRows = 8;
+  /// The fewest rows of a page.
+  static constexpr std::size_t MinPageRows = 1;
   /// The number of reads at once that hides the round trips to the store.
   static constexpr std::size_t MaxParallelReads = 4;
 
@@ -33,9 +33,9 @@
   /// Notes a page that arrived in time.
   void pageArrived();
   /// Notes at \p Now that a page which was requested at \p SentAt did not
-  /// arrive before its timeout. Pages that were requested before the last
-  /// reduction change nothing.
-  void pageTimedOut(TimePoint SentAt, TimePoint Now);
+  /// arrive, because it was too late or too large. Pages that were requested
+  /// before the last reduction change nothing.
+  void pageFailed(TimePoint SentAt, TimePoint Now);
 
 private:
   std::size_t PageRows_ = MaxPageRows;
--- a/packages/node/src/store_client.cpp
+++ b/packages/node/src/store_client.cpp
@@ -254,9 +254,11 @@
                              TimePoint SentAt, Result<RowPage> Page) {
   TimePoint Now = SchedulerClock::now();
   if (!Page) {
+    // A page that is larger than an answer may be also ends here.
+    bool HasNotArrived = Page.error() == Errc::OutcomeUnknown;
+    if (HasNotArrived)
+      ReadPace_.pageFailed(SentAt, Now);
     bool IsLate = Now - SentAt >= Read->Timeout_;
-    if (IsLate)
-      ReadPace_.pageTimedOut(SentAt, Now);
     if (++Read->FailedAttempts_ >= MaxPageAttempts)
       return Read->Callback_(fail(Page.error()));
     return Loop_.after(IsLate ? Duration::zero() : StoreRetryDelay,
--- a/packages/node/tests/bulk_read_pace_test.cpp
+++ b/packages/node/tests/bulk_read_pace_test.cpp
@@ -12,7 +12,7 @@
   void timeOut() {
     TimePoint SentAt = Now_;
     Now_ += 900ms;
-    Pace_.pageTimedOut(SentAt, Now_);
+    Pace_.pageFailed(SentAt, Now_);
   }
 
   BulkReadPace Pace_;
@@ -33,8 +33,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(is_slowed_down_once_by_pages_that_are_late_together) {
-  Pace_.pageTimedOut(Now_, Now_ + 900ms);
-  Pace_.pageTimedOut(Now_, Now_ + 901ms);
+  Pace_.pageFailed(Now_, Now_ + 900ms);
+  Pace_.pageFailed(Now_, Now_ + 901ms);
   BOOST_TEST(Pace_.parallelReads() == 1);
   BOOST_TEST(Pace_.pageRows() == BulkReadPace::MaxPageRows);
 }
