A weak owner leaves the cell to others for some seconds after its release

The weak owner now waits for 4 s, and releases the cell again after 30 s at the earliest.

Test: a_weak_owner/leaves_the_others_time_to_take_it_over. does_not_release_it_ again_at_once waits for the pause first; its check is the same.

--- a/packages/node/src/cell_owner.cpp
+++ b/packages/node/src/cell_owner.cpp
@@ -41,7 +41,10 @@
 constexpr Duration SuccessorSearchInterval = std::chrono::milliseconds(2000);
 /// An owner whose release was not taken up releases the cell again after this
 /// time at the earliest, because each change of the owner delays starts.
-constexpr Duration ReleaseRetryDelay = std::chrono::milliseconds(10'000);
+constexpr Duration ReleaseRetryDelay = std::chrono::seconds(30);
+/// How long a weak owner leaves the cell to others after its release. Longer
+/// than the longest delay of a candidate and the interval of its reads.
+constexpr Duration ReleasePause = std::chrono::seconds(4);
 /// More than one, because the strongest instance may be away.
 constexpr std::size_t MaxSuccessorsAsked = 3;
 /// Added to the validity of a predecessor's grants: the drift of a worker's
@@ -164,6 +167,7 @@
 
 void CellOwner::takeOverIfDue() {
   if (IsReleased_ || IsReleasing_ || IsTakingOver_ || Tenure_ || !Queues_ ||
+      SchedulerClock::now() < TakeoverPauseEnd_ ||
       !(Lease_.isOwner() || Lease_.shouldTakeOver(SchedulerClock::now())))
     return;
   // If the row already names this instance although it has no tenure, the
@@ -299,7 +303,9 @@
       [this, Reference = TenureRef(Tenure_)] {
         if (!findActiveTenure(Reference))
           return;
-        NextSuccessorSearchAt_ = SchedulerClock::now() + ReleaseRetryDelay;
+        TimePoint ReleasedAt = SchedulerClock::now();
+        NextSuccessorSearchAt_ = ReleasedAt + ReleaseRetryDelay;
+        TakeoverPauseEnd_ = ReleasedAt + ReleasePause;
         endTenure("a stronger instance can own the cell");
         storeRelease();
       });
--- a/packages/node/src/cell_owner.h
+++ b/packages/node/src/cell_owner.h
@@ -173,6 +173,8 @@
   bool IsReleasing_ = false;
   SuccessorSearch SuccessorSearch_;
   TimePoint NextSuccessorSearchAt_{};
+  /// This instance does not take the cell over before this time.
+  TimePoint TakeoverPauseEnd_{};
   bool IsCycleRequested_ = false;
 };
 
--- a/packages/node/tests/cell_owner_test.cpp
+++ b/packages/node/tests/cell_owner_test.cpp
@@ -350,12 +350,24 @@
   BOOST_TEST(Questions_ == 0);
 }
 
+// Candidates wait for stronger ones, and read the owner's row at intervals.
+BOOST_FIXTURE_TEST_CASE(leaves_the_others_time_to_take_it_over, WeakOwner) {
+  announcePeer(0.5);
+  runUntil([this] { return !Owner_.isOwner(); });
+  for (int Round = 0; Round < 15; ++Round) {
+    runFor(200ms);
+    Owner_.handleLeaseChange();
+    BOOST_TEST(!Owner_.isOwner());
+  }
+}
+
 // A change of the owner delays starts. If the other instance does not take the
 // cell over, the next release has to wait.
 BOOST_FIXTURE_TEST_CASE(does_not_release_it_again_at_once, WeakOwner) {
   announcePeer(0.5);
   runFor(3s);
   BOOST_REQUIRE(!Owner_.isOwner());
+  runFor(2s);
   Owner_.handleLeaseChange();
   runFor(4s);
   BOOST_TEST(Owner_.isOwner());
