--- a/packages/node/src/rows.cpp
+++ b/packages/node/src/rows.cpp
@@ -33,6 +33,13 @@
       XXH3_64bits(Job.data(), Job.size()) % JobPartitionCount));
 }
 
+scheduling::Row makeRow(RowKey Key, std::string Value) {
+  scheduling::Row NewRow;
+  NewRow.Key_ = std::move(Key);
+  NewRow.Value_ = std::move(Value);
+  return NewRow;
+}
+
 RowKey jobKey(const std::string &Job) {
   return {JobTable, partitionOfJob(Job), Job};
 }
--- a/packages/node/src/rows.h
+++ b/packages/node/src/rows.h
@@ -44,6 +44,9 @@
 /// version of that row.
 inline constexpr const char *CellPartition = "cell";
 
+/// Returns a row to be written.
+scheduling::Row makeRow(scheduling::RowKey Key, std::string Value);
+
 scheduling::RowKey jobKey(const std::string &Job);
 scheduling::RowKey cancellationKey(const std::string &Job);
 scheduling::RowKey progressKey(const std::string &Job);
--- a/packages/scheduling/include/filbertspring/scheduling/row_store.h
+++ b/packages/scheduling/include/filbertspring/scheduling/row_store.h
@@ -5,6 +5,8 @@
 /// Value types for rows and transactions of the external store, which outlives
 /// all instances.
 
+#include "filbertspring/base/enum_table.h"
+
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -58,6 +60,14 @@
   Unknown,
 };
 
+inline constexpr EnumTable<CommitOutcome, 5> CommitOutcomeNames{{
+    {CommitOutcome::Committed, "committed"},
+    {CommitOutcome::Conflict, "conflict"},
+    {CommitOutcome::Refused, "refused"},
+    {CommitOutcome::Rejected, "rejected"},
+    {CommitOutcome::Unknown, "unknown"},
+}};
+
 /// The response to a transaction.
 struct CommitResult {
   CommitOutcome Outcome_ = CommitOutcome::Unknown;
--- /dev/null
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -0,0 +1,197 @@
+/// \file
+/// The part of the scheduler that follows the registrations, incarnations and
+/// leases of workers.
+
+#include "scheduler_impl.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace filbertspring::scheduling {
+namespace {
+
+/// How long the runs of a worker whose lease has expired are remembered. Longer
+/// than a crashed worker takes to restart.
+constexpr Duration LostRunRetention = std::chrono::seconds(30);
+
+/// Interval between two searches for other workers that could take the
+/// long-running tasks of a worker that drains.
+constexpr Duration DrainCheckInterval = std::chrono::milliseconds(200);
+
+/// Returns whether \p Entry was registered before \p Known, as far as both
+/// tell.
+bool isOlder(const WorkerEntry &Entry, const WorkerEntry &Known) {
+  if (Entry.StartedAtMs_ == 0 || Known.StartedAtMs_ == 0)
+    return false;
+  if (Entry.StartedAtMs_ != Known.StartedAtMs_)
+    return Entry.StartedAtMs_ < Known.StartedAtMs_;
+  return Entry.Sequence_ != 0 && Entry.Sequence_ < Known.Sequence_;
+}
+
+} // namespace
+
+void Scheduler::restoreWorker(const WorkerEntry &Entry, TimePoint Now) {
+  auto [It, IsNew] = Impl_->Workers_.try_emplace(Entry.Id_);
+  WorkerState &Worker = It->second;
+  Worker.IsStored_ = true;
+  Impl_->StoredStartTimes_[Entry.Id_] = Entry.StartedAtMs_;
+  if (IsNew) {
+    Worker.Entry_ = Entry;
+    Impl_->scheduleRenewal(Worker, Now);
+  }
+}
+
+/// Resets the state of a worker for a new incarnation.
+void Scheduler::Impl::resetWorker(WorkerState &Worker,
+                                  const WorkerEntry &Entry) {
+  bool IsStored = Worker.IsStored_ &&
+                  Worker.Entry_.Address_ == Entry.Address_ &&
+                  Worker.Entry_.StartedAtMs_ == Entry.StartedAtMs_;
+  std::optional<LossTime> CrashedAt = Worker.CrashedAt_;
+  Worker = WorkerState();
+  Worker.CrashedAt_ = CrashedAt;
+  Worker.Entry_ = Entry;
+  Worker.IsStored_ = IsStored;
+}
+
+void Scheduler::workerRegistered(const WorkerEntry &Entry, TimePoint Now) {
+  auto [It, IsNew] = Impl_->Workers_.try_emplace(Entry.Id_);
+  WorkerState &Worker = It->second;
+  // Once the worker is lost, any registration is better than none: the clock
+  // that incarnations are ordered by may have been set back.
+  if (!IsNew && !Worker.IsExpired_ && isOlder(Entry, Worker.Entry_))
+    return;
+  bool IsOtherIncarnation =
+      !IsNew && ((Entry.StartedAtMs_ != 0 && Worker.Entry_.StartedAtMs_ != 0 &&
+                  Entry.StartedAtMs_ != Worker.Entry_.StartedAtMs_) ||
+                 Entry.Address_ != Worker.Entry_.Address_);
+  if (IsOtherIncarnation)
+    Impl_->handleNextIncarnation(Worker, Now, "new life");
+  if (IsNew || IsOtherIncarnation) {
+    Impl_->resetWorker(Worker, Entry);
+    Impl_->scheduleRenewal(Worker, Now);
+  }
+  bool WasUsable = Worker.IsRegistered_ && !Worker.Entry_.IsDraining_;
+  bool IsResized = Worker.Entry_.Capacity_ != Entry.Capacity_;
+  Worker.Entry_ = Entry;
+  Worker.IsRegistered_ = true;
+  if (!WasUsable || IsResized)
+    Impl_->NeedsPlacement_ = true;
+  Impl_->WorkersToRemove_.erase(Entry.Id_);
+  if (!Worker.IsStored_)
+    Impl_->WorkersToStore_.insert(Entry.Id_);
+}
+
+void Scheduler::workerDeregistered(const std::string &Id, TimePoint /*Now*/) {
+  if (WorkerState *Worker = Impl_->findWorker(Id))
+    Worker->IsRegistered_ = false;
+}
+
+/// Removes the runs of a worker that certainly executes none of them any more,
+/// and returns their tasks to the waiting tasks.
+void Scheduler::Impl::abandonRuns(WorkerState &Worker, TimePoint Now,
+                                  const char *Cause) {
+  if (!Worker.Runs_.empty())
+    recordEvent(LogEvent::WorkerRunsLost,
+                {{"worker", Worker.Entry_.Id_},
+                 {"runs", std::to_string(Worker.Runs_.size())},
+                 {"cause", Cause}});
+  // The tasks may have been away since the last report.
+  TimePoint LastReportAt = Worker.ClockMs_ ? Worker.ClockAt_ : Now;
+  std::unordered_map<std::string, Run> LostRuns = std::move(Worker.Runs_);
+  Worker.dropAllRuns();
+  for (auto &[Text, ActiveRun] : LostRuns) {
+    JobRecord *Record = findJob(ActiveRun.Name_.Job_);
+    if (!Record)
+      continue;
+    Record->Job_.keepCheckpoint(ActiveRun.Name_, ActiveRun.Checkpoint_);
+    requeueRun(Worker, *Record, ActiveRun.Name_, ActiveRun.Number_,
+               LastReportAt, Now - LastReportAt + crashRetryDelay(ActiveRun));
+  }
+}
+
+void Scheduler::Impl::handleNextIncarnation(WorkerState &Worker, TimePoint Now,
+                                            const char *Cause) {
+  // A worker that drains has announced its end.
+  if (!Worker.Entry_.IsDraining_) {
+    Worker.CrashedAt_ = Worker.FailedRenewals_ > 0
+                            ? Worker.lossTime()
+                            : LossTime{Worker.ClockAt_, Now};
+    std::vector<LostRun> Lost = Worker.possibleRuns();
+    Lost.insert(Lost.end(), Worker.LostRuns_.begin(), Worker.LostRuns_.end());
+    attributeCrash(Worker, Lost, Now);
+  }
+  forgetLostRuns(Worker);
+  abandonRuns(Worker, Now, Cause);
+}
+
+/// Returns whether the next incarnation of a worker that the previous owner
+/// used is registered.
+bool Scheduler::Impl::hasCrashedSinceStored(const std::string &Id) {
+  auto Stored = StoredStartTimes_.find(Id);
+  const WorkerState *Worker = findWorker(Id);
+  return Worker && Worker->IsRegistered_ && Stored != StoredStartTimes_.end() &&
+         Stored->second != 0 && Worker->Entry_.StartedAtMs_ > Stored->second;
+}
+
+void Scheduler::Impl::requeueRun(WorkerState &Worker, JobRecord &Record,
+                                 const TaskName &Name, std::uint64_t Number,
+                                 TimePoint Now, Duration Delay) {
+  Task *Requeued = Record.Job_.find(Name);
+  if (!Requeued || Requeued->Phase_ != TaskPhase::Placed ||
+      Requeued->Progress_.LastRun_ != Number ||
+      Requeued->Progress_.Worker_ != Worker.Entry_.Id_)
+    return;
+  Record.Job_.requeue(Name, Now, Now + Delay);
+  if (!isFinal(Record.Job_.state()))
+    JobsWithWaitingTasks_.insert(Record.Job_.accepted().Id_);
+  DirtyJobs_.add(Name.Job_);
+  NeedsPlacement_ = true;
+}
+
+/// Stops the long-running tasks of workers that drain if another worker has
+/// capacity, so that they are not lost when their worker leaves.
+void Scheduler::Impl::moveFromDrainingWorkers(TimePoint Now) {
+  for (auto &[Id, Worker] : Workers_) {
+    bool IsLeaving = Worker.IsRegistered_ && Worker.Entry_.IsDraining_;
+    if (!IsLeaving || !Worker.isReachable() || Worker.NextDrainCheckAt_ > Now)
+      continue;
+    Worker.NextDrainCheckAt_ = Now + DrainCheckInterval;
+    for (auto &[Text, ActiveRun] : Worker.Runs_)
+      if (ActiveRun.IsLongRunning_ && ActiveRun.Phase_ == RunPhase::Confirmed &&
+          hasBetterWorker(Worker, ActiveRun, Now))
+        requestStop(Worker, ActiveRun, Now);
+  }
+}
+
+/// Abandons the runs of unreachable workers whose leases have expired. Another
+/// owner may have renewed a lease unless this tenure was confirmed after the
+/// expiry.
+void Scheduler::Impl::expireLeases(TimePoint Now, TimePoint ConfirmedAt) {
+  std::vector<std::string> ExpiredWorkers;
+  for (auto &[Id, Worker] : Workers_) {
+    bool IsUnreachable = Worker.FailedRenewals_ > 0 || !Worker.HasReported_;
+    TimePoint LeaseEnd = Worker.HasReported_
+                             ? Worker.LeaseExpiresAt_
+                             : TenureStart_ + Settings_.PredecessorLeaseLimit_;
+    if (IsUnreachable && Now > LeaseEnd && ConfirmedAt > LeaseEnd &&
+        !Worker.IsExpired_) {
+      rememberLostRuns(Worker, Now);
+      abandonRuns(Worker, Now, "lease expired");
+      Worker.IsExpired_ = true;
+    }
+    if (Now - Worker.LostAt_ > LostRunRetention)
+      forgetLostRuns(Worker);
+    if (Worker.IsExpired_ && !Worker.IsRegistered_ && Worker.Runs_.empty() &&
+        Worker.LostRuns_.empty())
+      ExpiredWorkers.push_back(Id);
+  }
+  for (const std::string &Id : ExpiredWorkers) {
+    if (Workers_[Id].IsStored_)
+      WorkersToRemove_.insert(Id);
+    WorkersToStore_.erase(Id);
+    Workers_.erase(Id);
+  }
+}
+
+} // namespace filbertspring::scheduling
--- a/packages/scheduling/tests/oracle.cpp
+++ b/packages/scheduling/tests/oracle.cpp
@@ -126,7 +126,7 @@
                           const std::string &Checkpoint) {
   TaskHistory &History = Jobs_.at(Name.Job_).Tasks_[Name.text()];
   History.Checkpoints_[Checkpoint] = NextCheckpoint_;
-  History.LastCheckpoints_[Run] = NextCheckpoint_++;
+  History.LatestCheckpoints_[Run] = NextCheckpoint_++;
 }
 
 void Oracle::stored(const std::string &Job, const JobProgress &Progress,
@@ -208,8 +208,8 @@
                           std::uint64_t Run, EndReason Reason,
                           bool HasLeaseExpired, TimePoint Now) {
   TaskHistory &History = Jobs_[Name.Job_].Tasks_[Name.text()];
-  auto Last = History.LastCheckpoints_.find(Run);
-  if (Last != History.LastCheckpoints_.end())
+  auto Last = History.LatestCheckpoints_.find(Run);
+  if (Last != History.LatestCheckpoints_.end())
     save(History, Last->second, Now);
   if (Reason == EndReason::Failed)
     History.AcknowledgedFailures_.insert(Run);
--- a/packages/scheduling/tests/oracle.h
+++ b/packages/scheduling/tests/oracle.h
@@ -71,7 +71,7 @@
     /// The checkpoints that the task has produced, numbered in their order.
     std::map<std::string, std::uint64_t> Checkpoints_;
     /// The last checkpoint of each run.
-    std::map<std::uint64_t, std::uint64_t> LastCheckpoints_;
+    std::map<std::uint64_t, std::uint64_t> LatestCheckpoints_;
     /// The newest checkpoint that each owner knows from reports, by its token.
     std::map<std::uint64_t, std::uint64_t> ReportedCheckpoints_;
     /// Checkpoints that must not be lost, each newer than the one before.
