Scheduler: logs what keeps a waiting task from each worker

Once a second the job that has waited longest without a placed task is logged (task_waits), with the number of workers for each obstacle. The checks of a worker return the obstacle, so that the log names what the placement decided.

--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -81,6 +81,9 @@
      "run has settled."},
     {LogEvent::TaskGivenUp, Error, "task_given_up",
      "A task crashed several workers; its job has failed."},
+    {LogEvent::TaskWaits, Info, "task_waits",
+     "No task of a job has been placed for a second; what kept the one that "
+     "has waited longest from each worker."},
     {LogEvent::PeerConnected, Info, "peer_connected",
      "A stream to another entry instance is open."},
     {LogEvent::PeerLost, Warning, "peer_lost",
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -107,6 +107,34 @@
   Isolation Isolation_ = Isolation::None;
 };
 
+/// Why a worker does not get a task.
+enum class Obstacle {
+  /// Not registered, draining, unreachable, or in a closed zone.
+  NotUsable,
+  /// Another service, or without the required label.
+  NotAllowed,
+  /// Its runs leave too little of its capacity.
+  NoCapacity,
+  /// Quarantined, or avoided for a moment after a failed command.
+  Avoided,
+  /// It executes a run of an unknown job.
+  UnknownRun,
+  /// Too many start commands are outstanding.
+  StartsInFlight,
+  /// A suspected task has not settled on it.
+  FreshSuspect,
+  /// It is reserved for suspected tasks.
+  Reserved,
+  /// The task has to be isolated, and other runs have not settled.
+  NotIsolated,
+  /// It has as many tasks of the step as are allowed, or a run of the task.
+  StepLimit,
+  /// Fillers would use more processors than it has.
+  Utilization,
+  /// A filler may violate a tail latency target.
+  Interference,
+};
+
 /// Requests for which no worker was found in the present placement pass. Free
 /// capacity only decreases during a pass, so a request for at least as much can
 /// be skipped.
@@ -228,11 +256,25 @@
   void reserveWorker(const PlacementRequest &Request, TimePoint Now);
   void placeStep(JobRecord &Record, const std::string &Service,
                  std::span<const std::uint32_t> Slots, TimePoint Now);
-  /// Returns whether \p Worker gets tasks now.
-  bool isUsable(const WorkerState &Worker, TimePoint Now) const;
-  /// Returns whether \p Worker may get a task of \p Request now.
+  /// Returns why \p Worker gets no tasks now.
+  std::optional<Obstacle> findObstacle(const WorkerState &Worker,
+                                       TimePoint Now) const;
+  /// Returns why \p Worker may not get a task of \p Request now.
+  std::optional<Obstacle> findObstacle(const WorkerState &Worker,
+                                       const PlacementRequest &Request,
+                                       TimePoint Now) const;
+  bool isUsable(const WorkerState &Worker, TimePoint Now) const {
+    return !findObstacle(Worker, Now);
+  }
   bool isEligible(const WorkerState &Worker, const PlacementRequest &Request,
-                  TimePoint Now) const;
+                  TimePoint Now) const {
+    return !findObstacle(Worker, Request, Now);
+  }
+  /// Returns why \p Worker gets no filler of \p Step although it is eligible.
+  std::optional<Obstacle> findFillerObstacle(WorkerState &Worker,
+                                             const StepSpec &Step) const;
+  /// Logs, once a second, why the task that has waited longest is not placed.
+  void reportWaits(TimePoint Now);
   std::optional<double> placementCost(WorkerState &Worker,
                                       const StepSpec &Step) const;
   double headroom(WorkerState &Worker, const std::string &Image) const;
@@ -306,6 +348,7 @@
   /// Ends were processed since the last transaction was taken.
   bool HasNewEnds_ = false;
   TimePoint NextPlacementAt_{};
+  TimePoint NextWaitReportAt_{};
   TimePoint NextWorkerCheckAt_{};
 };
 
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -60,6 +60,17 @@
   return false;
 }
 
+/// Returns the fraction of the processors of \p Worker that is expected to be
+/// used with another filler of \p Step.
+double fillerUtilization(const WorkerState &Worker, const StepSpec &Step) {
+  auto LongRunning = static_cast<double>(Worker.LongRunningMilliCpu_);
+  auto Others = static_cast<double>(Worker.Used_.MilliCpu_) - LongRunning;
+  return (LongRunningCpuUsage * LongRunning + Others +
+          Worker.pacedFillerMilliCpu() +
+          static_cast<double>(Step.Request_.MilliCpu_)) /
+         Worker.milliCpu();
+}
+
 /// Returns the number of serving images on \p Worker other than \p Image.
 std::size_t countOtherImages(const WorkerState &Worker,
                              const std::string &Image) {
@@ -151,6 +162,7 @@
       placeJob(*Waiting.Record_, Waiting.Policy_, true, Now);
   for (const Candidate &Waiting : Candidates)
     placeJob(*Waiting.Record_, Waiting.Policy_, false, Now);
+  reportWaits(Now);
 }
 
 /// Collects the workers that can get a task at all, with their free capacity.
@@ -301,34 +313,52 @@
                                       : ReservationTime);
 }
 
-bool Scheduler::Impl::isUsable(const WorkerState &Worker, TimePoint Now) const {
+std::optional<Obstacle> Scheduler::Impl::findObstacle(const WorkerState &Worker,
+                                                      TimePoint Now) const {
   const WorkerEntry &Entry = Worker.Entry_;
-  return Worker.IsRegistered_ && Worker.IsStored_ && Worker.isReachable() &&
-         !Worker.IsExpired_ && !Entry.IsDraining_ && Worker.ClockMs_ &&
-         Worker.AvoidUntil_ <= Now && Worker.UnknownRuns_ == 0 &&
-         Worker.StartsInFlight_ < MaxStartsInFlight &&
-         Worker.FreshSuspects_ == 0 && !ClosedZones_.contains(Entry.Zone_);
+  if (!Worker.IsRegistered_ || !Worker.IsStored_ || !Worker.isReachable() ||
+      Worker.IsExpired_ || Entry.IsDraining_ || !Worker.ClockMs_ ||
+      ClosedZones_.contains(Entry.Zone_))
+    return Obstacle::NotUsable;
+  if (Worker.AvoidUntil_ > Now)
+    return Obstacle::Avoided;
+  if (Worker.UnknownRuns_ > 0)
+    return Obstacle::UnknownRun;
+  if (Worker.StartsInFlight_ >= MaxStartsInFlight)
+    return Obstacle::StartsInFlight;
+  if (Worker.FreshSuspects_ > 0)
+    return Obstacle::FreshSuspect;
+  return std::nullopt;
 }
 
-bool Scheduler::Impl::isEligible(const WorkerState &Worker,
-                                 const PlacementRequest &Request,
-                                 TimePoint Now) const {
+std::optional<Obstacle>
+Scheduler::Impl::findObstacle(const WorkerState &Worker,
+                              const PlacementRequest &Request,
+                              TimePoint Now) const {
+  if (std::optional<Obstacle> Found = findObstacle(Worker, Now))
+    return Found;
   const WorkerEntry &Entry = Worker.Entry_;
-  if (!isUsable(Worker, Now) ||
-      !Entry.Capacity_.fits(Worker.Used_, Request.Needed_) ||
-      Entry.Service_ != Request.Service_ ||
-      !satisfies(Worker, Request.Isolation_, Now))
-    return false;
+  if (Entry.Service_ != Request.Service_)
+    return Obstacle::NotAllowed;
+  if (!Entry.Capacity_.fits(Worker.Used_, Request.Needed_))
+    return Obstacle::NoCapacity;
+  if (!satisfies(Worker, Request.Isolation_, Now))
+    return Request.Isolation_ == Isolation::None ? Obstacle::Reserved
+                                                 : Obstacle::NotIsolated;
   const StepSpec &Step = Request.Step_;
   const std::vector<std::string> &Labels = Entry.Labels_;
   if (!Step.RequiredLabel_.empty() &&
       std::find(Labels.begin(), Labels.end(), Step.RequiredLabel_) ==
           Labels.end())
-    return false;
-  if (!Request.TaskText_.empty() && Worker.Runs_.contains(Request.TaskText_))
-    return false;
-  return Step.MaxPerWorker_ == 0 || countStepTasks(Worker, Request.Name_) <
-                                        std::int64_t{Step.MaxPerWorker_};
+    return Obstacle::NotAllowed;
+  bool HasRunOfTask =
+      !Request.TaskText_.empty() && Worker.Runs_.contains(Request.TaskText_);
+  bool IsAtLimit =
+      Step.MaxPerWorker_ != 0 &&
+      countStepTasks(Worker, Request.Name_) >= std::int64_t{Step.MaxPerWorker_};
+  if (HasRunOfTask || IsAtLimit)
+    return Obstacle::StepLimit;
+  return std::nullopt;
 }
 
 double Scheduler::Impl::headroom(WorkerState &Worker,
@@ -350,25 +380,33 @@
   return *Worker.Flexibility_;
 }
 
+std::optional<Obstacle>
+Scheduler::Impl::findFillerObstacle(WorkerState &Worker,
+                                    const StepSpec &Step) const {
+  if (!Step.IsFiller_)
+    return std::nullopt;
+  if (fillerUtilization(Worker, Step) > MaxFillerUtilization)
+    return Obstacle::Utilization;
+  auto Requested = static_cast<double>(Step.Request_.MilliCpu_);
+  if (Requested / Worker.milliCpu() > headroom(Worker, Step.Image_))
+    return Obstacle::Interference;
+  return std::nullopt;
+}
+
 /// Returns the cost of placing a task of \p Step on \p Worker; lower is better.
 /// Returns nothing for a filler that would violate a tail latency target or the
 /// maximum utilization of the worker.
 std::optional<double>
 Scheduler::Impl::placementCost(WorkerState &Worker,
                                const StepSpec &Step) const {
+  if (findFillerObstacle(Worker, Step))
+    return std::nullopt;
   double Capacity = Worker.milliCpu();
   auto Requested = static_cast<double>(Step.Request_.MilliCpu_);
   double Cost = 0;
   if (Step.IsFiller_) {
-    auto LongRunning = static_cast<double>(Worker.LongRunningMilliCpu_);
-    auto Others = static_cast<double>(Worker.Used_.MilliCpu_) - LongRunning;
-    double Fillers = Worker.pacedFillerMilliCpu();
-    Cost = (LongRunningCpuUsage * LongRunning + Others + Fillers + Requested) /
-           Capacity;
-    if (Cost > MaxFillerUtilization ||
-        Requested / Capacity > headroom(Worker, Step.Image_))
-      return std::nullopt;
-    Cost += FlexibilityCost * flexibility(Worker);
+    Cost =
+        fillerUtilization(Worker, Step) + FlexibilityCost * flexibility(Worker);
   } else {
     // Best fit: prefers workers with little free capacity, which leaves room
     // for large tasks and for steps with many tasks.
