Scheduler: reserves capacity for tasks that others would pass over

Cause: starvation by backfilling. Placement passes over a task that fits nowhere, and the next smaller one, of a later job, takes the capacity that an end releases. While small tasks wait, a large one never finds enough on one worker. Long-running tasks, fillers and timed tasks are affected alike.

Change: a task that has waited for half a second gets a reservation, in the order of the jobs: the worker that needs to release least keeps its capacity from later jobs until the end of the pass, and the next pass prefers the same worker. At most a quarter of the workers are reserved; a pass searches for at most eight jobs.

--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -135,6 +135,10 @@
   Interference,
 };
 
+/// Returns whether \p Waiting has waited for so long that a worker is reserved
+/// for it.
+bool hasWaitedForCapacity(const Task &Waiting, TimePoint Now);
+
 /// Requests for which no worker was found in the present placement pass. Free
 /// capacity only decreases during a pass, so a request for at least as much can
 /// be skipped.
@@ -254,6 +258,19 @@
                 TimePoint Now);
   /// Reserves a worker for a suspected task, so that its runs settle.
   void reserveWorker(const PlacementRequest &Request, TimePoint Now);
+  /// Ends the reservations of capacity of the last placement pass.
+  void releaseReservations();
+  /// Reserves a worker for a task until the end of this placement pass, so that
+  /// the capacity that its runs release is not taken by smaller tasks of later
+  /// jobs. Linear in the number of usable workers.
+  void reserveCapacity(const PlacementRequest &Request, TimePoint Now);
+  /// Returns the fraction of the capacity of \p Worker that its runs have to
+  /// release before it can take a task of \p Request; nothing if its
+  /// long-running tasks leave too little, or it cannot take the task for other
+  /// reasons.
+  std::optional<double> missingCapacity(WorkerState &Worker,
+                                        const PlacementRequest &Request,
+                                        TimePoint Now) const;
   void placeStep(JobRecord &Record, const std::string &Service,
                  std::span<const std::uint32_t> Slots, TimePoint Now);
   /// Returns why \p Worker gets no tasks now.
@@ -316,6 +333,12 @@
   std::set<std::string> WorkersWithStops_;
   /// The workers of the present placement pass.
   std::vector<UsableWorker> UsableWorkers_;
+  /// The workers that are reserved for a job in the present placement pass, and
+  /// those of the last pass. By job.
+  std::unordered_map<std::string, std::string> Reservations_;
+  std::unordered_map<std::string, std::string> PreviousReservations_;
+  /// Jobs for which a worker may still be searched in this placement pass.
+  std::size_t ReservationSearchesLeft_ = 0;
   /// Jobs that may have steps to release.
   std::set<std::string> JobsToRelease_;
   std::set<std::string> JobsWithWaitingTasks_;
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -12,12 +12,6 @@
 /// Interval between placement passes without an event, for tasks that are not
 /// to be placed before a certain time.
 constexpr Duration PlacementInterval = std::chrono::milliseconds(100);
-/// Average fraction of its processor request that a long-running task uses; the
-/// rest is available to fillers.
-constexpr double LongRunningCpuUsage = 0.5;
-/// Maximum processor utilization of a worker that fillers may lead to, as a
-/// fraction; more fillers would only slow each other down.
-constexpr double MaxFillerUtilization = 1.0;
 /// Cost of each other serving image on a worker, in units of a fully used
 /// worker. Concentrates the tasks of one image, which leaves workers without
 /// that image to the fillers that interfere with it.
@@ -32,24 +26,17 @@
 /// Cost for a suspected task of a worker with runs that may be the cause of its
 /// next crash, too.
 constexpr double YoungRunsCost = 10.0;
-/// How long a worker is reserved for suspected tasks. Its other runs settle
-/// before.
-constexpr Duration ReservationTime = std::chrono::milliseconds(2000);
-constexpr Duration LongReservationTime = std::chrono::milliseconds(5000);
-/// Reserved workers are at most this fraction of all, which bounds the capacity
-/// that is left unused.
-constexpr std::size_t ReservedDivisor = 4;
-/// A job that takes longer than this multiple of its objective has no value for
-/// its caller.
-constexpr int WorthlessFactor = 3;
 /// Cost of a worker on a rack that does not hold the data, in units of a fully
 /// used worker.
 constexpr double RemoteDataCost = 2.0;
 
-/// Returns whether a task that requires \p Needed may be started beside the
-/// runs of \p Worker.
-bool satisfies(const WorkerState &Worker, Isolation Needed, TimePoint Now) {
-  switch (Needed) {
+/// Returns whether the reservations and the other runs of \p Worker allow for a
+/// task of \p Request.
+bool satisfies(const WorkerState &Worker, const PlacementRequest &Request,
+               TimePoint Now) {
+  if (!Worker.ReservedJob_.empty() && Worker.ReservedJob_ != Request.Name_.Job_)
+    return false;
+  switch (Request.Isolation_) {
   case Isolation::None:
     return Worker.ReservedUntil_ <= Now;
   case Isolation::Settled:
@@ -60,17 +47,6 @@
   return false;
 }
 
-/// Returns the fraction of the processors of \p Worker that is expected to be
-/// used with another filler of \p Step.
-double fillerUtilization(const WorkerState &Worker, const StepSpec &Step) {
-  auto LongRunning = static_cast<double>(Worker.LongRunningMilliCpu_);
-  auto Others = static_cast<double>(Worker.Used_.MilliCpu_) - LongRunning;
-  return (LongRunningCpuUsage * LongRunning + Others +
-          Worker.pacedFillerMilliCpu() +
-          static_cast<double>(Step.Request_.MilliCpu_)) /
-         Worker.milliCpu();
-}
-
 /// Returns the number of serving images on \p Worker other than \p Image.
 std::size_t countOtherImages(const WorkerState &Worker,
                              const std::string &Image) {
@@ -155,6 +131,7 @@
               return Left.Rank_ < Right.Rank_;
             });
   Unplaceable_.clear();
+  releaseReservations();
   findUsableWorkers(Now);
   // Suspected tasks get the few workers on which all runs have settled.
   for (const Candidate &Waiting : Candidates)
@@ -220,8 +197,14 @@
       {},   Step.Request_, neededIsolation(TheJob.at(Slots.front()), Now)};
   if (Step.IsFiller_)
     Request.Needed_.MilliCpu_ = 0;
-  if (Unplaceable_.covers(Request))
+  bool HasWaited = hasWaitedForCapacity(TheJob.at(Slots.front()), Now);
+  // A worker that was reserved for the job may have capacity for it by now.
+  if (!PreviousReservations_.contains(First.Job_) &&
+      Unplaceable_.covers(Request)) {
+    if (HasWaited)
+      reserveCapacity(Request, Now);
     return;
+  }
   struct Offer {
     double Cost_;
     WorkerState *Worker_;
@@ -274,6 +257,8 @@
     }
     if (!Chosen && IsIsolated)
       reserveWorker(Request, Now);
+    else if (!Chosen && HasWaited)
+      reserveCapacity(Request, Now);
     if (!Chosen)
       return;
     bool IsAlone = IsIsolated && canIsolate(*Chosen, Now);
@@ -287,32 +272,6 @@
   }
 }
 
-void Scheduler::Impl::reserveWorker(const PlacementRequest &Request,
-                                    TimePoint Now) {
-  std::size_t Reserved = 0;
-  WorkerState *Best = nullptr;
-  auto IsWorse = [this, Now](const WorkerState &Left,
-                             const WorkerState &Right) {
-    return std::pair(unexplainedCrashes(Left, Now), Left.YoungRuns_) >
-           std::pair(unexplainedCrashes(Right, Now), Right.YoungRuns_);
-  };
-  PlacementRequest Relaxed = Request;
-  Relaxed.Isolation_ = Isolation::None;
-  for (const UsableWorker &Usable : UsableWorkers_) {
-    WorkerState &Worker = *Usable.Worker_;
-    if (Worker.ReservedUntil_ > Now) {
-      ++Reserved;
-      continue;
-    }
-    if (isEligible(Worker, Relaxed, Now) && (!Best || IsWorse(*Best, Worker)))
-      Best = &Worker;
-  }
-  if (Best && Reserved <= UsableWorkers_.size() / ReservedDivisor)
-    Best->ReservedUntil_ = Now + (Request.Isolation_ == Isolation::LongSettled
-                                      ? LongReservationTime
-                                      : ReservationTime);
-}
-
 std::optional<Obstacle> Scheduler::Impl::findObstacle(const WorkerState &Worker,
                                                       TimePoint Now) const {
   const WorkerEntry &Entry = Worker.Entry_;
@@ -340,9 +299,7 @@
   const WorkerEntry &Entry = Worker.Entry_;
   if (Entry.Service_ != Request.Service_)
     return Obstacle::NotAllowed;
-  if (!Entry.Capacity_.fits(Worker.Used_, Request.Needed_))
-    return Obstacle::NoCapacity;
-  if (!satisfies(Worker, Request.Isolation_, Now))
+  if (!satisfies(Worker, Request, Now))
     return Request.Isolation_ == Isolation::None ? Obstacle::Reserved
                                                  : Obstacle::NotIsolated;
   const StepSpec &Step = Request.Step_;
@@ -358,6 +315,9 @@
       countStepTasks(Worker, Request.Name_) >= std::int64_t{Step.MaxPerWorker_};
   if (HasRunOfTask || IsAtLimit)
     return Obstacle::StepLimit;
+  // Last, because a reservation waits for it, and for nothing else.
+  if (!Entry.Capacity_.fits(Worker.Used_, Request.Needed_))
+    return Obstacle::NoCapacity;
   return std::nullopt;
 }
 
@@ -385,7 +345,8 @@
                                     const StepSpec &Step) const {
   if (!Step.IsFiller_)
     return std::nullopt;
-  if (fillerUtilization(Worker, Step) > MaxFillerUtilization)
+  if (Worker.utilizationWithFiller(Step.Request_.MilliCpu_) >
+      MaxFillerUtilization)
     return Obstacle::Utilization;
   auto Requested = static_cast<double>(Step.Request_.MilliCpu_);
   if (Requested / Worker.milliCpu() > headroom(Worker, Step.Image_))
@@ -405,8 +366,8 @@
   auto Requested = static_cast<double>(Step.Request_.MilliCpu_);
   double Cost = 0;
   if (Step.IsFiller_) {
-    Cost =
-        fillerUtilization(Worker, Step) + FlexibilityCost * flexibility(Worker);
+    Cost = Worker.utilizationWithFiller(Step.Request_.MilliCpu_) +
+           FlexibilityCost * flexibility(Worker);
   } else {
     // Best fit: prefers workers with little free capacity, which leaves room
     // for large tasks and for steps with many tasks.
--- a/packages/scheduling/src/worker_state.cpp
+++ b/packages/scheduling/src/worker_state.cpp
@@ -115,6 +115,14 @@
       std::max<std::int64_t>(1, Entry_.Capacity_.MilliCpu_));
 }
 
+double WorkerState::utilizationWithFiller(std::int64_t MilliCpu) const {
+  auto LongRunning = static_cast<double>(LongRunningMilliCpu_);
+  auto Others = static_cast<double>(Used_.MilliCpu_) - LongRunning;
+  return (LongRunningCpuUsage * LongRunning + Others + pacedFillerMilliCpu() +
+          static_cast<double>(MilliCpu)) /
+         milliCpu();
+}
+
 double WorkerState::fullShare(const Run &Filler) const {
   return static_cast<double>(Filler.RequestedMilliCpu_) / milliCpu();
 }
--- a/packages/scheduling/src/worker_state.h
+++ b/packages/scheduling/src/worker_state.h
@@ -18,6 +18,13 @@
 
 namespace filbertspring::scheduling {
 
+/// Average fraction of its processor request that a long-running task uses; the
+/// rest is available to fillers.
+inline constexpr double LongRunningCpuUsage = 0.5;
+/// Maximum processor utilization of a worker that fillers may lead to, as a
+/// fraction; more fillers would only slow each other down.
+inline constexpr double MaxFillerUtilization = 1.0;
+
 /// The phase of a run as known to the scheduler.
 enum class RunPhase {
   /// The placement is not stored yet; no command was sent.
@@ -162,6 +169,8 @@
   TimePoint UnreachableSince_{};
   /// Until then only suspected tasks are started.
   TimePoint ReservedUntil_{};
+  /// Only tasks of this job are started; empty without such a reservation.
+  std::string ReservedJob_;
   /// The runs whose leases expired. Whether they ended with a crash is known
   /// once a report or the next incarnation is seen.
   std::vector<LostRun> LostRuns_;
@@ -217,6 +226,9 @@
   /// Returns the thousandths of a processor that the fillers may use at their
   /// present paces.
   double pacedFillerMilliCpu() const;
+  /// Returns the fraction of the processors that is expected to be used with
+  /// another filler that requests \p MilliCpu.
+  double utilizationWithFiller(std::int64_t MilliCpu) const;
   /// Returns the fraction of the worker's processors that \p Filler uses at
   /// full speed.
   double fullShare(const Run &Filler) const;
