Crash attribution: racks that lose power are a common cause

Cause: only the loss of most of a zone counted as a common cause. When racks lost power, each of their recent tasks was suspected, and one such task blocks its worker for a second. And runs that had settled were counted as exposed even when their zone was lost, so that from the second loss on all long-running tasks were suspected, and each blocked a worker for three seconds.

Change: the loss of most workers of a zone or of a group with the same label, such as a rack, is a common cause; it says nothing about settled runs.

crash_domain_test: racks_that_lose_power failed before (56 of 90 tasks running a second after the restart, 23 of 60 long-running ones with 47 isolated starts), and passes; a_job_whose_tasks_crash_a_rack passed before and after.

--- a/packages/scheduling/src/crash_attribution.cpp
+++ b/packages/scheduling/src/crash_attribution.cpp
@@ -17,7 +17,8 @@
 
 CrashVerdict judgeFresh(const CrashSuspect &Suspect, std::size_t FreshRuns,
                         bool HasCommonCause) {
-  // Otherwise all tasks of a zone that loses power would wait to be isolated.
+  // Otherwise all tasks of a zone or rack that loses power would wait to be
+  // isolated.
   if (HasCommonCause && Suspect.EarlierCrashes_ == 0 && !Suspect.IsExposed_)
     return CrashVerdict::Exposed;
   bool IsIsolated = Suspect.IsIsolated_ && FreshRuns == 1 && !HasCommonCause;
@@ -70,7 +71,8 @@
       Verdicts.push_back(judgeFresh(Suspect, FreshRuns, HasCommonCause));
       break;
     case RunMaturity::Settled:
-      Verdicts.push_back(CrashVerdict::Exposed);
+      Verdicts.push_back(HasCommonCause ? CrashVerdict::Unlikely
+                                        : CrashVerdict::Exposed);
       break;
     case RunMaturity::Established:
       Verdicts.push_back(CrashVerdict::Unlikely);
--- a/packages/scheduling/src/crash_attribution.h
+++ b/packages/scheduling/src/crash_attribution.h
@@ -79,9 +79,9 @@
 };
 
 /// Returns the verdict for each of \p Suspects, the runs of one crashed worker.
-/// If \p HasCommonCause, most workers of its zone were lost at that time, and
-/// the crash alone proves nothing and suspects no task at its first crash.
-/// Linear in the number of runs.
+/// If \p HasCommonCause, most workers of its zone or rack were lost at that
+/// time, and the crash alone proves nothing, suspects no run that has settled,
+/// and suspects no task at its first crash. Linear in the number of runs.
 std::vector<CrashVerdict> judgeCrash(std::span<const CrashSuspect> Suspects,
                                      bool HasCommonCause);
 
--- a/packages/scheduling/src/scheduler_crashes.cpp
+++ b/packages/scheduling/src/scheduler_crashes.cpp
@@ -8,8 +8,8 @@
 namespace filbertspring::scheduling {
 namespace {
 
-/// Workers of a zone that are lost within this time may have a common cause,
-/// such as a loss of power.
+/// Workers of a zone or a rack that are lost within this time may have a common
+/// cause, such as a loss of power.
 constexpr Duration CommonCauseTime = std::chrono::milliseconds(500);
 /// The smallest number of lost workers that shows a common cause.
 constexpr std::size_t MinCommonLosses = 3;
@@ -66,19 +66,35 @@
          unexplainedCrashes(Worker, Now) <= MaxUnexplainedCrashes;
 }
 
-bool Scheduler::Impl::isZoneLost(const WorkerState &Crashed) const {
+bool Scheduler::Impl::isGroupLost(const WorkerState &Crashed) const {
   if (!Crashed.CrashedAt_)
     return false;
-  std::size_t Known = 0;
-  std::size_t Lost = 0;
+  struct Group {
+    std::size_t Known_ = 0;
+    std::size_t Lost_ = 0;
+  };
+  const WorkerEntry &Entry = Crashed.Entry_;
+  // The zone, followed by the groups of the workers with the same label, of
+  // which the rack is one.
+  std::vector<Group> Groups(1 + Entry.Labels_.size());
   for (const auto &[Id, Worker] : Workers_) {
-    if (Worker.Entry_.Zone_ != Crashed.Entry_.Zone_)
-      continue;
-    ++Known;
     std::optional<LossTime> Loss = Worker.lossTime();
-    Lost += Loss && areSimultaneous(*Loss, *Crashed.CrashedAt_) ? 1 : 0;
+    bool IsLost = Loss && areSimultaneous(*Loss, *Crashed.CrashedAt_);
+    auto CountIn = [IsLost](Group &Shared) {
+      ++Shared.Known_;
+      Shared.Lost_ += IsLost ? 1 : 0;
+    };
+    if (Worker.Entry_.Zone_ == Entry.Zone_)
+      CountIn(Groups.front());
+    const std::vector<std::string> &Labels = Worker.Entry_.Labels_;
+    for (std::size_t Index = 0; Index < Entry.Labels_.size(); ++Index)
+      if (std::find(Labels.begin(), Labels.end(), Entry.Labels_[Index]) !=
+          Labels.end())
+        CountIn(Groups[1 + Index]);
   }
-  return Lost >= MinCommonLosses && 2 * Lost > Known;
+  return std::any_of(Groups.begin(), Groups.end(), [](const Group &Shared) {
+    return Shared.Lost_ >= MinCommonLosses && 2 * Shared.Lost_ > Shared.Known_;
+  });
 }
 
 /// Records which tasks may have caused the crash of \p Worker, and gives up
@@ -100,7 +116,7 @@
                         LostTask->Progress_.IsolatedCrashes_,
                         LostTask->Progress_.Exposures_ > 0});
   }
-  bool HasCommonCause = isZoneLost(Worker);
+  bool HasCommonCause = isGroupLost(Worker);
   std::erase_if(UnexplainedCrashes_, [Now](const auto &Entry) {
     return Now - Entry.second.LastAt_ >= UnsteadyTime;
   });
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -207,9 +207,9 @@
   void forgetLostRuns(WorkerState &Worker);
   void countPendingLosses(const WorkerState &Worker, int Change);
   bool hasCrashedSinceStored(const std::string &Id);
-  /// Returns whether most workers of the zone of \p Crashed were lost when it
-  /// was.
-  bool isZoneLost(const WorkerState &Crashed) const;
+  /// Returns whether most workers of the zone or of the rack of \p Crashed were
+  /// lost when it was. Linear in the number of workers.
+  bool isGroupLost(const WorkerState &Crashed) const;
   /// Returns how often \p Worker has crashed lately, except because of tasks
   /// that were given up.
   std::uint32_t unexplainedCrashes(const WorkerState &Worker,
--- a/packages/scheduling/tests/cell_fixture.h
+++ b/packages/scheduling/tests/cell_fixture.h
@@ -40,8 +40,12 @@
     Entry.Id_ = Id;
     Entry.Service_ = "service";
     Entry.Address_ = "address-" + Id;
-    Entry.Zone_ = Id == "w1" ? "zone-a" : "zone-b";
+    Entry.Zone_ = Zones_.contains(Id) ? Zones_[Id]
+                  : Id == "w1"        ? "zone-a"
+                                      : "zone-b";
     Entry.IsDraining_ = IsDraining;
+    if (Racks_.contains(Id))
+      Entry.Labels_ = {"kind", Racks_[Id]};
     Entry.Capacity_ = Capacity_;
     Entry.StartedAtMs_ = Born;
     Scheduler_.workerRegistered(Entry, Now_);
@@ -147,6 +151,9 @@
 
   TimePoint Now_{100s};
   Resources Capacity_{8000, 16000, 0};
+  /// The zones and racks of workers that differ from the usual ones.
+  std::map<std::string, std::string> Zones_;
+  std::map<std::string, std::string> Racks_;
   /// The start time of the workers in their reports.
   std::int64_t Born_ = 1;
   Scheduler Scheduler_;
