Oracle of random histories: no task waits beside free capacity

In calm periods a job without a running task, and each long-running task, may wait for at most three seconds while a worker has twice its request and less than half of all capacity is in use.

--- a/packages/scheduling/tests/oracle.cpp
+++ b/packages/scheduling/tests/oracle.cpp
@@ -18,6 +18,8 @@
 /// The time after which a smaller capacity counts: the shortest StableWindowMs
 /// and one HeartbeatMs.
 constexpr Duration ShrinkLimit = std::chrono::milliseconds(3000 + 1500);
+/// How long a task may wait beside free capacity.
+constexpr Duration MaxWait = std::chrono::milliseconds(3000);
 /// How often a task may start after three workers have crashed under it.
 constexpr std::size_t MaxStartsAfterThirdCrash = 2;
 
@@ -131,6 +133,7 @@
 
 void Oracle::stored(const std::string &Job, const JobProgress &Progress,
                     TimePoint Now) {
+  Jobs_.at(Job).IsFinal_ = isFinal(Progress.State_);
   for (const auto &[Text, Task] : Progress.Tasks_) {
     if (Task.Checkpoint_.empty())
       continue;
@@ -143,8 +146,71 @@
   }
 }
 
+bool Oracle::hasAmpleCapacity(const StepSpec &Step) const {
+  Resources Needed = Step.Request_;
+  if (Step.IsFiller_)
+    Needed.MilliCpu_ = 0;
+  Needed += Needed;
+  Resources Total;
+  Resources InUse;
+  bool Fits = false;
+  for (const auto &[Worker, Capacities] : Capacities_) {
+    const Resources &Capacity = Capacities.rbegin()->second;
+    Resources Used;
+    if (auto Reserved = Reserved_.find(Worker); Reserved != Reserved_.end())
+      for (const auto &[Text, Amount] : Reserved->second)
+        Used += Amount;
+    Fits |= Capacity.fits(Used, Needed);
+    Total += Capacity;
+    InUse += Used;
+  }
+  InUse += InUse;
+  return Fits && Total.fits(InUse, {});
+}
+
+bool Oracle::isDone(const JobHistory &Job, std::uint32_t Step) const {
+  std::uint32_t Done = 0;
+  for (const auto &[Text, Task] : Job.Tasks_)
+    Done += Task.HasDone_ && parseTaskName(Text)->Step_ == Step ? 1 : 0;
+  return Done == Job.Accepted_.Spec_.Steps_[Step].Count_;
+}
+
+void Oracle::checkWaiting(JobHistory &Job, TimePoint Now) {
+  const JobSpec &Spec = Job.Accepted_.Spec_;
+  bool IsRunning =
+      std::any_of(Job.Tasks_.begin(), Job.Tasks_.end(), [](const auto &Entry) {
+        return !Entry.second.Runs_.empty();
+      });
+  for (std::uint32_t Number = 0; Number < Spec.Steps_.size(); ++Number) {
+    const StepSpec &Step = Spec.Steps_[Number];
+    bool IsReady = std::all_of(
+        Step.DependsOn_.begin(), Step.DependsOn_.end(),
+        [&](std::uint32_t Earlier) { return isDone(Job, Earlier); });
+    bool MayWait = !IsReady || Job.IsFinal_ || Job.CancelledAt_ ||
+                   (IsRunning && !Step.IsLongRunning_) ||
+                   !hasAmpleCapacity(Step);
+    for (std::uint32_t Index = 0; Index < Step.Count_; ++Index) {
+      std::string Text = TaskName{Job.Accepted_.Id_, 0, Number, Index}.text();
+      TaskHistory &Task = Job.Tasks_[Text];
+      if (MayWait || Task.HasDone_ || !Task.Runs_.empty()) {
+        Task.WaitsSince_.reset();
+        continue;
+      }
+      if (!Task.WaitsSince_)
+        Task.WaitsSince_ = Now;
+      if (Now - *Task.WaitsSince_ > MaxWait)
+        report("waits", Text);
+    }
+  }
+}
+
 void Oracle::calm(TimePoint Since, TimePoint Now) {
-  for (const auto &[Id, Job] : Jobs_) {
+  for (auto &[Id, Job] : Jobs_) {
+    if (Now > Since + StableWindow)
+      checkWaiting(Job, Now);
+    else
+      for (auto &[Text, Task] : Job.Tasks_)
+        Task.WaitsSince_.reset();
     if (!Job.CancelledAt_ ||
         Now - std::max(*Job.CancelledAt_, Since + StableWindow) <=
             CancelLimit + KillTimeout)
--- a/packages/scheduling/tests/oracle.h
+++ b/packages/scheduling/tests/oracle.h
@@ -78,18 +78,28 @@
     std::vector<SavedCheckpoint> SavedCheckpoints_;
     std::size_t Crashes_ = 0;
     std::size_t StartsAfterThirdCrash_ = 0;
+    /// Since when the task has waited beside free capacity.
+    std::optional<TimePoint> WaitsSince_;
   };
   struct JobHistory {
     AcceptedJob Accepted_;
     std::uint32_t Attempts_ = 1;
     std::optional<TimePoint> CancelledAt_;
     std::map<std::string, TaskHistory> Tasks_;
+    /// The last stored state is final.
+    bool IsFinal_ = false;
   };
   void report(const char *Rule, std::string Detail);
   void checkStepOrder(const JobHistory &Job, const TaskName &Name);
   void checkCapacity(const std::string &Worker, TimePoint Now);
   void checkCheckpoint(const TaskHistory &History, const StartTask &Start,
                        std::uint64_t Token, TimePoint Now);
+  /// Checks that no job without a running task waits beside free capacity.
+  void checkWaiting(JobHistory &Job, TimePoint Now);
+  /// Returns whether a worker has twice the capacity that a task of \p Step
+  /// requests, while less than half of all capacity is in use.
+  bool hasAmpleCapacity(const StepSpec &Step) const;
+  bool isDone(const JobHistory &Job, std::uint32_t Step) const;
   static void save(TaskHistory &History, std::uint64_t Checkpoint,
                    TimePoint Now);
 
