Event loop: measures its own delay

What callers and operators see: on a site of 1,100 workers the loop of the cell's owner is late for hundreds of milliseconds, and nothing says so.

A probe that is due every 20 ms measures by how much the loop is late. EventLoop::delay() returns it, or for how long the next probe is overdue if that is more; LoopClock does the arithmetic on times that it is given.

--- a/packages/transport/include/filbertspring/transport/event_loop.h
+++ b/packages/transport/include/filbertspring/transport/event_loop.h
@@ -34,6 +34,11 @@
   void onSignals(std::initializer_list<int> Signals,
                  std::function<void(int)> Callback);
 
+  /// Returns how late the loop is at present: near zero while it keeps up, and
+  /// otherwise about the time that an event waits for its callback. Constant
+  /// complexity.
+  Duration delay() const;
+
   /// Returns the underlying context, for transports that run on this loop.
   asio::io_context &context();
 
--- a/packages/transport/src/event_loop.cpp
+++ b/packages/transport/src/event_loop.cpp
@@ -1,5 +1,7 @@
 #include "filbertspring/transport/event_loop.h"
 
+#include "filbertspring/transport/loop_clock.h"
+
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
@@ -11,6 +13,18 @@
   // synchronization.
   asio::io_context Context_{1};
   std::unique_ptr<asio::signal_set> Signals_;
+  asio::steady_timer Probe_{Context_};
+  LoopClock Clock_{SchedulerClock::now()};
+
+  void scheduleProbe() {
+    Probe_.expires_after(LoopClock::ProbeInterval);
+    Probe_.async_wait([this](const std::error_code &Error) {
+      if (Error)
+        return;
+      Clock_.probed(SchedulerClock::now());
+      scheduleProbe();
+    });
+  }
 
   void waitForSignal(std::function<void(int)> Callback) {
     Signals_->async_wait([this, Callback = std::move(Callback)](
@@ -30,9 +44,15 @@
 
 void EventLoop::run() {
   auto Work = asio::make_work_guard(Impl_->Context_);
+  Impl_->Clock_.started(SchedulerClock::now());
+  Impl_->scheduleProbe();
   Impl_->Context_.run();
 }
 
+Duration EventLoop::delay() const {
+  return Impl_->Clock_.delay(SchedulerClock::now());
+}
+
 void EventLoop::stop() { Impl_->Context_.stop(); }
 
 void EventLoop::after(Duration Delay, std::function<void()> Callback) {
