Calls: the delay of the own event loop is not the silence of others

What callers and operators see: an owner with a saturated processor takes workers, relays and the store for silent; leases lapse and tasks run twice.

Cause: the timeouts of AsyncHttpClient were measured in real time. After a delay of the loop, or a suspension of the process, the timer of a call ran before the rest of its answer was read: a connection reads 8 KB at a time, and each further read queues behind the timers that are due.

The change: timeouts are measured on the clock of the loop. Leases and the validity of the owner's lease stay in real time; waiting longer before something is judged silent is safe, and commands carry deadlines of their own.

A caller's deadline stays real time: a request that is open at its deadline is answered then, 504 if a transaction may take effect and 503 otherwise.

--- a/packages/node/src/callers.cpp
+++ b/packages/node/src/callers.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cctype>
 #include <charconv>
+#include <utility>
 
 namespace filbertspring::node {
 namespace {
@@ -100,6 +101,9 @@
   /// An insert had an unknown outcome, so the row of the job or of its
   /// cancellation may be stored.
   bool MayBeStored_ = false;
+  /// A transaction for this request has no outcome yet.
+  bool IsCommitting_ = false;
+  bool IsAnswered_ = false;
 };
 
 CallerRequestHandler::CallerRequestHandler(
@@ -126,17 +130,40 @@
   std::string Method = Request.Method_;
   CallerExchange->Request_ = std::move(Request);
   CallerExchange->Respond_ = [this, Method,
+                              Reference = std::weak_ptr(CallerExchange),
                               ArrivedAt = CallerExchange->ArrivedAt_,
                               Respond = std::move(Respond)](HttpAnswer Answer) {
+    ExchangePtr Answered = Reference.lock();
+    if (Answered && std::exchange(Answered->IsAnswered_, true))
+      return;
     Counters_.observe("caller_request_seconds",
                       SchedulerClock::now() - ArrivedAt,
                       "method=\"" + Method + "\",status=\"" +
                           std::to_string(Answer.Status_) + "\"");
     Respond(std::move(Answer));
   };
+  Loop_.after(callerTimeout(CallerExchange->Request_) - AnswerMargin,
+              [this, Reference = std::weak_ptr(CallerExchange)] {
+                if (ExchangePtr Open = Reference.lock())
+                  answerAtDeadline(Open);
+              });
   route(CallerExchange);
 }
 
+/// Answers a request whose caller waits no longer. Calls to the store may last
+/// longer than this, since their timeouts hardly count the delay of the event
+/// loop.
+void CallerRequestHandler::answerAtDeadline(const ExchangePtr &CallerExchange) {
+  if (CallerExchange->IsAnswered_)
+    return;
+  bool IsOutcomeUnknown =
+      CallerExchange->MayBeStored_ || CallerExchange->IsCommitting_;
+  if (IsOutcomeUnknown)
+    logEvent(LogEvent::JobOutcomeUnknown, {{"job", CallerExchange->Job_}});
+  CallerExchange->Respond_(IsOutcomeUnknown ? makeUnknownOutcomeAnswer()
+                                            : makeUnavailableAnswer());
+}
+
 void CallerRequestHandler::route(const ExchangePtr &CallerExchange) {
   if (!Queues_)
     return CallerExchange->Respond_(makeUnavailableAnswer());
@@ -200,6 +227,8 @@
 /// makes repeats safe.
 void CallerRequestHandler::insertJob(const ExchangePtr &CallerExchange,
                                      const RowTransaction &Insert) {
+  if (CallerExchange->IsAnswered_)
+    return;
   Duration Timeout = timeLeft(*CallerExchange);
   if (Timeout <= Duration::zero() && !CallerExchange->MayBeStored_) {
     logEvent(LogEvent::JobRefused, {{"job", CallerExchange->Job_},
@@ -210,9 +239,11 @@
     logEvent(LogEvent::JobOutcomeUnknown, {{"job", CallerExchange->Job_}});
     return CallerExchange->Respond_(makeUnknownOutcomeAnswer());
   }
+  CallerExchange->IsCommitting_ = true;
   Store_.commit(
       Insert, Timeout,
       [this, CallerExchange, Insert](const CommitResult &Outcome) {
+        CallerExchange->IsCommitting_ = false;
         switch (Outcome.Outcome_) {
         case CommitOutcome::Committed:
           RowStored_(Insert.Writes_.front());
@@ -305,6 +336,8 @@
 
 void CallerRequestHandler::insertCancellation(const ExchangePtr &CallerExchange,
                                               std::uint64_t Version) {
+  if (CallerExchange->IsAnswered_)
+    return;
   Duration Timeout = timeLeft(*CallerExchange);
   if (Timeout <= Duration::zero())
     return CallerExchange->Respond_(makeUnknownOutcomeAnswer());
@@ -314,9 +347,11 @@
   NewRow.Key_ = cancellationKey(CallerExchange->Job_);
   NewRow.Value_ = "{}";
   Cancel.Writes_.push_back(NewRow);
+  CallerExchange->IsCommitting_ = true;
   Store_.commit(
       Cancel, Timeout,
       [this, CallerExchange, Version, NewRow](const CommitResult &Outcome) {
+        CallerExchange->IsCommitting_ = false;
         switch (Outcome.Outcome_) {
         case CommitOutcome::Committed:
           logEvent(LogEvent::StopRequested, {{"job", CallerExchange->Job_}});
--- a/packages/node/src/callers.h
+++ b/packages/node/src/callers.h
@@ -45,6 +45,7 @@
   void cancelJob(const ExchangePtr &CallerExchange);
   void insertCancellation(const ExchangePtr &CallerExchange,
                           std::uint64_t Version);
+  void answerAtDeadline(const ExchangePtr &CallerExchange);
   void answerPendingCount(const ExchangePtr &CallerExchange);
   using AcceptanceCallback = std::function<void(const scheduling::Row *)>;
   /// Reads the row of the accepted job and passes it to \p Callback, or null if
--- a/packages/node/tests/callers_test.cpp
+++ b/packages/node/tests/callers_test.cpp
@@ -5,12 +5,14 @@
 #include "cell_directory.h"
 #include "filbertspring/transport/async_http_server.h"
 #include "filbertspring/transport/event_loop.h"
+#include "platform/caller_codec.h"
 #include "store_client.h"
 
 #include <asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 #include <optional>
 #include <string>
+#include <thread>
 
 namespace filbertspring::node {
 namespace {
@@ -26,6 +28,8 @@
       : StoreServer_(Loop_, {},
                      [this](const HttpRequest &, const HttpResponder &Respond) {
                        ++StoreCalls_;
+                       if (IsStoreSilent_)
+                         return;
                        HttpAnswer Answer;
                        Answer.Status_ = StoreStatus_;
                        Respond(Answer);
@@ -45,12 +49,15 @@
     Requests_.configure(Queues);
   }
 
-  /// Submits a job and returns the status of the answer.
-  int submit() {
+  /// Submits a job whose caller waits for \p Timeout, and returns the status of
+  /// the answer.
+  int submit(Duration Timeout = 3s) {
     HttpRequest Request;
     Request.Method_ = "POST";
     Request.Path_ = "/batch/0123456789abcdef";
-    Request.Headers_ = {{"Host", "host"}};
+    Request.Headers_ = {
+        {"Host", "host"},
+        {std::string(platform::DeadlineHeader), std::to_string(Timeout / 1ms)}};
     Request.Body_ = R"({"Spec":"","Steps":[{"Count":1,"Cpu":500}]})";
     std::optional<int> Status;
     Requests_.handle(std::move(Request), [&](HttpAnswer Answer) {
@@ -67,6 +74,7 @@
   CounterRegistry Counters_;
   int StoreStatus_ = 503;
   int StoreCalls_ = 0;
+  bool IsStoreSilent_ = false;
   AsyncHttpServer StoreServer_;
   StoreClient Store_;
   CellDirectory Cell_;
@@ -95,6 +103,16 @@
   }
 }
 
+// Timeouts of store calls hardly count the delay of the loop.
+BOOST_FIXTURE_TEST_CASE(is_answered_at_its_deadline_by_a_late_loop, Caller) {
+  IsStoreSilent_ = true;
+  bool IsPastDeadline = false;
+  Loop_.after(50ms, [] { std::this_thread::sleep_for(600ms); });
+  Loop_.after(1s, [&] { IsPastDeadline = true; });
+  BOOST_TEST(submit(900ms) == 504);
+  BOOST_TEST(!IsPastDeadline);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace filbertspring::node
--- a/packages/transport/include/filbertspring/transport/async_http_client.h
+++ b/packages/transport/include/filbertspring/transport/async_http_client.h
@@ -44,8 +44,9 @@
 using HttpCallback = std::function<void(Result<HttpAnswer>)>;
 
 /// Sends requests to servers addressed as "IP:PORT". Each call ends after its
-/// timeout at the latest, which also detects unresponsive connections. Not
-/// thread-safe.
+/// timeout at the latest, which also detects unresponsive connections. Timeouts
+/// are measured on the clock of the event loop, so that a late loop does not
+/// end calls whose answers have arrived; see LoopClock. Not thread-safe.
 class AsyncHttpClient {
 public:
   AsyncHttpClient(EventLoop &Loop, AsyncHttpLimits Limits);
--- a/packages/transport/include/filbertspring/transport/event_loop.h
+++ b/packages/transport/include/filbertspring/transport/event_loop.h
@@ -5,6 +5,7 @@
 /// A single-threaded event loop for timers, signals and sockets.
 
 #include "filbertspring/base/time.h"
+#include "filbertspring/transport/loop_clock.h"
 
 #include <functional>
 #include <initializer_list>
@@ -39,6 +40,14 @@
   /// complexity.
   Duration delay() const;
 
+  /// Deadlines of calls, on a clock that hardly counts the time during which
+  /// this loop is late; see LoopClock.
+  LoopTime deadlineAfter(Duration Timeout) const;
+  bool hasPassed(LoopTime Deadline) const;
+  /// Returns the time after which to look at \p Deadline, which has not passed,
+  /// again.
+  Duration timeLeft(LoopTime Deadline) const;
+
   /// Returns the underlying context, for transports that run on this loop.
   asio::io_context &context();
 
--- a/packages/transport/src/async_http_client.cpp
+++ b/packages/transport/src/async_http_client.cpp
@@ -20,7 +20,7 @@
 struct Call {
   std::string Bytes_;
   HttpCallback Callback_;
-  TimePoint Deadline_;
+  LoopTime Deadline_;
 };
 
 std::string serialize(const std::string &Address, const HttpRequest &Request) {
@@ -101,7 +101,7 @@
     startTimer(ConnectTimeout == Duration::zero()
                    ? Call_->Deadline_
                    : std::min(Call_->Deadline_,
-                              SchedulerClock::now() + ConnectTimeout));
+                              Owner_.Loop_.deadlineAfter(ConnectTimeout)));
     Socket_.async_connect(
         Endpoint, [Self = shared_from_this()](const std::error_code &Error) {
           if (Self->isClosed())
@@ -124,20 +124,22 @@
   }
 
   /// Fails the call if it has not ended by \p Deadline.
-  void startTimer(TimePoint Deadline) {
+  void startTimer(LoopTime Deadline) {
     TimerDeadline_ = Deadline;
-    Timer_.expires_after(
-        std::max(Deadline - SchedulerClock::now(), Duration::zero()));
-    Timer_.async_wait([Self =
-                           shared_from_this()](const std::error_code &Error) {
-      if (Error || Self->isClosed() || !Self->Call_ ||
-          SchedulerClock::now() < Self->TimerDeadline_)
-        return;
-      Self->HasTimedOut_ = true;
-      Self->finish(
-          fail(Self->IsConnected_ ? Errc::OutcomeUnknown : Errc::ConnectFailed),
-          false);
-    });
+    Timer_.expires_after(Owner_.Loop_.timeLeft(Deadline));
+    Timer_.async_wait(
+        [Self = shared_from_this()](const std::error_code &Error) {
+          if (!Error && !Self->isClosed() && Self->Call_)
+            Self->handleTimer();
+        });
+  }
+
+  void handleTimer() {
+    if (!Owner_.Loop_.hasPassed(TimerDeadline_))
+      return startTimer(TimerDeadline_);
+    HasTimedOut_ = true;
+    finish(fail(IsConnected_ ? Errc::OutcomeUnknown : Errc::ConnectFailed),
+           false);
   }
 
   void write() {
@@ -224,7 +226,7 @@
   std::string Address_;
   tcp::socket Socket_;
   asio::steady_timer Timer_;
-  TimePoint TimerDeadline_{};
+  LoopTime TimerDeadline_{};
   std::optional<Call> Call_;
   http_parser Parser_{};
   HttpAnswer Answer_;
@@ -274,7 +276,7 @@
       return;
     Call NextCall = std::move(HostEntry.Queue_.front());
     HostEntry.Queue_.pop_front();
-    if (NextCall.Deadline_ <= SchedulerClock::now()) {
+    if (Loop_.hasPassed(NextCall.Deadline_)) {
       Loop_.after(Duration::zero(), [Callback = std::move(NextCall.Callback_)] {
         Callback(fail(Errc::ConnectFailed));
       });
@@ -315,7 +317,7 @@
   Impl::Host &HostEntry = Impl_->Hosts_[Address];
   if (!HostEntry.Endpoint_)
     HostEntry.Endpoint_ = parseAddress(Address);
-  if (!HostEntry.Endpoint_) {
+  if (!HostEntry.Endpoint_ || Timeout <= Duration::zero()) {
     Impl_->Loop_.after(Duration::zero(), [Callback = std::move(Callback)] {
       Callback(fail(Errc::ConnectFailed));
     });
@@ -325,7 +327,7 @@
   Call NextCall;
   NextCall.Bytes_ = serialize(Address, Request);
   NextCall.Callback_ = std::move(Callback);
-  NextCall.Deadline_ = SchedulerClock::now() + Timeout;
+  NextCall.Deadline_ = Impl_->Loop_.deadlineAfter(Timeout);
   HostEntry.Queue_.push_back(std::move(NextCall));
   Impl_->dispatch(Address);
 }
--- a/packages/transport/src/event_loop.cpp
+++ b/packages/transport/src/event_loop.cpp
@@ -1,7 +1,6 @@
 #include "filbertspring/transport/event_loop.h"
 
-#include "filbertspring/transport/loop_clock.h"
-
+#include <algorithm>
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
@@ -53,6 +52,18 @@
   return Impl_->Clock_.delay(SchedulerClock::now());
 }
 
+LoopTime EventLoop::deadlineAfter(Duration Timeout) const {
+  return Impl_->Clock_.deadlineAfter(Timeout, SchedulerClock::now());
+}
+
+bool EventLoop::hasPassed(LoopTime Deadline) const {
+  return Impl_->Clock_.hasPassed(Deadline);
+}
+
+Duration EventLoop::timeLeft(LoopTime Deadline) const {
+  return std::max(Impl_->Clock_.timeLeft(Deadline), LoopClock::ProbeInterval);
+}
+
 void EventLoop::stop() { Impl_->Context_.stop(); }
 
 void EventLoop::after(Duration Delay, std::function<void()> Callback) {
