Worker channel: an owner that is late does not avoid its relays

What operators see: on a site of 1,100 workers the owner's loop is late, relays that answer at once are avoided for two seconds and longer, and the owner calls their workers directly. Each direct call costs it more than a relayed one, so the overload feeds itself.

Cause: expireCalls() compared the deadlines of relayed calls with real time, and the timeout of a batch ended before its answer was read.

The change: relayed calls are timed on the clock of the loop.

Ruled out: a first test had 10 renewals open at a worker that takes two at a time; its calls failed for that reason on old and new code alike. With one renewal and small answers the old code passed.

Test: an owner that is blocked four times for 0.5 to 1 s, with a relay and a worker on another thread. On the old code 118 of 1,128 calls failed, 685 were made without the relay; now none.

--- a/packages/node/src/worker_channel.cpp
+++ b/packages/node/src/worker_channel.cpp
@@ -69,11 +69,10 @@
                                 const std::string &Address,
                                 const HttpRequest &Request, Duration Timeout,
                                 HttpCallback Callback) {
-  TimePoint Now = SchedulerClock::now();
   std::uint64_t Id = ++LastId_;
-  Pending_.emplace(Id,
-                   PendingCall{Relay, Address, Now, Now + Timeout + RelayMargin,
-                               std::move(Callback)});
+  Pending_.emplace(Id, PendingCall{Relay, Address, SchedulerClock::now(),
+                                   Loop_.deadlineAfter(Timeout + RelayMargin),
+                                   std::move(Callback)});
   Outbox &Waiting = Outboxes_[Relay];
   Waiting.Calls_.push_back({Id, Address, Request, Timeout});
   Waiting.Bytes_ += Request.Body_.size();
@@ -137,12 +136,12 @@
     return;
   PendingCall Redirected = std::move(It->second);
   Pending_.erase(It);
-  Duration TimeLeft = Redirected.Deadline_ - SchedulerClock::now();
-  if (TimeLeft <= Duration::zero())
+  if (Loop_.hasPassed(Redirected.Deadline_))
     return Redirected.Callback_(fail(Errc::ConnectFailed));
   // The time left includes that for a relay. A longer timeout would put a
   // command behind renewals, whose answers workers delay.
-  Workers_.send(Call.Address_, Call.Request_, std::min(TimeLeft, Call.Timeout_),
+  Workers_.send(Call.Address_, Call.Request_,
+                std::min(Loop_.timeLeft(Redirected.Deadline_), Call.Timeout_),
                 std::move(Redirected.Callback_));
 }
 
@@ -176,10 +175,9 @@
 
 /// Ends the relayed calls whose time is over.
 void WorkerChannel::expireCalls() {
-  TimePoint Now = SchedulerClock::now();
   std::vector<PendingCall> Expired;
   for (auto It = Pending_.begin(); It != Pending_.end();) {
-    if (It->second.Deadline_ > Now) {
+    if (!Loop_.hasPassed(It->second.Deadline_)) {
       ++It;
       continue;
     }
--- a/packages/node/src/worker_channel.h
+++ b/packages/node/src/worker_channel.h
@@ -50,7 +50,7 @@
     /// The address of the worker.
     std::string Address_;
     TimePoint SentAt_{};
-    TimePoint Deadline_{};
+    LoopTime Deadline_{};
     HttpCallback Callback_;
   };
   /// Calls that are sent to a relay together.
