Change feeds: a backlog ends, and is read on at once

What operators see: drains of workers are learned up to 4 s late on a site of 1,100 workers; a backlog that takes longer than the timeout of a feed (2.2 s) on a slow link is asked for again and again (docs/incidents/ cancelled-tasks-and-unread-ends.md, What remains).

Causes: the worker feed waited 250 ms after each page, however large it was and however long it took, and 250 ms after a failure. The timeout of a feed was for the whole answer, which has no pages.

The change: the worker feed is read once in 250 ms, and at once after a page of 100 rows or more or a read that took longer; after a small page the pause returns, so this adds at most one small read to each interval. The timeout of a feed is for each part of its answer: a backlog arrives as long as the link delivers anything, and a dead link is noticed as before.

Not covered: an answer of more than 8 MB still fails.

A server that sends an answer in parts over six times the timeout; without the new limit, as before, the call fails.

--- a/packages/node/src/cell_loading.cpp
+++ b/packages/node/src/cell_loading.cpp
@@ -3,6 +3,7 @@
 /// tenure and then follows the rows written by workers and callers.
 
 #include "cell_owner.h"
+#include "feed_pace.h"
 #include "filbertspring/base/log.h"
 #include "filbertspring/scheduling/progress_codec.h"
 #include "platform/worker_codec.h"
@@ -18,7 +19,7 @@
 /// The time that the store holds the owner's change feeds open without a
 /// change.
 constexpr Duration OwnerFeedWait = std::chrono::milliseconds(1500);
-/// The pause between two reads of the worker feed. Registrations change
+/// The time between two reads of the worker feed. Registrations change
 /// continuously, and the drain of a worker has to be noticed within seconds.
 constexpr Duration WorkerFeedInterval = std::chrono::milliseconds(250);
 /// The pause between two reads of the job feed. Jobs are accepted one at a
@@ -242,7 +243,9 @@
                 if (!Page->Rows_.empty())
                   requestSchedulingCycle();
                 std::uint64_t Next = std::max(After, Page->Version_);
-                Loop_.after(JobFeedInterval, [this, Reference, Next] {
+                Duration Pause = pauseBeforeFeed(
+                    Page->Rows_.size(), Duration::zero(), JobFeedInterval);
+                Loop_.after(Pause, [this, Reference, Next] {
                   followJobs(Reference, Next);
                 });
               });
@@ -293,19 +296,24 @@
 
 void CellOwner::followWorkers(const TenureRef &Reference, std::uint64_t After) {
   Store_.feed(platform::WorkerTable, After, OwnerFeedWait,
-              [this, Reference, After](const Result<RowPage> &Page) {
+              [this, Reference, After,
+               SentAt = SchedulerClock::now()](const Result<RowPage> &Page) {
                 if (!findActiveTenure(Reference))
                   return;
                 if (!Page && Page.error() == Errc::NotFound)
                   return rereadWorkers(Reference);
-                std::uint64_t Next = After;
-                if (Page) {
-                  for (const Row &StoredRow : Page->Rows_)
-                    handleWorkerRow(StoredRow);
-                  Next = std::max(After, Page->Version_);
-                  requestSchedulingCycle();
-                }
-                Loop_.after(WorkerFeedInterval, [this, Reference, Next] {
+                if (!Page)
+                  return Loop_.after(StoreRetryDelay, [this, Reference, After] {
+                    followWorkers(Reference, After);
+                  });
+                for (const Row &StoredRow : Page->Rows_)
+                  handleWorkerRow(StoredRow);
+                requestSchedulingCycle();
+                std::uint64_t Next = std::max(After, Page->Version_);
+                Duration Pause = pauseBeforeFeed(Page->Rows_.size(),
+                                                 SchedulerClock::now() - SentAt,
+                                                 WorkerFeedInterval);
+                Loop_.after(Pause, [this, Reference, Next] {
                   followWorkers(Reference, Next);
                 });
               });
--- a/packages/node/src/store_client.cpp
+++ b/packages/node/src/store_client.cpp
@@ -42,6 +42,14 @@
   return Limits;
 }
 
+AsyncHttpLimits feedLimits() {
+  AsyncHttpLimits Limits = callLimits();
+  // Feeds have no pages. A backlog may take longer than the timeout, and would
+  // be asked for again and again.
+  Limits.IsTimeoutForEachPart_ = true;
+  return Limits;
+}
+
 AsyncHttpLimits relayLimits() {
   AsyncHttpLimits Limits = callLimits();
   Limits.ConnectTimeout_ = RelayConnectTimeout;
@@ -63,7 +71,7 @@
 StoreClient::StoreClient(EventLoop &Loop, std::string Address,
                          CounterRegistry &Counters)
     : Loop_(Loop), Address_(std::move(Address)), Counters_(Counters),
-      DirectClient_(Loop, callLimits()), FeedClient_(Loop, callLimits()),
+      DirectClient_(Loop, callLimits()), FeedClient_(Loop, feedLimits()),
       PeerCallClient_(Loop, callLimits()), RelayClient_(Loop, relayLimits()) {}
 
 void StoreClient::setRelays(std::vector<std::string> Addresses) {
--- a/packages/transport/include/filbertspring/transport/async_http_client.h
+++ b/packages/transport/include/filbertspring/transport/async_http_client.h
@@ -26,6 +26,10 @@
   /// Maximum time to establish a connection. With zero, only the timeout of
   /// the call applies.
   Duration ConnectTimeout_{};
+  /// The timeout of a call is for the longest time without a part of its
+  /// answer, so that a long answer may arrive over a slow link. Otherwise it is
+  /// for the whole answer.
+  bool IsTimeoutForEachPart_ = false;
   /// Time after which an idle connection is closed.
   Duration IdleTimeout_ = std::chrono::seconds(20);
 };
--- a/packages/transport/src/async_http_client.cpp
+++ b/packages/transport/src/async_http_client.cpp
@@ -20,6 +20,7 @@
 struct Call {
   std::string Bytes_;
   HttpCallback Callback_;
+  Duration Timeout_{};
   LoopTime Deadline_;
 };
 
@@ -187,6 +188,9 @@
     bool IsTooLarge = Answer_.Body_.size() > Owner_.Limits_.MaxAnswerBytes_;
     if (Parsed != Size || IsTooLarge)
       return finish(fail(Errc::OutcomeUnknown), false);
+    // The timer waits on when it finds that this deadline has not passed.
+    if (Owner_.Limits_.IsTimeoutForEachPart_)
+      TimerDeadline_ = Owner_.Loop_.deadlineAfter(Call_->Timeout_);
     read();
   }
 
@@ -327,6 +331,7 @@
   Call NextCall;
   NextCall.Bytes_ = serialize(Address, Request);
   NextCall.Callback_ = std::move(Callback);
+  NextCall.Timeout_ = Timeout;
   NextCall.Deadline_ = Impl_->Loop_.deadlineAfter(Timeout);
   HostEntry.Queue_.push_back(std::move(NextCall));
   Impl_->dispatch(Address);
--- a/packages/transport/tests/async_http_client_test.cpp
+++ b/packages/transport/tests/async_http_client_test.cpp
@@ -5,6 +5,8 @@
 #include "filbertspring/transport/async_http_server.h"
 
 #include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <optional>
 #include <thread>
@@ -13,8 +15,10 @@
 namespace {
 
 using namespace std::chrono_literals;
+using asio::ip::tcp;
 
 constexpr const char *ServerAddress = "127.0.0.1:17431";
+constexpr std::uint16_t SlowServerPort = 17432;
 constexpr Duration Timeout = 300ms;
 /// The server never answers calls of this path.
 constexpr const char *SilentPath = "/silent";
@@ -76,6 +80,60 @@
   AsyncHttpClient Client_{Loop_, {}};
 };
 
+/// A server that sends an answer in parts.
+class SlowServer {
+public:
+  /// Sends \p Parts of an answer of 12, with half of the timeout before each.
+  explicit SlowServer(int Parts) : Parts_(Parts) {
+    Acceptor_.async_accept(
+        [this](const std::error_code &Error, tcp::socket New) {
+          BOOST_REQUIRE(!Error);
+          Socket_.emplace(std::move(New));
+          std::string Head = "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n";
+          asio::write(*Socket_, asio::buffer(Head));
+          sendPart();
+        });
+  }
+
+  EventLoop Loop_;
+
+private:
+  void sendPart() {
+    if (Parts_-- == 0)
+      return;
+    Loop_.after(Timeout / 2, [this] {
+      asio::write(*Socket_, asio::buffer("x", 1));
+      sendPart();
+    });
+  }
+
+  int Parts_;
+  tcp::acceptor Acceptor_{
+      Loop_.context(),
+      tcp::endpoint(asio::ip::make_address("127.0.0.1"), SlowServerPort)};
+  std::optional<tcp::socket> Socket_;
+};
+
+/// Calls a server that sends \p Parts of its answer.
+Result<HttpAnswer> callSlowServer(int Parts, bool IsTimeoutForEachPart) {
+  SlowServer Server(Parts);
+  AsyncHttpLimits Limits;
+  Limits.IsTimeoutForEachPart_ = IsTimeoutForEachPart;
+  AsyncHttpClient Client(Server.Loop_, Limits);
+  HttpRequest Request;
+  Request.Method_ = "GET";
+  Request.Path_ = "/";
+  std::optional<Result<HttpAnswer>> Outcome;
+  Client.send("127.0.0.1:" + std::to_string(SlowServerPort), Request, Timeout,
+              [&](Result<HttpAnswer> Answer) {
+                Outcome.emplace(std::move(Answer));
+                Server.Loop_.stop();
+              });
+  Server.Loop_.run();
+  BOOST_REQUIRE(Outcome.has_value());
+  return *Outcome;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(a_call_on_a_blocked_loop)
@@ -93,4 +151,20 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(an_answer_in_parts)
+
+BOOST_AUTO_TEST_CASE(may_take_longer_than_the_timeout_for_each_part) {
+  BOOST_TEST(callSlowServer(12, true).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(may_not_take_longer_than_the_timeout_for_the_whole) {
+  BOOST_TEST((callSlowServer(12, false).error() == Errc::OutcomeUnknown));
+}
+
+BOOST_AUTO_TEST_CASE(that_stops_ends_the_call) {
+  BOOST_TEST((callSlowServer(3, true).error() == Errc::OutcomeUnknown));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace filbertspring
