--- a/packages/transport/include/filbertspring/transport/async_http_client.h
+++ b/packages/transport/include/filbertspring/transport/async_http_client.h
@@ -26,6 +26,10 @@
   /// Maximum time to establish a connection. With zero, only the timeout of
   /// the call applies.
   Duration ConnectTimeout_{};
+  /// The timeout of a call is for the longest time without a part of its
+  /// answer, so that a long answer may arrive over a slow link. Otherwise it is
+  /// for the whole answer.
+  bool IsTimeoutForEachPart_ = false;
   /// Time after which an idle connection is closed.
   Duration IdleTimeout_ = std::chrono::seconds(20);
 };
@@ -44,8 +48,9 @@
 using HttpCallback = std::function<void(Result<HttpAnswer>)>;
 
 /// Sends requests to servers addressed as "IP:PORT". Each call ends after its
-/// timeout at the latest, which also detects unresponsive connections. Not
-/// thread-safe.
+/// timeout at the latest, which also detects unresponsive connections. Timeouts
+/// are measured on the clock of the event loop, so that a late loop does not
+/// end calls whose answers have arrived; see LoopClock. Not thread-safe.
 class AsyncHttpClient {
 public:
   AsyncHttpClient(EventLoop &Loop, AsyncHttpLimits Limits);
