A placement pass places what one transaction stores

What callers and operators see: with 20,000 waiting tasks on 1,100 workers, ends are noted 7 to 10 s late and urgent jobs wait 10 s, while the loop itself is less than a second late.

Cause: a pass places all that fits, thousands of tasks, but a transaction stores at most 450. The rest is stored in the order of the changes, so every end and every urgent task that comes after the pass waits for all of it.

place() now places at most what one transaction stores, less what was placed and is not stored yet, and at most the number that the caller admits. What is left is continued in the next pass without another event. Candidates are in the order of their ranks, so the most urgent tasks are placed; suspected tasks, which go first because few workers suit them, get at most half of the limit. A pass that is cut short considers no worker for the rest. Grouping the tasks of a step no longer builds their names.

Runs of removed jobs no longer count as placed and not stored: they would use up the limit for ever.

takes_a_step_that_is_larger_than_a_row_in_parts required that nothing starts after the first transaction. Its step of 1,000 tasks was placed in one pass; now its first 450 are placed and stored, so that they may start. It is replaced by two tests: each start of the step has a stored placement, and all 1,000 are started; and a step that is placed in one pass but takes several rows still starts nothing before all of it is stored.

--- a/packages/scheduling/include/filbertspring/scheduling/job.h
+++ b/packages/scheduling/include/filbertspring/scheduling/job.h
@@ -161,6 +161,9 @@
   /// of a task within the job, in the order of occurrence, step and task.
   const std::set<std::uint32_t> &waiting() const { return Waiting_; }
   TaskName nameOf(std::uint32_t Slot) const;
+  /// Returns the first slot behind those of the step that \p Slot belongs to,
+  /// which are consecutive.
+  std::uint32_t endOfStep(std::uint32_t Slot) const;
   std::uint32_t taskCount() const {
     return static_cast<std::uint32_t>(Tasks_.size());
   }
--- a/packages/scheduling/include/filbertspring/scheduling/scheduler.h
+++ b/packages/scheduling/include/filbertspring/scheduling/scheduler.h
@@ -17,6 +17,7 @@
 #include "filbertspring/scheduling/job.h"
 #include "filbertspring/scheduling/progress_journal.h"
 #include "filbertspring/scheduling/queue_table.h"
+#include "filbertspring/scheduling/start_admission.h"
 #include "filbertspring/scheduling/worker.h"
 
 #include <cstdint>
@@ -148,6 +149,8 @@
   std::size_t ReachableWorkers_ = 0;
   std::size_t WaitingTasks_ = 0;
   std::size_t PlacedTasks_ = 0;
+  /// How many workers have been considered in all for the steps that waited.
+  std::uint64_t ConsideredWorkers_ = 0;
 };
 
 /// The scheduler of one cell. Holds its jobs and the state of its workers.
@@ -201,10 +204,13 @@
   /// recent enough to release steps and to extend leases.
   void advance(TimePoint Now, std::int64_t WallMs, TimePoint ConfirmedAt,
                bool MaySendCommands);
-  /// Places waiting tasks on workers. Takes time proportional to the number of
-  /// waiting steps times the number of workers. Placements take effect with the
-  /// next transaction, so call this only when one can be taken.
-  void place(TimePoint Now);
+  /// Places up to \p MaxStarts waiting tasks on workers, those of the jobs with
+  /// the best ranks, and at most as many as one transaction stores. Returns
+  /// their number. Placements take effect with the next transaction, so call
+  /// this only when one can be taken. Takes time proportional to the number of
+  /// waiting jobs, plus the number of workers for each step that is placed and
+  /// for each kind of request that no worker can take.
+  std::size_t place(TimePoint Now, std::size_t MaxStarts = UnlimitedStarts);
   /// Returns the actions decided since the last call, in order.
   std::vector<Action> takeActions();
   std::vector<LogRecord> takeLogRecords();
--- a/packages/scheduling/src/job.cpp
+++ b/packages/scheduling/src/job.cpp
@@ -48,6 +48,13 @@
   return Name;
 }
 
+std::uint32_t Job::endOfStep(std::uint32_t Slot) const {
+  std::uint32_t SlotInOccurrence = Slot % FirstSlots_.back();
+  auto NextStep = std::upper_bound(FirstSlots_.begin(), FirstSlots_.end(),
+                                   SlotInOccurrence);
+  return Slot - SlotInOccurrence + *NextStep;
+}
+
 std::vector<TaskName> Job::restore(const JobProgress &Progress) {
   std::vector<TaskName> Placed;
   for (const auto &[Text, Stored] : Progress.Tasks_) {
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -284,7 +284,9 @@
   Impl_->sendDueRenewals(Now, MaySendCommands);
 }
 
-void Scheduler::place(TimePoint Now) { Impl_->placeWaitingTasks(Now); }
+std::size_t Scheduler::place(TimePoint Now, std::size_t MaxStarts) {
+  return Impl_->placeWaitingTasks(Now, MaxStarts);
+}
 
 std::vector<Action> Scheduler::takeActions() {
   return std::exchange(Impl_->Actions_, {});
@@ -322,6 +324,9 @@
     Impl_->JobsWithWaitingTasks_.erase(Id);
     Impl_->JobsToRemove_.insert(Id);
   }
+  std::erase_if(Impl_->PlannedRuns_, [this](const PlannedRun &Planned) {
+    return !Impl_->findJob(Planned.Name_.Job_);
+  });
 }
 
 std::vector<InterferenceEstimate> Scheduler::interferenceEstimates() const {
@@ -354,6 +359,7 @@
   SchedulerCounts Result;
   Result.Jobs_ = Impl_->Jobs_.size();
   Result.Workers_ = Impl_->Workers_.size();
+  Result.ConsideredWorkers_ = Impl_->ConsideredWorkers_;
   for (const auto &[Id, Worker] : Impl_->Workers_) {
     Result.ReachableWorkers_ += Worker.isReachable() ? 1 : 0;
     Result.PlacedTasks_ += Worker.Runs_.size();
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -18,6 +18,10 @@
 
 namespace filbertspring::scheduling {
 
+/// Maximum number of tasks in one row of the journal, which bounds the time
+/// that a transaction takes to encode.
+inline constexpr std::size_t MaxJournalTasks = 450;
+
 /// A job and the scheduler's own data about it.
 struct JobRecord {
   Job Job_;
@@ -219,7 +223,7 @@
 
   // Placement.
   void releaseDueSteps(TimePoint Now);
-  void placeWaitingTasks(TimePoint Now);
+  std::size_t placeWaitingTasks(TimePoint Now, std::size_t MaxStarts);
   void findUsableWorkers(TimePoint Now);
   /// Places the waiting tasks of a job that are suspected, or the others.
   void placeJob(JobRecord &Record, const Queue *Policy, bool AreSuspected,
@@ -272,6 +276,9 @@
   std::priority_queue<RenewalTime> RenewalTimes_;
   /// Workers that may have a run which waits for a stop command.
   std::set<std::string> WorkersWithStops_;
+  /// How many more tasks the present placement pass may place.
+  std::size_t StartsLeft_ = 0;
+  std::uint64_t ConsideredWorkers_ = 0;
   /// The workers of the present placement pass.
   std::vector<UsableWorker> UsableWorkers_;
   /// Jobs that may have steps to release.
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -116,9 +116,17 @@
   }
 }
 
-void Scheduler::Impl::placeWaitingTasks(TimePoint Now) {
+std::size_t Scheduler::Impl::placeWaitingTasks(TimePoint Now,
+                                               std::size_t MaxStarts) {
   if (!NeedsPlacement_ && Now < NextPlacementAt_)
-    return;
+    return 0;
+  // Tasks that are placed now are stored after those placed before, whatever
+  // their rank.
+  std::size_t Unstored = std::min(PlannedRuns_.size(), MaxJournalTasks);
+  std::size_t Limit = std::min(MaxStarts, MaxJournalTasks - Unstored);
+  NeedsPlacement_ = true;
+  if (Limit == 0)
+    return 0;
   NeedsPlacement_ = false;
   NextPlacementAt_ = Now + PlacementInterval;
 
@@ -145,12 +153,22 @@
             });
   Unplaceable_.clear();
   findUsableWorkers(Now);
-  // Suspected tasks get the few workers on which all runs have settled.
+  // Suspected tasks get the few workers on which all runs have settled. They
+  // leave starts to the others, which may be more urgent.
+  std::size_t SuspectLimit = (Limit + 1) / 2;
+  StartsLeft_ = SuspectLimit;
   for (const Candidate &Waiting : Candidates)
     if (JobsWithSuspects_.contains(Waiting.Record_->Job_.accepted().Id_))
       placeJob(*Waiting.Record_, Waiting.Policy_, true, Now);
-  for (const Candidate &Waiting : Candidates)
+  bool IsCutShort = StartsLeft_ == 0;
+  StartsLeft_ += Limit - SuspectLimit;
+  for (const Candidate &Waiting : Candidates) {
+    if (StartsLeft_ == 0)
+      break;
     placeJob(*Waiting.Record_, Waiting.Policy_, false, Now);
+  }
+  NeedsPlacement_ = IsCutShort || StartsLeft_ == 0;
+  return Limit - StartsLeft_;
 }
 
 /// Collects the workers that can get a task at all, with their free capacity.
@@ -178,14 +196,12 @@
         isSuspected(TheJob.at(Slot).Progress_) == AreSuspected)
       Slots.push_back(Slot);
   auto IsOtherStep = [&](std::uint32_t Left, std::uint32_t Right) {
-    TaskName First = TheJob.nameOf(Left);
-    TaskName Second = TheJob.nameOf(Right);
-    return First.Occurrence_ != Second.Occurrence_ ||
-           First.Step_ != Second.Step_ ||
+    return Right >= TheJob.endOfStep(Left) ||
            neededIsolation(TheJob.at(Left), Now) !=
                neededIsolation(TheJob.at(Right), Now);
   };
-  for (auto StepBegin = Slots.begin(); StepBegin != Slots.end();) {
+  for (auto StepBegin = Slots.begin();
+       StepBegin != Slots.end() && StartsLeft_ > 0;) {
     auto StepEnd =
         std::find_if(StepBegin, Slots.end(), [&](std::uint32_t Slot) {
           return IsOtherStep(*StepBegin, Slot);
@@ -232,10 +248,13 @@
   for (const UsableWorker &Usable : UsableWorkers_)
     if (Usable.Free_.fits({}, Request.Needed_))
       AddOffer(*Usable.Worker_);
+  ConsideredWorkers_ += UsableWorkers_.size();
   // A step with a limit per worker may fail where others succeed.
   if (Offers.empty() && Step.MaxPerWorker_ == 0)
     Unplaceable_.add(Request);
   for (std::uint32_t Slot : Slots) {
+    if (StartsLeft_ == 0)
+      return;
     TaskName Name = TheJob.nameOf(Slot);
     Task &Waiting = TheJob.at(Slot);
     std::string Text = Name.text();
@@ -266,6 +285,7 @@
       return;
     bool IsAlone = IsIsolated && canIsolate(*Chosen, Now);
     planRun(*Chosen, Record, Name, Waiting);
+    --StartsLeft_;
     Chosen->Runs_.at(Text).IsIsolated_ = IsAlone;
     if (IsIsolated)
       recordEvent(LogEvent::TaskIsolated,
--- a/packages/scheduling/src/scheduler_writes.cpp
+++ b/packages/scheduling/src/scheduler_writes.cpp
@@ -8,9 +8,6 @@
 namespace filbertspring::scheduling {
 namespace {
 
-/// Maximum number of tasks in one row of the journal, which bounds the time
-/// that a transaction takes to encode.
-constexpr std::size_t MaxJournalTasks = 450;
 /// Rows of the journal that a transaction removes at most. More than one, so
 /// that the journal becomes shorter.
 constexpr std::size_t MaxRemovedJournalRows = 8;
--- a/packages/scheduling/tests/storage_test.cpp
+++ b/packages/scheduling/tests/storage_test.cpp
@@ -223,11 +223,42 @@
   step();
   BOOST_TEST(LastWrites_.Journal_.Entries_.front().second.Tasks_.size() <
              1000U);
-  BOOST_TEST(Starts_.empty());
-  for (int Round = 0; Round < 3; ++Round)
+  auto CheckStored = [this] {
+    std::map<std::string, JobProgress> Progress = storedProgress();
+    for (const StartTask &Start : Starts_)
+      BOOST_TEST(Progress["large"].Tasks_.at(Start.Name_.text()).LastRun_ ==
+                 Start.Run_);
+  };
+  CheckStored();
+  // A worker gets further starts once it has answered.
+  for (int Round = 0; Round < 3; ++Round) {
+    for (const StartTask &Start : Starts_)
+      Scheduler_.startAnswered(Start.Worker_, Start.Name_, Start.Run_,
+                               CallOutcome::Accepted, Now_);
     step();
+  }
   BOOST_TEST(storedProgress()["large"].Tasks_.size() == 1000U);
-  BOOST_TEST(!Starts_.empty());
+  BOOST_TEST(Starts_.size() == 1000U);
+  CheckStored();
+}
+
+BOOST_FIXTURE_TEST_CASE(takes_what_a_pass_placed_in_parts_of_few_bytes,
+                        LoadedCell) {
+  constexpr std::size_t MaxBytes = 16U << 10U;
+  submit("large", {task(400, 1)});
+  Scheduler_.advance(Now_, 0, Now_, true);
+  Scheduler_.place(Now_);
+  for (int Round = 0;
+       Round < 20 && storedProgress()["large"].Tasks_.size() < 400U; ++Round) {
+    BOOST_TEST(Starts_.empty());
+    PendingWrites Writes = Scheduler_.takeWrites(90, MaxBytes);
+    BOOST_TEST(encodeJournal(Writes.Journal_.Entries_).size() <= MaxBytes);
+    store(Writes);
+    Scheduler_.writesStored(Writes, Now_);
+    collect();
+  }
+  BOOST_TEST(storedProgress()["large"].Tasks_.size() == 400U);
+  BOOST_TEST(Starts_.size() == 400U);
 }
 
 BOOST_FIXTURE_TEST_CASE(has_no_row_that_the_store_would_refuse, LoadedCell) {
