A step without room is skipped though it has a limit per worker

What operators see: on full workers, a placement pass considers all workers for each waiting step with a limit per worker.

Cause: such a step was never noted as one that cannot be placed, since others with the same request may be. If no worker has room for it, they cannot either.

Test: is_skipped_though_it_has_a_limit_per_worker, which counts considered workers: 602 instead of 2 for 300 steps and 2 workers without the change.

--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -245,12 +245,16 @@
       std::push_heap(Offers.begin(), Offers.end());
     }
   };
+  bool HasRoom = false;
   for (const UsableWorker &Usable : UsableWorkers_)
-    if (Usable.Free_.fits({}, Request.Needed_))
+    if (Usable.Free_.fits({}, Request.Needed_)) {
+      HasRoom = true;
       AddOffer(*Usable.Worker_);
+    }
   ConsideredWorkers_ += UsableWorkers_.size();
-  // A step with a limit per worker may fail where others succeed.
-  if (Offers.empty() && Step.MaxPerWorker_ == 0)
+  // A step with a limit per worker may fail where others succeed, but not if
+  // there is no room.
+  if (!HasRoom || (Offers.empty() && Step.MaxPerWorker_ == 0))
     Unplaceable_.add(Request);
   for (std::uint32_t Slot : Slots) {
     if (StartsLeft_ == 0)
--- a/packages/scheduling/tests/start_limit_test.cpp
+++ b/packages/scheduling/tests/start_limit_test.cpp
@@ -119,4 +119,24 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_step_without_room)
+
+BOOST_FIXTURE_TEST_CASE(is_skipped_though_it_has_a_limit_per_worker,
+                        LimitedCell) {
+  submitTo("batch", "full", task(2, 8000));
+  Scheduler_.place(Now_);
+  store();
+  for (int Number = 0; Number < 300; ++Number) {
+    StepSpec Spread = task(2, 10);
+    Spread.MaxPerWorker_ = 1;
+    submitTo("batch", fmt::format("spread-{}", Number), Spread);
+  }
+  std::uint64_t Before = consideredWorkers();
+  BOOST_TEST(Scheduler_.place(Now_) == 0U);
+  // Once for all of them.
+  BOOST_TEST(consideredWorkers() - Before == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace filbertspring::scheduling::test
