Renewals and stops are sent before starts

What callers and operators see: while the owner is saturated, leases lapse and cancelled tasks run on.

Cause: the starts of a stored transaction were first in the list of actions, and renewals were sent in the order in which they became due. A late loop sends hundreds of starts before the first renewal of a cycle.

takeActions() returns starts last. Due renewals are sent in the order of the ends of the leases. A stop that overtakes the start of its run is safe: the worker rejects the start then, as for a start that arrives late.

Tests: sends_renewals_and_stops_before_starts and renews_the_lease_first_that_ends_first, which failed without the changes.

--- a/packages/scheduling/include/filbertspring/scheduling/scheduler.h
+++ b/packages/scheduling/include/filbertspring/scheduling/scheduler.h
@@ -211,7 +211,8 @@
   /// waiting jobs, plus the number of workers for each step that is placed and
   /// for each kind of request that no worker can take.
   std::size_t place(TimePoint Now, std::size_t MaxStarts = UnlimitedStarts);
-  /// Returns the actions decided since the last call, in order.
+  /// Returns the actions decided since the last call: first all others than
+  /// starts, then the starts, each in the order of the decisions.
   std::vector<Action> takeActions();
   std::vector<LogRecord> takeLogRecords();
 
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -1,6 +1,7 @@
 #include "scheduler_impl.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace filbertspring::scheduling {
 namespace {
@@ -175,6 +176,7 @@
 }
 
 void Scheduler::Impl::sendDueRenewals(TimePoint Now, bool MaySendCommands) {
+  std::vector<WorkerState *> Due;
   while (!RenewalTimes_.empty() && RenewalTimes_.top().At_ <= Now) {
     WorkerState *Worker = findWorker(RenewalTimes_.top().Worker_);
     RenewalTimes_.pop();
@@ -187,8 +189,16 @@
     if (IsIdle && NextIdleReportAt > Now)
       scheduleRenewal(*Worker, NextIdleReportAt);
     else
-      sendRenewal(*Worker, Now, MaySendCommands);
+      Due.push_back(Worker);
   }
+  // A late owner cannot send all of them at once.
+  std::sort(Due.begin(), Due.end(), [](const auto *Left, const auto *Right) {
+    return std::tie(Left->LeaseExpiresAt_, Left->Entry_.Id_) <
+           std::tie(Right->LeaseExpiresAt_, Right->Entry_.Id_);
+  });
+  for (WorkerState *Worker : Due)
+    if (!Worker->IsRenewing_)
+      sendRenewal(*Worker, Now, MaySendCommands);
 }
 
 void Scheduler::Impl::sendRenewal(WorkerState &Worker, TimePoint Now,
@@ -289,7 +299,13 @@
 }
 
 std::vector<Action> Scheduler::takeActions() {
-  return std::exchange(Impl_->Actions_, {});
+  std::vector<Action> Taken = std::exchange(Impl_->Actions_, {});
+  // Leases and stops do not wait for starts. A run whose stop is carried out
+  // before its start does not start.
+  std::stable_partition(Taken.begin(), Taken.end(), [](const Action &Decided) {
+    return !std::holds_alternative<StartTask>(Decided);
+  });
+  return Taken;
 }
 
 std::vector<LogRecord> Scheduler::takeLogRecords() {
--- a/packages/scheduling/tests/start_limit_test.cpp
+++ b/packages/scheduling/tests/start_limit_test.cpp
@@ -1,5 +1,6 @@
 /// \file
-/// Tests of placement passes that are limited.
+/// Tests of placement passes that are limited, and of the order in which an
+/// owner that is late carries out its decisions.
 
 #include "cell_fixture.h"
 
@@ -139,4 +140,68 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(an_owner_that_is_late)
+
+BOOST_FIXTURE_TEST_CASE(sends_renewals_and_stops_before_starts, LimitedCell) {
+  submitTo("batch", "old", task(1, 10));
+  Scheduler_.place(Now_);
+  store();
+  acceptStarts();
+  Scheduler_.advance(Now_, 0, Now_, true);
+  collect();
+  submitTo("urgent", "new", task(2, 10));
+  answerRenewals();
+  Scheduler_.place(Now_);
+  Scheduler_.writesStored(Scheduler_.takeWrites(90), Now_);
+  Scheduler_.cancelJob("old", Now_);
+  Now_ += 1s;
+  Scheduler_.advance(Now_, 0, Now_, true);
+  std::vector<Action> Actions = Scheduler_.takeActions();
+  auto IsStart = [](const Action &Decided) {
+    return std::holds_alternative<StartTask>(Decided);
+  };
+  BOOST_TEST(std::count_if(Actions.begin(), Actions.end(), IsStart) == 2);
+  BOOST_TEST(Actions.size() >= 4U);
+  BOOST_TEST(std::is_partitioned(
+      Actions.begin(), Actions.end(),
+      [&](const Action &Decided) { return !IsStart(Decided); }));
+}
+
+BOOST_FIXTURE_TEST_CASE(renews_the_lease_first_that_ends_first, LimitedCell) {
+  submitTo("batch", "large", task(2, 8000));
+  Scheduler_.place(Now_);
+  store();
+  acceptStarts();
+  Scheduler_.advance(Now_, 0, Now_, true);
+  collect();
+  BOOST_REQUIRE(Renewals_.size() == 2U);
+  auto Answer = [this](const std::string &Worker) {
+    WorkerReport Report;
+    Report.ClockMs_ = Now_.time_since_epoch() / 1ms;
+    Report.StartedAtMs_ = 1;
+    Report.RunningTasks_ = RunningTasks_[Worker];
+    Scheduler_.renewalAnswered(Worker, Report, Now_);
+  };
+  auto Renew = [this] {
+    Scheduler_.advance(Now_, 0, Now_, true);
+    Renewals_.clear();
+    collect();
+  };
+  // The lease of w2 is renewed a second later than that of w1.
+  Answer("w1");
+  Now_ += 1s;
+  Renew();
+  Answer("w2");
+  Now_ += 1s;
+  Renew();
+  Answer("w2");
+  Now_ += 1s;
+  Answer("w1");
+  Renew();
+  BOOST_REQUIRE(Renewals_.size() == 2U);
+  BOOST_TEST(Renewals_.front().Worker_ == "w1");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace filbertspring::scheduling::test
