A short lease is renewed before the ends of its worker are stored

What operators see: leases lapse on workers whose reports the owner processes late.

Cause: after a report with ends, the next renewal waits up to 200 ms for them to be stored, however little of the lease is left.

With less than 1.5 s left, in which a lost renewal can be noticed (0.6 s) and repeated (0.4 s), it is sent at once.

Test: renews_a_short_lease_before_ends_are_stored, which failed without the change.

--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -19,6 +19,9 @@
 /// Delay of the next renewal after a report with ends, unless these are stored
 /// earlier.
 constexpr Duration UnacknowledgedReportDelay = std::chrono::milliseconds(200);
+/// The rest of a lease in which a lost renewal can be repeated; with less, the
+/// next renewal is not delayed.
+constexpr Duration LeaseReserve = std::chrono::milliseconds(1500);
 /// Interval between two renewals that are sent to find out whether the lease of
 /// a worker has expired by its own clock.
 constexpr Duration ExpiredRetryInterval = std::chrono::milliseconds(100);
@@ -109,9 +112,10 @@
   Impl_->dropMissingRuns(*Worker, SentAt, Now);
   // A worker with unacknowledged ends does not delay its response.
   bool HasUnstoredEnds = Worker->ProcessedEnd_ > Worker->StoredEnd_;
+  bool MayDelay =
+      HasUnstoredEnds && Worker->LeaseExpiresAt_ - Now >= LeaseReserve;
   Impl_->scheduleRenewal(
-      *Worker,
-      Now + (HasUnstoredEnds ? UnacknowledgedReportDelay : Duration::zero()));
+      *Worker, Now + (MayDelay ? UnacknowledgedReportDelay : Duration::zero()));
   if (Worker->Runs_.empty())
     Worker->LastIdleReportAt_ = Now;
   Impl_->observeTailLatencies(*Worker, Now);
--- a/packages/scheduling/tests/start_limit_test.cpp
+++ b/packages/scheduling/tests/start_limit_test.cpp
@@ -202,6 +202,32 @@
   BOOST_TEST(Renewals_.front().Worker_ == "w1");
 }
 
+BOOST_FIXTURE_TEST_CASE(renews_a_short_lease_before_ends_are_stored,
+                        LimitedCell) {
+  submitTo("batch", "job", task(2, 10));
+  Scheduler_.place(Now_);
+  store();
+  acceptStarts();
+  Scheduler_.advance(Now_, 0, Now_, true);
+  collect();
+  answerRenewals();
+  Now_ += 1s;
+  Scheduler_.advance(Now_, 0, Now_, true);
+  Renewals_.clear();
+  collect();
+  // The report with an end is processed when little of the lease is left.
+  std::string Worker = Starts_.front().Worker_;
+  end(EndReason::Done);
+  Now_ += 5s;
+  answerRenewals();
+  Renewals_.clear();
+  Scheduler_.advance(Now_, 0, Now_, true);
+  collect();
+  BOOST_TEST(std::any_of(
+      Renewals_.begin(), Renewals_.end(),
+      [&](const RenewLease &Sent) { return Sent.Worker_ == Worker; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace filbertspring::scheduling::test
