--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -213,7 +213,9 @@
       {},   Step.Request_, neededIsolation(TheJob.at(Slots.front()), Now)};
   if (Step.IsFiller_)
     Request.Needed_.MilliCpu_ = 0;
-  bool HasWaited = hasWaitedForCapacity(TheJob.at(Slots.front()), Now);
+  bool IsIsolated = Request.Isolation_ != Isolation::None;
+  bool HasWaited =
+      !IsIsolated && hasWaitedForCapacity(TheJob.at(Slots.front()), Now);
   // A worker that was reserved for the job may have capacity for it by now.
   if (!PreviousReservations_.contains(First.Job_) &&
       Unplaceable_.covers(Request)) {
@@ -227,7 +229,6 @@
     bool operator<(const Offer &Other) const { return Cost_ > Other.Cost_; }
   };
   std::vector<Offer> Offers;
-  bool IsIsolated = Request.Isolation_ != Isolation::None;
   auto AddOffer = [&](WorkerState &Worker) {
     if (!isEligible(Worker, Request, Now))
       return;
