--- a/packages/base/include/filbertspring/base/log_event.h
+++ b/packages/base/include/filbertspring/base/log_event.h
@@ -25,6 +25,7 @@
   ThreadFailed = 1007,
   SettingsReloaded = 1008,
   ZoneChanged = 1009,
+  LoopDelayed = 1010,
 
   RequestShed = 2001,
   RequestOutcomeUnknown = 2002,
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -26,6 +26,9 @@
      "The settings file was read again."},
     {LogEvent::ZoneChanged, Info, "zone_changed",
      "Operators took an availability zone out of service, or back."},
+    {LogEvent::LoopDelayed, Warning, "loop_delayed",
+     "The event loop of the process is late; its processor is saturated or it "
+     "was suspended."},
     {LogEvent::RequestShed, Warning, "request_shed",
      "A request was answered 'not run'."},
     {LogEvent::RequestOutcomeUnknown, Warning, "request_outcome_unknown",
--- a/packages/node/src/run_node.cpp
+++ b/packages/node/src/run_node.cpp
@@ -5,6 +5,7 @@
 #include "configuration_follower.h"
 #include "filbertspring/base/log.h"
 #include "filbertspring/node/node_settings.h"
+#include "loop_delay_log.h"
 #include "rows.h"
 #include "store_relay.h"
 #include "worker_relay.h"
@@ -141,6 +142,7 @@
       listen(MetricsServer_, Settings_.MetricsAddress_);
     bufferLogLines(
         [this] { Loop_.after(LogFlushInterval, [] { flushLogLines(); }); });
+    Loop_.onProbe([this](Duration Delay) { noteLoopDelay(Delay); });
     Loop_.onSignals({SIGTERM, SIGINT, SIGHUP},
                     [this](int Signal) { handleSignal(Signal); });
     Configuration_.start();
@@ -155,6 +157,16 @@
   }
 
 private:
+  void noteLoopDelay(Duration Delay) {
+    Counters_.observe("event_loop_delay_seconds", Delay);
+    std::optional<LoopDelays> Due =
+        DelayLog_.probed(Delay, SchedulerClock::now());
+    if (Due)
+      logEvent(LogEvent::LoopDelayed,
+               {{"delay_ms", Due->Longest_ / std::chrono::milliseconds(1)},
+                {"times", Due->Count_}});
+  }
+
   /// Returns whether callers should be sent to this instance. An instance that
   /// cannot reach the store would refuse requests that others can serve.
   bool isReady() const {
@@ -274,6 +286,7 @@
   std::string SettingsPath_;
   EventLoop Loop_;
   CounterRegistry Counters_;
+  LoopDelayLog DelayLog_;
   StoreClient Store_;
   CellDirectory Cell_;
   CellOwner Owner_;
--- a/packages/transport/include/filbertspring/transport/event_loop.h
+++ b/packages/transport/include/filbertspring/transport/event_loop.h
@@ -39,6 +39,9 @@
   /// otherwise about the time that an event waits for its callback. Constant
   /// complexity.
   Duration delay() const;
+  /// Calls \p Callback at each probe, every LoopClock::ProbeInterval, with the
+  /// delay of the probe. Replaces an earlier callback.
+  void onProbe(std::function<void(Duration)> Callback);
 
   /// Deadlines of calls, on a clock that hardly counts the time during which
   /// this loop is late; see LoopClock.
--- a/packages/transport/src/event_loop.cpp
+++ b/packages/transport/src/event_loop.cpp
@@ -14,14 +14,17 @@
   std::unique_ptr<asio::signal_set> Signals_;
   asio::steady_timer Probe_{Context_};
   LoopClock Clock_{SchedulerClock::now()};
+  std::function<void(Duration)> Probed_;
 
   void scheduleProbe() {
     Probe_.expires_after(LoopClock::ProbeInterval);
     Probe_.async_wait([this](const std::error_code &Error) {
       if (Error)
         return;
-      Clock_.probed(SchedulerClock::now());
+      Duration Delay = Clock_.probed(SchedulerClock::now());
       scheduleProbe();
+      if (Probed_)
+        Probed_(Delay);
     });
   }
 
@@ -52,6 +55,10 @@
   return Impl_->Clock_.delay(SchedulerClock::now());
 }
 
+void EventLoop::onProbe(std::function<void(Duration)> Callback) {
+  Impl_->Probed_ = std::move(Callback);
+}
+
 LoopTime EventLoop::deadlineAfter(Duration Timeout) const {
   return Impl_->Clock_.deadlineAfter(Timeout, SchedulerClock::now());
 }
--- a/packages/transport/tests/event_loop_test.cpp
+++ b/packages/transport/tests/event_loop_test.cpp
@@ -3,6 +3,7 @@
 
 #include "filbertspring/transport/event_loop.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <thread>
 
@@ -40,6 +41,21 @@
   BOOST_TEST((Delay >= 280ms));
 }
 
+BOOST_AUTO_TEST_CASE(reports_the_delay_of_its_probes) {
+  EventLoop Loop;
+  Duration Longest{};
+  Loop.onProbe([&](Duration Delay) {
+    Longest = std::max(Longest, Delay);
+    if (Longest >= 280ms)
+      Loop.stop();
+  });
+  Loop.after(50ms, [] { std::this_thread::sleep_for(300ms); });
+  // Ends a test that would hang.
+  Loop.after(10s, [&] { Loop.stop(); });
+  Loop.run();
+  BOOST_TEST((Longest >= 280ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace filbertspring
