The owner of a cell starts only what its event loop keeps up with

Leases lapse, drains are learned late, and urgent jobs wait behind others.

Cause: CellOwner placed all that fits in each transaction, whatever the delay of its loop.

Each scheduling cycle passes EventLoop::delay() to StartAdmission, and a placement pass gets the number of starts that it admits; passes are skipped while it admits none. Renewals, reports, stops and transactions go on. starts_limited (3024) and starts_unlimited (3025) say when that begins and ends, with the delay, the rate and the waiting tasks; owner_start_limits_total counts it.

--- a/packages/base/include/filbertspring/base/log_event.h
+++ b/packages/base/include/filbertspring/base/log_event.h
@@ -53,6 +53,8 @@
   TaskCrashSuspected = 3020,
   TaskIsolated = 3021,
   TaskGivenUp = 3022,
+  StartsLimited = 3024,
+  StartsUnlimited = 3025,
 
   PeerConnected = 4001,
   PeerLost = 4002,
--- a/packages/node/src/cell_owner.cpp
+++ b/packages/node/src/cell_owner.cpp
@@ -140,6 +140,7 @@
     return;
   TimePoint Now = SchedulerClock::now();
   if (Tenure_->IsLoaded_) {
+    observeLoop(Now);
     Tenure_->Scheduler_.advance(Now, wallMilliseconds(), Lease_.confirmedAt(),
                                 Lease_.isValid(Now));
     for (const scheduling::Action &SchedulerAction :
@@ -196,12 +197,39 @@
   }
 }
 
+void CellOwner::observeLoop(TimePoint Now) {
+  scheduling::StartAdmission &Admission = Tenure_->Admission_;
+  bool WasLimited = Admission.isLimited();
+  Duration Delay = Loop_.delay();
+  Admission.observe(Now, Delay);
+  if (Admission.isLimited() == WasLimited)
+    return;
+  if (!WasLimited)
+    Counters_.counter("owner_start_limits_total").add();
+  logEvent(
+      WasLimited ? LogEvent::StartsUnlimited : LogEvent::StartsLimited,
+      {{"delay_ms", Delay / std::chrono::milliseconds(1)},
+       {"starts_per_s", static_cast<std::int64_t>(Admission.startsPerSecond())},
+       {"waiting", static_cast<std::int64_t>(
+                       Tenure_->Scheduler_.counts().WaitingTasks_)}});
+}
+
+/// Places waiting tasks, as many as the event loop keeps up with.
+void CellOwner::placeTasks() {
+  TimePoint Begin = SchedulerClock::now();
+  std::size_t MaxStarts = Tenure_->Admission_.admit(Begin);
+  if (MaxStarts == 0)
+    return;
+  std::size_t Placed = Tenure_->Scheduler_.place(Begin, MaxStarts);
+  Tenure_->Admission_.placed(Begin, Placed, SchedulerClock::now() - Begin);
+}
+
 void CellOwner::commitIfDue(TimePoint Now) {
   Tenure &ActiveTenure = *Tenure_;
   if (ActiveTenure.IsCommitting_ || Now < ActiveTenure.NextCommitAt_)
     return;
   if (ActiveTenure.IsLoaded_ && Lease_.isValid(Now))
-    ActiveTenure.Scheduler_.place(Now);
+    placeTasks();
   bool MustRenew = Lease_.shouldRenew(Now) || ActiveTenure.MustWriteOwnerRow_;
   bool HasWrites =
       ActiveTenure.IsLoaded_ && ActiveTenure.Scheduler_.hasWrites();
--- a/packages/node/src/cell_owner.h
+++ b/packages/node/src/cell_owner.h
@@ -8,6 +8,7 @@
 #include "filbertspring/node/node_settings.h"
 #include "filbertspring/scheduling/owner_lease.h"
 #include "filbertspring/scheduling/scheduler.h"
+#include "filbertspring/scheduling/start_admission.h"
 #include "store_client.h"
 #include "successor_search.h"
 #include "transaction_size.h"
@@ -31,6 +32,7 @@
 
   TimePoint StartedAt_;
   scheduling::Scheduler Scheduler_;
+  scheduling::StartAdmission Admission_;
   WorkerCalls Calls_;
   bool IsLoaded_ = false;
   bool IsCommitting_ = false;
@@ -138,6 +140,9 @@
   void removeJobs(const std::vector<std::string> &Jobs);
   void logSchedulerNotes();
   std::string encodeCurrentStatus() const;
+  /// Adapts the limit of starts to the delay of the event loop.
+  void observeLoop(TimePoint Now);
+  void placeTasks();
   void commitIfDue(TimePoint Now);
   void addStatusAndModel(CellTransaction &Sent) const;
   scheduling::RowTransaction
