--- a/packages/base/include/filbertspring/base/log_event.h
+++ b/packages/base/include/filbertspring/base/log_event.h
@@ -55,6 +55,8 @@
   TaskIsolated = 3021,
   TaskGivenUp = 3022,
   TaskWaits = 3023,
+  StartsLimited = 3024,
+  StartsUnlimited = 3025,
 
   PeerConnected = 4001,
   PeerLost = 4002,
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -87,6 +87,10 @@
     {LogEvent::TaskWaits, Info, "task_waits",
      "No task of a job has been placed for a second; what kept the one that "
      "has waited longest from each worker."},
+    {LogEvent::StartsLimited, Warning, "starts_limited",
+     "The event loop of the cell's owner is late; it starts fewer tasks."},
+    {LogEvent::StartsUnlimited, Info, "starts_unlimited",
+     "The event loop of the cell's owner keeps up; starts are not limited."},
     {LogEvent::PeerConnected, Info, "peer_connected",
      "A stream to another entry instance is open."},
     {LogEvent::PeerLost, Warning, "peer_lost",
