Renewals and paces are relayed in fewer batches

What was seen: on 1,100 workers the owner sends a batch to each relay in each scheduling cycle, that is up to 125 times a second to each of five relays. An exchange costs it about 0.1 ms whatever its size.

Cause: WorkerChannel::flush() sends whatever waits, and there is nearly always a renewal, since reports arrive all the time.

Ruled out: waiting with all calls. Starts and stops would wait, too.

Change: a call states whether it may wait. Renewals and paces wait until 25 ms after the last batch to their relay, or for the next start or stop. That is at most one period of the transactions that starts wait for anyway.

The test waits_for_others_after_a_batch was run with the new code only: before there was no way to say that a call may wait.

--- a/packages/node/src/worker_calls.cpp
+++ b/packages/node/src/worker_calls.cpp
@@ -81,7 +81,8 @@
         else
           Scheduler_.renewalFailed(Worker, CallOutcome::RejectedOther, Now);
         OutcomeReported_();
-      });
+      },
+      CallUrgency::MayWait);
 }
 
 void WorkerCalls::start(const scheduling::StartTask &Start) {
@@ -137,15 +138,16 @@
 
 void WorkerCalls::pace(const scheduling::PaceTask &Pace) {
   Counters_.counter("task_paces_total").add();
-  Channel_.send(Pace.Address_, platform::makePaceRequest(Pace, OwnerToken_),
-                WorkerCallTimeout,
-                [this, IsAlive = IsAlive_, Worker = Pace.Worker_,
-                 Name = Pace.Name_,
-                 Run = Pace.Run_](const Result<HttpAnswer> &Answer) {
-                  if (!*IsAlive || (Answer && Answer->Status_ == 200))
-                    return;
-                  Scheduler_.paceFailed(Worker, Name, Run);
-                });
+  Channel_.send(
+      Pace.Address_, platform::makePaceRequest(Pace, OwnerToken_),
+      WorkerCallTimeout,
+      [this, IsAlive = IsAlive_, Worker = Pace.Worker_, Name = Pace.Name_,
+       Run = Pace.Run_](const Result<HttpAnswer> &Answer) {
+        if (!*IsAlive || (Answer && Answer->Status_ == 200))
+          return;
+        Scheduler_.paceFailed(Worker, Name, Run);
+      },
+      CallUrgency::MayWait);
 }
 
 } // namespace filbertspring::node
--- a/packages/node/src/worker_channel.cpp
+++ b/packages/node/src/worker_channel.cpp
@@ -16,6 +16,11 @@
 /// The timeout for connecting to a relay. Several times the round trip between
 /// availability zones.
 constexpr Duration BatchConnectTimeout = std::chrono::milliseconds(150);
+/// Calls that may wait are relayed at most this often, unless an urgent one is.
+/// Each batch costs the owner an exchange, and workers delay the answers to
+/// renewals. As long as the owner's interval between transactions, after which
+/// starts follow.
+constexpr Duration MinBatchInterval = std::chrono::milliseconds(25);
 /// How often relayed calls are checked for their timeouts.
 constexpr Duration ExpiryInterval = std::chrono::milliseconds(50);
 
@@ -39,11 +44,13 @@
 WorkerChannel::~WorkerChannel() { *IsAlive_ = false; }
 
 void WorkerChannel::send(const std::string &Address, const HttpRequest &Request,
-                         Duration Timeout, HttpCallback Callback) {
+                         Duration Timeout, HttpCallback Callback,
+                         CallUrgency Urgency) {
   TimePoint Now = SchedulerClock::now();
   std::string Relay = Routes_.relayFor(Address, Now);
   if (!Relay.empty())
-    return sendRelayed(Relay, Address, Request, Timeout, std::move(Callback));
+    return sendRelayed(Relay, Address, Request, Timeout, std::move(Callback),
+                       Urgency);
   if (Routes_.isDetoured(Address, Now))
     return sendDetoured(Address, Request, Timeout, std::move(Callback));
   Workers_.send(Address, Request, Timeout, std::move(Callback));
@@ -68,7 +75,7 @@
 void WorkerChannel::sendRelayed(const std::string &Relay,
                                 const std::string &Address,
                                 const HttpRequest &Request, Duration Timeout,
-                                HttpCallback Callback) {
+                                HttpCallback Callback, CallUrgency Urgency) {
   TimePoint Now = SchedulerClock::now();
   std::uint64_t Id = ++LastId_;
   Pending_.emplace(Id,
@@ -77,19 +84,27 @@
   Outbox &Waiting = Outboxes_[Relay];
   Waiting.Calls_.push_back({Id, Address, Request, Timeout});
   Waiting.Bytes_ += Request.Body_.size();
+  Waiting.IsUrgent_ |= Urgency == CallUrgency::AtOnce;
   Counters_.counter("worker_calls_relayed_total").add();
   if (Waiting.Bytes_ >= MaxBatchBytes)
-    flush();
+    sendBatch(Relay, Waiting, Now);
 }
 
 void WorkerChannel::flush() {
-  for (auto &[Relay, Waiting] : std::exchange(Outboxes_, {}))
-    sendBatch(Relay, std::move(Waiting.Calls_));
+  TimePoint Now = SchedulerClock::now();
+  for (auto &[Relay, Waiting] : Outboxes_) {
+    bool IsDue = Waiting.IsUrgent_ || Now - Waiting.SentAt_ >= MinBatchInterval;
+    if (IsDue && !Waiting.Calls_.empty())
+      sendBatch(Relay, Waiting, Now);
+  }
 }
 
-void WorkerChannel::sendBatch(const std::string &Relay,
-                              std::vector<RelayedWorkerCall> Calls) {
-  WorkerCallBatch Batch{OwnAddress_, OwnerToken_, std::move(Calls)};
+void WorkerChannel::sendBatch(const std::string &Relay, Outbox &Waiting,
+                              TimePoint Now) {
+  WorkerCallBatch Batch{OwnAddress_, OwnerToken_, std::move(Waiting.Calls_)};
+  Waiting = {};
+  Waiting.SentAt_ = Now;
+  Counters_.counter("worker_call_batches_total").add();
   HttpRequest Request;
   Request.Method_ = "POST";
   Request.Path_ = WorkerCallsPath;
--- a/packages/node/src/worker_channel.h
+++ b/packages/node/src/worker_channel.h
@@ -20,6 +20,9 @@
 
 namespace filbertspring::node {
 
+/// Whether a call may wait until later ones are relayed with it.
+enum class CallUrgency { AtOnce, MayWait };
+
 /// Makes calls on behalf of one tenure. A relayed call ends like a direct one:
 /// with the worker's answer, or with an error that states whether the worker
 /// may have received it. Callbacks are dropped with the channel. Not
@@ -36,9 +39,10 @@
   WorkerRoutes &routes() { return Routes_; }
   /// Sends \p Request to the worker at \p Address.
   void send(const std::string &Address, const HttpRequest &Request,
-            Duration Timeout, HttpCallback Callback);
-  /// Sends the calls that wait to be relayed. To be called after each group of
-  /// calls.
+            Duration Timeout, HttpCallback Callback,
+            CallUrgency Urgency = CallUrgency::AtOnce);
+  /// Sends the calls that wait to be relayed, except those that may wait
+  /// longer. To be called after each group of calls and regularly.
   void flush();
   /// Handles answers that \p Batch brings for this tenure.
   void handleAnswers(WorkerAnswerBatch Batch);
@@ -57,15 +61,18 @@
   struct Outbox {
     std::vector<RelayedWorkerCall> Calls_;
     std::size_t Bytes_ = 0;
+    bool IsUrgent_ = false;
+    /// When the last batch was sent to the relay.
+    TimePoint SentAt_{};
   };
 
   void sendDetoured(const std::string &Address, const HttpRequest &Request,
                     Duration Timeout, HttpCallback Callback);
   void sendRelayed(const std::string &Relay, const std::string &Address,
                    const HttpRequest &Request, Duration Timeout,
-                   HttpCallback Callback);
-  void sendBatch(const std::string &Relay,
-                 std::vector<RelayedWorkerCall> Calls);
+                   HttpCallback Callback, CallUrgency Urgency);
+  /// Sends the calls of \p Waiting to \p Relay.
+  void sendBatch(const std::string &Relay, Outbox &Waiting, TimePoint Now);
   void handleBatchResult(const std::string &Relay, TimePoint SentAt,
                          const std::vector<RelayedWorkerCall> &Calls,
                          const Result<HttpAnswer> &Answer);
--- a/packages/node/tests/worker_channel_test.cpp
+++ b/packages/node/tests/worker_channel_test.cpp
@@ -122,8 +122,16 @@
     Request.Method_ = "POST";
     Request.Path_ = WaitingCall;
     Request.Body_ = "body";
-    Channel_->send(WorkerAddress, Request, WorkerCallTimeout + 1s,
-                   [this](const Result<HttpAnswer> &) { ++WaitingEnded_; });
+    Channel_->send(
+        WorkerAddress, Request, WorkerCallTimeout + 1s,
+        [this](const Result<HttpAnswer> &) { ++WaitingEnded_; },
+        CallUrgency::MayWait);
+  }
+
+  void runFor(Duration Time) {
+    Loop_.after(Time, [this] { Loop_.stop(); });
+    Loop_.context().restart();
+    Loop_.run();
   }
 
   /// Sends a stop command after \p Delay without waiting for its answer.
@@ -251,6 +259,34 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_relayed_renewal)
+
+BOOST_FIXTURE_TEST_CASE(waits_for_others_after_a_batch, RelayedWorker) {
+  sendWaitingCall();
+  Channel_->flush();
+  for (int Count = 0; Count < 3; ++Count) {
+    sendWaitingCall();
+    Channel_->flush();
+  }
+  runFor(100ms);
+  BOOST_TEST(Batches_ == 1);
+  Channel_->flush();
+  runFor(100ms);
+  BOOST_TEST(Batches_ == 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(is_sent_with_an_urgent_call, RelayedWorker) {
+  sendWaitingCall();
+  Channel_->flush();
+  sendWaitingCall();
+  sendStopAfter(0ms);
+  runUntilStopIsAnswered();
+  BOOST_TEST(Batches_ == 2);
+  BOOST_TEST(WorkerCalls_ == 3);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_stop)
 
 // The owner repeats a stop every 300 ms until the worker confirms it.
