--- a/packages/scheduling/src/interference.cpp
+++ b/packages/scheduling/src/interference.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <vector>
 
 namespace filbertspring::scheduling {
 namespace {
@@ -10,6 +11,7 @@
 /// Weight of the previous reports at each new one: about the last 2,000 reports
 /// of an image count.
 constexpr double ForgettingFactor = 0.9995;
+constexpr double InverseForgettingFactor = 1 / ForgettingFactor;
 constexpr double ReportDeviation = InterferenceModel::ReportDeviation;
 /// Prior standard deviation of an effect. For scale: a filler that uses a tenth
 /// of a worker and triples a tail latency has an effect of 11.
@@ -31,6 +33,23 @@
   return Relative * Relative;
 }
 
+/// An input of a fit that is not 0.
+struct Input {
+  std::size_t Column_ = 0;
+  double Value_ = 0;
+};
+
+/// Adds \p Value to the input \p Column of \p Inputs, which stay sorted.
+void addInput(std::vector<Input> &Inputs, std::size_t Column, double Value) {
+  auto It = std::lower_bound(Inputs.begin(), Inputs.end(), Column,
+                             [](const Input &Each, std::size_t Wanted) {
+                               return Each.Column_ < Wanted;
+                             });
+  if (It == Inputs.end() || It->Column_ != Column)
+    It = Inputs.insert(It, {Column, 0.0});
+  It->Value_ += Value;
+}
+
 /// The fit for one serving image. Coefficient 0 is the baseline. Variances are
 /// relative to the variance of one report.
 struct Fit {
@@ -64,30 +83,33 @@
                 ReportDeviation};
   }
 
-  void update(const std::vector<double> &Input, double Observed) {
-    std::size_t Size = Input.size();
+  /// Adds a report. \p Inputs are sorted by their columns.
+  void update(std::span<const Input> Inputs, double Observed) {
+    std::size_t Size = Coefficients_.size();
     std::vector<double> Gain(Size, 0.0);
+    for (std::size_t Row = 0; Row < Size; ++Row)
+      for (const Input &Each : Inputs)
+        Gain[Row] += Covariance_[Row][Each.Column_] * Each.Value_;
     double Scale = ForgettingFactor;
     double Residual = Observed;
-    for (std::size_t Row = 0; Row < Size; ++Row) {
-      for (std::size_t Column = 0; Column < Size; ++Column)
-        Gain[Row] += Covariance_[Row][Column] * Input[Column];
-      Scale += Input[Row] * Gain[Row];
-      Residual -= Input[Row] * Coefficients_[Row];
+    for (const Input &Each : Inputs) {
+      Scale += Each.Value_ * Gain[Each.Column_];
+      Residual -= Each.Value_ * Coefficients_[Each.Column_];
     }
     if (++ReportCount_ > WarmupReports)
       Residual = std::clamp(Residual, -MaxResidual, MaxResidual);
     for (std::size_t Row = 0; Row < Size; ++Row)
       Coefficients_[Row] += Gain[Row] * Residual / Scale;
-    for (std::size_t Row = 0; Row < Size; ++Row)
-      for (std::size_t Column = 0; Column < Size; ++Column) {
-        double &Cell = Covariance_[Row][Column];
-        Cell = (Cell - Gain[Row] * Gain[Column] / Scale) / ForgettingFactor;
-        // Without new data, the forgetting factor would let variances grow
-        // without bound.
-        if (Row == Column)
-          Cell = std::min(Cell, relativeVariance(PriorEffectDeviation));
-      }
+    for (std::size_t Row = 0; Row < Size; ++Row) {
+      std::vector<double> &Cells = Covariance_[Row];
+      double Factor = Gain[Row] / Scale;
+      for (std::size_t Column = 0; Column < Size; ++Column)
+        Cells[Column] =
+            (Cells[Column] - Factor * Gain[Column]) * InverseForgettingFactor;
+      // Without new data, the forgetting factor would let variances grow
+      // without bound.
+      Cells[Row] = std::min(Cells[Row], relativeVariance(PriorEffectDeviation));
+    }
   }
 };
 
@@ -121,16 +143,11 @@
   if (TailLatencyMs <= 0)
     return;
   Fit &ImageFit = Impl_->Fits_[std::string(Serving)];
+  std::vector<Input> Inputs{{0, 1.0}};
   for (const FillerShare &Filler : Fillers)
-    Impl_->column(ImageFit, Filler.Image_);
-  std::vector<double> Input(ImageFit.Coefficients_.size(), 0.0);
-  Input[0] = 1.0;
-  for (const FillerShare &Filler : Fillers) {
-    std::size_t Column = ImageFit.column(Filler.Image_);
-    if (Column != 0)
-      Input[Column] += Filler.Share_;
-  }
-  ImageFit.update(Input, std::log(TailLatencyMs));
+    if (std::size_t Column = Impl_->column(ImageFit, Filler.Image_))
+      addInput(Inputs, Column, Filler.Share_);
+  ImageFit.update(Inputs, std::log(TailLatencyMs));
 }
 
 Estimate InterferenceModel::baselineLog(std::string_view Serving) const {
