What serving tasks allow is computed once for each worker

Seen: placement took 118 of 230 ms/s of the decisions with 30 filler images, two thirds of it in Scheduler::Impl::headroom.

Cause: the room of a worker was kept for each filler image, and each image predicted the tail latency of each serving task anew: with 30 images nearly nothing was found again.

Change: the rooms of the serving images of a worker are kept, for all filler images. Tasks of the same serving image share the lowest room, which gives the same result. The rooms are dropped with the same events as before; the effect of the filler is now always the present one.

--- a/packages/scheduling/include/filbertspring/scheduling/pacing.h
+++ b/packages/scheduling/include/filbertspring/scheduling/pacing.h
@@ -8,6 +8,7 @@
 #include "filbertspring/scheduling/interference.h"
 
 #include <span>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -40,13 +41,23 @@
                              std::span<const ServingSample> Serving,
                              std::span<const FillerSample> Fillers);
 
+/// How much the serving tasks of one image on a worker can still be disturbed.
+struct TailRoom {
+  std::string Image_;
+  /// How far the logarithm of the predicted tail latency is below its limit.
+  double Room_ = 0;
+};
+
+/// Returns the lowest room of each serving image with a target.
+std::vector<TailRoom> tailRooms(const InterferenceModel &Model,
+                                std::span<const ServingSample> Serving,
+                                std::span<const FillerSample> Fillers);
+
 /// Returns the fraction of the worker's processors that one more filler of
 /// \p Image may use at full speed while the model predicts that all tail
 /// latency targets are met.
 double fillerHeadroom(const InterferenceModel &Model,
-                      std::span<const ServingSample> Serving,
-                      std::span<const FillerSample> Fillers,
-                      std::string_view Image);
+                      std::span<const TailRoom> Rooms, std::string_view Image);
 
 /// Returns the fraction of the known filler images that have no harmful effect
 /// on any of \p ServingImages; 1 if no filler image is known.
--- a/packages/scheduling/src/pacing.cpp
+++ b/packages/scheduling/src/pacing.cpp
@@ -117,21 +117,37 @@
              : static_cast<double>(Harmless) / static_cast<double>(TotalImages);
 }
 
-double fillerHeadroom(const InterferenceModel &Model,
-                      std::span<const ServingSample> Serving,
-                      std::span<const FillerSample> Fillers,
-                      std::string_view Image) {
-  double Headroom = 1.0;
+std::vector<TailRoom> tailRooms(const InterferenceModel &Model,
+                                std::span<const ServingSample> Serving,
+                                std::span<const FillerSample> Fillers) {
+  std::vector<TailRoom> Rooms;
   for (const ServingSample &ServingTask : Serving) {
-    double Effect = Model.effect(ServingTask.Image_, Image).Mean_;
-    if (ServingTask.TargetMs_ <= 0 || Effect < MinEffect)
+    if (ServingTask.TargetMs_ <= 0)
       continue;
     double PredictedLog = Model.baselineLog(ServingTask.Image_).Mean_;
     for (const FillerSample &Filler : Fillers)
       PredictedLog += fullEffect(Model, ServingTask, Filler, false);
-    double Allowed = plannedLogLimit(ServingTask) - PredictedLog;
+    double Room = plannedLogLimit(ServingTask) - PredictedLog;
+    auto Known =
+        std::find_if(Rooms.begin(), Rooms.end(), [&](const TailRoom &Each) {
+          return Each.Image_ == ServingTask.Image_;
+        });
+    if (Known == Rooms.end())
+      Rooms.push_back({std::string(ServingTask.Image_), Room});
+    else
+      Known->Room_ = std::min(Known->Room_, Room);
+  }
+  return Rooms;
+}
+
+double fillerHeadroom(const InterferenceModel &Model,
+                      std::span<const TailRoom> Rooms, std::string_view Image) {
+  double Headroom = 1.0;
+  for (const TailRoom &Each : Rooms) {
+    double Effect = Model.effect(Each.Image_, Image).Mean_;
     // A filler with less than the minimum effect is harmless in any case.
-    Headroom = std::min(Headroom, std::max(Allowed, MinEffect) / Effect);
+    if (Effect >= MinEffect)
+      Headroom = std::min(Headroom, std::max(Each.Room_, MinEffect) / Effect);
   }
   return Headroom;
 }
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -333,11 +333,10 @@
 
 double Scheduler::Impl::headroom(WorkerState &Worker,
                                  const std::string &Image) const {
-  auto [It, IsNew] = Worker.Headroom_.try_emplace(Image, 0.0);
-  if (IsNew)
-    It->second = fillerHeadroom(Model_, Worker.servingSamples(),
-                                Worker.fillerSamples(), Image);
-  return It->second;
+  if (!Worker.TailRooms_)
+    Worker.TailRooms_ =
+        tailRooms(Model_, Worker.servingSamples(), Worker.fillerSamples());
+  return fillerHeadroom(Model_, *Worker.TailRooms_, Image);
 }
 
 double Scheduler::Impl::flexibility(WorkerState &Worker) const {
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -317,7 +317,7 @@
   if (Worker.ModelUpdatedAt_ + MinModelUpdateInterval > Worker.ClockAt_)
     return;
   Worker.ModelUpdatedAt_ = Worker.ClockAt_;
-  Worker.Headroom_.clear();
+  Worker.TailRooms_.reset();
   Worker.Flexibility_.reset();
   for (auto &[Text, ActiveRun] : Worker.Runs_) {
     bool IsOverTarget = ActiveRun.IsLongRunning_ &&
--- a/packages/scheduling/src/worker_state.cpp
+++ b/packages/scheduling/src/worker_state.cpp
@@ -23,7 +23,7 @@
   dropRun(NewRun.Name_.text());
   Used_ += NewRun.Reserved_;
   UnknownRuns_ += NewRun.IsUnknown_ ? 1 : 0;
-  Headroom_.clear();
+  TailRooms_.reset();
   PacedFillerMilliCpu_.reset();
   if (NewRun.IsLongRunning_) {
     ++ServingImages_[NewRun.Image_];
@@ -44,7 +44,7 @@
   const Run &Dropped = It->second;
   Used_ -= Dropped.Reserved_;
   UnknownRuns_ -= Dropped.IsUnknown_ ? 1 : 0;
-  Headroom_.clear();
+  TailRooms_.reset();
   PacedFillerMilliCpu_.reset();
   if (Dropped.IsLongRunning_ && --ServingImages_[Dropped.Image_] == 0) {
     ServingImages_.erase(Dropped.Image_);
@@ -69,7 +69,7 @@
   YoungRuns_ = 0;
   ServingImages_.clear();
   Flexibility_.reset();
-  Headroom_.clear();
+  TailRooms_.reset();
   PacedFillerMilliCpu_.reset();
 }
 
--- a/packages/scheduling/src/worker_state.h
+++ b/packages/scheduling/src/worker_state.h
@@ -178,9 +178,9 @@
   std::size_t FreshSuspects_ = 0;
   /// The runs that were listed for less than LongSettlingTime.
   std::size_t YoungRuns_ = 0;
-  /// Cached results of fillerHeadroom() by filler image; cleared when the runs
-  /// or the model change.
-  std::unordered_map<std::string, double> Headroom_;
+  /// Cached result of tailRooms(); cleared when the runs change and when the
+  /// model was updated from a report of this worker.
+  std::optional<std::vector<TailRoom>> TailRooms_;
   /// Cached result of pacedFillerMilliCpu(); cleared when the runs or their
   /// paces change.
   mutable std::optional<double> PacedFillerMilliCpu_;
--- a/packages/scheduling/tests/interference_test.cpp
+++ b/packages/scheduling/tests/interference_test.cpp
@@ -137,10 +137,11 @@
   ServingSample Serving[] = {{"serving", 8.0, 18.0}};
   // The limit is two deviations below the target; the baseline is 8 ms.
   double PlannedMs = 18.0 * std::exp(-2 * InterferenceModel::ReportDeviation);
-  BOOST_TEST(fillerHeadroom(Model, Serving, {}, "harmful") ==
+  BOOST_TEST(fillerHeadroom(Model, tailRooms(Model, Serving, {}), "harmful") ==
                  std::log(PlannedMs / AloneMs) / HarmfulEffect,
              boost::test_tools::tolerance(0.2));
-  BOOST_TEST(fillerHeadroom(Model, Serving, {}, "harmless") > 0.5);
+  BOOST_TEST(fillerHeadroom(Model, tailRooms(Model, Serving, {}), "harmless") >
+             0.5);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
