Effects of images are looked up by hash, once for each pair

Cause: each effect was found through two ordered maps, and choosePaces() looked up each pair of a serving task and a filler twice.

Change: hash maps, which take a string_view; choosePaces() keeps the effects of one serving task. estimates() sorts its result, so the stored row is the same.

--- a/packages/scheduling/src/interference.cpp
+++ b/packages/scheduling/src/interference.cpp
@@ -2,7 +2,10 @@
 
 #include <algorithm>
 #include <cmath>
-#include <map>
+#include <functional>
+#include <string_view>
+#include <tuple>
+#include <unordered_map>
 #include <vector>
 
 namespace filbertspring::scheduling {
@@ -33,6 +36,17 @@
   return Relative * Relative;
 }
 
+/// Hashes texts of any type. Effects are looked up for each pair of images on
+/// each worker, so the lookups must not copy or compare many names.
+struct TextHash {
+  using is_transparent = void;
+  std::size_t operator()(std::string_view Text) const {
+    return std::hash<std::string_view>{}(Text);
+  }
+};
+template <typename T>
+using TextMap = std::unordered_map<std::string, T, TextHash, std::equal_to<>>;
+
 /// An input of a fit that is not 0.
 struct Input {
   std::size_t Column_ = 0;
@@ -53,7 +67,7 @@
 /// The fit for one serving image. Coefficient 0 is the baseline. Variances are
 /// relative to the variance of one report.
 struct Fit {
-  std::map<std::string, std::size_t, std::less<>> Columns_;
+  TextMap<std::size_t> Columns_;
   std::vector<double> Coefficients_{0.0};
   std::vector<std::vector<double>> Covariance_{
       {relativeVariance(PriorBaselineDeviation)}};
@@ -116,7 +130,7 @@
 } // namespace
 
 struct InterferenceModel::Impl {
-  std::map<std::string, Fit, std::less<>> Fits_;
+  TextMap<Fit> Fits_;
   std::set<std::string, std::less<>> FillerImages_;
 
   /// Returns the column of \p Filler in \p Of.
@@ -181,6 +195,13 @@
     for (const auto &[Filler, Column] : ImageFit.Columns_)
       Pairs.push_back({Serving, Filler, ImageFit.estimate(Column)});
   }
+  // A fixed order, so that an unchanged model has the same text.
+  std::sort(
+      Pairs.begin(), Pairs.end(),
+      [](const InterferenceEstimate &Left, const InterferenceEstimate &Right) {
+        return std::tie(Left.ServingImage_, Left.FillerImage_) <
+               std::tie(Right.ServingImage_, Right.FillerImage_);
+      });
   return Pairs;
 }
 
--- a/packages/scheduling/src/pacing.cpp
+++ b/packages/scheduling/src/pacing.cpp
@@ -51,15 +51,16 @@
 
 /// Returns the highest common pace of all fillers that affect \p ServingTask at
 /// which its predicted tail latency stays within the limit, as a percentage.
+/// \p Effects are those of \p Fillers at full speed.
 double sharedPace(const InterferenceModel &Model,
                   const ServingSample &ServingTask,
-                  std::span<const FillerSample> Fillers, bool IsTooLong) {
+                  std::span<const FillerSample> Fillers,
+                  std::span<const double> Effects) {
   double TotalEffect = 0;
   double CurrentEffect = 0;
-  for (const FillerSample &Filler : Fillers) {
-    double Effect = fullEffect(Model, ServingTask, Filler, IsTooLong);
-    TotalEffect += Effect;
-    CurrentEffect += Effect * Filler.Percent_ / 100.0;
+  for (std::size_t Index = 0; Index < Fillers.size(); ++Index) {
+    TotalEffect += Effects[Index];
+    CurrentEffect += Effects[Index] * Fillers[Index].Percent_ / 100.0;
   }
   double Limit = plannedLogLimit(ServingTask);
   Estimate BaselineEstimate = Model.baselineLog(ServingTask.Image_);
@@ -80,15 +81,18 @@
                              std::span<const ServingSample> Serving,
                              std::span<const FillerSample> Fillers) {
   std::vector<double> PaceLimits(Fillers.size(), 100.0);
+  std::vector<double> Effects(Fillers.size());
   for (const ServingSample &ServingTask : Serving) {
     if (ServingTask.TargetMs_ <= 0)
       continue;
     bool IsTooLong =
         ServingTask.TailLatencyMs_ >= ReactionThreshold * ServingTask.TargetMs_;
-    double SharedPace = sharedPace(Model, ServingTask, Fillers, IsTooLong);
     for (std::size_t Index = 0; Index < Fillers.size(); ++Index)
-      if (fullEffect(Model, ServingTask, Fillers[Index], IsTooLong) >=
-          MinEffect)
+      Effects[Index] =
+          fullEffect(Model, ServingTask, Fillers[Index], IsTooLong);
+    double SharedPace = sharedPace(Model, ServingTask, Fillers, Effects);
+    for (std::size_t Index = 0; Index < Fillers.size(); ++Index)
+      if (Effects[Index] >= MinEffect)
         PaceLimits[Index] = std::min(
             {PaceLimits[Index], SharedPace,
              IsTooLong ? SlowdownFactor * Fillers[Index].Percent_ : 100.0});
