--- a/packages/scheduling/src/pacing.cpp
+++ b/packages/scheduling/src/pacing.cpp
@@ -51,15 +51,16 @@
 
 /// Returns the highest common pace of all fillers that affect \p ServingTask at
 /// which its predicted tail latency stays within the limit, as a percentage.
+/// \p Effects are those of \p Fillers at full speed.
 double sharedPace(const InterferenceModel &Model,
                   const ServingSample &ServingTask,
-                  std::span<const FillerSample> Fillers, bool IsTooLong) {
+                  std::span<const FillerSample> Fillers,
+                  std::span<const double> Effects) {
   double TotalEffect = 0;
   double CurrentEffect = 0;
-  for (const FillerSample &Filler : Fillers) {
-    double Effect = fullEffect(Model, ServingTask, Filler, IsTooLong);
-    TotalEffect += Effect;
-    CurrentEffect += Effect * Filler.Percent_ / 100.0;
+  for (std::size_t Index = 0; Index < Fillers.size(); ++Index) {
+    TotalEffect += Effects[Index];
+    CurrentEffect += Effects[Index] * Fillers[Index].Percent_ / 100.0;
   }
   double Limit = plannedLogLimit(ServingTask);
   Estimate BaselineEstimate = Model.baselineLog(ServingTask.Image_);
@@ -80,15 +81,18 @@
                              std::span<const ServingSample> Serving,
                              std::span<const FillerSample> Fillers) {
   std::vector<double> PaceLimits(Fillers.size(), 100.0);
+  std::vector<double> Effects(Fillers.size());
   for (const ServingSample &ServingTask : Serving) {
     if (ServingTask.TargetMs_ <= 0)
       continue;
     bool IsTooLong =
         ServingTask.TailLatencyMs_ >= ReactionThreshold * ServingTask.TargetMs_;
-    double SharedPace = sharedPace(Model, ServingTask, Fillers, IsTooLong);
     for (std::size_t Index = 0; Index < Fillers.size(); ++Index)
-      if (fullEffect(Model, ServingTask, Fillers[Index], IsTooLong) >=
-          MinEffect)
+      Effects[Index] =
+          fullEffect(Model, ServingTask, Fillers[Index], IsTooLong);
+    double SharedPace = sharedPace(Model, ServingTask, Fillers, Effects);
+    for (std::size_t Index = 0; Index < Fillers.size(); ++Index)
+      if (Effects[Index] >= MinEffect)
         PaceLimits[Index] = std::min(
             {PaceLimits[Index], SharedPace,
              IsTooLong ? SlowdownFactor * Fillers[Index].Percent_ : 100.0});
@@ -117,21 +121,37 @@
              : static_cast<double>(Harmless) / static_cast<double>(TotalImages);
 }
 
-double fillerHeadroom(const InterferenceModel &Model,
-                      std::span<const ServingSample> Serving,
-                      std::span<const FillerSample> Fillers,
-                      std::string_view Image) {
-  double Headroom = 1.0;
+std::vector<TailRoom> tailRooms(const InterferenceModel &Model,
+                                std::span<const ServingSample> Serving,
+                                std::span<const FillerSample> Fillers) {
+  std::vector<TailRoom> Rooms;
   for (const ServingSample &ServingTask : Serving) {
-    double Effect = Model.effect(ServingTask.Image_, Image).Mean_;
-    if (ServingTask.TargetMs_ <= 0 || Effect < MinEffect)
+    if (ServingTask.TargetMs_ <= 0)
       continue;
     double PredictedLog = Model.baselineLog(ServingTask.Image_).Mean_;
     for (const FillerSample &Filler : Fillers)
       PredictedLog += fullEffect(Model, ServingTask, Filler, false);
-    double Allowed = plannedLogLimit(ServingTask) - PredictedLog;
+    double Room = plannedLogLimit(ServingTask) - PredictedLog;
+    auto Known =
+        std::find_if(Rooms.begin(), Rooms.end(), [&](const TailRoom &Each) {
+          return Each.Image_ == ServingTask.Image_;
+        });
+    if (Known == Rooms.end())
+      Rooms.push_back({std::string(ServingTask.Image_), Room});
+    else
+      Known->Room_ = std::min(Known->Room_, Room);
+  }
+  return Rooms;
+}
+
+double fillerHeadroom(const InterferenceModel &Model,
+                      std::span<const TailRoom> Rooms, std::string_view Image) {
+  double Headroom = 1.0;
+  for (const TailRoom &Each : Rooms) {
+    double Effect = Model.effect(Each.Image_, Image).Mean_;
     // A filler with less than the minimum effect is harmless in any case.
-    Headroom = std::min(Headroom, std::max(Allowed, MinEffect) / Effect);
+    if (Effect >= MinEffect)
+      Headroom = std::min(Headroom, std::max(Each.Room_, MinEffect) / Effect);
   }
   return Headroom;
 }
--- a/packages/scheduling/src/scheduler_reservations.cpp
+++ b/packages/scheduling/src/scheduler_reservations.cpp
@@ -110,7 +110,9 @@
                       static_cast<double>(Worker.LongRunningMilliCpu_) /
                       Worker.milliCpu();
   if (Unreleased + Share > MaxFillerUtilization ||
-      Share > fillerHeadroom(Model_, Worker.servingSamples(), {}, Step.Image_))
+      Share > fillerHeadroom(Model_,
+                             tailRooms(Model_, Worker.servingSamples(), {}),
+                             Step.Image_))
     return std::nullopt;
   return std::max({Missing,
                    Worker.utilizationWithFiller(Step.Request_.MilliCpu_) -
