A registration that cannot be called is no registration

An entry without a usable address (no IP address, a host name, port 0 or 65536, a null character within it) was taken for a worker without an answer: by reading, it was stored as a known worker and called again and again in vain; it was not logged.

Change: such an entry is rejected where it is decoded, and with that logged. The addresses are checked by the function that the calls use.

--- a/packages/transport/include/filbertspring/transport/async_http_client.h
+++ b/packages/transport/include/filbertspring/transport/async_http_client.h
@@ -38,6 +38,9 @@
   std::uint64_t BytesReceived_ = 0;
 };
 
+/// Returns whether \p Address is an "IP:PORT" that can be called.
+bool isSocketAddress(const std::string &Address);
+
 /// Receives the answer or an error: Errc::ConnectFailed when the request was
 /// certainly not sent, Errc::OutcomeUnknown when it may have reached the
 /// server.
