A row of a job that no caller could submit is not adopted

A job's row was decoded without the check that submissions pass. A step that follows one that does not exist reads beyond the list of steps; 4,294,967,295 tasks do not fit into memory. Either happens to each owner of the cell in turn, since each one loads the rows.

Change: such a row is rejected, as is a time of acceptance that does not convert to nanoseconds. rows_test failed before for all six forms.

--- a/packages/node/src/rows.cpp
+++ b/packages/node/src/rows.cpp
@@ -14,6 +14,9 @@
 using scheduling::AcceptedJob;
 using scheduling::RowKey;
 
+/// The largest time, in milliseconds since 1970, that converts to nanoseconds.
+constexpr double MaxWallMs = 9e12;
+
 constexpr std::string_view CancelSuffix = ".cancel";
 /// Not the beginning of a job's id, which is hexadecimal.
 constexpr std::string_view JournalPrefix = "journal-";
@@ -22,6 +25,13 @@
   return Value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+/// Returns the number \p Value. Throws json::exception if it is not one.
+double requireNumber(const json &Value) {
+  if (!Value.is_number())
+    throw json::type_error::create(302, "not a number", &Value);
+  return Value.get<double>();
+}
+
 } // namespace
 
 std::string jobPartition(unsigned Number) {
@@ -105,11 +115,16 @@
     json Value = json::parse(Text);
     Accepted.Queue_ = Value.at("queue").get<std::string>();
     Accepted.Service_ = Value.at("service").get<std::string>();
-    Accepted.AcceptedMs_ = Value.at("accepted_ms").get<std::int64_t>();
+    auto AcceptedMs = requireNumber(Value.at("accepted_ms"));
+    if (!(AcceptedMs >= 0 && AcceptedMs <= MaxWallMs))
+      return fail(Errc::InvalidJson);
+    Accepted.AcceptedMs_ = static_cast<std::int64_t>(AcceptedMs);
     Result<scheduling::JobSpec> Spec =
         platform::decodeJobSpec(Value.at("body").get<std::string>());
     if (!Spec)
       return fail(Spec.error());
+    if (!scheduling::findSpecError(*Spec).empty())
+      return fail(Errc::InvalidJson);
     Accepted.Spec_ = std::move(*Spec);
     return Accepted;
   } catch (const json::exception &) {
--- a/packages/node/src/rows.h
+++ b/packages/node/src/rows.h
@@ -89,7 +89,8 @@
 
 std::string encodeAcceptance(const StoredAcceptance &Accepted);
 /// Decodes an accepted job including its specification. Returns
-/// Errc::InvalidJson if the text does not have the expected form.
+/// Errc::InvalidJson if the text does not have the expected form, or if no
+/// caller could have submitted the job.
 Result<scheduling::AcceptedJob> decodeAcceptance(std::string_view Job,
                                                  std::string_view Text);
 
--- a/packages/node/tests/rows_test.cpp
+++ b/packages/node/tests/rows_test.cpp
@@ -29,6 +29,19 @@
     BOOST_TEST(!decodeAcceptance("job", Text).has_value());
 }
 
+// Its owner read beyond the list of steps, or ran out of memory.
+BOOST_AUTO_TEST_CASE(of_a_job_that_no_caller_could_submit_is_rejected) {
+  for (const char *Body : {R"({"Steps":[]})", R"({"Steps":[{"Count":0}]})",
+                           R"({"Steps":[{"Count":4294967295}]})",
+                           R"({"Steps":[{}],"RepeatCount":4294967295})",
+                           R"({"Steps":[{"After":[4294967295]}]})",
+                           R"({"Steps":[{"After":[0]}]})"}) {
+    StoredAcceptance Accepted{"batch", "service", 1, Body};
+    BOOST_TEST(!decodeAcceptance("job", encodeAcceptance(Accepted)).has_value(),
+               Body);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(the_key_of_a_cancellation)
