An announcement that cannot be true is not used

An instance's row with 1e300 cores made all others wait for a stronger instance before each takeover, and put the row first among relays and successors; one without a usable address was called as a relay.

Change: the address must be one that can be called, and the cores a number from 0 to 100,000. Both tests failed before, for all six addresses and all three numbers of cores.

--- a/packages/node/src/rows.cpp
+++ b/packages/node/src/rows.cpp
@@ -1,5 +1,6 @@
 #include "rows.h"
 
+#include "filbertspring/transport/async_http_client.h"
 #include "platform/caller_codec.h"
 
 #include <charconv>
@@ -14,6 +15,9 @@
 using scheduling::AcceptedJob;
 using scheduling::RowKey;
 
+/// More processor cores than a machine has. An instance that seems to have more
+/// would make all others wait before they take a cell over.
+constexpr double MaxCapacityCores = 100'000;
 /// The largest time, in milliseconds since 1970, that converts to nanoseconds.
 constexpr double MaxWallMs = 9e12;
 
@@ -145,7 +149,11 @@
     Announced.PeerAddress_ = Value.at("address").get<std::string>();
     // Earlier versions announced no zone.
     Announced.Zone_ = Value.value("zone", std::string());
-    Announced.CapacityCores_ = Value.at("cores").get<double>();
+    Announced.CapacityCores_ = requireNumber(Value.at("cores"));
+    if (!isSocketAddress(Announced.PeerAddress_) ||
+        !(Announced.CapacityCores_ >= 0 &&
+          Announced.CapacityCores_ <= MaxCapacityCores))
+      return fail(Errc::InvalidJson);
     return Announced;
   } catch (const json::exception &) {
     return fail(Errc::InvalidJson);
--- a/packages/node/tests/rows_test.cpp
+++ b/packages/node/tests/rows_test.cpp
@@ -64,6 +64,23 @@
   BOOST_TEST(!decodeAnnouncement("10.0.0.1:7000").has_value());
 }
 
+BOOST_AUTO_TEST_CASE(of_no_instance_that_can_be_called_is_rejected) {
+  for (const char *Address : {"", "10.0.0.1", "10.0.0.1:0", "10.0.0.1:65536",
+                              "10.0.0.1:99999999999999999999", "localhost:80"})
+    BOOST_TEST(!decodeAnnouncement(encodeAnnouncement({Address, "z", 0.5}))
+                    .has_value(),
+               Address);
+}
+
+// An instance that seems to be stronger than all others delays takeovers.
+BOOST_AUTO_TEST_CASE(with_cores_that_no_machine_has_is_rejected) {
+  for (double Cores : {-1.0, 1e300, 1e7})
+    BOOST_TEST(
+        !decodeAnnouncement(encodeAnnouncement({"10.0.0.1:7", "z", Cores}))
+             .has_value(),
+        Cores);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(the_status_of_a_cell)
