An entry that cannot be read is logged once

Feeds, bulk reads and takeovers deliver an entry again and again, and each read of an unreadable one wrote a line; a writer that repeats its entries fills the log with them. Rows of known workers, the status and the owner's row that cannot be read were passed over without a line.

--- a/packages/node/src/cell_directory.cpp
+++ b/packages/node/src/cell_directory.cpp
@@ -1,6 +1,5 @@
 #include "cell_directory.h"
 
-#include "filbertspring/base/log.h"
 #include "store_access.h"
 
 #include <algorithm>
@@ -116,24 +115,44 @@
 }
 
 void CellDirectory::handleRow(const Row &StoredRow, TimePoint SentAt) {
-  if (StoredRow.Key_.Key_ == OwnerKey)
-    Lease_.rowRead(scheduling::decodeOwnerRecord(StoredRow.Value_),
-                   StoredRow.IsRemoved_ ? 0 : StoredRow.Version_, SentAt);
+  if (StoredRow.Key_.Key_ == OwnerKey) {
+    scheduling::OwnerRecord Record =
+        scheduling::decodeOwnerRecord(StoredRow.Value_);
+    // A released cell has no holder, but the nonce of its last one.
+    bool IsReadable = !Record.Holder_.empty() || !Record.Nonce_.empty();
+    if (IsReadable || StoredRow.IsRemoved_)
+      UnreadableRows_.remove(StoredRow.Key_);
+    else
+      UnreadableRows_.add(StoredRow.Key_);
+    Lease_.rowRead(Record, StoredRow.IsRemoved_ ? 0 : StoredRow.Version_,
+                   SentAt);
+  }
   if (StoredRow.Key_.Key_ == StatusKey)
-    Status_ = decodeStatus(StoredRow.Value_);
+    handleStatusRow(StoredRow);
   if (StoredRow.Key_.Key_.starts_with(InstancePrefix))
     handleInstanceRow(StoredRow);
 }
 
+void CellDirectory::handleStatusRow(const Row &StoredRow) {
+  Result<CellStatus> Decoded = decodeStatus(StoredRow.Value_);
+  if (Decoded || StoredRow.IsRemoved_)
+    UnreadableRows_.remove(StoredRow.Key_);
+  else
+    UnreadableRows_.add(StoredRow.Key_);
+  Status_ = Decoded ? std::move(*Decoded) : CellStatus();
+}
+
 void CellDirectory::handleInstanceRow(const Row &StoredRow) {
   std::string Name = StoredRow.Key_.Key_.substr(InstancePrefix.size());
+  Result<Announcement> Decoded = decodeAnnouncement(StoredRow.Value_);
+  if (Decoded || StoredRow.IsRemoved_)
+    UnreadableRows_.remove(StoredRow.Key_);
+  else
+    UnreadableRows_.add(StoredRow.Key_);
   if (StoredRow.IsRemoved_)
     Instances_.erase(Name);
-  else if (Result<Announcement> Decoded = decodeAnnouncement(StoredRow.Value_))
+  else if (Decoded)
     Instances_[Name] = std::move(*Decoded);
-  else
-    logEvent(LogEvent::ForeignRow,
-             {{"table", CellTable}, {"key", StoredRow.Key_.Key_}});
   // Every instance tries its successor in name order first, which spreads the
   // relayed calls over the instances.
   std::vector<std::string> Relays;
--- a/packages/node/src/cell_directory.h
+++ b/packages/node/src/cell_directory.h
@@ -8,6 +8,7 @@
 #include "filbertspring/scheduling/owner_lease.h"
 #include "rows.h"
 #include "store_client.h"
+#include "unreadable_rows.h"
 #include "worker_routes.h"
 
 #include <functional>
@@ -45,6 +46,7 @@
   void readAll();
   void followChanges(std::uint64_t After);
   void handleRow(const scheduling::Row &StoredRow, TimePoint SentAt);
+  void handleStatusRow(const scheduling::Row &StoredRow);
   void handleInstanceRow(const scheduling::Row &StoredRow);
   /// Writes the announcement of this instance unless it is already stored.
   void storeOwnAnnouncement();
@@ -57,6 +59,7 @@
   std::map<std::string, Announcement> Instances_;
   scheduling::OwnerLease Lease_;
   CellStatus Status_;
+  UnreadableRows UnreadableRows_;
   std::function<void()> RowsRead_;
   std::function<void()> InstancesChanged_;
   TimePoint LastReadAt_{};
--- a/packages/node/src/cell_loading.cpp
+++ b/packages/node/src/cell_loading.cpp
@@ -36,15 +36,10 @@
   return static_cast<std::int64_t>(Value);
 }
 
-void logUnreadableProgress(const Row &StoredRow) {
-  logEvent(LogEvent::ForeignRow,
-           {{"table", ProgressTable}, {"key", StoredRow.Key_.Key_}});
-}
-
 /// Restores the progress of all jobs from \p Rows, which hold their snapshots
 /// and the journal in the order of their keys.
-void restoreProgress(const std::vector<Row> &Rows,
-                     scheduling::Scheduler &Into) {
+void restoreProgress(const std::vector<Row> &Rows, scheduling::Scheduler &Into,
+                     UnreadableRows &Unreadable) {
   std::map<std::string, scheduling::JobProgress> Progress;
   std::vector<scheduling::JournalRow> Journal;
   for (const Row &StoredRow : Rows) {
@@ -53,11 +48,11 @@
       if (auto Entries = scheduling::decodeJournal(StoredRow.Value_))
         Journal.push_back({*Number, std::move(*Entries)});
       else
-        logUnreadableProgress(StoredRow);
+        Unreadable.add(StoredRow.Key_);
     } else if (auto Snapshot = scheduling::decodeProgress(StoredRow.Value_)) {
       Progress[Key] = std::move(*Snapshot);
     } else {
-      logUnreadableProgress(StoredRow);
+      Unreadable.add(StoredRow.Key_);
     }
   }
   for (const scheduling::JournalRow &Row : Journal)
@@ -104,8 +99,10 @@
                            [this, Reference] { load(Reference); });
         for (const Row &StoredRow : Page->Rows_) {
           auto Registration = scheduling::decodeStoredWorker(StoredRow.Value_);
-          if (!Registration)
+          if (!Registration) {
+            UnreadableRows_.add(StoredRow.Key_);
             continue;
+          }
           Registration->Id_ = StoredRow.Key_.Key_;
           ActiveTenure->Scheduler_.restoreWorker(*Registration,
                                                  SchedulerClock::now());
@@ -131,8 +128,7 @@
           if (Estimates)
             ActiveTenure->Scheduler_.restoreInterference(*Estimates);
           else
-            logEvent(LogEvent::ForeignRow,
-                     {{"table", ModelTable}, {"key", StoredRow.Key_.Key_}});
+            UnreadableRows_.add(StoredRow.Key_);
         }
         loadWorkers(Reference);
       });
@@ -192,7 +188,7 @@
                              loadProgress(Reference, WorkersVersion,
                                           JobsVersion);
                            });
-        restoreProgress(Page->Rows_, ActiveTenure->Scheduler_);
+        restoreProgress(Page->Rows_, ActiveTenure->Scheduler_, UnreadableRows_);
         for (const std::string &Job : std::exchange(CancelledJobs_, {}))
           ActiveTenure->Scheduler_.cancelJob(Job, SchedulerClock::now());
         ActiveTenure->IsLoaded_ = true;
@@ -219,10 +215,10 @@
   Result<scheduling::AcceptedJob> Accepted =
       decodeAcceptance(StoredRow.Key_.Key_, StoredRow.Value_);
   if (!Accepted) {
-    logEvent(LogEvent::ForeignRow,
-             {{"table", JobTable}, {"key", StoredRow.Key_.Key_}});
+    UnreadableRows_.add(StoredRow.Key_);
     return;
   }
+  UnreadableRows_.remove(StoredRow.Key_);
   Tenure_->Scheduler_.addJob(*Accepted, Now);
 }
 
@@ -275,16 +271,17 @@
   TimePoint Now = SchedulerClock::now();
   const std::string &Id = StoredRow.Key_.Key_;
   if (StoredRow.IsRemoved_) {
+    UnreadableRows_.remove(StoredRow.Key_);
     RegisteredWorkers_.erase(Id);
     return removeWorker(Id);
   }
   Result<scheduling::WorkerEntry> Registration =
       platform::decodeWorkerRegistration(Id, StoredRow.Value_);
   if (!Registration) {
-    logEvent(LogEvent::ForeignRow,
-             {{"table", platform::WorkerTable}, {"key", Id}});
+    UnreadableRows_.add(StoredRow.Key_);
     return;
   }
+  UnreadableRows_.remove(StoredRow.Key_);
   RegisteredWorkers_.insert(Id);
   Tenure_->Calls_.channel().routes().addWorker(Id, Registration->Address_,
                                                Registration->Zone_);
--- a/packages/node/src/cell_owner.h
+++ b/packages/node/src/cell_owner.h
@@ -11,6 +11,7 @@
 #include "store_client.h"
 #include "successor_search.h"
 #include "transaction_size.h"
+#include "unreadable_rows.h"
 #include "worker_calls.h"
 
 #include <memory>
@@ -159,6 +160,7 @@
   std::vector<RelayCandidate> Relays_;
   /// The ids of all registered workers.
   std::set<std::string> RegisteredWorkers_;
+  UnreadableRows UnreadableRows_;
   /// Cancelled jobs found while loading; they are cancelled in the scheduler
   /// once the progress of all jobs is restored.
   std::vector<std::string> CancelledJobs_;
--- a/packages/node/src/configuration_follower.cpp
+++ b/packages/node/src/configuration_follower.cpp
@@ -76,10 +76,10 @@
   Result<scheduling::QueueTable> Table =
       platform::decodeConfiguration(StoredRow.Value_);
   if (!Table) {
-    logEvent(LogEvent::ForeignRow, {{"table", platform::OperatorTable},
-                                    {"key", StoredRow.Key_.Key_}});
+    UnreadableRows_.add(StoredRow.Key_);
     return;
   }
+  UnreadableRows_.remove(StoredRow.Key_);
   if (Table->Version_ <= Version_)
     return;
   Version_ = Table->Version_;
--- a/packages/node/src/configuration_follower.h
+++ b/packages/node/src/configuration_follower.h
@@ -6,6 +6,7 @@
 
 #include "filbertspring/scheduling/queue_table.h"
 #include "store_client.h"
+#include "unreadable_rows.h"
 
 #include <functional>
 #include <memory>
@@ -40,6 +41,7 @@
   ZonesCallback ZonesChanged_;
   std::uint64_t Version_ = 0;
   std::set<std::string> ClosedZones_;
+  UnreadableRows UnreadableRows_;
 };
 
 } // namespace filbertspring::node
--- a/packages/node/src/rows.cpp
+++ b/packages/node/src/rows.cpp
@@ -164,17 +164,17 @@
   return dump({{"tenure", Status.Tenure_}, {"pending", Status.Pending_}});
 }
 
-CellStatus decodeStatus(std::string_view Text) {
-  CellStatus Status;
+Result<CellStatus> decodeStatus(std::string_view Text) {
   try {
+    CellStatus Status;
     json Value = json::parse(Text);
     Status.Tenure_ = Value.at("tenure").get<std::uint64_t>();
     Status.Pending_ =
         Value.at("pending").get<std::map<std::string, std::uint64_t>>();
+    return Status;
   } catch (const json::exception &) {
-    return {};
+    return fail(Errc::InvalidJson);
   }
-  return Status;
 }
 
 } // namespace filbertspring::node
--- a/packages/node/src/rows.h
+++ b/packages/node/src/rows.h
@@ -103,8 +103,8 @@
 };
 
 std::string encodeStatus(const CellStatus &Status);
-/// Returns a status without counts if the text cannot be decoded.
-CellStatus decodeStatus(std::string_view Text);
+/// Returns Errc::InvalidJson if the text does not have the expected form.
+Result<CellStatus> decodeStatus(std::string_view Text);
 
 } // namespace filbertspring::node
 
--- a/packages/node/tests/rows_test.cpp
+++ b/packages/node/tests/rows_test.cpp
@@ -89,13 +89,15 @@
   CellStatus Status;
   Status.Tenure_ = 4;
   Status.Pending_ = {{"a", 3}, {"b", 0}};
-  BOOST_TEST(decodeStatus(encodeStatus(Status)).Tenure_ == 4);
-  BOOST_TEST((decodeStatus(encodeStatus(Status)).Pending_ == Status.Pending_));
+  auto Decoded = decodeStatus(encodeStatus(Status));
+  BOOST_REQUIRE(Decoded.has_value());
+  BOOST_TEST(Decoded->Tenure_ == 4);
+  BOOST_TEST((Decoded->Pending_ == Status.Pending_));
 }
 
-BOOST_AUTO_TEST_CASE(of_another_form_decodes_without_counts) {
+BOOST_AUTO_TEST_CASE(of_another_form_is_rejected) {
   for (const char *Text : {"", "5", R"({"pending":{"a":"x"}})"})
-    BOOST_TEST(decodeStatus(Text).Pending_.empty());
+    BOOST_TEST(!decodeStatus(Text).has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
