An entry that became unreadable names no worker that may be used

A worker whose entry was overwritten with one that cannot be read kept its earlier registration and got further starts. The platform's protocol says that such an entry names no worker to use. A reread of the list already treated it so; the feed did not.

Change: the feed handles it as a removal, after which the worker gets no starts and keeps what runs on it. It is used again with the next sound entry.

--- a/packages/node/src/cell_loading.cpp
+++ b/packages/node/src/cell_loading.cpp
@@ -279,7 +279,9 @@
       platform::decodeWorkerRegistration(Id, StoredRow.Value_);
   if (!Registration) {
     UnreadableRows_.add(StoredRow.Key_);
-    return;
+    // It names no worker that may be used.
+    RegisteredWorkers_.erase(Id);
+    return removeWorker(Id);
   }
   UnreadableRows_.remove(StoredRow.Key_);
   RegisteredWorkers_.insert(Id);
