--- a/packages/scheduling/src/progress_codec.cpp
+++ b/packages/scheduling/src/progress_codec.cpp
@@ -13,8 +13,9 @@
 
 using nlohmann::json;
 
-/// Bounds the memory that a malformed range of tasks can take.
-constexpr std::uint32_t MaxStepTasks = 1'000'000;
+/// Bounds the memory that malformed ranges of tasks can take. Far above the
+/// number of tasks of a job.
+constexpr std::uint32_t MaxDoneTasks = 100'000;
 
 /// Identifies a step of one occurrence within the text of a job.
 using StepKey = std::pair<std::uint32_t, std::uint32_t>;
@@ -93,6 +94,7 @@
 void decodeDone(const json &Steps, const std::string &Job, JobProgress &Into) {
   TaskProgress Done;
   Done.IsDone_ = true;
+  std::uint32_t Room = MaxDoneTasks;
   for (const json &Step : Steps) {
     TaskName Name{Job, Step.at(0).get<std::uint32_t>(),
                   Step.at(1).get<std::uint32_t>(), 0};
@@ -100,8 +102,9 @@
     for (std::size_t Next = 0; Next < Ranges.size(); Next += 2) {
       auto First = Ranges.at(Next).get<std::uint32_t>();
       auto Last = Ranges.at(Next + 1).get<std::uint32_t>();
-      if (Last < First || Last - First >= MaxStepTasks)
+      if (Last < First || Last - First >= Room)
         throw json::out_of_range::create(401, "not a range of tasks", &Ranges);
+      Room -= Last - First + 1;
       for (std::uint32_t Offset = 0; Offset <= Last - First; ++Offset) {
         Name.Index_ = First + Offset;
         Into.Tasks_[Name.text()] = Done;
