--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -16,7 +16,7 @@
 namespace filbertspring::tests {
 
 Process::Process(const std::string &Program, std::vector<std::string> Arguments,
-                 const std::string &LogFile) {
+                 const std::string &LogFile, const std::string &OutputFile) {
   std::string Path = std::string(FILBERTSPRING_BIN_DIR) + "/" + Program;
   std::vector<char *> Argv = {Path.data()};
   for (std::string &Each : Arguments)
@@ -26,6 +26,9 @@
   posix_spawn_file_actions_init(&Files);
   posix_spawn_file_actions_addopen(&Files, STDERR_FILENO, LogFile.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0600);
+  if (!OutputFile.empty())
+    posix_spawn_file_actions_addopen(&Files, STDOUT_FILENO, OutputFile.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, 0600);
   if (posix_spawn(&Pid_, Path.c_str(), &Files, nullptr, Argv.data(), environ) !=
       0)
     Pid_ = -1;
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -16,9 +16,10 @@
 class Process {
 public:
   /// Starts \p Program of the build with \p Arguments. Its standard error goes
-  /// to \p LogFile.
+  /// to \p LogFile, and its standard output to \p OutputFile unless that is
+  /// empty.
   Process(const std::string &Program, std::vector<std::string> Arguments,
-          const std::string &LogFile);
+          const std::string &LogFile, const std::string &OutputFile = {});
   ~Process();
   Process(Process &&Other) noexcept;
   Process &operator=(Process &&Other) noexcept;
