--- a/packages/node/src/rows.cpp
+++ b/packages/node/src/rows.cpp
@@ -1,5 +1,6 @@
 #include "rows.h"
 
+#include "filbertspring/transport/async_http_client.h"
 #include "platform/caller_codec.h"
 
 #include <charconv>
@@ -14,6 +15,12 @@
 using scheduling::AcceptedJob;
 using scheduling::RowKey;
 
+/// More processor cores than a machine has. An instance that seems to have more
+/// would make all others wait before they take a cell over.
+constexpr double MaxCapacityCores = 100'000;
+/// The largest time, in milliseconds since 1970, that converts to nanoseconds.
+constexpr double MaxWallMs = 9e12;
+
 constexpr std::string_view CancelSuffix = ".cancel";
 /// Not the beginning of a job's id, which is hexadecimal.
 constexpr std::string_view JournalPrefix = "journal-";
@@ -22,6 +29,13 @@
   return Value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+/// Returns the number \p Value. Throws json::exception if it is not one.
+double requireNumber(const json &Value) {
+  if (!Value.is_number())
+    throw json::type_error::create(302, "not a number", &Value);
+  return Value.get<double>();
+}
+
 } // namespace
 
 std::string jobPartition(unsigned Number) {
@@ -105,11 +119,16 @@
     json Value = json::parse(Text);
     Accepted.Queue_ = Value.at("queue").get<std::string>();
     Accepted.Service_ = Value.at("service").get<std::string>();
-    Accepted.AcceptedMs_ = Value.at("accepted_ms").get<std::int64_t>();
+    auto AcceptedMs = requireNumber(Value.at("accepted_ms"));
+    if (!(AcceptedMs >= 0 && AcceptedMs <= MaxWallMs))
+      return fail(Errc::InvalidJson);
+    Accepted.AcceptedMs_ = static_cast<std::int64_t>(AcceptedMs);
     Result<scheduling::JobSpec> Spec =
         platform::decodeJobSpec(Value.at("body").get<std::string>());
     if (!Spec)
       return fail(Spec.error());
+    if (!scheduling::findSpecError(*Spec).empty())
+      return fail(Errc::InvalidJson);
     Accepted.Spec_ = std::move(*Spec);
     return Accepted;
   } catch (const json::exception &) {
@@ -130,7 +149,11 @@
     Announced.PeerAddress_ = Value.at("address").get<std::string>();
     // Earlier versions announced no zone.
     Announced.Zone_ = Value.value("zone", std::string());
-    Announced.CapacityCores_ = Value.at("cores").get<double>();
+    Announced.CapacityCores_ = requireNumber(Value.at("cores"));
+    if (!isSocketAddress(Announced.PeerAddress_) ||
+        !(Announced.CapacityCores_ >= 0 &&
+          Announced.CapacityCores_ <= MaxCapacityCores))
+      return fail(Errc::InvalidJson);
     return Announced;
   } catch (const json::exception &) {
     return fail(Errc::InvalidJson);
@@ -141,17 +164,17 @@
   return dump({{"tenure", Status.Tenure_}, {"pending", Status.Pending_}});
 }
 
-CellStatus decodeStatus(std::string_view Text) {
-  CellStatus Status;
+Result<CellStatus> decodeStatus(std::string_view Text) {
   try {
+    CellStatus Status;
     json Value = json::parse(Text);
     Status.Tenure_ = Value.at("tenure").get<std::uint64_t>();
     Status.Pending_ =
         Value.at("pending").get<std::map<std::string, std::uint64_t>>();
+    return Status;
   } catch (const json::exception &) {
-    return {};
+    return fail(Errc::InvalidJson);
   }
-  return Status;
 }
 
 } // namespace filbertspring::node
--- a/packages/node/tests/rows_test.cpp
+++ b/packages/node/tests/rows_test.cpp
@@ -29,6 +29,19 @@
     BOOST_TEST(!decodeAcceptance("job", Text).has_value());
 }
 
+// Its owner read beyond the list of steps, or ran out of memory.
+BOOST_AUTO_TEST_CASE(of_a_job_that_no_caller_could_submit_is_rejected) {
+  for (const char *Body : {R"({"Steps":[]})", R"({"Steps":[{"Count":0}]})",
+                           R"({"Steps":[{"Count":4294967295}]})",
+                           R"({"Steps":[{}],"RepeatCount":4294967295})",
+                           R"({"Steps":[{"After":[4294967295]}]})",
+                           R"({"Steps":[{"After":[0]}]})"}) {
+    StoredAcceptance Accepted{"batch", "service", 1, Body};
+    BOOST_TEST(!decodeAcceptance("job", encodeAcceptance(Accepted)).has_value(),
+               Body);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(the_key_of_a_cancellation)
@@ -51,6 +64,23 @@
   BOOST_TEST(!decodeAnnouncement("10.0.0.1:7000").has_value());
 }
 
+BOOST_AUTO_TEST_CASE(of_no_instance_that_can_be_called_is_rejected) {
+  for (const char *Address : {"", "10.0.0.1", "10.0.0.1:0", "10.0.0.1:65536",
+                              "10.0.0.1:99999999999999999999", "localhost:80"})
+    BOOST_TEST(!decodeAnnouncement(encodeAnnouncement({Address, "z", 0.5}))
+                    .has_value(),
+               Address);
+}
+
+// An instance that seems to be stronger than all others delays takeovers.
+BOOST_AUTO_TEST_CASE(with_cores_that_no_machine_has_is_rejected) {
+  for (double Cores : {-1.0, 1e300, 1e7})
+    BOOST_TEST(
+        !decodeAnnouncement(encodeAnnouncement({"10.0.0.1:7", "z", Cores}))
+             .has_value(),
+        Cores);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(the_status_of_a_cell)
@@ -59,13 +89,15 @@
   CellStatus Status;
   Status.Tenure_ = 4;
   Status.Pending_ = {{"a", 3}, {"b", 0}};
-  BOOST_TEST(decodeStatus(encodeStatus(Status)).Tenure_ == 4);
-  BOOST_TEST((decodeStatus(encodeStatus(Status)).Pending_ == Status.Pending_));
+  auto Decoded = decodeStatus(encodeStatus(Status));
+  BOOST_REQUIRE(Decoded.has_value());
+  BOOST_TEST(Decoded->Tenure_ == 4);
+  BOOST_TEST((Decoded->Pending_ == Status.Pending_));
 }
 
-BOOST_AUTO_TEST_CASE(of_another_form_decodes_without_counts) {
+BOOST_AUTO_TEST_CASE(of_another_form_is_rejected) {
   for (const char *Text : {"", "5", R"({"pending":{"a":"x"}})"})
-    BOOST_TEST(decodeStatus(Text).Pending_.empty());
+    BOOST_TEST(!decodeStatus(Text).has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
