A worker with a serving task over its target gets no fillers

Timeline of i-3428453e16: serving tasks since -4.9 s; over the target at 7.115 s; 20 tasks start there from 7.0 to 11.0 s, 4 fail and one is evicted.

Cause: a suspended filler hardly counts in placement, and the expected effect of the next one is too low, or its effect has changed. So each start works for 0.1 s and more before its pace comes into force, one after the other. A single report under the target restarted the wait of 1.4 s, the wait ended with a report only (1 s apart), and a failed pace was repeated with the next one.

Ruled out: starts and stops without an answer (all were accepted there in that time). Answers to paces are not logged.

Change: while a serving task is over its target, until two reports on end are under it, its worker gets no filler: not in placement, nor when a planned start is sent or repeated. Its reports come each half second. After 1.3 s, also without a further report, all fillers are suspended until the task has recovered; the pace is sent again 0.3 s after a failure, and when a suspended filler is reported to work (a delayed command). They then speed up by 25 % a report as before. A bounded line, task_over_target, names the task, its tail latency, and the fillers with the paces that they had. The functions on fillers move to scheduler_fillers.cpp unchanged otherwise.

The cases in worker_loss_test.cpp fail when one part of the change is taken out (tried for each of the seven).

--- a/packages/base/include/filbertspring/base/log_event.h
+++ b/packages/base/include/filbertspring/base/log_event.h
@@ -53,6 +53,7 @@
   TaskCrashSuspected = 3020,
   TaskIsolated = 3021,
   TaskGivenUp = 3022,
+  TaskOverTarget = 3026,
 
   PeerConnected = 4001,
   PeerLost = 4002,
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -81,6 +81,9 @@
      "run has settled."},
     {LogEvent::TaskGivenUp, Error, "task_given_up",
      "A task crashed several workers; its job has failed."},
+    {LogEvent::TaskOverTarget, Info, "task_over_target",
+     "A serving task is over its tail latency target for long; the fillers "
+     "beside it are suspended."},
     {LogEvent::PeerConnected, Info, "peer_connected",
      "A stream to another entry instance is open."},
     {LogEvent::PeerLost, Warning, "peer_lost",
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -18,7 +18,11 @@
 /// Shorter waits show sooner that a suspected task has settled, until when its
 /// worker gets no other start.
 constexpr Duration SuspectReportWait = std::chrono::milliseconds(250);
-/// Interval between two checks of all workers for expired leases and drains.
+/// A worker with a serving task over its target reports each new tail latency,
+/// which covers half a second.
+constexpr Duration OverTargetReportWait = std::chrono::milliseconds(450);
+/// Interval between two checks of all workers for expired leases, drains and
+/// fillers to suspend.
 constexpr Duration WorkerCheckInterval = std::chrono::milliseconds(50);
 /// Interval between two stop commands for one run. Several fit into the time
 /// for which a task of a cancelled job may continue to run.
@@ -218,6 +222,8 @@
     Renewal.Wait_ = Worker.FreshSuspects_ > 0
                         ? std::min(SuspectReportWait, Settings_.ReportWait_)
                         : Settings_.ReportWait_;
+  if (Worker.OverTargetSince_)
+    Renewal.Wait_ = std::min(OverTargetReportWait, Renewal.Wait_);
   Worker.IsRenewing_ = true;
   Worker.RenewalSentAt_ = Now;
   Actions_.emplace_back(std::move(Renewal));
@@ -277,6 +283,7 @@
     Impl_->NextWorkerCheckAt_ = Now + WorkerCheckInterval;
     Impl_->expireLeases(Now, ConfirmedAt);
     Impl_->moveFromDrainingWorkers(Now);
+    Impl_->suspendDueFillers(Now);
   }
   if (MaySendCommands)
     Impl_->releaseDueSteps(Now);
--- a/packages/scheduling/src/scheduler_commands.cpp
+++ b/packages/scheduling/src/scheduler_commands.cpp
@@ -105,7 +105,8 @@
       return;
     // A command that is not repeated may still be executed, so a stop follows.
     if (Target.StartsSent_ < MaxStartsSent && Record &&
-        Worker->holdsItsRuns()) {
+        Worker->holdsItsRuns() &&
+        !(Target.IsFiller_ && Worker->OverTargetSince_)) {
       Impl_->sendStart(*Worker, Target, *Record, Now);
       return;
     }
@@ -131,17 +132,4 @@
     Impl_->IsFenced_ = true;
 }
 
-void Scheduler::paceFailed(const std::string &Id, const TaskName &Name,
-                           std::uint64_t Number) {
-  constexpr int UnknownPace = -1;
-  WorkerState *Worker = Impl_->findWorker(Id);
-  if (!Worker)
-    return;
-  auto It = Worker->Runs_.find(Name.text());
-  if (It == Worker->Runs_.end() || It->second.Number_ != Number)
-    return;
-  It->second.PacePercent_ = UnknownPace;
-  Worker->PacedFillerMilliCpu_.reset();
-}
-
 } // namespace filbertspring::scheduling
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -4,7 +4,8 @@
 /// \file
 /// Internal state and functions of the scheduler. Worker reports are processed
 /// in scheduler_reports.cpp, responses to commands in scheduler_commands.cpp;
-/// placement is in scheduler_placement.cpp and storage in scheduler_writes.cpp.
+/// paces are decided in scheduler_fillers.cpp; placement is in
+/// scheduler_placement.cpp and storage in scheduler_writes.cpp.
 
 #include "progress_queue.h"
 #include "worker_state.h"
@@ -152,6 +153,11 @@
   void sendDueRenewals(TimePoint Now, bool MaySendCommands);
   void sendRenewal(WorkerState &Worker, TimePoint Now, bool MayExtendLease);
   void sendStops(TimePoint Now);
+  void noteWorkingSuspended(WorkerState &Worker, TimePoint Now);
+  void suspendFillers(WorkerState &Worker, TimePoint Now);
+  void suspendDueFillers(TimePoint Now);
+  void sendPace(WorkerState &Worker, Run &Target, int PacePercent,
+                TimePoint Now);
   void updatePaces(WorkerState &Worker, TimePoint Now);
   void migrateSlowFillers(WorkerState &Worker, TimePoint Now);
   /// Returns whether a worker other than \p Present could run the task of
@@ -272,6 +278,8 @@
   std::priority_queue<RenewalTime> RenewalTimes_;
   /// Workers that may have a run which waits for a stop command.
   std::set<std::string> WorkersWithStops_;
+  /// Workers with a serving task that is over its target.
+  std::set<std::string> WorkersOverTarget_;
   /// The workers of the present placement pass.
   std::vector<UsableWorker> UsableWorkers_;
   /// Jobs that may have steps to release.
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -320,6 +320,8 @@
       !satisfies(Worker, Request.Isolation_, Now))
     return false;
   const StepSpec &Step = Request.Step_;
+  if (Step.IsFiller_ && Worker.OverTargetSince_)
+    return false;
   const std::vector<std::string> &Labels = Entry.Labels_;
   if (!Step.RequiredLabel_.empty() &&
       std::find(Labels.begin(), Labels.end(), Step.RequiredLabel_) ==
@@ -431,7 +433,8 @@
     bool IsUsable = Worker->IsRegistered_ && Worker->isReachable() &&
                     Worker->ClockMs_ && !Worker->Entry_.IsDraining_ &&
                     !ClosedZones_.contains(Worker->Entry_.Zone_) &&
-                    Worker->holdsItsRuns();
+                    Worker->holdsItsRuns() &&
+                    !(It->second.IsFiller_ && Worker->OverTargetSince_);
     if (IsUsable) {
       It->second.Phase_ = RunPhase::StartSent;
       sendStart(*Worker, It->second, *Record, Now);
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -1,7 +1,6 @@
 #include "scheduler_impl.h"
 
 #include <algorithm>
-#include <cstdlib>
 
 namespace filbertspring::scheduling {
 namespace {
@@ -22,43 +21,6 @@
 /// Interval between two renewals that are sent to find out whether the lease of
 /// a worker has expired by its own clock.
 constexpr Duration ExpiredRetryInterval = std::chrono::milliseconds(100);
-/// Reported tail latencies cover half a second, so each half second is used
-/// only once.
-constexpr Duration MinModelUpdateInterval = std::chrono::milliseconds(450);
-/// A filler below this pace is moved to another worker ...
-constexpr int SlowPacePercent = 50;
-/// ... after this time, which is longer than a move takes (kill, report,
-/// start).
-constexpr Duration MinSlowTime = std::chrono::milliseconds(900);
-/// A filler with a pace of 0 for this long is stopped even if no other worker
-/// is available.
-constexpr Duration MaxSuspendedTime = std::chrono::milliseconds(1500);
-/// After a tail latency has been over its target for this long, all fillers on
-/// the worker are suspended. Two more reports arrive before the four seconds
-/// that users tolerate have passed.
-constexpr Duration MaxOverTargetTime = std::chrono::milliseconds(1400);
-/// Smaller changes of a pace, in percent of full speed, are not sent. Reports
-/// vary, so most increases are taken back by the next report.
-constexpr int MinPaceChange = 10;
-constexpr int MinPartialPaceIncrease = 20;
-
-/// Returns whether the change of a pace is too small to be sent.
-bool isSmallChange(int Present, int New) {
-  bool IsPartialIncrease = New > Present && New < 100;
-  return std::abs(New - Present) <
-         (IsPartialIncrease ? MinPartialPaceIncrease : MinPaceChange);
-}
-
-/// Returns whether a serving task has been over its target for so long that all
-/// fillers on the worker must be suspended.
-bool isOverTargetTooLong(const WorkerState &Worker, TimePoint Now) {
-  return std::any_of(
-      Worker.Runs_.begin(), Worker.Runs_.end(), [Now](const auto &Entry) {
-        const Run &ActiveRun = Entry.second;
-        return ActiveRun.OverTargetSince_ &&
-               Now - *ActiveRun.OverTargetSince_ >= MaxOverTargetTime;
-      });
-}
 
 } // namespace
 
@@ -305,92 +267,4 @@
   }
 }
 
-/// Updates the interference model and the paces from the tail latencies that a
-/// worker reported.
-void Scheduler::Impl::observeTailLatencies(WorkerState &Worker, TimePoint Now) {
-  std::vector<FillerShare> Fillers;
-  for (const auto &[Text, ActiveRun] : Worker.Runs_)
-    if (ActiveRun.IsFiller_ && ActiveRun.Load_ > 0)
-      Fillers.push_back(
-          {ActiveRun.Image_, ActiveRun.Load_ / Worker.milliCpu()});
-  // While tasks end, reports are more frequent than new tail latencies.
-  if (Worker.ModelUpdatedAt_ + MinModelUpdateInterval > Worker.ClockAt_)
-    return;
-  Worker.ModelUpdatedAt_ = Worker.ClockAt_;
-  Worker.Headroom_.clear();
-  Worker.Flexibility_.reset();
-  for (auto &[Text, ActiveRun] : Worker.Runs_) {
-    bool IsOverTarget = ActiveRun.IsLongRunning_ &&
-                        ActiveRun.TailLatencyTarget_ > Duration::zero() &&
-                        ActiveRun.Load_ * std::chrono::milliseconds(1) >
-                            ActiveRun.TailLatencyTarget_;
-    if (!IsOverTarget)
-      ActiveRun.OverTargetSince_.reset();
-    else if (!ActiveRun.OverTargetSince_)
-      ActiveRun.OverTargetSince_ = Now;
-  }
-  for (const auto &[Text, ActiveRun] : Worker.Runs_)
-    if (ActiveRun.IsLongRunning_ && ActiveRun.Load_ > 0)
-      Model_.observe(ActiveRun.Image_, ActiveRun.Load_, Fillers);
-  updatePaces(Worker, Now);
-  migrateSlowFillers(Worker, Now);
-}
-
-/// Sends new paces to the fillers of a worker.
-void Scheduler::Impl::updatePaces(WorkerState &Worker, TimePoint Now) {
-  std::vector<ServingSample> Serving = Worker.servingSamples();
-  std::vector<FillerSample> Fillers = Worker.fillerSamples();
-  std::vector<int> Paces = choosePaces(Model_, Serving, Fillers);
-  if (isOverTargetTooLong(Worker, Now))
-    std::fill(Paces.begin(), Paces.end(), 0);
-  auto Pace = Paces.begin();
-  for (auto &[Text, ActiveRun] : Worker.Runs_) {
-    if (!ActiveRun.IsFiller_)
-      continue;
-    int PacePercent = *Pace++;
-    if (PacePercent >= SlowPacePercent)
-      ActiveRun.SlowSince_.reset();
-    else if (!ActiveRun.SlowSince_)
-      ActiveRun.SlowSince_ = Now;
-    if (ActiveRun.Phase_ != RunPhase::Confirmed)
-      continue;
-    if (ActiveRun.PacePercent_ > 0 && PacePercent > 0 &&
-        isSmallChange(ActiveRun.PacePercent_, PacePercent))
-      continue;
-    if (PacePercent == ActiveRun.PacePercent_)
-      continue;
-    ActiveRun.PacePercent_ = PacePercent;
-    Worker.PacedFillerMilliCpu_.reset();
-    Actions_.emplace_back(PaceTask{Worker.Entry_.Id_, Worker.Entry_.Address_,
-                                   ActiveRun.Name_, ActiveRun.Number_,
-                                   PacePercent});
-  }
-}
-
-/// Moves a filler that has to be slow on this worker to one where it can run
-/// faster, by stopping it; a stop saves its progress.
-void Scheduler::Impl::migrateSlowFillers(WorkerState &Worker, TimePoint Now) {
-  for (auto &[Text, ActiveRun] : Worker.Runs_) {
-    bool IsMovable = ActiveRun.IsFiller_ && ActiveRun.SavesProgress_ &&
-                     ActiveRun.Phase_ == RunPhase::Confirmed &&
-                     ActiveRun.SlowSince_ &&
-                     Now - *ActiveRun.SlowSince_ >= MinSlowTime;
-    if (!IsMovable)
-      continue;
-    // A suspended filler is stopped in any case and makes way for fillers that
-    // can run on this worker.
-    bool IsSuspended = ActiveRun.PacePercent_ == 0 &&
-                       Now - *ActiveRun.SlowSince_ >= MaxSuspendedTime;
-    if (!IsSuspended && !hasBetterWorker(Worker, ActiveRun, Now))
-      continue;
-    JobRecord *Record = findJob(ActiveRun.Name_.Job_);
-    if (!Record)
-      continue;
-    Record->Job_.find(ActiveRun.Name_)->LastFailedWorker_ = Worker.Entry_.Id_;
-    requestStop(Worker, ActiveRun, Now);
-    // One at a time: the other fillers may speed up without it.
-    return;
-  }
-}
-
 } // namespace filbertspring::scheduling
--- a/packages/scheduling/src/worker_state.cpp
+++ b/packages/scheduling/src/worker_state.cpp
@@ -55,7 +55,10 @@
   if (Dropped.IsFiller_)
     FillerMilliCpu_ -= Dropped.RequestedMilliCpu_;
   countFresh(Dropped, -1);
+  bool IsLongRunning = Dropped.IsLongRunning_;
   Runs_.erase(It);
+  if (IsLongRunning)
+    refreshOverTarget();
 }
 
 void WorkerState::dropAllRuns() {
@@ -68,6 +71,7 @@
   FreshSuspects_ = 0;
   YoungRuns_ = 0;
   ServingImages_.clear();
+  OverTargetSince_.reset();
   Flexibility_.reset();
   Headroom_.clear();
   PacedFillerMilliCpu_.reset();
@@ -131,6 +135,15 @@
   return Samples;
 }
 
+void WorkerState::refreshOverTarget() {
+  OverTargetSince_.reset();
+  for (const auto &[Text, ActiveRun] : Runs_) {
+    std::optional<TimePoint> Since = ActiveRun.Target_.overSince();
+    if (Since && (!OverTargetSince_ || *Since < *OverTargetSince_))
+      OverTargetSince_ = Since;
+  }
+}
+
 double WorkerState::pacedFillerMilliCpu() const {
   if (PacedFillerMilliCpu_)
     return *PacedFillerMilliCpu_;
--- a/packages/scheduling/src/worker_state.h
+++ b/packages/scheduling/src/worker_state.h
@@ -8,6 +8,7 @@
 #include "filbertspring/scheduling/pacing.h"
 #include "filbertspring/scheduling/scheduler.h"
 #include "filbertspring/scheduling/worker.h"
+#include "target_watch.h"
 
 #include <deque>
 #include <map>
@@ -67,9 +68,9 @@
   std::string Checkpoint_;
   double Percent_ = 0;
   double Load_ = 0;
-  /// Since when the tail latency has been over its target in each report.
-  std::optional<TimePoint> OverTargetSince_;
+  TargetWatch Target_;
   int PacePercent_ = 100;
+  TimePoint PaceSentAt_{};
   bool SavesProgress_ = false;
   /// Since when the pace has been so low that the filler should move to another
   /// worker.
@@ -138,6 +139,9 @@
   /// The time of the last report that was used to update the interference
   /// model, the runs' tail latency states and the paces.
   TimePoint ModelUpdatedAt_{};
+  /// Since when a serving task has been over its target. Until it has recovered
+  /// the worker gets no fillers.
+  std::optional<TimePoint> OverTargetSince_;
   /// The time of the last report that left the worker without runs.
   TimePoint LastIdleReportAt_{};
   /// Until when tasks may run under leases of this tenure.
@@ -158,6 +162,9 @@
   TimePoint LastStartAt_{};
   /// Another incarnation was seen at its address.
   bool HasEnded_ = false;
+  /// A serving task has been over its target for so long that the fillers are
+  /// suspended until it has recovered.
+  bool AreFillersSuspended_ = false;
   /// When the first of the failed renewals failed.
   TimePoint UnreachableSince_{};
   /// Until then only suspected tasks are started.
@@ -214,6 +221,8 @@
   /// refers to strings of the runs and is invalidated when these are removed.
   std::vector<ServingSample> servingSamples() const;
   std::vector<FillerSample> fillerSamples() const;
+  /// Sets OverTargetSince_ from the runs.
+  void refreshOverTarget();
   /// Returns the thousandths of a processor that the fillers may use at their
   /// present paces.
   double pacedFillerMilliCpu() const;
--- a/packages/scheduling/tests/worker_loss_test.cpp
+++ b/packages/scheduling/tests/worker_loss_test.cpp
@@ -7,6 +7,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <array>
 #include <set>
 
 namespace filbertspring::scheduling::test {
@@ -180,6 +182,29 @@
     step(500ms);
   }
 
+  /// Reports that the fillers are harmless, so that they are not expected to be
+  /// the cause later.
+  void reportHarmlessFillers() {
+    for (int Report = 0; Report < 40; ++Report)
+      report(5);
+  }
+
+  bool areSuspended() const {
+    return std::all_of(Fillers_.begin(), Fillers_.end(), [this](auto *Filler) {
+      auto Pace = Paces_.find(Filler);
+      return Pace != Paces_.end() && Pace->second == 0;
+    });
+  }
+
+  void submitLateFiller() {
+    StepSpec Filler = task(1, 1000);
+    Filler.Image_ = "filler";
+    Filler.IsFiller_ = true;
+    submit("late", {Filler});
+  }
+
+  std::array<const char *, 3> Fillers_{"fillers.0.0.0", "fillers.0.0.1",
+                                       "fillers.0.0.2"};
   std::set<std::string> Running_;
 };
 
@@ -230,6 +255,88 @@
   BOOST_TEST(Paces_[Filler.Name_.text()] == 0);
 }
 
+BOOST_FIXTURE_TEST_CASE(stops_fillers_again_that_work_on, CellWithFillers) {
+  for (int Report = 0; Report < 5; ++Report)
+    report(20);
+  Paces_.clear();
+  for (int Report = 0; Report < 3; ++Report)
+    report(20);
+  BOOST_TEST(areSuspended());
+}
+
+BOOST_FIXTURE_TEST_CASE(stops_them_also_if_no_further_report_arrives,
+                        CellWithFillers) {
+  reportHarmlessFillers();
+  report(20);
+  BOOST_REQUIRE(!areSuspended());
+  for (int Step = 0; Step < 20; ++Step)
+    step(100ms);
+  BOOST_TEST(areSuspended());
+}
+
+BOOST_FIXTURE_TEST_CASE(stops_them_also_if_every_other_report_is_far_under_it,
+                        CellWithFillers) {
+  reportHarmlessFillers();
+  for (double Tail : {20.0, 5.0, 20.0, 5.0, 20.0})
+    report(Tail);
+  BOOST_TEST(areSuspended());
+}
+
+BOOST_FIXTURE_TEST_CASE(reports_each_half_second, CellWithFillers) {
+  report(20);
+  BOOST_REQUIRE(!Renewals_.empty());
+  BOOST_TEST((Renewals_.back().Wait_ <= 500ms));
+}
+
+BOOST_FIXTURE_TEST_CASE(gets_no_filler_until_it_has_recovered,
+                        CellWithFillers) {
+  reportHarmlessFillers();
+  report(20);
+  submitLateFiller();
+  Now_ += 100ms;
+  Scheduler_.advance(Now_, 0, Now_, true);
+  Scheduler_.place(Now_);
+  BOOST_TEST(Scheduler_.counts().PlacedTasks_ == 4);
+  report(20);
+  report(5);
+  BOOST_TEST(Starts_.size() == 4);
+  report(5);
+  step();
+  BOOST_TEST(Starts_.size() == 5);
+}
+
+BOOST_FIXTURE_TEST_CASE(gets_no_filler_that_was_planned_before,
+                        CellWithFillers) {
+  reportHarmlessFillers();
+  submitLateFiller();
+  Now_ += 20ms;
+  Scheduler_.advance(Now_, 0, Now_, true);
+  Scheduler_.place(Now_);
+  PendingWrites Writes = Scheduler_.takeWrites(90);
+  BOOST_REQUIRE(Scheduler_.counts().PlacedTasks_ == 5);
+  RunningTasks_["w1"].front().Load_ = 20;
+  answerRenewals();
+  Scheduler_.writesStored(Writes, Now_);
+  collect();
+  BOOST_TEST(Starts_.size() == 4);
+}
+
+BOOST_FIXTURE_TEST_CASE(gets_no_second_start_of_a_filler_without_an_answer,
+                        CellWithFillers) {
+  reportHarmlessFillers();
+  submitLateFiller();
+  step();
+  BOOST_REQUIRE(Starts_.size() == 5);
+  const StartTask Late = Starts_.back();
+  report(20);
+  Scheduler_.startAnswered("w1", Late.Name_, Late.Run_, CallOutcome::NoAnswer,
+                           Now_);
+  step();
+  BOOST_TEST(Starts_.size() == 5);
+  BOOST_REQUIRE(Stops_.size() == 1);
+  BOOST_TEST(Stops_.front().Name_.text() == Late.Name_.text());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace filbertspring::scheduling::test
