--- a/packages/base/include/filbertspring/base/log_event.h
+++ b/packages/base/include/filbertspring/base/log_event.h
@@ -57,6 +57,7 @@
   TaskWaits = 3023,
   StartsLimited = 3024,
   StartsUnlimited = 3025,
+  TaskOverTarget = 3026,
 
   PeerConnected = 4001,
   PeerLost = 4002,
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -91,6 +91,9 @@
      "The event loop of the cell's owner is late; it starts fewer tasks."},
     {LogEvent::StartsUnlimited, Info, "starts_unlimited",
      "The event loop of the cell's owner keeps up; starts are not limited."},
+    {LogEvent::TaskOverTarget, Info, "task_over_target",
+     "A serving task is over its tail latency target for long; the fillers "
+     "beside it are suspended."},
     {LogEvent::PeerConnected, Info, "peer_connected",
      "A stream to another entry instance is open."},
     {LogEvent::PeerLost, Warning, "peer_lost",
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -4,7 +4,8 @@
 /// \file
 /// Internal state and functions of the scheduler. Worker reports are processed
 /// in scheduler_reports.cpp, responses to commands in scheduler_commands.cpp;
-/// placement is in scheduler_placement.cpp and storage in scheduler_writes.cpp.
+/// paces are decided in scheduler_fillers.cpp; placement is in
+/// scheduler_placement.cpp and storage in scheduler_writes.cpp.
 
 #include "progress_queue.h"
 #include "worker_state.h"
@@ -188,6 +189,11 @@
   void sendDueRenewals(TimePoint Now, bool MaySendCommands);
   void sendRenewal(WorkerState &Worker, TimePoint Now, bool MayExtendLease);
   void sendStops(TimePoint Now);
+  void noteWorkingSuspended(WorkerState &Worker, TimePoint Now);
+  void suspendFillers(WorkerState &Worker, TimePoint Now);
+  void suspendDueFillers(TimePoint Now);
+  void sendPace(WorkerState &Worker, Run &Target, int PacePercent,
+                TimePoint Now);
   void updatePaces(WorkerState &Worker, TimePoint Now);
   void migrateSlowFillers(WorkerState &Worker, TimePoint Now);
   /// Returns whether a worker other than \p Present could run the task of
@@ -338,6 +344,8 @@
   /// How many more tasks the present placement pass may place.
   std::size_t StartsLeft_ = 0;
   std::uint64_t ConsideredWorkers_ = 0;
+  /// Workers with a serving task that is over its target.
+  std::set<std::string> WorkersOverTarget_;
   /// The workers of the present placement pass.
   std::vector<UsableWorker> UsableWorkers_;
   /// The workers that are reserved for a job in the present placement pass, and
