Placement passes with many starts are not delayed

Suspected cause: after each pass, four times its time went by before the next one, also if it placed 450 tasks and took its time for them.

The time of a pass that is due to its starts, 0.5 ms each, no longer counts; a pass that places little is followed by the same pause as before.

--- a/packages/scheduling/include/filbertspring/scheduling/start_admission.h
+++ b/packages/scheduling/include/filbertspring/scheduling/start_admission.h
@@ -22,8 +22,8 @@
 /// Starts are not limited before the loop has been late for some time. Then the
 /// rate begins below that of the last seconds; it falls while the loop is late
 /// and rises while it is not, and the limit ends once it has not been used up
-/// for a while. Also bounds the part of the time that placement passes take.
-/// Uses no clock.
+/// for a while. Also bounds the part of the time that placement passes with few
+/// starts take. Uses no clock.
 class StartAdmission {
 public:
   /// Adapts the limit. To be called several times a second. \p LoopDelay: how
--- a/packages/scheduling/src/start_admission.cpp
+++ b/packages/scheduling/src/start_admission.cpp
@@ -42,8 +42,12 @@
 constexpr double MinPassStarts = 4;
 /// Starts that were not used add up over this time.
 constexpr Duration BurstTime = std::chrono::milliseconds(250);
-/// After a placement pass, this multiple of its time passes before the next
-/// one, so that passes take at most a fifth of the time.
+/// The time of a placement pass that is due to each of its starts; each of them
+/// compares all workers of a large cell.
+constexpr Duration PassTimeOfStart = std::chrono::microseconds(500);
+/// After a placement pass, this multiple of the rest of its time passes before
+/// the next one, so that passes without starts take at most a fifth of the
+/// time.
 constexpr int PassPause = 4;
 /// Bounds the pause after a pass in which the process was stopped.
 constexpr Duration MaxPassPause = std::chrono::milliseconds(250);
@@ -123,7 +127,9 @@
 
 void StartAdmission::placed(TimePoint Now, std::size_t Starts, Duration Took) {
   PeriodStarts_ += Starts;
-  NextPassAt_ = Now + Took + std::min(PassPause * Took, MaxPassPause);
+  Duration OfStarts = PassTimeOfStart * static_cast<Duration::rep>(Starts);
+  Duration Rest = std::max(Took - OfStarts, Duration::zero());
+  NextPassAt_ = Now + Took + std::min(PassPause * Rest, MaxPassPause);
   if (!IsLimited_)
     return;
   NextPassAt_ = std::max(NextPassAt_, Now + PassInterval);
