--- a/packages/scheduling/src/interference.cpp
+++ b/packages/scheduling/src/interference.cpp
@@ -39,7 +39,8 @@
 /// Hashes texts of any type. Effects are looked up for each pair of images on
 /// each worker, so the lookups must not copy or compare many names.
 struct TextHash {
-  using is_transparent = void;
+  // The name that the standard library requires.
+  using is_transparent = void; // NOLINT(readability-identifier-naming)
   std::size_t operator()(std::string_view Text) const {
     return std::hash<std::string_view>{}(Text);
   }
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -18,6 +18,10 @@
 
 namespace filbertspring::scheduling {
 
+/// Maximum number of tasks in one row of the journal, which bounds the time
+/// that a transaction takes to encode.
+inline constexpr std::size_t MaxJournalTasks = 450;
+
 /// A job and the scheduler's own data about it.
 struct JobRecord {
   Job Job_;
@@ -107,6 +111,38 @@
   Isolation Isolation_ = Isolation::None;
 };
 
+/// Why a worker does not get a task.
+enum class Obstacle {
+  /// Not registered, draining, unreachable, or in a closed zone.
+  NotUsable,
+  /// Another service, or without the required label.
+  NotAllowed,
+  /// Its runs leave too little of its capacity.
+  NoCapacity,
+  /// Quarantined, or avoided for a moment after a failed command.
+  Avoided,
+  /// It executes a run of an unknown job.
+  UnknownRun,
+  /// Too many start commands are outstanding.
+  StartsInFlight,
+  /// A suspected task has not settled on it.
+  FreshSuspect,
+  /// It is reserved for suspected tasks.
+  Reserved,
+  /// The task has to be isolated, and other runs have not settled.
+  NotIsolated,
+  /// It has as many tasks of the step as are allowed, or a run of the task.
+  StepLimit,
+  /// Fillers would use more processors than it has.
+  Utilization,
+  /// A filler may violate a tail latency target.
+  Interference,
+};
+
+/// Returns whether \p Waiting has waited for so long that a worker is reserved
+/// for it.
+bool hasWaitedForCapacity(const Task &Waiting, TimePoint Now);
+
 /// Requests for which no worker was found in the present placement pass. Free
 /// capacity only decreases during a pass, so a request for at least as much can
 /// be skipped.
@@ -175,9 +211,9 @@
   void forgetLostRuns(WorkerState &Worker);
   void countPendingLosses(const WorkerState &Worker, int Change);
   bool hasCrashedSinceStored(const std::string &Id);
-  /// Returns whether most workers of the zone of \p Crashed were lost when it
-  /// was.
-  bool isZoneLost(const WorkerState &Crashed) const;
+  /// Returns whether most workers of the zone or of the rack of \p Crashed were
+  /// lost when it was. Linear in the number of workers.
+  bool isGroupLost(const WorkerState &Crashed) const;
   /// Returns how often \p Worker has crashed lately, except because of tasks
   /// that were given up.
   std::uint32_t unexplainedCrashes(const WorkerState &Worker,
@@ -219,20 +255,47 @@
 
   // Placement.
   void releaseDueSteps(TimePoint Now);
-  void placeWaitingTasks(TimePoint Now);
+  std::size_t placeWaitingTasks(TimePoint Now, std::size_t MaxStarts);
   void findUsableWorkers(TimePoint Now);
   /// Places the waiting tasks of a job that are suspected, or the others.
   void placeJob(JobRecord &Record, const Queue *Policy, bool AreSuspected,
                 TimePoint Now);
   /// Reserves a worker for a suspected task, so that its runs settle.
   void reserveWorker(const PlacementRequest &Request, TimePoint Now);
+  /// Ends the reservations of capacity of the last placement pass.
+  void releaseReservations();
+  /// Reserves a worker for a task until the end of this placement pass, so that
+  /// the capacity that its runs release is not taken by smaller tasks of later
+  /// jobs. Linear in the number of usable workers.
+  void reserveCapacity(const PlacementRequest &Request, TimePoint Now);
+  /// Returns the fraction of the capacity of \p Worker that its runs have to
+  /// release before it can take a task of \p Request; nothing if its
+  /// long-running tasks leave too little, or it cannot take the task for other
+  /// reasons.
+  std::optional<double> missingCapacity(WorkerState &Worker,
+                                        const PlacementRequest &Request,
+                                        TimePoint Now) const;
   void placeStep(JobRecord &Record, const std::string &Service,
                  std::span<const std::uint32_t> Slots, TimePoint Now);
-  /// Returns whether \p Worker gets tasks now.
-  bool isUsable(const WorkerState &Worker, TimePoint Now) const;
-  /// Returns whether \p Worker may get a task of \p Request now.
+  /// Returns why \p Worker gets no tasks now.
+  std::optional<Obstacle> findObstacle(const WorkerState &Worker,
+                                       TimePoint Now) const;
+  /// Returns why \p Worker may not get a task of \p Request now.
+  std::optional<Obstacle> findObstacle(const WorkerState &Worker,
+                                       const PlacementRequest &Request,
+                                       TimePoint Now) const;
+  bool isUsable(const WorkerState &Worker, TimePoint Now) const {
+    return !findObstacle(Worker, Now);
+  }
   bool isEligible(const WorkerState &Worker, const PlacementRequest &Request,
-                  TimePoint Now) const;
+                  TimePoint Now) const {
+    return !findObstacle(Worker, Request, Now);
+  }
+  /// Returns why \p Worker gets no filler of \p Step although it is eligible.
+  std::optional<Obstacle> findFillerObstacle(WorkerState &Worker,
+                                             const StepSpec &Step) const;
+  /// Logs, once a second, why the task that has waited longest is not placed.
+  void reportWaits(TimePoint Now);
   std::optional<double> placementCost(WorkerState &Worker,
                                       const StepSpec &Step) const;
   double headroom(WorkerState &Worker, const std::string &Image) const;
@@ -272,8 +335,17 @@
   std::priority_queue<RenewalTime> RenewalTimes_;
   /// Workers that may have a run which waits for a stop command.
   std::set<std::string> WorkersWithStops_;
+  /// How many more tasks the present placement pass may place.
+  std::size_t StartsLeft_ = 0;
+  std::uint64_t ConsideredWorkers_ = 0;
   /// The workers of the present placement pass.
   std::vector<UsableWorker> UsableWorkers_;
+  /// The workers that are reserved for a job in the present placement pass, and
+  /// those of the last pass. By job.
+  std::unordered_map<std::string, std::string> Reservations_;
+  std::unordered_map<std::string, std::string> PreviousReservations_;
+  /// Jobs for which a worker may still be searched in this placement pass.
+  std::size_t ReservationSearchesLeft_ = 0;
   /// Jobs that may have steps to release.
   std::set<std::string> JobsToRelease_;
   std::set<std::string> JobsWithWaitingTasks_;
@@ -306,6 +378,7 @@
   /// Ends were processed since the last transaction was taken.
   bool HasNewEnds_ = false;
   TimePoint NextPlacementAt_{};
+  TimePoint NextWaitReportAt_{};
   TimePoint NextWorkerCheckAt_{};
 };
 
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -12,12 +12,6 @@
 /// Interval between placement passes without an event, for tasks that are not
 /// to be placed before a certain time.
 constexpr Duration PlacementInterval = std::chrono::milliseconds(100);
-/// Average fraction of its processor request that a long-running task uses; the
-/// rest is available to fillers.
-constexpr double LongRunningCpuUsage = 0.5;
-/// Maximum processor utilization of a worker that fillers may lead to, as a
-/// fraction; more fillers would only slow each other down.
-constexpr double MaxFillerUtilization = 1.0;
 /// Cost of each other serving image on a worker, in units of a fully used
 /// worker. Concentrates the tasks of one image, which leaves workers without
 /// that image to the fillers that interfere with it.
@@ -32,24 +26,17 @@
 /// Cost for a suspected task of a worker with runs that may be the cause of its
 /// next crash, too.
 constexpr double YoungRunsCost = 10.0;
-/// How long a worker is reserved for suspected tasks. Its other runs settle
-/// before.
-constexpr Duration ReservationTime = std::chrono::milliseconds(2000);
-constexpr Duration LongReservationTime = std::chrono::milliseconds(5000);
-/// Reserved workers are at most this fraction of all, which bounds the capacity
-/// that is left unused.
-constexpr std::size_t ReservedDivisor = 4;
-/// A job that takes longer than this multiple of its objective has no value for
-/// its caller.
-constexpr int WorthlessFactor = 3;
 /// Cost of a worker on a rack that does not hold the data, in units of a fully
 /// used worker.
 constexpr double RemoteDataCost = 2.0;
 
-/// Returns whether a task that requires \p Needed may be started beside the
-/// runs of \p Worker.
-bool satisfies(const WorkerState &Worker, Isolation Needed, TimePoint Now) {
-  switch (Needed) {
+/// Returns whether the reservations and the other runs of \p Worker allow for a
+/// task of \p Request.
+bool satisfies(const WorkerState &Worker, const PlacementRequest &Request,
+               TimePoint Now) {
+  if (!Worker.ReservedJob_.empty() && Worker.ReservedJob_ != Request.Name_.Job_)
+    return false;
+  switch (Request.Isolation_) {
   case Isolation::None:
     return Worker.ReservedUntil_ <= Now;
   case Isolation::Settled:
@@ -116,9 +103,17 @@
   }
 }
 
-void Scheduler::Impl::placeWaitingTasks(TimePoint Now) {
+std::size_t Scheduler::Impl::placeWaitingTasks(TimePoint Now,
+                                               std::size_t MaxStarts) {
   if (!NeedsPlacement_ && Now < NextPlacementAt_)
-    return;
+    return 0;
+  // Tasks that are placed now are stored after those placed before, whatever
+  // their rank.
+  std::size_t Unstored = std::min(PlannedRuns_.size(), MaxJournalTasks);
+  std::size_t Limit = std::min(MaxStarts, MaxJournalTasks - Unstored);
+  NeedsPlacement_ = true;
+  if (Limit == 0)
+    return 0;
   NeedsPlacement_ = false;
   NextPlacementAt_ = Now + PlacementInterval;
 
@@ -144,13 +139,25 @@
               return Left.Rank_ < Right.Rank_;
             });
   Unplaceable_.clear();
+  releaseReservations();
   findUsableWorkers(Now);
-  // Suspected tasks get the few workers on which all runs have settled.
+  // Suspected tasks get the few workers on which all runs have settled. They
+  // leave starts to the others, which may be more urgent.
+  std::size_t SuspectLimit = (Limit + 1) / 2;
+  StartsLeft_ = SuspectLimit;
   for (const Candidate &Waiting : Candidates)
     if (JobsWithSuspects_.contains(Waiting.Record_->Job_.accepted().Id_))
       placeJob(*Waiting.Record_, Waiting.Policy_, true, Now);
-  for (const Candidate &Waiting : Candidates)
+  bool IsCutShort = StartsLeft_ == 0;
+  StartsLeft_ += Limit - SuspectLimit;
+  for (const Candidate &Waiting : Candidates) {
+    if (StartsLeft_ == 0)
+      break;
     placeJob(*Waiting.Record_, Waiting.Policy_, false, Now);
+  }
+  reportWaits(Now);
+  NeedsPlacement_ = IsCutShort || StartsLeft_ == 0;
+  return Limit - StartsLeft_;
 }
 
 /// Collects the workers that can get a task at all, with their free capacity.
@@ -178,14 +185,12 @@
         isSuspected(TheJob.at(Slot).Progress_) == AreSuspected)
       Slots.push_back(Slot);
   auto IsOtherStep = [&](std::uint32_t Left, std::uint32_t Right) {
-    TaskName First = TheJob.nameOf(Left);
-    TaskName Second = TheJob.nameOf(Right);
-    return First.Occurrence_ != Second.Occurrence_ ||
-           First.Step_ != Second.Step_ ||
+    return Right >= TheJob.endOfStep(Left) ||
            neededIsolation(TheJob.at(Left), Now) !=
                neededIsolation(TheJob.at(Right), Now);
   };
-  for (auto StepBegin = Slots.begin(); StepBegin != Slots.end();) {
+  for (auto StepBegin = Slots.begin();
+       StepBegin != Slots.end() && StartsLeft_ > 0;) {
     auto StepEnd =
         std::find_if(StepBegin, Slots.end(), [&](std::uint32_t Slot) {
           return IsOtherStep(*StepBegin, Slot);
@@ -208,8 +213,14 @@
       {},   Step.Request_, neededIsolation(TheJob.at(Slots.front()), Now)};
   if (Step.IsFiller_)
     Request.Needed_.MilliCpu_ = 0;
-  if (Unplaceable_.covers(Request))
+  bool HasWaited = hasWaitedForCapacity(TheJob.at(Slots.front()), Now);
+  // A worker that was reserved for the job may have capacity for it by now.
+  if (!PreviousReservations_.contains(First.Job_) &&
+      Unplaceable_.covers(Request)) {
+    if (HasWaited)
+      reserveCapacity(Request, Now);
     return;
+  }
   struct Offer {
     double Cost_;
     WorkerState *Worker_;
@@ -229,13 +240,20 @@
       std::push_heap(Offers.begin(), Offers.end());
     }
   };
+  bool HasRoom = false;
   for (const UsableWorker &Usable : UsableWorkers_)
-    if (Usable.Free_.fits({}, Request.Needed_))
+    if (Usable.Free_.fits({}, Request.Needed_)) {
+      HasRoom = true;
       AddOffer(*Usable.Worker_);
-  // A step with a limit per worker may fail where others succeed.
-  if (Offers.empty() && Step.MaxPerWorker_ == 0)
+    }
+  ConsideredWorkers_ += UsableWorkers_.size();
+  // A step with a limit per worker may fail where others succeed, but not if
+  // there is no room.
+  if (!HasRoom || (Offers.empty() && Step.MaxPerWorker_ == 0))
     Unplaceable_.add(Request);
   for (std::uint32_t Slot : Slots) {
+    if (StartsLeft_ == 0)
+      return;
     TaskName Name = TheJob.nameOf(Slot);
     Task &Waiting = TheJob.at(Slot);
     std::string Text = Name.text();
@@ -262,10 +280,13 @@
     }
     if (!Chosen && IsIsolated)
       reserveWorker(Request, Now);
+    else if (!Chosen && HasWaited)
+      reserveCapacity(Request, Now);
     if (!Chosen)
       return;
     bool IsAlone = IsIsolated && canIsolate(*Chosen, Now);
     planRun(*Chosen, Record, Name, Waiting);
+    --StartsLeft_;
     Chosen->Runs_.at(Text).IsIsolated_ = IsAlone;
     if (IsIsolated)
       recordEvent(LogEvent::TaskIsolated,
@@ -275,60 +296,53 @@
   }
 }
 
-void Scheduler::Impl::reserveWorker(const PlacementRequest &Request,
-                                    TimePoint Now) {
-  std::size_t Reserved = 0;
-  WorkerState *Best = nullptr;
-  auto IsWorse = [this, Now](const WorkerState &Left,
-                             const WorkerState &Right) {
-    return std::pair(unexplainedCrashes(Left, Now), Left.YoungRuns_) >
-           std::pair(unexplainedCrashes(Right, Now), Right.YoungRuns_);
-  };
-  PlacementRequest Relaxed = Request;
-  Relaxed.Isolation_ = Isolation::None;
-  for (const UsableWorker &Usable : UsableWorkers_) {
-    WorkerState &Worker = *Usable.Worker_;
-    if (Worker.ReservedUntil_ > Now) {
-      ++Reserved;
-      continue;
-    }
-    if (isEligible(Worker, Relaxed, Now) && (!Best || IsWorse(*Best, Worker)))
-      Best = &Worker;
-  }
-  if (Best && Reserved <= UsableWorkers_.size() / ReservedDivisor)
-    Best->ReservedUntil_ = Now + (Request.Isolation_ == Isolation::LongSettled
-                                      ? LongReservationTime
-                                      : ReservationTime);
-}
-
-bool Scheduler::Impl::isUsable(const WorkerState &Worker, TimePoint Now) const {
+std::optional<Obstacle> Scheduler::Impl::findObstacle(const WorkerState &Worker,
+                                                      TimePoint Now) const {
   const WorkerEntry &Entry = Worker.Entry_;
-  return Worker.IsRegistered_ && Worker.IsStored_ && Worker.isReachable() &&
-         !Worker.IsExpired_ && !Entry.IsDraining_ && Worker.ClockMs_ &&
-         Worker.AvoidUntil_ <= Now && Worker.UnknownRuns_ == 0 &&
-         Worker.StartsInFlight_ < MaxStartsInFlight &&
-         Worker.FreshSuspects_ == 0 && !ClosedZones_.contains(Entry.Zone_);
+  if (!Worker.IsRegistered_ || !Worker.IsStored_ || !Worker.isReachable() ||
+      Worker.IsExpired_ || Entry.IsDraining_ || !Worker.ClockMs_ ||
+      ClosedZones_.contains(Entry.Zone_))
+    return Obstacle::NotUsable;
+  if (Worker.AvoidUntil_ > Now)
+    return Obstacle::Avoided;
+  if (Worker.UnknownRuns_ > 0)
+    return Obstacle::UnknownRun;
+  if (Worker.StartsInFlight_ >= MaxStartsInFlight)
+    return Obstacle::StartsInFlight;
+  if (Worker.FreshSuspects_ > 0)
+    return Obstacle::FreshSuspect;
+  return std::nullopt;
 }
 
-bool Scheduler::Impl::isEligible(const WorkerState &Worker,
-                                 const PlacementRequest &Request,
-                                 TimePoint Now) const {
+std::optional<Obstacle>
+Scheduler::Impl::findObstacle(const WorkerState &Worker,
+                              const PlacementRequest &Request,
+                              TimePoint Now) const {
+  if (std::optional<Obstacle> Found = findObstacle(Worker, Now))
+    return Found;
   const WorkerEntry &Entry = Worker.Entry_;
-  if (!isUsable(Worker, Now) ||
-      !Entry.Capacity_.fits(Worker.Used_, Request.Needed_) ||
-      Entry.Service_ != Request.Service_ ||
-      !satisfies(Worker, Request.Isolation_, Now))
-    return false;
+  if (Entry.Service_ != Request.Service_)
+    return Obstacle::NotAllowed;
+  if (!satisfies(Worker, Request, Now))
+    return Request.Isolation_ == Isolation::None ? Obstacle::Reserved
+                                                 : Obstacle::NotIsolated;
   const StepSpec &Step = Request.Step_;
   const std::vector<std::string> &Labels = Entry.Labels_;
   if (!Step.RequiredLabel_.empty() &&
       std::find(Labels.begin(), Labels.end(), Step.RequiredLabel_) ==
           Labels.end())
-    return false;
-  if (!Request.TaskText_.empty() && Worker.Runs_.contains(Request.TaskText_))
-    return false;
-  return Step.MaxPerWorker_ == 0 || countStepTasks(Worker, Request.Name_) <
-                                        std::int64_t{Step.MaxPerWorker_};
+    return Obstacle::NotAllowed;
+  bool HasRunOfTask =
+      !Request.TaskText_.empty() && Worker.Runs_.contains(Request.TaskText_);
+  bool IsAtLimit =
+      Step.MaxPerWorker_ != 0 &&
+      countStepTasks(Worker, Request.Name_) >= std::int64_t{Step.MaxPerWorker_};
+  if (HasRunOfTask || IsAtLimit)
+    return Obstacle::StepLimit;
+  // Last, because a reservation waits for it, and for nothing else.
+  if (!Entry.Capacity_.fits(Worker.Used_, Request.Needed_))
+    return Obstacle::NoCapacity;
+  return std::nullopt;
 }
 
 double Scheduler::Impl::headroom(WorkerState &Worker,
@@ -349,25 +363,34 @@
   return *Worker.Flexibility_;
 }
 
+std::optional<Obstacle>
+Scheduler::Impl::findFillerObstacle(WorkerState &Worker,
+                                    const StepSpec &Step) const {
+  if (!Step.IsFiller_)
+    return std::nullopt;
+  if (Worker.utilizationWithFiller(Step.Request_.MilliCpu_) >
+      MaxFillerUtilization)
+    return Obstacle::Utilization;
+  auto Requested = static_cast<double>(Step.Request_.MilliCpu_);
+  if (Requested / Worker.milliCpu() > headroom(Worker, Step.Image_))
+    return Obstacle::Interference;
+  return std::nullopt;
+}
+
 /// Returns the cost of placing a task of \p Step on \p Worker; lower is better.
 /// Returns nothing for a filler that would violate a tail latency target or the
 /// maximum utilization of the worker.
 std::optional<double>
 Scheduler::Impl::placementCost(WorkerState &Worker,
                                const StepSpec &Step) const {
+  if (findFillerObstacle(Worker, Step))
+    return std::nullopt;
   double Capacity = Worker.milliCpu();
   auto Requested = static_cast<double>(Step.Request_.MilliCpu_);
   double Cost = 0;
   if (Step.IsFiller_) {
-    auto LongRunning = static_cast<double>(Worker.LongRunningMilliCpu_);
-    auto Others = static_cast<double>(Worker.Used_.MilliCpu_) - LongRunning;
-    double Fillers = Worker.pacedFillerMilliCpu();
-    Cost = (LongRunningCpuUsage * LongRunning + Others + Fillers + Requested) /
-           Capacity;
-    if (Cost > MaxFillerUtilization ||
-        Requested / Capacity > headroom(Worker, Step.Image_))
-      return std::nullopt;
-    Cost += FlexibilityCost * flexibility(Worker);
+    Cost = Worker.utilizationWithFiller(Step.Request_.MilliCpu_) +
+           FlexibilityCost * flexibility(Worker);
   } else {
     // Best fit: prefers workers with little free capacity, which leaves room
     // for large tasks and for steps with many tasks.
