Relays: answers for a late owner are not lost in a queue

Cause: a relay sent each group of answers, every 20 ms, in a request of its own over at most four connections to the owner. An owner that takes each request some 80 ms late takes fewer than come; requests waited in the client's queue until their timeout of 600 ms and were dropped with their answers.

The change: at most two requests are open to an owner; answers that come meanwhile are kept and sent together, so a late owner gets fewer and larger requests.

--- a/packages/node/src/worker_relay.cpp
+++ b/packages/node/src/worker_relay.cpp
@@ -2,6 +2,7 @@
 
 #include "filbertspring/base/log.h"
 
+#include <iterator>
 #include <utility>
 
 namespace filbertspring::node {
@@ -15,6 +16,27 @@
 /// The maximum number of calls without an answer, which bounds the memory of a
 /// relay that does not reach its workers.
 constexpr std::size_t MaxCallsInFlight = 4000;
+/// The maximum number of requests with answers that the owner has not taken.
+/// Answers for an owner that is late are sent in fewer and larger requests;
+/// they would time out in a queue. More than one, so that a connection that has
+/// failed does not delay all answers.
+constexpr std::size_t MaxOpenPosts = 2;
+
+/// Removes from \p Answers what one batch holds.
+std::vector<RelayedWorkerAnswer>
+takeBatch(std::vector<RelayedWorkerAnswer> &Answers) {
+  std::size_t Bytes = 0;
+  auto End = Answers.begin();
+  while (End != Answers.end() && Bytes < MaxBatchBytes) {
+    Bytes += End->Answer_ ? End->Answer_->Body_.size() : 0;
+    ++End;
+  }
+  std::vector<RelayedWorkerAnswer> Batch(
+      std::make_move_iterator(Answers.begin()), std::make_move_iterator(End));
+  Answers.erase(Answers.begin(), End);
+  return Batch;
+}
+
 } // namespace
 
 WorkerRelay::WorkerRelay(EventLoop &Loop, CounterRegistry &Counters)
@@ -66,45 +88,52 @@
 void WorkerRelay::flush() {
   IsFlushRequested_ = false;
   UnsentAnswers_ = 0;
-  for (auto &[Owner, Answers] : std::exchange(Answers_, {})) {
-    std::vector<RelayedWorkerAnswer> Part;
-    std::size_t Bytes = 0;
-    for (RelayedWorkerAnswer &Entry : Answers) {
-      Bytes += Entry.Answer_ ? Entry.Answer_->Body_.size() : 0;
-      Part.push_back(std::move(Entry));
-      if (Bytes < MaxBatchBytes)
-        continue;
-      send(Owner, std::exchange(Part, {}));
-      Bytes = 0;
-    }
-    if (!Part.empty())
-      send(Owner, std::move(Part));
+  for (auto &[Owner, Answers] : Answers_) {
+    sendAnswers(Owner, Answers);
+    UnsentAnswers_ += Answers.size();
   }
+  std::erase_if(Answers_,
+                [](const auto &Entry) { return Entry.second.empty(); });
   for (auto &[Owner, Batches] : std::exchange(OpenBatches_, {}))
     for (const HttpResponder &Respond : Batches)
       Respond({});
 }
 
-void WorkerRelay::send(const Receiver &Owner,
-                       std::vector<RelayedWorkerAnswer> Answers) {
-  std::string Body = encodeWorkerAnswers({Owner.second, std::move(Answers)});
+void WorkerRelay::sendAnswers(const Receiver &Owner,
+                              std::vector<RelayedWorkerAnswer> &Answers) {
   std::vector<HttpResponder> &Batches = OpenBatches_[Owner];
-  if (!Batches.empty()) {
+  while (!Answers.empty()) {
+    if (Batches.empty() && OpenPosts_[Owner] >= MaxOpenPosts)
+      return;
+    std::string Body = encodeWorkerAnswers({Owner.second, takeBatch(Answers)});
+    if (Batches.empty()) {
+      post(Owner, std::move(Body));
+      continue;
+    }
     HttpAnswer Answer;
     Answer.Body_ = std::move(Body);
     Batches.back()(std::move(Answer));
-    return Batches.pop_back();
+    Batches.pop_back();
   }
+}
+
+void WorkerRelay::post(const Receiver &Owner, std::string Body) {
   HttpRequest Request;
   Request.Method_ = "POST";
   Request.Path_ = WorkerAnswersPath;
   Request.Body_ = std::move(Body);
   // The owner takes calls without an answer for calls that may have been
   // executed.
+  ++OpenPosts_[Owner];
   OwnerClient_.send(Owner.first, Request, AnswerTimeout,
-                    [this](const Result<HttpAnswer> &Outcome) {
+                    [this, Owner](const Result<HttpAnswer> &Outcome) {
                       if (!Outcome || Outcome->Status_ != 200)
                         Counters_.counter("worker_answers_lost_total").add();
+                      auto Open = OpenPosts_.find(Owner);
+                      if (--Open->second == 0)
+                        OpenPosts_.erase(Open);
+                      if (Answers_.contains(Owner))
+                        requestFlush();
                     });
 }
 
--- a/packages/node/src/worker_relay.h
+++ b/packages/node/src/worker_relay.h
@@ -44,8 +44,10 @@
   void addAnswer(const Receiver &Owner, RelayedWorkerAnswer Answer);
   void requestFlush();
   void flush();
-  /// Sends \p Answers with the answer to an open batch, if there is one.
-  void send(const Receiver &Owner, std::vector<RelayedWorkerAnswer> Answers);
+  /// Sends the answers for \p Owner, and keeps what it does not take now.
+  void sendAnswers(const Receiver &Owner,
+                   std::vector<RelayedWorkerAnswer> &Answers);
+  void post(const Receiver &Owner, std::string Body);
 
   EventLoop &Loop_;
   CounterRegistry &Counters_;
@@ -54,6 +56,8 @@
   std::map<Receiver, std::vector<RelayedWorkerAnswer>> Answers_;
   /// The batches that are not answered yet.
   std::map<Receiver, std::vector<HttpResponder>> OpenBatches_;
+  /// The requests with answers that the owner has not taken yet.
+  std::map<Receiver, std::size_t> OpenPosts_;
   std::size_t CallsInFlight_ = 0;
   std::size_t UnsentAnswers_ = 0;
   bool IsFlushRequested_ = false;
