--- a/packages/node/tests/late_loop_test.cpp
+++ b/packages/node/tests/late_loop_test.cpp
@@ -184,6 +184,63 @@
   int Failed_ = 0;
 };
 
+/// A relay whose owner takes each request with answers late, and workers that
+/// answer one after another.
+struct RelayOfLateOwner {
+  RelayOfLateOwner()
+      : Relay_(Loop_, Counters_), Owner_(Loop_, {},
+                                         [this](const HttpRequest &Request,
+                                                const HttpResponder &Respond) {
+                                           takeAnswers(Request, Respond);
+                                         }) {
+    BOOST_REQUIRE(Owner_.listen(OwnerAddress).has_value());
+    for (std::size_t Worker = 0; Worker < Workers; ++Worker) {
+      WorkerServers_.push_back(std::make_unique<AsyncHttpServer>(
+          Loop_, AsyncServerLimits(),
+          [this, Worker](const HttpRequest &, const HttpResponder &Respond) {
+            Loop_.after(waitingTime(Worker), [Respond] { Respond({}); });
+          }));
+      BOOST_REQUIRE(
+          WorkerServers_.back()->listen(workerAddress(Worker)).has_value());
+    }
+  }
+
+  void takeAnswers(const HttpRequest &Request, const HttpResponder &Respond) {
+    auto Batch = decodeWorkerAnswers(Request.Body_);
+    BOOST_REQUIRE(Batch.has_value());
+    Answers_ += Batch->Answers_.size();
+    Loop_.after(TimeToTake, [this, Respond] {
+      Respond({});
+      if (Answers_ == Workers)
+        Loop_.stop();
+    });
+  }
+
+  /// Calls all workers in one batch, which is answered before they answer.
+  void callWorkers() {
+    WorkerCallBatch Batch{OwnerAddress, OwnerToken, {}};
+    HttpRequest Call;
+    Call.Method_ = "POST";
+    Call.Path_ = WaitingPath;
+    for (std::size_t Worker = 0; Worker < Workers; ++Worker)
+      Batch.Calls_.push_back({Worker + 1, workerAddress(Worker), Call, 5s});
+    HttpRequest Request;
+    Request.Body_ = encodeWorkerCalls(Batch);
+    Relay_.handle(Request, [](const HttpAnswer &) {});
+  }
+
+  static constexpr std::size_t Workers = 60;
+  /// Shorter than the timeout of a request with answers.
+  static constexpr Duration TimeToTake = 400ms;
+
+  EventLoop Loop_;
+  CounterRegistry Counters_;
+  WorkerRelay Relay_;
+  AsyncHttpServer Owner_;
+  std::vector<std::unique_ptr<AsyncHttpServer>> WorkerServers_;
+  std::size_t Answers_ = 0;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(an_owner_whose_loop_is_late)
@@ -210,4 +267,18 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_relay)
+
+BOOST_FIXTURE_TEST_CASE(loses_no_answers_for_an_owner_that_takes_them_late,
+                        RelayOfLateOwner) {
+  callWorkers();
+  // Ends a test in which answers are lost.
+  Loop_.after(10s, [this] { Loop_.stop(); });
+  Loop_.run();
+  BOOST_TEST(Answers_ == Workers);
+  BOOST_TEST(Counters_.counter("worker_answers_lost_total").value() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace filbertspring::node
