--- a/benchmark/experiments/cell_load_simulation.cpp
+++ b/benchmark/experiments/cell_load_simulation.cpp
@@ -104,7 +104,6 @@
   }
 
   CellResult run() {
-    TimePoint Start = Now_;
     settle(2s);
     submitLongRunning();
     settle(5s);
@@ -118,7 +117,7 @@
     DecisionTime Time = Result_.Time_;
     settle(15s);
     Result_.Time_ = Time;
-    finish(Start);
+    finish();
     return std::move(Result_);
   }
 
@@ -458,7 +457,7 @@
     });
   }
 
-  void finish(TimePoint /*Start*/) {
+  void finish() {
     double Requested = 0;
     for (const auto &[At, Tasks] : LongRunningRequested_)
       Requested += seconds(Now_ - At) * Tasks;
