--- a/packages/scheduling/tests/serving_worker.cpp
+++ b/packages/scheduling/tests/serving_worker.cpp
@@ -6,17 +6,17 @@
 namespace filbertspring::scheduling::test {
 namespace {
 
-constexpr Duration Tick = 10ms;
+constexpr Duration PlayTick = 10ms;
 /// The time to deliver a call or its answer.
 constexpr Duration Latency = 2ms;
 /// When a caller without an answer gives up.
-constexpr Duration CallTimeout = 600ms;
+constexpr Duration CommandTimeout = 600ms;
 /// After how long a delayed call is executed.
 constexpr Duration CallDelay = 3s;
 constexpr Duration CommitTime = 12ms;
 /// When a pace comes into force.
 constexpr Duration PaceDelay = 100ms;
-constexpr std::size_t TicksPerTail = 500ms / Tick;
+constexpr std::size_t TicksPerTail = 500ms / PlayTick;
 constexpr double BaseTailMs = 10;
 constexpr double TargetMs = 45;
 constexpr double FillerMilliCpu = 1000;
@@ -71,7 +71,7 @@
 }
 
 void ServingWorker::tick() {
-  Now_ += Tick;
+  Now_ += PlayTick;
   while (!Calls_.empty() && Calls_.begin()->first <= Now_) {
     std::function<void()> Act = std::move(Calls_.begin()->second);
     Calls_.erase(Calls_.begin());
@@ -92,7 +92,7 @@
   for (auto &[Text, Run] : Active_) {
     if (!Run.IsFiller_)
       continue;
-    Run.Work_ -= Tick * Run.PacePercent_ / 100;
+    Run.Work_ -= PlayTick * Run.PacePercent_ / 100;
     if (Run.Work_ <= Duration::zero())
       Finished.push_back(Text);
   }
@@ -168,7 +168,7 @@
         return;
       Active_[Text] = {Start.Name_, Start.Run_, IsFiller, 100, FillerWork};
     });
-  after(Lost == LostCall::None ? 2 * Latency : CallTimeout, [=, this] {
+  after(Lost == LostCall::None ? 2 * Latency : CommandTimeout, [=, this] {
     CallOutcome Outcome = CallOutcome::Accepted;
     if (Lost != LostCall::None)
       Outcome = CallOutcome::NoAnswer;
@@ -189,7 +189,7 @@
       if (It != Active_.end() && It->second.Run_ == Stop.Run_)
         endRun(Text, EndReason::Stopped);
     });
-  after(Lost == LostCall::None ? 2 * Latency : CallTimeout, [=, this] {
+  after(Lost == LostCall::None ? 2 * Latency : CommandTimeout, [=, this] {
     Scheduler_.stopAnswered(Stop.Worker_, Stop.Name_, Stop.Run_,
                             Lost == LostCall::None ? CallOutcome::Accepted
                                                    : CallOutcome::NoAnswer,
@@ -209,7 +209,7 @@
         It->second.PacePercent_ = Pace.Percent_;
     });
   if (Lost != LostCall::None)
-    after(CallTimeout, [=, this] {
+    after(CommandTimeout, [=, this] {
       Scheduler_.paceFailed(Pace.Worker_, Pace.Name_, Pace.Run_);
     });
 }
