Reservations: a search looks at the runs of a worker only if it can win

The runs of a worker are looked at only if it has to release less than the best so far, and a pass searches for two jobs instead of eight.

--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -275,12 +275,12 @@
   /// jobs. Linear in the number of usable workers.
   void reserveCapacity(const PlacementRequest &Request, TimePoint Now);
   /// Returns the fraction of the capacity of \p Worker that its runs have to
-  /// release before it can take a task of \p Request; nothing if its
-  /// long-running tasks leave too little, or it cannot take the task for other
-  /// reasons.
+  /// release before it can take a task of \p Request; nothing if that is not
+  /// below \p Bound, if its long-running tasks leave too little, or if it
+  /// cannot take the task for other reasons.
   std::optional<double> missingCapacity(WorkerState &Worker,
                                         const PlacementRequest &Request,
-                                        TimePoint Now) const;
+                                        double Bound, TimePoint Now) const;
   void placeStep(JobRecord &Record, const std::string &Service,
                  std::span<const std::uint32_t> Slots, TimePoint Now);
   /// Returns why \p Worker gets no tasks now.
--- a/packages/scheduling/src/scheduler_reservations.cpp
+++ b/packages/scheduling/src/scheduler_reservations.cpp
@@ -5,6 +5,7 @@
 #include "scheduler_impl.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace filbertspring::scheduling {
@@ -24,7 +25,7 @@
 constexpr Duration MaxWaitWithoutReservation = std::chrono::milliseconds(500);
 /// Searches for a worker in one placement pass; the rest follow in the next
 /// passes. Bounds the time that a pass takes while many tasks wait.
-constexpr std::size_t MaxReservationSearches = 8;
+constexpr std::size_t MaxReservationSearches = 2;
 
 /// Returns the largest fraction of \p Capacity by which \p Needed exceeds what
 /// \p Used leaves of it; 0 if it fits.
@@ -92,16 +93,24 @@
   ReservationSearchesLeft_ = MaxReservationSearches;
 }
 
-std::optional<double> Scheduler::Impl::missingCapacity(
-    WorkerState &Worker, const PlacementRequest &Request, TimePoint Now) const {
+std::optional<double>
+Scheduler::Impl::missingCapacity(WorkerState &Worker,
+                                 const PlacementRequest &Request, double Bound,
+                                 TimePoint Now) const {
   std::optional<Obstacle> Found = findObstacle(Worker, Request, Now);
   if (Found && *Found != Obstacle::NoCapacity)
     return std::nullopt;
   const Resources &Capacity = Worker.Entry_.Capacity_;
-  if (!Capacity.fits(longRunningUse(Worker), Request.Needed_))
-    return std::nullopt;
-  double Missing = excess(Capacity, Worker.Used_, Request.Needed_);
   const StepSpec &Step = Request.Step_;
+  double Missing = excess(Capacity, Worker.Used_, Request.Needed_);
+  if (Step.IsFiller_)
+    Missing = std::max(Missing,
+                       Worker.utilizationWithFiller(Step.Request_.MilliCpu_) -
+                           MaxFillerUtilization);
+  // What follows goes through the runs of the worker.
+  if (Missing >= Bound ||
+      !Capacity.fits(longRunningUse(Worker), Request.Needed_))
+    return std::nullopt;
   if (!Step.IsFiller_)
     return Missing;
   double Share =
@@ -114,10 +123,8 @@
                              tailRooms(Model_, Worker.servingSamples(), {}),
                              Step.Image_))
     return std::nullopt;
-  return std::max({Missing,
-                   Worker.utilizationWithFiller(Step.Request_.MilliCpu_) -
-                       MaxFillerUtilization,
-                   Share - headroom(Worker, Step.Image_)});
+  Missing = std::max(Missing, Share - headroom(Worker, Step.Image_));
+  return Missing < Bound ? std::optional(Missing) : std::nullopt;
 }
 
 void Scheduler::Impl::reserveCapacity(const PlacementRequest &Request,
@@ -130,19 +137,18 @@
   WorkerState *Chosen = Previous == PreviousReservations_.end()
                             ? nullptr
                             : findWorker(Previous->second);
-  if (Chosen && !missingCapacity(*Chosen, Request, Now))
+  constexpr double Unbounded = std::numeric_limits<double>::infinity();
+  if (Chosen && !missingCapacity(*Chosen, Request, Unbounded, Now))
     Chosen = nullptr;
   if (!Chosen && ReservationSearchesLeft_ > 0) {
     --ReservationSearchesLeft_;
-    double Least = 0;
-    for (const UsableWorker &Usable : UsableWorkers_) {
-      std::optional<double> Missing =
-          missingCapacity(*Usable.Worker_, Request, Now);
-      if (!Missing || (Chosen && *Missing >= Least))
-        continue;
-      Chosen = Usable.Worker_;
-      Least = *Missing;
-    }
+    double Least = Unbounded;
+    for (const UsableWorker &Usable : UsableWorkers_)
+      if (std::optional<double> Missing =
+              missingCapacity(*Usable.Worker_, Request, Least, Now)) {
+        Chosen = Usable.Worker_;
+        Least = *Missing;
+      }
   }
   if (!Chosen)
     return;
