Waits: long-running tasks are reported apart from timed ones

An owner logged only the job that had waited longest. Under overload that is a timed job, so a long-running task that waited beside it was never named, and the logs of an owner could not tell why it did not run. Now there is a line for each kind, with the isolation that the task needs.

a_task_that_waits/is_reported_as_long_running_beside_older_timed_ones fails without the change: no line names the long-running task.

--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -85,8 +85,9 @@
     {LogEvent::TaskGivenUp, Error, "task_given_up",
      "A task crashed several workers; its job has failed."},
     {LogEvent::TaskWaits, Info, "task_waits",
-     "No task of a job has been placed for a second; what kept the one that "
-     "has waited longest from each worker."},
+     "A long-running task, or all of a timed job, has not been placed for a "
+     "second; what keeps the one of that kind that has waited longest from "
+     "each worker."},
     {LogEvent::StartsLimited, Warning, "starts_limited",
      "The event loop of the cell's owner is late; it starts fewer tasks."},
     {LogEvent::StartsUnlimited, Info, "starts_unlimited",
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -140,6 +140,17 @@
   Interference,
 };
 
+/// The task that has waited longest of some jobs.
+struct LongestWait {
+  JobRecord *Record_ = nullptr;
+  std::uint32_t Slot_ = 0;
+  /// The number of the jobs.
+  std::int64_t Jobs_ = 0;
+
+  /// \p Slot: the task of \p Record that has waited longest.
+  void add(JobRecord &Record, std::uint32_t Slot);
+};
+
 /// Returns whether \p Waiting has waited for so long that a worker is reserved
 /// for it.
 bool hasWaitedForCapacity(const Task &Waiting, TimePoint Now);
@@ -300,8 +311,10 @@
   /// Returns why \p Worker gets no filler of \p Step although it is eligible.
   std::optional<Obstacle> findFillerObstacle(WorkerState &Worker,
                                              const StepSpec &Step) const;
-  /// Logs, once a second, why the task that has waited longest is not placed.
+  /// Logs, once a second, why the long-running task and the timed one that have
+  /// waited longest are not placed.
   void reportWaits(TimePoint Now);
+  void reportWait(const char *Kind, const LongestWait &Longest, TimePoint Now);
   std::optional<double> placementCost(WorkerState &Worker,
                                       const StepSpec &Step) const;
   double headroom(WorkerState &Worker, const std::string &Image) const;
--- a/packages/scheduling/src/scheduler_waits.cpp
+++ b/packages/scheduling/src/scheduler_waits.cpp
@@ -32,6 +32,12 @@
     {Obstacle::Interference, "interference"},
 }};
 
+constexpr EnumTable<Isolation, 3> IsolationNames{{
+    {Isolation::None, "none"},
+    {Isolation::Settled, "settled"},
+    {Isolation::LongSettled, "long_settled"},
+}};
+
 /// Returns the slot of the task of \p Waiting that has waited longest.
 std::uint32_t longestWaiting(const Job &Waiting) {
   const std::set<std::uint32_t> &Slots = Waiting.waiting();
@@ -51,13 +57,21 @@
 
 } // namespace
 
+void LongestWait::add(JobRecord &Record, std::uint32_t Slot) {
+  ++Jobs_;
+  if (Record_ &&
+      Record_->Job_.at(Slot_).ReadyAt_ <= Record.Job_.at(Slot).ReadyAt_)
+    return;
+  Record_ = &Record;
+  Slot_ = Slot;
+}
+
 void Scheduler::Impl::reportWaits(TimePoint Now) {
   if (Now < NextWaitReportAt_)
     return;
   NextWaitReportAt_ = Now + WaitReportInterval;
-  JobRecord *Longest = nullptr;
-  std::uint32_t LongestSlot = 0;
-  std::int64_t IdleJobs = 0;
+  LongestWait Timed;
+  LongestWait LongRunning;
   for (const std::string &Id : JobsWithWaitingTasks_) {
     JobRecord *Record = findJob(Id);
     if (!Record || Record->Job_.waiting().empty())
@@ -67,18 +81,20 @@
     if (Now - Waiting.at(Slot).ReadyAt_ < MinReportedWait ||
         (!Waiting.isLongRunning() && hasPlacedTask(Waiting)))
       continue;
-    ++IdleJobs;
-    if (!Longest ||
-        Waiting.at(Slot).ReadyAt_ < Longest->Job_.at(LongestSlot).ReadyAt_) {
-      Longest = Record;
-      LongestSlot = Slot;
-    }
+    (Waiting.isLongRunning() ? LongRunning : Timed).add(*Record, Slot);
   }
-  if (!Longest)
+  // Timed tasks may wait for much longer under overload.
+  reportWait("long_running", LongRunning, Now);
+  reportWait("timed", Timed, Now);
+}
+
+void Scheduler::Impl::reportWait(const char *Kind, const LongestWait &Longest,
+                                 TimePoint Now) {
+  if (!Longest.Record_)
     return;
-  const Job &Waiting = Longest->Job_;
-  const Task &WaitingTask = Waiting.at(LongestSlot);
-  TaskName Name = Waiting.nameOf(LongestSlot);
+  const Job &Waiting = Longest.Record_->Job_;
+  const Task &WaitingTask = Waiting.at(Longest.Slot_);
+  TaskName Name = Waiting.nameOf(Longest.Slot_);
   const StepSpec &Step = Waiting.step(Name);
   const Queue *Policy = Queues_->find(Waiting.accepted().Queue_);
   PlacementRequest Request{
@@ -108,11 +124,13 @@
   recordEvent(
       LogEvent::TaskWaits,
       {{"task", Name.text()},
+       {"kind", Kind},
        {"waited_ms", std::to_string((Now - WaitingTask.ReadyAt_) /
                                     std::chrono::milliseconds(1))},
-       {"jobs", std::to_string(IdleJobs)},
+       {"jobs", std::to_string(Longest.Jobs_)},
        {"held_back",
         isHeldBack(WaitingTask) || WaitingTask.NotBefore_ > Now ? "1" : "0"},
+       {"isolation", std::string(nameOf(IsolationNames, Request.Isolation_))},
        {"eligible", std::to_string(Eligible)},
        {"obstacles", Obstacles}});
 }
--- a/packages/scheduling/tests/wait_report_test.cpp
+++ b/packages/scheduling/tests/wait_report_test.cpp
@@ -62,6 +62,24 @@
   BOOST_TEST(field(Waits_.back(), "jobs") == "50");
 }
 
+BOOST_FIXTURE_TEST_CASE(is_reported_as_long_running_beside_older_timed_ones,
+                        ReportingCell) {
+  submit("00000000000000aa", {task(16)});
+  step();
+  submit("00000000000000bb", {task(1)});
+  play(2s);
+  StepSpec Serving = task(1);
+  Serving.IsLongRunning_ = true;
+  submit("00000000000000cc", {Serving});
+  play(2500ms);
+  std::map<std::string, std::string> Tasks;
+  for (const LogRecord &Logged : Waits_)
+    Tasks[field(Logged, "kind")] = field(Logged, "task");
+  BOOST_TEST(Tasks["timed"] == "00000000000000bb.0.0.0");
+  BOOST_TEST(Tasks["long_running"] == "00000000000000cc.0.0.0");
+  BOOST_TEST(field(Waits_.back(), "isolation") == "none");
+}
+
 BOOST_FIXTURE_TEST_CASE(is_not_reported_while_others_of_its_job_run,
                         ReportingCell) {
   submit("00000000000000aa", {task(20)});
