Placement: a judgement does not keep an overdue task from all workers

Callers saw that long-running tasks did not run although there was room (LOST). Cause: a worker that is quarantined, reserved for suspected tasks, or has a fresh suspect was left out of the placement, and a task that has to be isolated waited for a worker whose runs had settled, both for as long as the judgement lasted: up to 16 s for a quarantine, without a limit for the others, which can follow each other. Nothing bounded the wait of the task itself.

Now one table says for each obstacle whether it is a fact or a judgement, and how long a task may wait because of the judgement. What has waited longer, a long-running task or a timed job without a running task in a service with ample capacity, is placed at the end of the pass on the best of these workers (task_placed_overdue). Placement in the order of the jobs is unchanged.

Logs tell reservations for a job from those for suspected tasks, and a serving task over its target from interference that is only expected.

--- a/packages/base/include/filbertspring/base/log_event.h
+++ b/packages/base/include/filbertspring/base/log_event.h
@@ -58,6 +58,7 @@
   StartsLimited = 3024,
   StartsUnlimited = 3025,
   TaskOverTarget = 3026,
+  TaskPlacedOverdue = 3027,
 
   PeerConnected = 4001,
   PeerLost = 4002,
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -95,6 +95,9 @@
     {LogEvent::TaskOverTarget, Info, "task_over_target",
      "A serving task is over its tail latency target for long; the fillers "
      "beside it are suspended."},
+    {LogEvent::TaskPlacedOverdue, Info, "task_placed_overdue",
+     "A task has waited too long and is placed on a worker that was a bad "
+     "choice for it."},
     {LogEvent::PeerConnected, Info, "peer_connected",
      "A stream to another entry instance is open."},
     {LogEvent::PeerLost, Warning, "peer_lost",
--- a/packages/scheduling/include/filbertspring/scheduling/job.h
+++ b/packages/scheduling/include/filbertspring/scheduling/job.h
@@ -160,6 +160,11 @@
   /// Returns the slots of the tasks that wait for a worker. A slot is the index
   /// of a task within the job, in the order of occurrence, step and task.
   const std::set<std::uint32_t> &waiting() const { return Waiting_; }
+  /// Returns the slot of the task that has waited longest. There must be one.
+  std::uint32_t longestWaiting() const;
+  /// Returns whether a worker executes, or may execute, a task. Linear in the
+  /// number of tasks.
+  bool hasPlacedTask() const;
   TaskName nameOf(std::uint32_t Slot) const;
   /// Returns the first slot behind those of the step that \p Slot belongs to,
   /// which are consecutive.
--- a/packages/scheduling/src/job.cpp
+++ b/packages/scheduling/src/job.cpp
@@ -36,6 +36,19 @@
   return Slot ? &Tasks_[*Slot] : nullptr;
 }
 
+std::uint32_t Job::longestWaiting() const {
+  return *std::min_element(Waiting_.begin(), Waiting_.end(),
+                           [this](std::uint32_t Left, std::uint32_t Right) {
+                             return at(Left).ReadyAt_ < at(Right).ReadyAt_;
+                           });
+}
+
+bool Job::hasPlacedTask() const {
+  return std::any_of(Tasks_.begin(), Tasks_.end(), [](const Task &Each) {
+    return Each.Phase_ == TaskPhase::Placed;
+  });
+}
+
 TaskName Job::nameOf(std::uint32_t Slot) const {
   TaskName Name;
   Name.Job_ = Accepted_.Id_;
--- /dev/null
+++ b/packages/scheduling/src/obstacle.cpp
@@ -0,0 +1,59 @@
+#include "obstacle.h"
+
+#include "filbertspring/base/enum_table.h"
+
+#include <algorithm>
+#include <array>
+
+namespace filbertspring::scheduling {
+namespace {
+
+/// Users tolerate that a task waits for three seconds beside free capacity.
+/// Until then the start is stored, sent and carried out.
+constexpr Duration MaxJudgementWait = std::chrono::milliseconds(2000);
+/// A worker that is reserved for a suspected task has settled by then.
+constexpr Duration MaxIsolationWait = std::chrono::milliseconds(2500);
+
+struct ObstacleTrait {
+  Obstacle Value_;
+  std::string_view Name_;
+  std::optional<Duration> MaxWait_;
+};
+
+constexpr std::array<ObstacleTrait, ObstacleCount> Traits{{
+    {Obstacle::NotUsable, "not_usable", {}},
+    {Obstacle::NotAllowed, "not_allowed", {}},
+    {Obstacle::NoCapacity, "no_capacity", {}},
+    {Obstacle::Avoided, "avoided", MaxJudgementWait},
+    // It may use all of the worker, and is being stopped.
+    {Obstacle::UnknownRun, "unknown_run", {}},
+    // Calls time out.
+    {Obstacle::StartsInFlight, "starts_in_flight", {}},
+    {Obstacle::FreshSuspect, "fresh_suspect", MaxJudgementWait},
+    {Obstacle::Reserved, "reserved", MaxJudgementWait},
+    // The job of the reservation waits for as long, and it has a quarter of the
+    // workers at most.
+    {Obstacle::ReservedForJob, "reserved_for_job", {}},
+    {Obstacle::NotIsolated, "not_isolated", MaxIsolationWait},
+    {Obstacle::StepLimit, "step_limit", {}},
+    // Ends with the suspension of the fillers.
+    {Obstacle::OverTarget, "over_target", {}},
+    {Obstacle::Utilization, "utilization", MaxJudgementWait},
+    {Obstacle::Interference, "interference", MaxJudgementWait},
+}};
+
+const ObstacleTrait &traitOf(Obstacle Value) {
+  return *std::find_if(
+      Traits.begin(), Traits.end(),
+      [Value](const ObstacleTrait &Trait) { return Trait.Value_ == Value; });
+}
+
+} // namespace
+
+std::string_view nameOf(Obstacle Value) { return traitOf(Value).Name_; }
+
+std::optional<Duration> maxWait(Obstacle Value) {
+  return traitOf(Value).MaxWait_;
+}
+
+} // namespace filbertspring::scheduling
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -7,6 +7,7 @@
 /// paces are decided in scheduler_fillers.cpp; placement is in
 /// scheduler_placement.cpp and storage in scheduler_writes.cpp.
 
+#include "obstacle.h"
 #include "progress_queue.h"
 #include "worker_state.h"
 
@@ -112,34 +113,6 @@
   Isolation Isolation_ = Isolation::None;
 };
 
-/// Why a worker does not get a task.
-enum class Obstacle {
-  /// Not registered, draining, unreachable, or in a closed zone.
-  NotUsable,
-  /// Another service, or without the required label.
-  NotAllowed,
-  /// Its runs leave too little of its capacity.
-  NoCapacity,
-  /// Quarantined, or avoided for a moment after a failed command.
-  Avoided,
-  /// It executes a run of an unknown job.
-  UnknownRun,
-  /// Too many start commands are outstanding.
-  StartsInFlight,
-  /// A suspected task has not settled on it.
-  FreshSuspect,
-  /// It is reserved for suspected tasks.
-  Reserved,
-  /// The task has to be isolated, and other runs have not settled.
-  NotIsolated,
-  /// It has as many tasks of the step as are allowed, or a run of the task.
-  StepLimit,
-  /// Fillers would use more processors than it has.
-  Utilization,
-  /// A filler may violate a tail latency target.
-  Interference,
-};
-
 /// The task that has waited longest of some jobs.
 struct LongestWait {
   JobRecord *Record_ = nullptr;
@@ -151,6 +124,13 @@
   void add(JobRecord &Record, std::uint32_t Slot);
 };
 
+/// A task that must not wait any longer.
+struct OverdueTask {
+  JobRecord *Record_ = nullptr;
+  std::uint32_t Slot_ = 0;
+  TimePoint WaitsSince_;
+};
+
 /// Returns whether \p Waiting has waited for so long that a worker is reserved
 /// for it.
 bool hasWaitedForCapacity(const Task &Waiting, TimePoint Now);
@@ -274,9 +254,35 @@
   void releaseDueSteps(TimePoint Now);
   std::size_t placeWaitingTasks(TimePoint Now, std::size_t MaxStarts);
   void findUsableWorkers(TimePoint Now);
+  /// Returns the tasks that must not wait any longer: long-running ones, and
+  /// one task of each timed job of which no task is placed. Empty between two
+  /// checks. Linear in the waiting jobs and their tasks.
+  std::vector<OverdueTask> findOverdueTasks(TimePoint Now);
+  /// Returns how many starts a placement pass leaves to \p Overdue.
+  std::size_t startsForOverdueTasks(std::span<const OverdueTask> Overdue,
+                                    TimePoint Now) const;
+  /// Places those of \p Overdue that have not been placed in this pass because
+  /// of a judgement, timed ones only while their service has ample capacity.
+  /// Linear in the number of workers for a few tasks; the rest follow in the
+  /// next checks.
+  void placeOverdueTasks(std::span<const OverdueTask> Overdue, TimePoint Now);
+  /// Returns whether a worker was searched for.
+  bool placeOverdueTask(const OverdueTask &Overdue, TimePoint Now);
+  /// Returns the cost of placing an overdue task on \p Worker, if that is
+  /// possible.
+  std::optional<double> overdueCost(WorkerState &Worker,
+                                    const PlacementRequest &Request,
+                                    Duration Wait, TimePoint Now) const;
+  /// Returns whether less than half of the capacity of \p Service is reserved.
+  bool hasAmpleCapacity(const std::string &Service) const;
   /// Places the waiting tasks of a job that are suspected, or the others.
-  void placeJob(JobRecord &Record, const Queue *Policy, bool AreSuspected,
-                TimePoint Now);
+  void placeJob(JobRecord &Record, bool AreSuspected, TimePoint Now);
+  /// Returns the service on whose workers the tasks of \p TheJob run.
+  const std::string &serviceOf(const Job &TheJob) const;
+  /// Returns the request for the task in \p Slot of \p TheJob, which has to
+  /// outlive it.
+  PlacementRequest requestFor(const Job &TheJob, std::uint32_t Slot,
+                              TimePoint Now) const;
   /// Reserves a worker for a suspected task, so that its runs settle.
   void reserveWorker(const PlacementRequest &Request, TimePoint Now);
   /// Ends the reservations of capacity of the last placement pass.
@@ -292,18 +298,18 @@
   std::optional<double> missingCapacity(WorkerState &Worker,
                                         const PlacementRequest &Request,
                                         double Bound, TimePoint Now) const;
-  void placeStep(JobRecord &Record, const std::string &Service,
-                 std::span<const std::uint32_t> Slots, TimePoint Now);
-  /// Returns why \p Worker gets no tasks now.
-  std::optional<Obstacle> findObstacle(const WorkerState &Worker,
-                                       TimePoint Now) const;
-  /// Returns why \p Worker may not get a task of \p Request now.
+  void placeStep(JobRecord &Record, std::span<const std::uint32_t> Slots,
+                 TimePoint Now);
+  /// Returns why \p Worker gets no tasks now, whatever their requests, and
+  /// however long they have waited.
+  std::optional<Obstacle> findObstacle(const WorkerState &Worker) const;
+  /// Returns why \p Worker may not get a task of \p Request now that has waited
+  /// for \p Wait. Judgements do not count for a task that has waited for long;
+  /// pass no wait for one that can go on waiting.
   std::optional<Obstacle> findObstacle(const WorkerState &Worker,
                                        const PlacementRequest &Request,
-                                       TimePoint Now) const;
-  bool isUsable(const WorkerState &Worker, TimePoint Now) const {
-    return !findObstacle(Worker, Now);
-  }
+                                       TimePoint Now,
+                                       Duration Wait = Duration::zero()) const;
   bool isEligible(const WorkerState &Worker, const PlacementRequest &Request,
                   TimePoint Now) const {
     return !findObstacle(Worker, Request, Now);
@@ -361,6 +367,8 @@
   std::set<std::string> WorkersOverTarget_;
   /// The workers of the present placement pass.
   std::vector<UsableWorker> UsableWorkers_;
+  /// Those of them that are neither avoided nor have fresh suspects.
+  std::size_t ReservableWorkers_ = 0;
   /// The workers that are reserved for a job in the present placement pass, and
   /// those of the last pass. By job.
   std::unordered_map<std::string, std::string> Reservations_;
@@ -400,6 +408,14 @@
   bool HasNewEnds_ = false;
   TimePoint NextPlacementAt_{};
   TimePoint NextWaitReportAt_{};
+  TimePoint NextOverdueCheckAt_{};
+  /// Since when no start has been left for overdue tasks.
+  std::optional<TimePoint> OverdueSince_;
+  /// The position of the next overdue task to search a worker for.
+  std::size_t OverduePosition_ = 0;
+  /// Requests of overdue tasks for which no worker was found in the present
+  /// placement pass.
+  UnplaceableRequests UnplaceableOverdue_;
   TimePoint NextWorkerCheckAt_{};
 };
 
--- /dev/null
+++ b/packages/scheduling/src/scheduler_overdue.cpp
@@ -0,0 +1,167 @@
+/// \file
+/// The part of the scheduler that places the tasks which must not wait any
+/// longer, in spite of what makes the remaining workers a bad choice.
+
+#include "scheduler_impl.h"
+
+#include <algorithm>
+#include <map>
+
+namespace filbertspring::scheduling {
+namespace {
+
+/// Tasks that have waited for less are not overdue.
+constexpr Duration MinOverdueWait = std::chrono::milliseconds(2000);
+constexpr Duration OverdueCheckInterval = std::chrono::milliseconds(100);
+/// If no start has been left for overdue tasks for this time, the next pass
+/// leaves one.
+constexpr Duration MaxOverdueDelay = std::chrono::milliseconds(300);
+/// Overdue tasks for which a worker is searched in one check, which bounds the
+/// time that it takes while many tasks wait.
+constexpr std::size_t MaxOverdueSearches = 8;
+/// Cost of a worker that a judgement speaks against, in units of a fully used
+/// worker. Exceeds all other costs.
+constexpr double OverrideCost = 100.0;
+
+TimePoint waitsSince(const Task &Waiting) {
+  return std::max(Waiting.ReadyAt_, Waiting.NotBefore_);
+}
+
+} // namespace
+
+std::vector<OverdueTask> Scheduler::Impl::findOverdueTasks(TimePoint Now) {
+  std::vector<OverdueTask> Overdue;
+  if (Now < NextOverdueCheckAt_)
+    return Overdue;
+  NextOverdueCheckAt_ = Now + OverdueCheckInterval;
+  auto IsOverdue = [Now](const Task &Waiting) {
+    return Now - waitsSince(Waiting) >= MinOverdueWait && !isHeldBack(Waiting);
+  };
+  for (const std::string &Id : JobsWithWaitingTasks_) {
+    JobRecord *Record = findJob(Id);
+    if (!Record || Record->Job_.waiting().empty())
+      continue;
+    const Job &Waiting = Record->Job_;
+    if (Waiting.isLongRunning()) {
+      for (std::uint32_t Slot : Waiting.waiting())
+        if (IsOverdue(Waiting.at(Slot)))
+          Overdue.push_back({Record, Slot, waitsSince(Waiting.at(Slot))});
+      continue;
+    }
+    std::uint32_t Slot = Waiting.longestWaiting();
+    if (IsOverdue(Waiting.at(Slot)) && !Waiting.hasPlacedTask())
+      Overdue.push_back({Record, Slot, waitsSince(Waiting.at(Slot))});
+  }
+  std::sort(Overdue.begin(), Overdue.end(),
+            [](const OverdueTask &Left, const OverdueTask &Right) {
+              return Left.WaitsSince_ < Right.WaitsSince_;
+            });
+  return Overdue;
+}
+
+bool Scheduler::Impl::hasAmpleCapacity(const std::string &Service) const {
+  Resources Total;
+  Resources Reserved;
+  for (const auto &[Id, Worker] : Workers_) {
+    if (!Worker.IsRegistered_ || Worker.Entry_.Service_ != Service)
+      continue;
+    Total += Worker.Entry_.Capacity_;
+    Reserved += Worker.Used_;
+  }
+  Reserved += Reserved;
+  return Total.fits(Reserved, {});
+}
+
+std::size_t
+Scheduler::Impl::startsForOverdueTasks(std::span<const OverdueTask> Overdue,
+                                       TimePoint Now) const {
+  bool IsStarved = OverdueSince_ && Now - *OverdueSince_ >= MaxOverdueDelay;
+  return IsStarved && !Overdue.empty() ? 1 : 0;
+}
+
+void Scheduler::Impl::placeOverdueTasks(std::span<const OverdueTask> Overdue,
+                                        TimePoint Now) {
+  if (Overdue.empty())
+    return;
+  if (StartsLeft_ > 0)
+    OverdueSince_.reset();
+  else if (!OverdueSince_)
+    OverdueSince_ = Now;
+  UnplaceableOverdue_.clear();
+  std::map<std::string, bool> HasAmpleCapacity;
+  std::size_t Searches = 0;
+  std::size_t Position =
+      OverduePosition_ < Overdue.size() ? OverduePosition_ : 0;
+  for (; Position < Overdue.size() && Searches < MaxOverdueSearches &&
+         StartsLeft_ > 0;
+       ++Position) {
+    const Job &Waiting = Overdue[Position].Record_->Job_;
+    if (!Waiting.isLongRunning()) {
+      const std::string &Service = serviceOf(Waiting);
+      auto [It, IsNew] = HasAmpleCapacity.try_emplace(Service);
+      if (IsNew)
+        It->second = hasAmpleCapacity(Service);
+      if (!It->second)
+        continue;
+    }
+    Searches += placeOverdueTask(Overdue[Position], Now) ? 1 : 0;
+  }
+  OverduePosition_ = Position < Overdue.size() ? Position : 0;
+}
+
+bool Scheduler::Impl::placeOverdueTask(const OverdueTask &Overdue,
+                                       TimePoint Now) {
+  Job &TheJob = Overdue.Record_->Job_;
+  Task &Waiting = TheJob.at(Overdue.Slot_);
+  if (Waiting.Phase_ != TaskPhase::Waiting)
+    return false;
+  TaskName Name = TheJob.nameOf(Overdue.Slot_);
+  PlacementRequest Request = requestFor(TheJob, Overdue.Slot_, Now);
+  if (UnplaceableOverdue_.covers(Request))
+    return false;
+  WorkerState *Best = nullptr;
+  double LowestCost = 0;
+  for (const UsableWorker &Usable : UsableWorkers_) {
+    std::optional<double> Cost =
+        overdueCost(*Usable.Worker_, Request, Now - Overdue.WaitsSince_, Now);
+    if (!Cost || (Best && *Cost >= LowestCost))
+      continue;
+    Best = Usable.Worker_;
+    LowestCost = *Cost;
+  }
+  if (!Best) {
+    if (Request.Step_.MaxPerWorker_ == 0)
+      UnplaceableOverdue_.add(Request);
+    return true;
+  }
+  bool IsOverride = LowestCost >= OverrideCost;
+  // Timed tasks with a good worker are placed in the order of their jobs.
+  if (!IsOverride && !Request.Step_.IsLongRunning_)
+    return true;
+  planRun(*Best, *Overdue.Record_, Name, Waiting);
+  --StartsLeft_;
+  UsableWorkers_[Best->UsablePosition_].Free_ -= Request.Needed_;
+  if (IsOverride)
+    recordEvent(LogEvent::TaskPlacedOverdue,
+                {{"task", Name.text()},
+                 {"worker", Best->Entry_.Id_},
+                 {"waited_ms", std::to_string((Now - Overdue.WaitsSince_) /
+                                              std::chrono::milliseconds(1))}});
+  return true;
+}
+
+std::optional<double>
+Scheduler::Impl::overdueCost(WorkerState &Worker,
+                             const PlacementRequest &Request, Duration Wait,
+                             TimePoint Now) const {
+  if (findObstacle(Worker, Request, Now, Wait))
+    return std::nullopt;
+  std::optional<double> Cost = placementCost(Worker, Request.Step_);
+  if (!Cost)
+    return std::nullopt;
+  if (findObstacle(Worker, Request, Now))
+    *Cost += OverrideCost;
+  return *Cost + unexplainedCrashes(Worker, Now);
+}
+
+} // namespace filbertspring::scheduling
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -30,15 +30,11 @@
 /// used worker.
 constexpr double RemoteDataCost = 2.0;
 
-/// Returns whether the reservations and the other runs of \p Worker allow for a
-/// task of \p Request.
-bool satisfies(const WorkerState &Worker, const PlacementRequest &Request,
-               TimePoint Now) {
-  if (!Worker.ReservedJob_.empty() && Worker.ReservedJob_ != Request.Name_.Job_)
-    return false;
-  switch (Request.Isolation_) {
+/// Returns whether the other runs of \p Worker are as settled as \p Needed.
+bool isSettled(const WorkerState &Worker, Isolation Needed) {
+  switch (Needed) {
   case Isolation::None:
-    return Worker.ReservedUntil_ <= Now;
+    return true;
   case Isolation::Settled:
     return Worker.FreshRuns_ == 0;
   case Isolation::LongSettled:
@@ -120,7 +116,6 @@
   struct Candidate {
     JobRank Rank_;
     JobRecord *Record_;
-    const Queue *Policy_;
   };
   std::vector<Candidate> Candidates;
   for (auto It = JobsWithWaitingTasks_.begin();
@@ -132,7 +127,7 @@
     }
     ++It;
     const Queue *Policy = Queues_->find(Record->Job_.accepted().Queue_);
-    Candidates.push_back({rankOf(Record->Job_, Policy, Now), Record, Policy});
+    Candidates.push_back({rankOf(Record->Job_, Policy, Now), Record});
   }
   std::sort(Candidates.begin(), Candidates.end(),
             [](const Candidate &Left, const Candidate &Right) {
@@ -141,43 +136,67 @@
   Unplaceable_.clear();
   releaseReservations();
   findUsableWorkers(Now);
+  std::vector<OverdueTask> Overdue = findOverdueTasks(Now);
+  std::size_t OverdueStarts = startsForOverdueTasks(Overdue, Now);
+  StartsLeft_ = Limit - OverdueStarts;
   // Suspected tasks get the few workers on which all runs have settled. They
   // leave starts to the others, which may be more urgent.
-  std::size_t SuspectLimit = (Limit + 1) / 2;
-  StartsLeft_ = SuspectLimit;
+  std::size_t OtherLimit = StartsLeft_ / 2;
+  StartsLeft_ -= OtherLimit;
   for (const Candidate &Waiting : Candidates)
     if (JobsWithSuspects_.contains(Waiting.Record_->Job_.accepted().Id_))
-      placeJob(*Waiting.Record_, Waiting.Policy_, true, Now);
+      placeJob(*Waiting.Record_, true, Now);
   bool IsCutShort = StartsLeft_ == 0;
-  StartsLeft_ += Limit - SuspectLimit;
+  StartsLeft_ += OtherLimit;
   for (const Candidate &Waiting : Candidates) {
     if (StartsLeft_ == 0)
       break;
-    placeJob(*Waiting.Record_, Waiting.Policy_, false, Now);
+    placeJob(*Waiting.Record_, false, Now);
   }
-  reportWaits(Now);
   NeedsPlacement_ = IsCutShort || StartsLeft_ == 0;
+  StartsLeft_ += OverdueStarts;
+  placeOverdueTasks(Overdue, Now);
+  reportWaits(Now);
   return Limit - StartsLeft_;
 }
 
 /// Collects the workers that can get a task at all, with their free capacity.
 void Scheduler::Impl::findUsableWorkers(TimePoint Now) {
   UsableWorkers_.clear();
+  ReservableWorkers_ = 0;
   for (auto &[Id, Worker] : Workers_) {
-    if (!isUsable(Worker, Now))
+    if (findObstacle(Worker))
       continue;
     Resources Free = Worker.Entry_.Capacity_;
     Free -= Worker.Used_;
     Worker.UsablePosition_ = UsableWorkers_.size();
     UsableWorkers_.push_back({&Worker, Free});
+    ReservableWorkers_ +=
+        Worker.AvoidUntil_ <= Now && Worker.FreshSuspects_ == 0 ? 1 : 0;
   }
 }
 
-void Scheduler::Impl::placeJob(JobRecord &Record, const Queue *Policy,
-                               bool AreSuspected, TimePoint Now) {
+const std::string &Scheduler::Impl::serviceOf(const Job &TheJob) const {
+  const Queue *Policy = Queues_->find(TheJob.accepted().Queue_);
+  return Policy ? Policy->Service_ : TheJob.accepted().Service_;
+}
+
+PlacementRequest Scheduler::Impl::requestFor(const Job &TheJob,
+                                             std::uint32_t Slot,
+                                             TimePoint Now) const {
+  TaskName Name = TheJob.nameOf(Slot);
+  const StepSpec &Step = TheJob.step(Name);
+  PlacementRequest Request{
+      Step,        serviceOf(TheJob), Name,
+      Name.text(), Step.Request_,     neededIsolation(TheJob.at(Slot), Now)};
+  if (Step.IsFiller_)
+    Request.Needed_.MilliCpu_ = 0;
+  return Request;
+}
+
+void Scheduler::Impl::placeJob(JobRecord &Record, bool AreSuspected,
+                               TimePoint Now) {
   Job &TheJob = Record.Job_;
-  const std::string &Service =
-      Policy ? Policy->Service_ : TheJob.accepted().Service_;
   // Copied because placing a task removes it from the set.
   std::vector<std::uint32_t> Slots;
   for (std::uint32_t Slot : TheJob.waiting())
@@ -195,29 +214,26 @@
         std::find_if(StepBegin, Slots.end(), [&](std::uint32_t Slot) {
           return IsOtherStep(*StepBegin, Slot);
         });
-    placeStep(Record, Service, {StepBegin, StepEnd}, Now);
+    placeStep(Record, {StepBegin, StepEnd}, Now);
     StepBegin = StepEnd;
   }
 }
 
 /// Places the tasks of one step, which are identical, until no worker is left
 /// for one. Evaluates each worker once, and again after it was assigned a task.
-void Scheduler::Impl::placeStep(JobRecord &Record, const std::string &Service,
+void Scheduler::Impl::placeStep(JobRecord &Record,
                                 std::span<const std::uint32_t> Slots,
                                 TimePoint Now) {
   Job &TheJob = Record.Job_;
-  TaskName First = TheJob.nameOf(Slots.front());
-  const StepSpec &Step = TheJob.step(First);
-  PlacementRequest Request{
-      Step, Service,       First,
-      {},   Step.Request_, neededIsolation(TheJob.at(Slots.front()), Now)};
-  if (Step.IsFiller_)
-    Request.Needed_.MilliCpu_ = 0;
+  PlacementRequest Request = requestFor(TheJob, Slots.front(), Now);
+  // Any task of the step.
+  Request.TaskText_.clear();
+  const StepSpec &Step = Request.Step_;
   bool IsIsolated = Request.Isolation_ != Isolation::None;
   bool HasWaited =
       !IsIsolated && hasWaitedForCapacity(TheJob.at(Slots.front()), Now);
   // A worker that was reserved for the job may have capacity for it by now.
-  if (!PreviousReservations_.contains(First.Job_) &&
+  if (!PreviousReservations_.contains(Request.Name_.Job_) &&
       Unplaceable_.covers(Request)) {
     if (HasWaited)
       reserveCapacity(Request, Now);
@@ -297,39 +313,46 @@
   }
 }
 
-std::optional<Obstacle> Scheduler::Impl::findObstacle(const WorkerState &Worker,
-                                                      TimePoint Now) const {
+std::optional<Obstacle>
+Scheduler::Impl::findObstacle(const WorkerState &Worker) const {
   const WorkerEntry &Entry = Worker.Entry_;
   if (!Worker.IsRegistered_ || !Worker.IsStored_ || !Worker.isReachable() ||
       Worker.IsExpired_ || Entry.IsDraining_ || !Worker.ClockMs_ ||
       ClosedZones_.contains(Entry.Zone_))
     return Obstacle::NotUsable;
-  if (Worker.AvoidUntil_ > Now)
-    return Obstacle::Avoided;
   if (Worker.UnknownRuns_ > 0)
     return Obstacle::UnknownRun;
   if (Worker.StartsInFlight_ >= MaxStartsInFlight)
     return Obstacle::StartsInFlight;
-  if (Worker.FreshSuspects_ > 0)
-    return Obstacle::FreshSuspect;
   return std::nullopt;
 }
 
 std::optional<Obstacle>
 Scheduler::Impl::findObstacle(const WorkerState &Worker,
-                              const PlacementRequest &Request,
-                              TimePoint Now) const {
-  if (std::optional<Obstacle> Found = findObstacle(Worker, Now))
+                              const PlacementRequest &Request, TimePoint Now,
+                              Duration Wait) const {
+  if (std::optional<Obstacle> Found = findObstacle(Worker))
     return Found;
   const WorkerEntry &Entry = Worker.Entry_;
   if (Entry.Service_ != Request.Service_)
     return Obstacle::NotAllowed;
-  if (!satisfies(Worker, Request, Now))
-    return Request.Isolation_ == Isolation::None ? Obstacle::Reserved
-                                                 : Obstacle::NotIsolated;
+  auto Counts = [Wait](Obstacle Judgement) {
+    return Wait < maxWait(Judgement).value_or(Duration::max());
+  };
+  if (Worker.AvoidUntil_ > Now && Counts(Obstacle::Avoided))
+    return Obstacle::Avoided;
+  if (Worker.FreshSuspects_ > 0 && Counts(Obstacle::FreshSuspect))
+    return Obstacle::FreshSuspect;
+  if (!Worker.ReservedJob_.empty() && Worker.ReservedJob_ != Request.Name_.Job_)
+    return Obstacle::ReservedForJob;
+  if (Request.Isolation_ == Isolation::None && Worker.ReservedUntil_ > Now &&
+      Counts(Obstacle::Reserved))
+    return Obstacle::Reserved;
+  if (!isSettled(Worker, Request.Isolation_) && Counts(Obstacle::NotIsolated))
+    return Obstacle::NotIsolated;
   const StepSpec &Step = Request.Step_;
   if (Step.IsFiller_ && Worker.OverTargetSince_)
-    return Obstacle::Interference;
+    return Obstacle::OverTarget;
   const std::vector<std::string> &Labels = Entry.Labels_;
   if (!Step.RequiredLabel_.empty() &&
       std::find(Labels.begin(), Labels.end(), Step.RequiredLabel_) ==
--- a/packages/scheduling/src/scheduler_reservations.cpp
+++ b/packages/scheduling/src/scheduler_reservations.cpp
@@ -79,7 +79,7 @@
     if (isEligible(Worker, Relaxed, Now) && (!Best || IsWorse(*Best, Worker)))
       Best = &Worker;
   }
-  if (Best && Reserved <= UsableWorkers_.size() / ReservedDivisor)
+  if (Best && Reserved <= ReservableWorkers_ / ReservedDivisor)
     Best->ReservedUntil_ = Now + (Request.Isolation_ == Isolation::LongSettled
                                       ? LongReservationTime
                                       : ReservationTime);
@@ -131,7 +131,7 @@
                                       TimePoint Now) {
   const std::string &Job = Request.Name_.Job_;
   if (Reservations_.contains(Job) ||
-      Reservations_.size() > UsableWorkers_.size() / ReservedDivisor)
+      Reservations_.size() > ReservableWorkers_ / ReservedDivisor)
     return;
   auto Previous = PreviousReservations_.find(Job);
   WorkerState *Chosen = Previous == PreviousReservations_.end()
--- a/packages/scheduling/src/scheduler_waits.cpp
+++ b/packages/scheduling/src/scheduler_waits.cpp
@@ -16,45 +16,12 @@
 /// Interval between two reports.
 constexpr Duration WaitReportInterval = std::chrono::milliseconds(1000);
 
-constexpr std::size_t ObstacleCount = 12;
-constexpr EnumTable<Obstacle, ObstacleCount> ObstacleNames{{
-    {Obstacle::NotUsable, "not_usable"},
-    {Obstacle::NotAllowed, "not_allowed"},
-    {Obstacle::NoCapacity, "no_capacity"},
-    {Obstacle::Avoided, "avoided"},
-    {Obstacle::UnknownRun, "unknown_run"},
-    {Obstacle::StartsInFlight, "starts_in_flight"},
-    {Obstacle::FreshSuspect, "fresh_suspect"},
-    {Obstacle::Reserved, "reserved"},
-    {Obstacle::NotIsolated, "not_isolated"},
-    {Obstacle::StepLimit, "step_limit"},
-    {Obstacle::Utilization, "utilization"},
-    {Obstacle::Interference, "interference"},
-}};
-
 constexpr EnumTable<Isolation, 3> IsolationNames{{
     {Isolation::None, "none"},
     {Isolation::Settled, "settled"},
     {Isolation::LongSettled, "long_settled"},
 }};
 
-/// Returns the slot of the task of \p Waiting that has waited longest.
-std::uint32_t longestWaiting(const Job &Waiting) {
-  const std::set<std::uint32_t> &Slots = Waiting.waiting();
-  return *std::min_element(
-      Slots.begin(), Slots.end(), [&](std::uint32_t Left, std::uint32_t Right) {
-        return Waiting.at(Left).ReadyAt_ < Waiting.at(Right).ReadyAt_;
-      });
-}
-
-/// Returns whether a worker executes, or may execute, a task of \p Waiting.
-bool hasPlacedTask(const Job &Waiting) {
-  for (std::uint32_t Slot = 0; Slot < Waiting.taskCount(); ++Slot)
-    if (Waiting.at(Slot).Phase_ == TaskPhase::Placed)
-      return true;
-  return false;
-}
-
 } // namespace
 
 void LongestWait::add(JobRecord &Record, std::uint32_t Slot) {
@@ -77,9 +44,9 @@
     if (!Record || Record->Job_.waiting().empty())
       continue;
     const Job &Waiting = Record->Job_;
-    std::uint32_t Slot = longestWaiting(Waiting);
+    std::uint32_t Slot = Waiting.longestWaiting();
     if (Now - Waiting.at(Slot).ReadyAt_ < MinReportedWait ||
-        (!Waiting.isLongRunning() && hasPlacedTask(Waiting)))
+        (!Waiting.isLongRunning() && Waiting.hasPlacedTask()))
       continue;
     (Waiting.isLongRunning() ? LongRunning : Timed).add(*Record, Slot);
   }
@@ -94,21 +61,13 @@
     return;
   const Job &Waiting = Longest.Record_->Job_;
   const Task &WaitingTask = Waiting.at(Longest.Slot_);
-  TaskName Name = Waiting.nameOf(Longest.Slot_);
-  const StepSpec &Step = Waiting.step(Name);
-  const Queue *Policy = Queues_->find(Waiting.accepted().Queue_);
-  PlacementRequest Request{
-      Step,          Policy ? Policy->Service_ : Waiting.accepted().Service_,
-      Name,          Name.text(),
-      Step.Request_, neededIsolation(WaitingTask, Now)};
-  if (Step.IsFiller_)
-    Request.Needed_.MilliCpu_ = 0;
+  PlacementRequest Request = requestFor(Waiting, Longest.Slot_, Now);
   std::array<std::int64_t, ObstacleCount> Counts{};
   std::int64_t Eligible = 0;
   for (auto &[Id, Worker] : Workers_) {
     std::optional<Obstacle> Found = findObstacle(Worker, Request, Now);
     if (!Found)
-      Found = findFillerObstacle(Worker, Step);
+      Found = findFillerObstacle(Worker, Request.Step_);
     if (Found)
       ++Counts[static_cast<std::size_t>(*Found)];
     else
@@ -118,12 +77,12 @@
   for (std::size_t Index = 0; Index < ObstacleCount; ++Index)
     if (Counts[Index] > 0) {
       Obstacles += Obstacles.empty() ? "" : ",";
-      Obstacles += nameOf(ObstacleNames, static_cast<Obstacle>(Index));
+      Obstacles += nameOf(static_cast<Obstacle>(Index));
       Obstacles += ':' + std::to_string(Counts[Index]);
     }
   recordEvent(
       LogEvent::TaskWaits,
-      {{"task", Name.text()},
+      {{"task", Request.TaskText_},
        {"kind", Kind},
        {"waited_ms", std::to_string((Now - WaitingTask.ReadyAt_) /
                                     std::chrono::milliseconds(1))},
