Fillers: an overdue one is started where it has to be slow

Cause: a filler was placed only where it is harmless at full speed and the processors are not used up. A large one of a harmful image finds no such worker while each worker has serving tasks, or fillers beside them that are slow themselves and do not end soon, so that a reservation does not help either.

A filler of a job without a running task, in a service with ample capacity, is now started after two seconds where the pacing lets it work fastest, at a tenth of its speed or more. At most an eighth of the workers have such a start at a time, since it slows down the fillers beside it. A worker with a serving task over its target gets none.

--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -273,6 +273,10 @@
   std::optional<double> overdueCost(WorkerState &Worker,
                                     const PlacementRequest &Request,
                                     Duration Wait, TimePoint Now) const;
+  /// Returns the cost of placing an overdue filler on \p Worker, where it has
+  /// to be slow; nothing if it has not waited long enough, or is too slow.
+  std::optional<double> slowStartCost(WorkerState &Worker, const StepSpec &Step,
+                                      Duration Wait) const;
   /// Returns whether less than half of the capacity of \p Service is reserved.
   bool hasAmpleCapacity(const std::string &Service) const;
   /// Places the waiting tasks of a job that are suspected, or the others.
@@ -323,6 +327,8 @@
   void reportWait(const char *Kind, const LongestWait &Longest, TimePoint Now);
   std::optional<double> placementCost(WorkerState &Worker,
                                       const StepSpec &Step) const;
+  /// Returns the cost of a worker that is far from the data of \p Step.
+  static double remoteDataCost(const WorkerState &Worker, const StepSpec &Step);
   double headroom(WorkerState &Worker, const std::string &Image) const;
   double flexibility(WorkerState &Worker) const;
   void planRun(WorkerState &Worker, JobRecord &Record, const TaskName &Name,
@@ -413,6 +419,8 @@
   std::optional<TimePoint> OverdueSince_;
   /// The position of the next overdue task to search a worker for.
   std::size_t OverduePosition_ = 0;
+  /// How many fillers may still be started in this pass that have to be slow.
+  std::size_t SlowStartsLeft_ = 0;
   /// Requests of overdue tasks for which no worker was found in the present
   /// placement pass.
   UnplaceableRequests UnplaceableOverdue_;
--- a/packages/scheduling/src/scheduler_overdue.cpp
+++ b/packages/scheduling/src/scheduler_overdue.cpp
@@ -19,6 +19,11 @@
 /// Overdue tasks for which a worker is searched in one check, which bounds the
 /// time that it takes while many tasks wait.
 constexpr std::size_t MaxOverdueSearches = 8;
+/// Fillers that were started although they have to be slow are at most this
+/// fraction of the workers. They slow down the others beside them.
+constexpr std::size_t SlowStartDivisor = 8;
+/// A filler that would be slower is not started, in percent of full speed.
+constexpr int MinSlowStartPercent = 10;
 /// Cost of a worker that a judgement speaks against, in units of a fully used
 /// worker. Exceeds all other costs.
 constexpr double OverrideCost = 100.0;
@@ -88,6 +93,11 @@
   else if (!OverdueSince_)
     OverdueSince_ = Now;
   UnplaceableOverdue_.clear();
+  std::size_t SlowStarts = 0;
+  for (const UsableWorker &Usable : UsableWorkers_)
+    SlowStarts += Usable.Worker_->SlowStarts_;
+  std::size_t MaxSlowStarts = 1 + UsableWorkers_.size() / SlowStartDivisor;
+  SlowStartsLeft_ = MaxSlowStarts - std::min(MaxSlowStarts, SlowStarts);
   std::map<std::string, bool> HasAmpleCapacity;
   std::size_t Searches = 0;
   std::size_t Position =
@@ -138,8 +148,13 @@
   // Timed tasks with a good worker are placed in the order of their jobs.
   if (!IsOverride && !Request.Step_.IsLongRunning_)
     return true;
+  bool IsSlow = findFillerObstacle(*Best, Request.Step_).has_value();
   planRun(*Best, *Overdue.Record_, Name, Waiting);
   --StartsLeft_;
+  if (IsSlow) {
+    Best->noteSlowStart(Best->Runs_.at(Request.TaskText_));
+    --SlowStartsLeft_;
+  }
   UsableWorkers_[Best->UsablePosition_].Free_ -= Request.Needed_;
   if (IsOverride)
     recordEvent(LogEvent::TaskPlacedOverdue,
@@ -157,6 +172,8 @@
   if (findObstacle(Worker, Request, Now, Wait))
     return std::nullopt;
   std::optional<double> Cost = placementCost(Worker, Request.Step_);
+  if (!Cost)
+    Cost = slowStartCost(Worker, Request.Step_, Wait);
   if (!Cost)
     return std::nullopt;
   if (findObstacle(Worker, Request, Now))
@@ -164,4 +181,22 @@
   return *Cost + unexplainedCrashes(Worker, Now);
 }
 
+std::optional<double> Scheduler::Impl::slowStartCost(WorkerState &Worker,
+                                                     const StepSpec &Step,
+                                                     Duration Wait) const {
+  std::optional<Obstacle> Found = findFillerObstacle(Worker, Step);
+  if (!Found || Wait < *maxWait(*Found) || SlowStartsLeft_ == 0)
+    return std::nullopt;
+  std::vector<FillerSample> Fillers = Worker.fillerSamples();
+  double Share =
+      static_cast<double>(Step.Request_.MilliCpu_) / Worker.milliCpu();
+  Fillers.push_back({Step.Image_, Share, 100});
+  int Percent = choosePaces(Model_, Worker.servingSamples(), Fillers).back();
+  if (Percent < MinSlowStartPercent)
+    return std::nullopt;
+  return OverrideCost + 100.0 / Percent +
+         std::max(1.0, Worker.utilizationWithFiller(Step.Request_.MilliCpu_)) +
+         remoteDataCost(Worker, Step);
+}
+
 } // namespace filbertspring::scheduling
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -425,11 +425,16 @@
     if (Step.IsLongRunning_)
       Cost += MixedImageCost * countOtherImages(Worker, Step.Image_);
   }
+  return Cost + remoteDataCost(Worker, Step);
+}
+
+double Scheduler::Impl::remoteDataCost(const WorkerState &Worker,
+                                       const StepSpec &Step) {
   const std::vector<std::string> &Labels = Worker.Entry_.Labels_;
-  if (!Step.DataRack_.empty() &&
-      std::find(Labels.begin(), Labels.end(), Step.DataRack_) == Labels.end())
-    Cost += RemoteDataCost;
-  return Cost;
+  bool IsRemote =
+      !Step.DataRack_.empty() &&
+      std::find(Labels.begin(), Labels.end(), Step.DataRack_) == Labels.end();
+  return IsRemote ? RemoteDataCost : 0.0;
 }
 
 bool Scheduler::Impl::hasBetterWorker(const WorkerState &Present,
--- a/packages/scheduling/src/worker_state.cpp
+++ b/packages/scheduling/src/worker_state.cpp
@@ -33,6 +33,7 @@
     LongRunningMilliCpu_ += NewRun.RequestedMilliCpu_;
   if (NewRun.IsFiller_)
     FillerMilliCpu_ += NewRun.RequestedMilliCpu_;
+  SlowStarts_ += NewRun.IsSlowStart_ ? 1 : 0;
   countFresh(NewRun, 1);
   Runs_.insert_or_assign(NewRun.Name_.text(), std::move(NewRun));
 }
@@ -54,6 +55,7 @@
     LongRunningMilliCpu_ -= Dropped.RequestedMilliCpu_;
   if (Dropped.IsFiller_)
     FillerMilliCpu_ -= Dropped.RequestedMilliCpu_;
+  SlowStarts_ -= Dropped.IsSlowStart_ ? 1 : 0;
   countFresh(Dropped, -1);
   bool IsLongRunning = Dropped.IsLongRunning_;
   Runs_.erase(It);
@@ -67,6 +69,7 @@
   UnknownRuns_ = 0;
   LongRunningMilliCpu_ = 0;
   FillerMilliCpu_ = 0;
+  SlowStarts_ = 0;
   FreshRuns_ = 0;
   FreshSuspects_ = 0;
   YoungRuns_ = 0;
@@ -94,6 +97,11 @@
   countFresh(Listed, 1);
 }
 
+void WorkerState::noteSlowStart(Run &Slow) {
+  SlowStarts_ += Slow.IsSlowStart_ ? 0 : 1;
+  Slow.IsSlowStart_ = true;
+}
+
 std::vector<LostRun> WorkerState::possibleRuns() const {
   std::vector<LostRun> Possible;
   for (const auto &[Text, ActiveRun] : Runs_) {
--- a/packages/scheduling/src/worker_state.h
+++ b/packages/scheduling/src/worker_state.h
@@ -79,6 +79,8 @@
   int PacePercent_ = 100;
   TimePoint PaceSentAt_{};
   bool SavesProgress_ = false;
+  /// It is a filler that was started although it has to be slow.
+  bool IsSlowStart_ = false;
   /// Since when the pace has been so low that the filler should move to another
   /// worker.
   std::optional<TimePoint> SlowSince_;
@@ -189,6 +191,8 @@
   std::uint32_t UnknownRuns_ = 0;
   std::int64_t LongRunningMilliCpu_ = 0;
   std::int64_t FillerMilliCpu_ = 0;
+  /// The number of its runs that are slow starts.
+  std::size_t SlowStarts_ = 0;
   /// The runs that have not settled, and those of them that are suspected.
   std::size_t FreshRuns_ = 0;
   std::size_t FreshSuspects_ = 0;
@@ -224,6 +228,8 @@
   void addRun(Run NewRun);
   /// Notes for how long reports have listed \p Listed, a run of this worker.
   void noteListed(Run &Listed, Duration ListedFor);
+  /// Notes that \p Slow, a run of this worker, is a slow start.
+  void noteSlowStart(Run &Slow);
   /// Returns the runs that the worker executes or may execute.
   std::vector<LostRun> possibleRuns() const;
   /// Returns the serving tasks that have a tail latency target. The result
