Reservations: each step of a job has its own

Callers saw a task of one step wait behind small tasks of other jobs while another step of its job, which fitted nowhere, held the job's reservation. Cause: reservations were kept by job. They are kept by job and step now, and two steps of a job never share a worker. The limit of a quarter of the workers counts workers, as before.

Ruled out: that identical tasks of one step need a reservation each (does_not_wait_until_the_others_of_its_step_run is green without it).

Evidence: does_not_wait_behind_another_step_that_fits_nowhere was red without the change and is green with it.

--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -112,6 +112,14 @@
   Isolation Isolation_ = Isolation::None;
 };
 
+/// A worker that is reserved for a step of a job until it has capacity for one
+/// of its tasks.
+struct CapacityReservation {
+  std::uint32_t Occurrence_ = 0;
+  std::uint32_t Step_ = 0;
+  std::string Worker_;
+};
+
 /// Why a worker does not get a task.
 enum class Obstacle {
   /// Not registered, draining, unreachable, or in a closed zone.
@@ -348,11 +356,15 @@
   std::set<std::string> WorkersOverTarget_;
   /// The workers of the present placement pass.
   std::vector<UsableWorker> UsableWorkers_;
-  /// The workers that are reserved for a job in the present placement pass, and
-  /// those of the last pass. By job.
-  std::unordered_map<std::string, std::string> Reservations_;
-  std::unordered_map<std::string, std::string> PreviousReservations_;
-  /// Jobs for which a worker may still be searched in this placement pass.
+  /// The reservations of capacity of the present placement pass, and those of
+  /// the last pass. By job.
+  std::unordered_map<std::string, std::vector<CapacityReservation>>
+      Reservations_;
+  std::unordered_map<std::string, std::vector<CapacityReservation>>
+      PreviousReservations_;
+  /// The number of workers that are reserved in the present placement pass.
+  std::size_t ReservedWorkers_ = 0;
+  /// Steps for which a worker may still be searched in this placement pass.
   std::size_t ReservationSearchesLeft_ = 0;
   /// Jobs that may have steps to release.
   std::set<std::string> JobsToRelease_;
--- a/packages/scheduling/src/scheduler_reservations.cpp
+++ b/packages/scheduling/src/scheduler_reservations.cpp
@@ -44,6 +44,23 @@
                 Needed.Accelerators_)});
 }
 
+/// Returns the reservation of the step of \p Name, or null.
+const CapacityReservation *findReservation(
+    const std::unordered_map<std::string, std::vector<CapacityReservation>>
+        &Reservations,
+    const TaskName &Name) {
+  auto Found = Reservations.find(Name.Job_);
+  if (Found == Reservations.end())
+    return nullptr;
+  const std::vector<CapacityReservation> &Entries = Found->second;
+  auto It = std::find_if(Entries.begin(), Entries.end(),
+                         [&](const CapacityReservation &Entry) {
+                           return Entry.Occurrence_ == Name.Occurrence_ &&
+                                  Entry.Step_ == Name.Step_;
+                         });
+  return It == Entries.end() ? nullptr : &*It;
+}
+
 /// Returns the capacity that the long-running tasks of \p Worker use.
 Resources longRunningUse(const WorkerState &Worker) {
   Resources Sum;
@@ -86,10 +103,12 @@
 }
 
 void Scheduler::Impl::releaseReservations() {
-  for (const auto &[Job, Id] : Reservations_)
-    if (WorkerState *Worker = findWorker(Id))
-      Worker->ReservedJob_.clear();
+  for (const auto &[Job, Entries] : Reservations_)
+    for (const CapacityReservation &Entry : Entries)
+      if (WorkerState *Worker = findWorker(Entry.Worker_))
+        Worker->ReservedJob_.clear();
   PreviousReservations_ = std::exchange(Reservations_, {});
+  ReservedWorkers_ = 0;
   ReservationSearchesLeft_ = MaxReservationSearches;
 }
 
@@ -129,31 +148,40 @@
 
 void Scheduler::Impl::reserveCapacity(const PlacementRequest &Request,
                                       TimePoint Now) {
-  const std::string &Job = Request.Name_.Job_;
-  if (Reservations_.contains(Job) ||
-      Reservations_.size() > UsableWorkers_.size() / ReservedDivisor)
+  const TaskName &Name = Request.Name_;
+  if (findReservation(Reservations_, Name) ||
+      ReservedWorkers_ > UsableWorkers_.size() / ReservedDivisor)
     return;
-  auto Previous = PreviousReservations_.find(Job);
-  WorkerState *Chosen = Previous == PreviousReservations_.end()
-                            ? nullptr
-                            : findWorker(Previous->second);
+  const CapacityReservation *Previous =
+      findReservation(PreviousReservations_, Name);
+  WorkerState *Chosen = Previous ? findWorker(Previous->Worker_) : nullptr;
+  // Another step of the job may have chosen the worker in this pass.
+  auto IsFree = [](const WorkerState &Worker) {
+    return Worker.ReservedJob_.empty();
+  };
   constexpr double Unbounded = std::numeric_limits<double>::infinity();
-  if (Chosen && !missingCapacity(*Chosen, Request, Unbounded, Now))
+  if (Chosen &&
+      !(IsFree(*Chosen) && missingCapacity(*Chosen, Request, Unbounded, Now)))
     Chosen = nullptr;
   if (!Chosen && ReservationSearchesLeft_ > 0) {
     --ReservationSearchesLeft_;
     double Least = Unbounded;
-    for (const UsableWorker &Usable : UsableWorkers_)
+    for (const UsableWorker &Usable : UsableWorkers_) {
+      if (!IsFree(*Usable.Worker_))
+        continue;
       if (std::optional<double> Missing =
               missingCapacity(*Usable.Worker_, Request, Least, Now)) {
         Chosen = Usable.Worker_;
         Least = *Missing;
       }
+    }
   }
   if (!Chosen)
     return;
-  Chosen->ReservedJob_ = Job;
-  Reservations_.emplace(Job, Chosen->Entry_.Id_);
+  Chosen->ReservedJob_ = Name.Job_;
+  ++ReservedWorkers_;
+  Reservations_[Name.Job_].push_back(
+      {Name.Occurrence_, Name.Step_, Chosen->Entry_.Id_});
 }
 
 } // namespace filbertspring::scheduling
