Long-running tasks are not held back beyond their bound

A long-running task that may have caused several crashes waited for up to 30 s until it was known which of the workers that were lost with it had crashed. The hold-back protects the number of starts of a timed task; long-running ones have no such limit. They are placed once they are overdue.

does_not_wait_until_workers_that_left_are_judged failed before.

--- a/packages/scheduling/src/scheduler_overdue.cpp
+++ b/packages/scheduling/src/scheduler_overdue.cpp
@@ -40,7 +40,7 @@
     return Overdue;
   NextOverdueCheckAt_ = Now + OverdueCheckInterval;
   auto IsOverdue = [Now](const Task &Waiting) {
-    return Now - waitsSince(Waiting) >= MinOverdueWait && !isHeldBack(Waiting);
+    return Now - waitsSince(Waiting) >= MinOverdueWait;
   };
   for (const std::string &Id : JobsWithWaitingTasks_) {
     JobRecord *Record = findJob(Id);
@@ -48,13 +48,15 @@
       continue;
     const Job &Waiting = Record->Job_;
     if (Waiting.isLongRunning()) {
+      // Also those that are held back: the number of their starts has no limit.
       for (std::uint32_t Slot : Waiting.waiting())
         if (IsOverdue(Waiting.at(Slot)))
           Overdue.push_back({Record, Slot, waitsSince(Waiting.at(Slot))});
       continue;
     }
     std::uint32_t Slot = Waiting.longestWaiting();
-    if (IsOverdue(Waiting.at(Slot)) && !Waiting.hasPlacedTask())
+    if (IsOverdue(Waiting.at(Slot)) && !isHeldBack(Waiting.at(Slot)) &&
+        !Waiting.hasPlacedTask())
       Overdue.push_back({Record, Slot, waitsSince(Waiting.at(Slot))});
   }
   std::sort(Overdue.begin(), Overdue.end(),
