Scheduler: a task is not lost when its worker lists an earlier run of it

What callers saw, or could have seen: a task that stays placed on a worker that executes no run of it, for as long as the tenure lasts.

Cause: a report that lists another run of a task than the one that is counted replaces the counted run. When the listed run has ended, its number is not the last one that the task was given, so the task is not returned to the waiting ones, and nothing counts the run that it is placed as. Workers list earlier runs if a start is carried out late: a worker that has restarted under its id has seen neither the fencing token nor the deadline of an order for its earlier life.

Ruled out: a start without an answer, a start that was answered and not executed, stops that are refused for a while, and lost transactions end in a new start within three seconds.

Why it works: when a run of a task has left a worker on which the task is placed as a later run that nothing counts, the later run is stopped there. The stop makes the worker refuse a start that is still on its way, and the task waits again once a report after the stop does not list it. A worker that has certainly ended gives all of its tasks back, whatever number is counted.

--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -251,6 +251,8 @@
   /// present run. It is not placed again before \p Delay has passed.
   void requeueRun(WorkerState &Worker, JobRecord &Record, const TaskName &Name,
                   std::uint64_t Run, TimePoint Now, Duration Delay);
+  void stopUncountedRun(WorkerState &Worker, JobRecord &Record,
+                        const TaskName &Name, TimePoint Now);
 
   // Commands.
   void sendStart(WorkerState &Worker, Run &Target, JobRecord &Record,
--- a/packages/scheduling/src/scheduler_workers.cpp
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -104,8 +104,12 @@
     JobRecord *Record = findJob(ActiveRun.Name_.Job_);
     if (!Record)
       continue;
+    Task *Lost = Record->Job_.find(ActiveRun.Name_);
+    if (!Lost)
+      continue;
     Record->Job_.keepCheckpoint(ActiveRun.Name_, ActiveRun.Checkpoint_);
-    requeueRun(Worker, *Record, ActiveRun.Name_, ActiveRun.Number_,
+    // Whichever run was counted, the worker does not execute it any more.
+    requeueRun(Worker, *Record, ActiveRun.Name_, Lost->Progress_.LastRun_,
                LastReportAt, Now - LastReportAt + crashRetryDelay(ActiveRun));
   }
 }
@@ -139,9 +143,10 @@
                                  TimePoint Now, Duration Delay) {
   Task *Requeued = Record.Job_.find(Name);
   if (!Requeued || Requeued->Phase_ != TaskPhase::Placed ||
-      Requeued->Progress_.LastRun_ != Number ||
       Requeued->Progress_.Worker_ != Worker.Entry_.Id_)
     return;
+  if (Requeued->Progress_.LastRun_ != Number)
+    return stopUncountedRun(Worker, Record, Name, Now);
   Record.Job_.requeue(Name, Now, Now + Delay);
   if (!isFinal(Record.Job_.state()))
     JobsWithWaitingTasks_.insert(Record.Job_.accepted().Id_);
@@ -149,6 +154,20 @@
   NeedsPlacement_ = true;
 }
 
+/// Stops the present run of \p Name if \p Worker has no run of that task any
+/// more: an earlier one, which the worker listed, has taken its place.
+void Scheduler::Impl::stopUncountedRun(WorkerState &Worker, JobRecord &Record,
+                                       const TaskName &Name, TimePoint Now) {
+  if (Worker.Runs_.contains(Name.text()) || isFinal(Record.Job_.state()))
+    return;
+  // Its start may have been sent, so the task is placed again only after the
+  // stop.
+  Run Present =
+      makeRun(Record.Job_, Name, Record.Job_.find(Name)->Progress_.LastRun_);
+  requestStop(Worker, Present, Now);
+  Worker.addRun(std::move(Present));
+}
+
 /// Stops the long-running tasks of workers that drain if another worker has
 /// capacity, so that they are not lost when their worker leaves.
 void Scheduler::Impl::moveFromDrainingWorkers(TimePoint Now) {
--- /dev/null
+++ b/packages/scheduling/tests/counted_runs_test.cpp
@@ -0,0 +1,151 @@
+/// \file
+/// Tests of the runs that an owner counts although no worker executes them.
+
+#include "crash_fixture.h"
+
+namespace filbertspring::scheduling::test {
+namespace {
+
+/// Users tolerate that a ready task waits for this long beside free capacity.
+constexpr Duration MaxReadyWait = 3s;
+
+StepSpec lastingTask(std::uint32_t Count = 1, std::int64_t MilliCpu = 1000) {
+  StepSpec Step = Cell::task(Count, MilliCpu);
+  Step.IsLongRunning_ = true;
+  return Step;
+}
+
+/// A cell with one long-running task on one of two workers.
+struct CellWithRun : Cell {
+  CellWithRun() {
+    submit("lasting", {lastingTask()});
+    step();
+    BOOST_REQUIRE(Starts_.size() == 1);
+    First_ = Starts_.front();
+    accept(First_);
+    play(100ms);
+  }
+
+  void accept(const StartTask &Start) {
+    std::vector<RunningTask> &Running = RunningTasks_[Start.Worker_];
+    std::erase_if(Running, [&](const RunningTask &Task) {
+      return Task.Name_.text() == Start.Name_.text();
+    });
+    Running.push_back({Start.Name_, Start.Run_, "", 100, 1});
+    Scheduler_.startAnswered(Start.Worker_, Start.Name_, Start.Run_,
+                             CallOutcome::Accepted, Now_);
+  }
+
+  /// Lets \p Time pass. Workers carry out all commands.
+  void play(Duration Time) {
+    for (TimePoint End = Now_ + Time; Now_ < End;) {
+      step();
+      for (; Answered_ < Starts_.size(); ++Answered_)
+        accept(Starts_[Answered_]);
+      for (const StopTask &Stop : std::exchange(Stops_, {}))
+        carryOut(Stop);
+      answerRenewals();
+    }
+  }
+
+  void carryOut(const StopTask &Stop) {
+    std::erase_if(RunningTasks_[Stop.Worker_], [&](const RunningTask &Task) {
+      bool IsStopped = Task.Run_ == Stop.Run_;
+      if (IsStopped)
+        addEnd(Stop.Worker_, Stop.Run_, EndReason::Stopped);
+      return IsStopped;
+    });
+    Scheduler_.stopAnswered(Stop.Worker_, Stop.Name_, Stop.Run_,
+                            CallOutcome::Accepted, Now_);
+  }
+
+  void addEnd(const std::string &Worker, std::uint64_t Run, EndReason Reason) {
+    std::vector<EndedTask> &Ends = EndedTasks_[Worker];
+    Ends.push_back({Ends.size() + 1, First_.Name_, Run, Reason, ""});
+  }
+
+  /// Lets the worker of the first run report that it executes nothing.
+  void loseFirstRun() {
+    RunningTasks_[First_.Worker_].clear();
+    step();
+    answerRenewals();
+  }
+
+  void closeZoneOf(const std::string &Worker) {
+    Scheduler_.setClosedZones({Worker == "w1" ? "zone-a" : "zone-b"});
+  }
+  std::string otherWorker() const {
+    return First_.Worker_ == "w1" ? "w2" : "w1";
+  }
+  bool isRunning() const {
+    return std::any_of(RunningTasks_.begin(), RunningTasks_.end(),
+                       [](const auto &Entry) { return !Entry.second.empty(); });
+  }
+
+  StartTask First_;
+  std::size_t Answered_ = 1;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(a_task_whose_earlier_run_is_listed_again)
+
+BOOST_FIXTURE_TEST_CASE(is_started_after_the_end_of_that_run, CellWithRun) {
+  loseFirstRun();
+  closeZoneOf(First_.Worker_);
+  play(100ms);
+  BOOST_REQUIRE(Starts_.size() == 2);
+  Scheduler_.setClosedZones({});
+  step(2s);
+  RunningTasks_[otherWorker()].clear();
+  addEnd(otherWorker(), Starts_.back().Run_, EndReason::Failed);
+  RunningTasks_[First_.Worker_] = {{First_.Name_, First_.Run_, "", 100, 1}};
+  // The report with the end comes first.
+  std::partition(Renewals_.begin(), Renewals_.end(), [&](const auto &Renewal) {
+    return Renewal.Worker_ != First_.Worker_;
+  });
+  BOOST_REQUIRE(Renewals_.size() == 2);
+  answerRenewals();
+  play(100ms);
+  BOOST_REQUIRE(Starts_.size() == 2);
+  BOOST_REQUIRE(Scheduler_.counts().PlacedTasks_ == 1);
+  RunningTasks_[First_.Worker_].clear();
+  addEnd(First_.Worker_, First_.Run_, EndReason::Failed);
+  play(MaxReadyWait);
+  BOOST_TEST(Starts_.size() == 3);
+  BOOST_TEST(isRunning());
+}
+
+BOOST_FIXTURE_TEST_CASE(is_started_if_its_next_run_was_planned_beside_it,
+                        CellWithRun) {
+  closeZoneOf(otherWorker());
+  loseFirstRun();
+  while (Renewals_.size() < 2)
+    step(100ms, false);
+  BOOST_REQUIRE(Scheduler_.counts().PlacedTasks_ == 1);
+  RunningTasks_[First_.Worker_] = {{First_.Name_, First_.Run_, "", 100, 1}};
+  answerRenewals();
+  play(MaxReadyWait);
+  BOOST_TEST(isRunning());
+}
+
+BOOST_FIXTURE_TEST_CASE(is_started_if_its_next_run_was_sent_beside_it,
+                        CellWithRun) {
+  closeZoneOf(otherWorker());
+  loseFirstRun();
+  step();
+  BOOST_REQUIRE(Starts_.size() == 2);
+  // The worker executes the earlier run and rejects the later one.
+  RunningTasks_[First_.Worker_] = {{First_.Name_, First_.Run_, "", 100, 1}};
+  step(1s);
+  answerRenewals();
+  Answered_ = 2;
+  Scheduler_.startAnswered(First_.Worker_, First_.Name_, Starts_.back().Run_,
+                           CallOutcome::RejectedNoCapacity, Now_);
+  play(MaxReadyWait);
+  BOOST_TEST(isRunning());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace filbertspring::scheduling::test
