Scheduler: the leases of the previous owner outlast one report to the next

What callers could have seen: a task that runs twice (rule TWICE) after a change of the owner.

Cause: a worker that has answered the new owner once counts as expired when the leases of this tenure end. If the owner cannot extend leases at that moment (the store is away, so that its own tenure is not confirmed), there is none, and the runs were abandoned as soon as the next renewal failed. On a worker that drains, the first lease of the new tenure is 2.5 s long; one of 6 s of the previous owner was forgotten.

Ruled out: the wait of workers that have not answered at all, which ends with the limit of the previous owner's leases, and workers that drain within a tenure, where the longest lease counts.

Evidence: a_run_of_the_previous_owner, two cases, failing before (a second start within 5.8 s of the last contact) and passing now; they also check the start within nine seconds of the last contact. scheduling_test, scheduling_waiting_test.

Why it works: from its first answer on a worker rejects the previous owner's token, so no lease of that owner is longer than one that is granted at that time. It also ends with the limit that holds for workers which have not answered.

--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -205,6 +205,17 @@
       sendRenewal(*Worker, Now, MaySendCommands);
 }
 
+TimePoint Scheduler::Impl::leaseEnd(Duration Lease, TimePoint Now) const {
+  return Now +
+         std::chrono::duration_cast<Duration>(Lease *
+                                              (1.0 + Settings_.ClockDrift_)) +
+         Settings_.KillTimeout_;
+}
+
+TimePoint Scheduler::Impl::predecessorLeaseEnd() const {
+  return TenureStart_ + Settings_.PredecessorLeaseLimit_;
+}
+
 void Scheduler::Impl::sendRenewal(WorkerState &Worker, TimePoint Now,
                                   bool MayExtendLease) {
   RenewLease Renewal;
@@ -222,10 +233,8 @@
                          ? std::min(DrainingLease, Settings_.LeaseDuration_)
                          : Settings_.LeaseDuration_;
     Renewal.DeadlineMs_ = *Clock + Lease / std::chrono::milliseconds(1);
-    auto MaxDuration = std::chrono::duration_cast<Duration>(
-        Lease * (1.0 + Settings_.ClockDrift_));
-    Worker.LeaseExpiresAt_ = std::max(
-        Worker.LeaseExpiresAt_, Now + MaxDuration + Settings_.KillTimeout_);
+    Worker.LeaseExpiresAt_ =
+        std::max(Worker.LeaseExpiresAt_, leaseEnd(Lease, Now));
   }
   // A worker without tasks answers at once: there is no end to wait for.
   if (Worker.isReachable() && !Worker.Runs_.empty())
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -184,6 +184,10 @@
                              const char *Cause);
   void moveFromDrainingWorkers(TimePoint Now);
   void expireLeases(TimePoint Now, TimePoint ConfirmedAt);
+  /// Returns until when a task may run under a lease that is granted at \p Now.
+  TimePoint leaseEnd(Duration Lease, TimePoint Now) const;
+  /// Returns until when tasks may run under leases of the previous tenure.
+  TimePoint predecessorLeaseEnd() const;
   /// Sets the time of the next renewal, unless one is outstanding then.
   void scheduleRenewal(WorkerState &Worker, TimePoint At);
   void sendDueRenewals(TimePoint Now, bool MaySendCommands);
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -56,6 +56,13 @@
     return;
   }
   bool WasReachable = Worker->isReachable() && !Worker->IsExpired_;
+  // Its tasks run under leases of the previous tenure, which it has granted
+  // until now at the latest.
+  if (!Worker->HasReported_)
+    Worker->LeaseExpiresAt_ =
+        std::max(Worker->LeaseExpiresAt_,
+                 std::min(Impl_->leaseEnd(Impl_->Settings_.LeaseDuration_, Now),
+                          Impl_->predecessorLeaseEnd()));
   Worker->IsRenewing_ = false;
   Worker->HasReported_ = true;
   Worker->IsExpired_ = false;
--- a/packages/scheduling/src/scheduler_workers.cpp
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -190,9 +190,8 @@
   std::vector<std::string> ExpiredWorkers;
   for (auto &[Id, Worker] : Workers_) {
     bool IsUnreachable = Worker.FailedRenewals_ > 0 || !Worker.HasReported_;
-    TimePoint LeaseEnd = Worker.HasReported_
-                             ? Worker.LeaseExpiresAt_
-                             : TenureStart_ + Settings_.PredecessorLeaseLimit_;
+    TimePoint LeaseEnd =
+        Worker.HasReported_ ? Worker.LeaseExpiresAt_ : predecessorLeaseEnd();
     if (IsUnreachable && Now > LeaseEnd && ConfirmedAt > LeaseEnd &&
         !Worker.IsExpired_) {
       rememberLostRuns(Worker, Now);
--- a/packages/scheduling/tests/counted_runs_test.cpp
+++ b/packages/scheduling/tests/counted_runs_test.cpp
@@ -86,6 +86,43 @@
   std::size_t Answered_ = 1;
 };
 
+/// A cell in which the previous owner had started a task on worker w3.
+struct CellTakenOver : Cell {
+  CellTakenOver() {
+    WorkerEntry Entry;
+    Entry.Id_ = "w3";
+    Entry.Service_ = "service";
+    Entry.Address_ = "address-w3";
+    Entry.StartedAtMs_ = 1;
+    Scheduler_.restoreWorker(Entry, Now_);
+    list("w3", false);
+    submit("lasting", {lastingTask()});
+    JobProgress Progress;
+    Progress.State_ = JobState::Running;
+    Progress.Tasks_["lasting.0.0.0"].Worker_ = "w3";
+    Progress.Tasks_["lasting.0.0.0"].LastRun_ = 7;
+    Scheduler_.restoreProgress("lasting", Progress);
+    TaskName Name;
+    Name.Job_ = "lasting";
+    RunningTasks_["w3"] = {{Name, 7, "", 100, 1}};
+  }
+
+  /// Lets \p Time pass, in which w3 does not answer.
+  void playWithoutWorker(Duration Time) {
+    for (TimePoint End = Now_ + Time; Now_ < End;) {
+      step(100ms);
+      std::vector<RenewLease> OfOthers;
+      for (const RenewLease &Renewal : std::exchange(Renewals_, {}))
+        if (Renewal.Worker_ == "w3")
+          Scheduler_.renewalFailed("w3", CallOutcome::NoAnswer, Now_);
+        else
+          OfOthers.push_back(Renewal);
+      Renewals_ = std::move(OfOthers);
+      answerRenewals();
+    }
+  }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(a_task_whose_earlier_run_is_listed_again)
@@ -148,4 +185,33 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_run_of_the_previous_owner)
+
+BOOST_FIXTURE_TEST_CASE(keeps_its_lease_if_its_worker_answers_once,
+                        CellTakenOver) {
+  step();
+  // The new owner cannot extend leases while the store is away.
+  answerRenewals();
+  Now_ += 20ms;
+  Scheduler_.advance(Now_, 0, Now_, false);
+  collect();
+  TimePoint LastContact = Now_;
+  playWithoutWorker(SchedulerSettings().LeaseDuration_ - 200ms);
+  BOOST_TEST(Starts_.empty());
+  playWithoutWorker(LastContact + 9s - Now_);
+  BOOST_TEST(Starts_.size() == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(keeps_its_lease_if_its_worker_drains, CellTakenOver) {
+  list("w3", true);
+  step();
+  answerRenewals();
+  playWithoutWorker(SchedulerSettings().LeaseDuration_ - 200ms);
+  BOOST_TEST(Starts_.empty());
+  playWithoutWorker(3s);
+  BOOST_TEST(Starts_.size() == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace filbertspring::scheduling::test
