Scheduler: a late answer of an earlier life of a worker changes nothing

What callers could have seen: tasks that run twice, and tasks that are suspected of a crash that did not happen and then wait to be isolated, after a worker has restarted under its id.

Cause: a report with another start time than the known one was taken for one of the next life, whichever of the two is later. The answer to a renewal that was sent before the restart can be handled after the new life has been registered and has got tasks, since an owner that is late reads answers and the feed of registrations in any order, and relays hold answers back for it. Its runs were then abandoned, and the worker, no longer registered, got no tasks until its next registration.

Ruled out: the order of a registration and a report of the new life; either may come first, and the tasks of the earlier life start again within three seconds (restarts_its_tasks_whatever_is_seen_of_it_first). Starts that are outstanding when a worker restarts do not count against the new life.

Evidence: keeps_its_runs_after_a_late_answer_of_its_earlier_life failed before (four tasks started twice) and passes now; the two other cases of a_worker_that_restarted passed before, too. scheduling_test and scheduling_waiting_test pass.

Why it works: a life that has been followed by another one, which has answered, does not come back. Its answer is not the one to the outstanding renewal, so that one is waited for. The start times are not compared otherwise, since clocks may be set back.

--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -35,6 +35,11 @@
   bool IsOtherIncarnation = Report.StartedAtMs_ != 0 &&
                             Worker->Entry_.StartedAtMs_ != 0 &&
                             Report.StartedAtMs_ != Worker->Entry_.StartedAtMs_;
+  // An answer that was under way for long. It is not the one to the renewal
+  // that is outstanding.
+  if (IsOtherIncarnation && Worker->HasReported_ &&
+      Report.StartedAtMs_ == Worker->PreviousStartedAtMs_)
+    return;
   if (IsOtherIncarnation) {
     Impl_->handleNextIncarnation(*Worker, Now, "report of a new life");
     WorkerEntry Entry = Worker->Entry_;
--- a/packages/scheduling/src/scheduler_workers.cpp
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -48,8 +48,10 @@
                   Worker.Entry_.Address_ == Entry.Address_ &&
                   Worker.Entry_.StartedAtMs_ == Entry.StartedAtMs_;
   std::optional<LossTime> CrashedAt = Worker.CrashedAt_;
+  std::int64_t PreviousStartedAtMs = Worker.Entry_.StartedAtMs_;
   Worker = WorkerState();
   Worker.CrashedAt_ = CrashedAt;
+  Worker.PreviousStartedAtMs_ = PreviousStartedAtMs;
   Worker.Entry_ = Entry;
   Worker.IsStored_ = IsStored;
 }
--- a/packages/scheduling/src/worker_state.h
+++ b/packages/scheduling/src/worker_state.h
@@ -112,6 +112,8 @@
 /// The state of one incarnation of a worker.
 struct WorkerState {
   WorkerEntry Entry_;
+  /// The start time of the previous incarnation; 0 if unknown.
+  std::int64_t PreviousStartedAtMs_ = 0;
   /// The worker is currently registered.
   bool IsRegistered_ = false;
   /// The worker has answered a renewal in this tenure.
--- a/packages/scheduling/tests/counted_runs_test.cpp
+++ b/packages/scheduling/tests/counted_runs_test.cpp
@@ -185,6 +185,66 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_worker_that_restarted)
+
+BOOST_FIXTURE_TEST_CASE(keeps_its_runs_after_a_late_answer_of_its_earlier_life,
+                        CellWithCrashes) {
+  WorkTime_ = 60s;
+  for (int Number = 2; Number <= 8; ++Number)
+    list("w" + std::to_string(Number), true);
+  crash("w1");
+  run(DownTime_ + 500ms);
+  submit("00000000000000aa", {lastingTask(4)});
+  run(500ms);
+  BOOST_REQUIRE(Machines_["w1"].Tasks_.size() == 4);
+  for (int Number = 2; Number <= 8; ++Number)
+    list("w" + std::to_string(Number), false);
+  WorkerReport Late;
+  Late.ClockMs_ = Now_.time_since_epoch() / 1ms;
+  Late.StartedAtMs_ = 1;
+  Scheduler_.renewalAnswered("w1", Late, Now_);
+  run(2s);
+  for (const auto &[Task, Count] : StartCounts_)
+    BOOST_TEST(Count == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(gets_starts_though_earlier_ones_were_never_answered,
+                        Cell) {
+  Scheduler_.setClosedZones({"zone-b"});
+  submit("00000000000000aa", {task(4)});
+  step();
+  BOOST_REQUIRE(Starts_.size() == 4);
+  list("w1", true);
+  list("w1", false, 2);
+  Born_ = 2;
+  step();
+  answerRenewals();
+  step();
+  answerRenewals();
+  step();
+  BOOST_TEST(Starts_.size() == 8);
+}
+
+BOOST_FIXTURE_TEST_CASE(restarts_its_tasks_whatever_is_seen_of_it_first,
+                        CellWithCrashes) {
+  WorkTime_ = 60s;
+  submit("00000000000000aa", {lastingTask(2)});
+  run(2s);
+  std::string Worker = LastWorker_["00000000000000aa.0.0.0"];
+  Machine &Restarted = Machines_[Worker];
+  Restarted.Tasks_.clear();
+  ++Restarted.Born_;
+  // Reports of the new life arrive, and its registration much later.
+  run(MaxReadyWait);
+  BOOST_TEST(StartCounts_["00000000000000aa.0.0.0"] == 2);
+  list(Worker, false, Restarted.Born_);
+  submit("00000000000000bb", {task(80)});
+  run(MaxReadyWait);
+  BOOST_TEST(Machines_[Worker].Tasks_.size() > 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_run_of_the_previous_owner)
 
 BOOST_FIXTURE_TEST_CASE(keeps_its_lease_if_its_worker_answers_once,
