Scheduler: a worker can be lost again after another one had answered for it

What callers could have seen: a task that stays counted on a worker that is gone, for as long as the tenure lasts.

Cause: the first answer of another instance at a worker's address gives its tasks back, and marks the worker as ended and expired. If it answered after all, its runs were counted again, but the mark remained: at the next such answer it was called expired without giving its tasks back, and the check of the leases passes over workers that are called expired already.

Ruled out: registrations of the next life, which start anew in any case.

Why it works: a worker that answers has not ended.

--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -70,6 +70,7 @@
                           Impl_->predecessorLeaseEnd()));
   Worker->IsRenewing_ = false;
   Worker->HasReported_ = true;
+  Worker->HasEnded_ = false;
   Worker->IsExpired_ = false;
   Impl_->forgetLostRuns(*Worker);
   Worker->AcknowledgedEnd_ = Worker->SentAcknowledgement_;
--- a/packages/scheduling/tests/counted_runs_test.cpp
+++ b/packages/scheduling/tests/counted_runs_test.cpp
@@ -245,6 +245,34 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_worker_that_another_one_answered_for)
+
+BOOST_FIXTURE_TEST_CASE(loses_its_runs_again_the_next_time, CellWithRun) {
+  std::string Worker = First_.Worker_;
+  RunningTasks_[Worker].clear();
+  closeZoneOf(otherWorker());
+  Scheduler_.renewalFailed(Worker, CallOutcome::OtherInstance, Now_);
+  play(2s);
+  BOOST_REQUIRE(Starts_.size() == 2);
+  RunningTasks_[Worker].clear();
+  Scheduler_.setClosedZones({});
+  Scheduler_.renewalFailed(Worker, CallOutcome::OtherInstance, Now_);
+  for (TimePoint End = Now_ + MaxReadyWait; Now_ < End;) {
+    step(100ms);
+    std::vector<RenewLease> OfOthers;
+    for (const RenewLease &Renewal : std::exchange(Renewals_, {}))
+      if (Renewal.Worker_ == Worker)
+        Scheduler_.renewalFailed(Worker, CallOutcome::OtherInstance, Now_);
+      else
+        OfOthers.push_back(Renewal);
+    Renewals_ = std::move(OfOthers);
+    answerRenewals();
+  }
+  BOOST_TEST(Starts_.size() == 3);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_run_of_the_previous_owner)
 
 BOOST_FIXTURE_TEST_CASE(keeps_its_lease_if_its_worker_answers_once,
