--- a/packages/scheduling/tests/counted_runs_test.cpp
+++ b/packages/scheduling/tests/counted_runs_test.cpp
@@ -302,4 +302,150 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_start_whose_transaction_failed)
+
+BOOST_FIXTURE_TEST_CASE(is_sent_once_a_transaction_succeeds, Cell) {
+  submit("lasting", {lastingTask(3)});
+  for (int Failure = 0; Failure < 20; ++Failure) {
+    step(100ms, false);
+    answerRenewals();
+  }
+  BOOST_TEST(Starts_.empty());
+  step();
+  BOOST_TEST(Starts_.size() == 3);
+}
+
+BOOST_FIXTURE_TEST_CASE(goes_elsewhere_if_its_worker_restarted_meanwhile,
+                        Cell) {
+  Scheduler_.setClosedZones({"zone-b"});
+  submit("lasting", {lastingTask(3)});
+  step(100ms, false);
+  answerRenewals();
+  Scheduler_.setClosedZones({"zone-a"});
+  list("w1", false, 2);
+  step(100ms, false);
+  step();
+  step();
+  BOOST_REQUIRE(Starts_.size() == 3);
+  for (const StartTask &Start : Starts_)
+    BOOST_TEST(Start.Worker_ == "w2");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_start_that_is_never_executed)
+
+BOOST_FIXTURE_TEST_CASE(is_given_up_without_an_answer, CellWithRun) {
+  addEnd(First_.Worker_, First_.Run_, EndReason::Failed);
+  RunningTasks_[First_.Worker_].clear();
+  step();
+  answerRenewals();
+  step(100ms);
+  BOOST_REQUIRE(Starts_.size() == 2);
+  const StartTask Lost = Starts_.back();
+  for (int Attempt = 0; Attempt < 2; ++Attempt) {
+    Scheduler_.startAnswered(Lost.Worker_, Lost.Name_, Lost.Run_,
+                             CallOutcome::NoAnswer, Now_);
+    step(600ms);
+    answerRenewals();
+  }
+  Answered_ = Starts_.size();
+  play(MaxReadyWait);
+  BOOST_TEST(isRunning());
+}
+
+BOOST_FIXTURE_TEST_CASE(is_given_up_though_its_answer_was_a_success,
+                        CellWithRun) {
+  RunningTasks_[First_.Worker_].clear();
+  play(MaxReadyWait);
+  BOOST_TEST(isRunning());
+}
+
+BOOST_FIXTURE_TEST_CASE(is_given_up_if_its_stops_are_rejected_for_a_while,
+                        CellWithRun) {
+  Scheduler_.startAnswered(First_.Worker_, First_.Name_, First_.Run_,
+                           CallOutcome::NoAnswer, Now_);
+  list(First_.Worker_, true);
+  for (int Attempt = 0; Attempt < 10; ++Attempt) {
+    step(100ms);
+    for (const StopTask &Stop : std::exchange(Stops_, {}))
+      Scheduler_.stopAnswered(Stop.Worker_, Stop.Name_, Stop.Run_,
+                              CallOutcome::Unhealthy, Now_);
+    answerRenewals();
+  }
+  play(MaxReadyWait);
+  BOOST_REQUIRE(Starts_.size() == 2);
+  BOOST_TEST(Starts_.back().Worker_ == otherWorker());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_run_of_an_unknown_job)
+
+BOOST_FIXTURE_TEST_CASE(leaves_its_worker_once_a_stop_is_carried_out,
+                        CellWithRun) {
+  closeZoneOf(First_.Worker_);
+  std::string Worker = otherWorker();
+  RunningTask Unknown{First_.Name_, 3, "", 0, 0};
+  Unknown.Name_.Job_ = "unknown";
+  RunningTasks_[Worker] = {Unknown};
+  step(2s);
+  answerRenewals();
+  submit("00000000000000aa", {task(1)});
+  for (int Attempt = 0; Attempt < 5; ++Attempt) {
+    step(200ms);
+    for (const StopTask &Stop : std::exchange(Stops_, {}))
+      Scheduler_.stopAnswered(Stop.Worker_, Stop.Name_, Stop.Run_,
+                              CallOutcome::RejectedOther, Now_);
+    answerRenewals();
+  }
+  BOOST_TEST(Starts_.size() == 1);
+  play(MaxReadyWait);
+  BOOST_TEST(Starts_.size() == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(the_capacity_that_is_counted)
+
+BOOST_FIXTURE_TEST_CASE(is_all_free_after_runs_of_each_kind, CellWithCrashes) {
+  StepSpec Filler = task(20, 900);
+  Filler.IsFiller_ = true;
+  Filler.Image_ = "image";
+  submit("00000000000000aa", {Filler, lastingTask(8, 2000), task(30, 1700)});
+  run(1s);
+  crash("w3");
+  crash("w4");
+  run(4s);
+  Scheduler_.cancelJob("00000000000000aa", Now_);
+  run(100ms);
+  for (auto &[Id, Each] : Machines_)
+    Each.Tasks_.clear();
+  for (const StopTask &Stop : Stops_)
+    Scheduler_.stopAnswered(Stop.Worker_, Stop.Name_, Stop.Run_,
+                            CallOutcome::Accepted, Now_);
+  run(1s);
+  BOOST_TEST(Scheduler_.counts().PlacedTasks_ == 0);
+  WorkTime_ = 60s;
+  submit("00000000000000bb", {lastingTask(8, 8000)});
+  run(MaxReadyWait);
+  for (const auto &[Id, Each] : Machines_)
+    BOOST_TEST(Each.Tasks_.size() == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(follows_the_registration, CellWithRun) {
+  closeZoneOf(otherWorker());
+  Capacity_ = {500, 16000, 0};
+  list(First_.Worker_, false);
+  submit("00000000000000aa", {task(2, 4000)});
+  play(1s);
+  BOOST_TEST(Starts_.size() == 1);
+  Capacity_ = {9000, 16000, 0};
+  list(First_.Worker_, false);
+  play(200ms);
+  BOOST_TEST(Starts_.size() == 3);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace filbertspring::scheduling::test
