Overdue fillers: the pace is computed for few workers

A search of a worker for a slow start computed the pace on each worker, about 10 us each; it now orders them by their headroom, which is cached, and computes the pace of the first ones. A check searches for fewer fillers than other tasks.

--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -291,6 +291,10 @@
   /// to be slow; nothing if it has not waited long enough, or is too slow.
   std::optional<double> slowStartCost(WorkerState &Worker, const StepSpec &Step,
                                       Duration Wait) const;
+  /// Returns the pace that a filler of \p Step would get on \p Worker, in
+  /// percent of full speed.
+  int expectedPacePercent(const WorkerState &Worker,
+                          const StepSpec &Step) const;
   /// Returns whether less than half of the capacity of \p Service is reserved.
   bool hasAmpleCapacity(const std::string &Service) const;
   /// Places the waiting tasks of a job that are suspected, or the others.
--- a/packages/scheduling/src/scheduler_overdue.cpp
+++ b/packages/scheduling/src/scheduler_overdue.cpp
@@ -12,22 +12,32 @@
 
 /// Tasks that have waited for less are not overdue.
 constexpr Duration MinOverdueWait = std::chrono::milliseconds(2000);
-constexpr Duration OverdueCheckInterval = std::chrono::milliseconds(100);
+constexpr Duration OverdueCheckInterval = std::chrono::milliseconds(200);
 /// If no start has been left for overdue tasks for this time, the next pass
 /// leaves one.
 constexpr Duration MaxOverdueDelay = std::chrono::milliseconds(300);
 /// Overdue tasks for which a worker is searched in one check, which bounds the
-/// time that it takes while many tasks wait.
-constexpr std::size_t MaxOverdueSearches = 8;
+/// time that it takes while many tasks wait. A filler counts as several, since
+/// its effect on each worker is estimated.
+constexpr std::size_t MaxOverdueSearches = 16;
+constexpr std::size_t FillerSearches = 4;
 /// Fillers that were started although they have to be slow are at most this
 /// fraction of the workers. They slow down the others beside them.
 constexpr std::size_t SlowStartDivisor = 8;
 /// A filler that would be slower is not started, in percent of full speed.
 constexpr int MinSlowStartPercent = 10;
+/// Workers of which the pace of a slow start is computed, those with the least
+/// interference first.
+constexpr std::size_t MaxPaceEstimates = 16;
 /// Cost of a worker that a judgement speaks against, in units of a fully used
 /// worker. Exceeds all other costs.
 constexpr double OverrideCost = 100.0;
 
+bool isFiller(const OverdueTask &Overdue) {
+  const Job &TheJob = Overdue.Record_->Job_;
+  return TheJob.step(TheJob.nameOf(Overdue.Slot_)).IsFiller_;
+}
+
 TimePoint waitsSince(const Task &Waiting) {
   return std::max(Waiting.ReadyAt_, Waiting.NotBefore_);
 }
@@ -116,7 +126,8 @@
       if (!It->second)
         continue;
     }
-    Searches += placeOverdueTask(Overdue[Position], Now) ? 1 : 0;
+    if (placeOverdueTask(Overdue[Position], Now))
+      Searches += isFiller(Overdue[Position]) ? FillerSearches : 1;
   }
   OverduePosition_ = Position < Overdue.size() ? Position : 0;
 }
@@ -131,21 +142,34 @@
   PlacementRequest Request = requestFor(TheJob, Overdue.Slot_, Now);
   if (UnplaceableOverdue_.covers(Request))
     return false;
-  WorkerState *Best = nullptr;
-  double LowestCost = 0;
-  for (const UsableWorker &Usable : UsableWorkers_) {
-    std::optional<double> Cost =
-        overdueCost(*Usable.Worker_, Request, Now - Overdue.WaitsSince_, Now);
-    if (!Cost || (Best && *Cost >= LowestCost))
-      continue;
-    Best = Usable.Worker_;
-    LowestCost = *Cost;
+  struct Offer {
+    double Cost_;
+    WorkerState *Worker_;
+    bool operator<(const Offer &Other) const { return Cost_ > Other.Cost_; }
+  };
+  std::vector<Offer> Offers;
+  for (const UsableWorker &Usable : UsableWorkers_)
+    if (std::optional<double> Cost = overdueCost(
+            *Usable.Worker_, Request, Now - Overdue.WaitsSince_, Now))
+      Offers.push_back({*Cost, Usable.Worker_});
+  std::make_heap(Offers.begin(), Offers.end());
+  std::size_t PaceEstimates = 0;
+  auto IsTooSlow = [&](WorkerState &Worker) {
+    return findFillerObstacle(Worker, Request.Step_) &&
+           (++PaceEstimates > MaxPaceEstimates ||
+            expectedPacePercent(Worker, Request.Step_) < MinSlowStartPercent);
+  };
+  while (!Offers.empty() && IsTooSlow(*Offers.front().Worker_)) {
+    std::pop_heap(Offers.begin(), Offers.end());
+    Offers.pop_back();
   }
-  if (!Best) {
+  if (Offers.empty()) {
     if (Request.Step_.MaxPerWorker_ == 0)
       UnplaceableOverdue_.add(Request);
     return true;
   }
+  WorkerState *Best = Offers.front().Worker_;
+  double LowestCost = Offers.front().Cost_;
   bool IsOverride = LowestCost >= OverrideCost;
   // Timed tasks with a good worker are placed in the order of their jobs.
   if (!IsOverride && !Request.Step_.IsLongRunning_)
@@ -189,16 +213,20 @@
   std::optional<Obstacle> Found = findFillerObstacle(Worker, Step);
   if (!Found || Wait < *maxWait(*Found) || SlowStartsLeft_ == 0)
     return std::nullopt;
+  double Share =
+      static_cast<double>(Step.Request_.MilliCpu_) / Worker.milliCpu();
+  return OverrideCost + Share / headroom(Worker, Step.Image_) +
+         Worker.utilizationWithFiller(Step.Request_.MilliCpu_) +
+         remoteDataCost(Worker, Step);
+}
+
+int Scheduler::Impl::expectedPacePercent(const WorkerState &Worker,
+                                         const StepSpec &Step) const {
   std::vector<FillerSample> Fillers = Worker.fillerSamples();
   double Share =
       static_cast<double>(Step.Request_.MilliCpu_) / Worker.milliCpu();
   Fillers.push_back({Step.Image_, Share, 100});
-  int Percent = choosePaces(Model_, Worker.servingSamples(), Fillers).back();
-  if (Percent < MinSlowStartPercent)
-    return std::nullopt;
-  return OverrideCost + 100.0 / Percent +
-         std::max(1.0, Worker.utilizationWithFiller(Step.Request_.MilliCpu_)) +
-         remoteDataCost(Worker, Step);
+  return choosePaces(Model_, Worker.servingSamples(), Fillers).back();
 }
 
 } // namespace filbertspring::scheduling
