Tests: a task that failed waits beside the worker where it did; fails on the present code

Found while the case of an earlier run of another task was written: placeStep passes over the worker on which a task last failed while another offer is left, also if that one has an earlier run of the task. So the task waits for as long as this run is not stopped. runs_there_again_if_no_other_worker_can_take_it fails on the present code for this reason.

gets_one_of_the_starts_that_are_admitted admits four starts a pass instead of one: a pass is not made for fewer (MinPassStarts).

--- a/packages/scheduling/tests/long_running_wait_test.cpp
+++ b/packages/scheduling/tests/long_running_wait_test.cpp
@@ -32,6 +32,13 @@
   return Step;
 }
 
+void playRounds(Cell &Target, int Rounds) {
+  for (int Round = 0; Round < Rounds; ++Round) {
+    Target.step();
+    Target.answerRenewals();
+  }
+}
+
 /// Occupies a part of each of \p Workers for the time of a test.
 void occupyEach(WatchedCell &Target, std::uint32_t Workers,
                 std::int64_t MilliCpu, const std::string &RequiredLabel = "") {
@@ -83,22 +90,42 @@
   // A start command that was given up is executed late, and not stopped yet.
   RunningTasks_[First.Worker_ == "w1" ? "w2" : "w1"] = {
       {First.Name_, First.Run_ - 1, "", 0, 0}};
-  for (int Round = 0; Round < 100; ++Round) {
-    step();
-    answerRenewals();
-  }
+  playRounds(*this, 100);
   RunningTasks_[First.Worker_].clear();
   list(First.Worker_, true);
-  for (int Round = 0; Round < 100; ++Round) {
-    step();
-    answerRenewals();
-  }
+  playRounds(*this, 100);
   BOOST_REQUIRE(!Starts_.empty());
   BOOST_TEST(Starts_.front().Name_.Index_ == 1U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(that_failed)
+
+BOOST_FIXTURE_TEST_CASE(runs_there_again_if_no_other_worker_can_take_it, Cell) {
+  submit("lasting", {WatchedCell::longRunning(3, 1000)});
+  step();
+  acceptStarts();
+  answerRenewals();
+  BOOST_REQUIRE(Starts_.size() == 3);
+  StartTask First = Starts_.front();
+  BOOST_REQUIRE(First.Worker_ == Starts_.back().Worker_);
+  // A start command that was given up is executed late, and not stopped yet.
+  RunningTasks_[First.Worker_ == "w1" ? "w2" : "w1"] = {
+      {First.Name_, First.Run_ - 1, "", 0, 0}};
+  playRounds(*this, 100);
+  std::vector<RunningTask> Others = RunningTasks_[First.Worker_];
+  Others.erase(Others.begin());
+  end(EndReason::Failed);
+  RunningTasks_[First.Worker_] = Others;
+  Starts_.clear();
+  playRounds(*this, 100);
+  BOOST_REQUIRE(!Starts_.empty());
+  BOOST_TEST(Starts_.front().Worker_ == First.Worker_);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(that_is_suspected_of_several_crashes)
 
 BOOST_FIXTURE_TEST_CASE(finds_a_worker_on_which_all_runs_have_settled,
@@ -234,8 +261,8 @@
                         EightWorkers) {
   configureTwoPriorities(Scheduler_);
   WorkTime_ = 200ms;
-  MaxStarts_ = 1;
-  startFlow(task(2, 500), 20ms);
+  MaxStarts_ = 4;
+  startFlow(task(8, 500), 20ms);
   play(2s);
   submit("lasting", {longRunning(1, 1000)}, "later");
   BOOST_TEST(playUntilRunning("lasting", 1, Now_ + MaxWaitAfterRun));
