Scheduler: leases of the previous owner do not delay the first renewals

It noted the end of the previous owner's leases, an upper bound, as that of a lease of this tenure. Renewals are sorted by that time, and delayed by up to 200 ms for unstored ends while it is far away, so a worker that had just reported for the first time, and whose lease may be nearly over, was renewed last.

Why it works: the bound has a member of its own, which only the check for expired leases reads.

--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -64,10 +64,9 @@
   // Its tasks run under leases of the previous tenure, which it has granted
   // until now at the latest.
   if (!Worker->HasReported_)
-    Worker->LeaseExpiresAt_ =
-        std::max(Worker->LeaseExpiresAt_,
-                 std::min(Impl_->leaseEnd(Impl_->Settings_.LeaseDuration_, Now),
-                          Impl_->predecessorLeaseEnd()));
+    Worker->PredecessorLeaseEnd_ =
+        std::min(Impl_->leaseEnd(Impl_->Settings_.LeaseDuration_, Now),
+                 Impl_->predecessorLeaseEnd());
   Worker->IsRenewing_ = false;
   Worker->HasReported_ = true;
   Worker->HasEnded_ = false;
--- a/packages/scheduling/src/scheduler_workers.cpp
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -193,7 +193,9 @@
   for (auto &[Id, Worker] : Workers_) {
     bool IsUnreachable = Worker.FailedRenewals_ > 0 || !Worker.HasReported_;
     TimePoint LeaseEnd =
-        Worker.HasReported_ ? Worker.LeaseExpiresAt_ : predecessorLeaseEnd();
+        Worker.HasReported_
+            ? std::max(Worker.LeaseExpiresAt_, Worker.PredecessorLeaseEnd_)
+            : predecessorLeaseEnd();
     if (IsUnreachable && Now > LeaseEnd && ConfirmedAt > LeaseEnd &&
         !Worker.IsExpired_) {
       rememberLostRuns(Worker, Now);
--- a/packages/scheduling/src/worker_state.h
+++ b/packages/scheduling/src/worker_state.h
@@ -155,6 +155,9 @@
   TimePoint LastIdleReportAt_{};
   /// Until when tasks may run under leases of this tenure.
   TimePoint LeaseExpiresAt_{};
+  /// Until when they may run under leases of the previous tenure, once the
+  /// worker has reported.
+  TimePoint PredecessorLeaseEnd_{};
   /// The latest deadline of a start command, on the worker's clock.
   std::int64_t LastDeadlineMs_ = 0;
   /// The worker gets no start commands before this time.
--- a/packages/scheduling/tests/counted_runs_test.cpp
+++ b/packages/scheduling/tests/counted_runs_test.cpp
@@ -290,6 +290,20 @@
   BOOST_TEST(Starts_.size() == 1);
 }
 
+BOOST_FIXTURE_TEST_CASE(gets_its_lease_extended_before_others, CellTakenOver) {
+  TaskName Other;
+  Other.Job_ = "unknown";
+  EndedTasks_["w3"] = {{1, Other, 3, EndReason::Done, ""}};
+  submit("00000000000000aa", {task(16)});
+  step();
+  acceptStarts();
+  answerRenewals();
+  step();
+  BOOST_REQUIRE(Renewals_.size() == 3);
+  BOOST_TEST(Renewals_.front().Worker_ == "w3");
+  BOOST_TEST(Renewals_.front().DeadlineMs_.has_value());
+}
+
 BOOST_FIXTURE_TEST_CASE(keeps_its_lease_if_its_worker_drains, CellTakenOver) {
   list("w3", true);
   step();
