Scheduler: the first report of a next life shows which runs it executes

Cause: a report that showed the next life of a worker gave all of its tasks back, and its lists were not read. The next life may have the same id and carry out a start that was sent before the owner knew of it. The task was placed elsewhere before the second report showed the run, which was then stopped.

Ruled out: the fencing token, which is the same, and the check of the intended incarnation, which names the id.

Evidence: keeps_a_run_that_it_started_before_it_was_recognized failed before (two starts and a stop) and passes now. scheduling_test, scheduling_waiting_test, node_test and 400 random histories of scheduling_fuzz_test pass.

Why it works: the report is handled like any other one once the worker is reset, so the runs that it lists are adopted before the next placement, and its ends are noted. The worker stays without new tasks until its registration.

What remains: the same is possible if the registration of the next life is read before its first report, and in Scheduler::restoreProgress.

--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -48,9 +48,7 @@
     // Not registered: only the registration of this incarnation shows its
     // capacity, its labels and whether it drains.
     Impl_->resetWorker(*Worker, Entry);
-    Impl_->scheduleRenewal(*Worker, Now);
     Impl_->WorkersToStore_.insert(Id);
-    return;
   }
   TimePoint SentAt = Worker->RenewalSentAt_;
   // The runs of this worker were abandoned. It is used again only when the
--- a/packages/scheduling/tests/counted_runs_test.cpp
+++ b/packages/scheduling/tests/counted_runs_test.cpp
@@ -208,6 +208,28 @@
     BOOST_TEST(Count == 1);
 }
 
+BOOST_FIXTURE_TEST_CASE(keeps_a_run_that_it_started_before_it_was_recognized,
+                        Cell) {
+  list("w2", false, 2);
+  Scheduler_.setClosedZones({"zone-b"});
+  submit("lasting", {lastingTask()});
+  step();
+  BOOST_REQUIRE(Starts_.size() == 1);
+  // The next life carries out the start, which is not answered.
+  Born_ = 2;
+  RunningTasks_["w1"] = {
+      {Starts_.front().Name_, Starts_.front().Run_, "", 0, 0}};
+  Scheduler_.setClosedZones({});
+  step();
+  answerRenewals();
+  for (int Step = 0; Step < 20; ++Step) {
+    step(100ms);
+    answerRenewals();
+  }
+  BOOST_TEST(Starts_.size() == 1);
+  BOOST_TEST(Stops_.empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(gets_starts_though_earlier_ones_were_never_answered,
                         Cell) {
   Scheduler_.setClosedZones({"zone-b"});
