--- a/packages/scheduling/tests/counted_runs_test.cpp
+++ b/packages/scheduling/tests/counted_runs_test.cpp
@@ -208,6 +208,28 @@
     BOOST_TEST(Count == 1);
 }
 
+BOOST_FIXTURE_TEST_CASE(keeps_a_run_that_it_started_before_it_was_recognized,
+                        Cell) {
+  list("w2", false, 2);
+  Scheduler_.setClosedZones({"zone-b"});
+  submit("lasting", {lastingTask()});
+  step();
+  BOOST_REQUIRE(Starts_.size() == 1);
+  // The next life carries out the start, which is not answered.
+  Born_ = 2;
+  RunningTasks_["w1"] = {
+      {Starts_.front().Name_, Starts_.front().Run_, "", 0, 0}};
+  Scheduler_.setClosedZones({});
+  step();
+  answerRenewals();
+  for (int Step = 0; Step < 20; ++Step) {
+    step(100ms);
+    answerRenewals();
+  }
+  BOOST_TEST(Starts_.size() == 1);
+  BOOST_TEST(Stops_.empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(gets_starts_though_earlier_ones_were_never_answered,
                         Cell) {
   Scheduler_.setClosedZones({"zone-b"});
@@ -290,6 +312,20 @@
   BOOST_TEST(Starts_.size() == 1);
 }
 
+BOOST_FIXTURE_TEST_CASE(gets_its_lease_extended_before_others, CellTakenOver) {
+  TaskName Other;
+  Other.Job_ = "unknown";
+  EndedTasks_["w3"] = {{1, Other, 3, EndReason::Done, ""}};
+  submit("00000000000000aa", {task(16)});
+  step();
+  acceptStarts();
+  answerRenewals();
+  step();
+  BOOST_REQUIRE(Renewals_.size() == 3);
+  BOOST_TEST(Renewals_.front().Worker_ == "w3");
+  BOOST_TEST(Renewals_.front().DeadlineMs_.has_value());
+}
+
 BOOST_FIXTURE_TEST_CASE(keeps_its_lease_if_its_worker_drains, CellTakenOver) {
   list("w3", true);
   step();
