Reservations: workers are compared by time at reviews only

The first worker of a reservation is the one that misses least again, whose search passes over most workers without their runs; the time until the capacity is released is compared half a second later, and then each half second.

Evidence: runs_on_one_that_is_free_sooner and does_not_wait_behind_another_step_that_fits_nowhere stay green; scheduling_test (183 cases) and scheduling_fuzz_test (10) pass; the eight red cases of scheduling_waiting_test stay red.

--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -119,18 +119,7 @@
   std::uint32_t Step_ = 0;
   std::string Worker_;
   /// When the worker is next compared with others.
-  TimePoint NextReviewAt_{};
-};
-
-/// What a worker still has to release before it can take a task.
-struct CapacityRelease {
-  /// The expected time until then.
-  Duration After_{};
-  /// The fraction of its capacity.
-  double Missing_ = 0;
-
-  friend auto operator<=>(const CapacityRelease &,
-                          const CapacityRelease &) = default;
+  TimePoint ReviewAt_{};
 };
 
 /// Why a worker does not get a task.
@@ -295,13 +284,23 @@
   /// the capacity that its runs release is not taken by smaller tasks of later
   /// jobs. Linear in the number of usable workers.
   void reserveCapacity(const PlacementRequest &Request, TimePoint Now);
-  /// Returns what \p Worker still has to release before it can take a task of
-  /// \p Request; nothing if that is not below \p Bound, if its long-running
-  /// tasks leave too little, or if it cannot take the task for other reasons.
-  std::optional<CapacityRelease> findRelease(WorkerState &Worker,
-                                             const PlacementRequest &Request,
-                                             const CapacityRelease &Bound,
-                                             TimePoint Now) const;
+  /// Returns the fraction of the capacity of \p Worker that its runs have to
+  /// release before it can take a task of \p Request; nothing if that is not
+  /// below \p Bound, if its long-running tasks leave too little, or if it
+  /// cannot take the task for other reasons.
+  std::optional<double> missingCapacity(WorkerState &Worker,
+                                        const PlacementRequest &Request,
+                                        double Bound, TimePoint Now) const;
+  /// Returns the expected time until \p Worker can take a task of \p Request;
+  /// nothing if that is not below \p Bound, or if it cannot take the task.
+  std::optional<Duration> releaseTime(WorkerState &Worker,
+                                      const PlacementRequest &Request,
+                                      Duration Bound, TimePoint Now) const;
+  /// Returns the worker that can take a task of \p Request soonest if it can
+  /// much sooner than \p Reserved, or else that one. Linear in the number of
+  /// runs.
+  WorkerState *findSoonest(const PlacementRequest &Request,
+                           WorkerState &Reserved, TimePoint Now);
   void placeStep(JobRecord &Record, const std::string &Service,
                  std::span<const std::uint32_t> Slots, TimePoint Now);
   /// Returns why \p Worker gets no tasks now.
--- a/packages/scheduling/src/scheduler_reservations.cpp
+++ b/packages/scheduling/src/scheduler_reservations.cpp
@@ -176,44 +176,74 @@
   ReservationSearchesLeft_ = MaxReservationSearches;
 }
 
-std::optional<CapacityRelease> Scheduler::Impl::findRelease(
-    WorkerState &Worker, const PlacementRequest &Request,
-    const CapacityRelease &Bound, TimePoint Now) const {
+std::optional<double>
+Scheduler::Impl::missingCapacity(WorkerState &Worker,
+                                 const PlacementRequest &Request, double Bound,
+                                 TimePoint Now) const {
   std::optional<Obstacle> Found = findObstacle(Worker, Request, Now);
   if (Found && *Found != Obstacle::NoCapacity)
     return std::nullopt;
   const Resources &Capacity = Worker.Entry_.Capacity_;
-  if (!Capacity.fits(longRunningUse(Worker), Request.Needed_))
-    return std::nullopt;
   const StepSpec &Step = Request.Step_;
   double Missing = excess(Capacity, Worker.Used_, Request.Needed_);
-  bool CanStay = true;
-  if (Step.IsFiller_) {
-    double Share =
-        static_cast<double>(Step.Request_.MilliCpu_) / Worker.milliCpu();
-    double Unreleased = LongRunningCpuUsage *
-                        static_cast<double>(Worker.LongRunningMilliCpu_) /
-                        Worker.milliCpu();
-    if (Unreleased + Share > MaxFillerUtilization ||
-        Share > fillerHeadroom(Model_,
-                               tailRooms(Model_, Worker.servingSamples(), {}),
-                               Step.Image_))
-      return std::nullopt;
-    double Headroom = headroom(Worker, Step.Image_);
-    CanStay = Share <= Headroom;
-    Missing = std::max({Missing, Share - Headroom,
-                        Worker.utilizationWithFiller(Step.Request_.MilliCpu_) -
-                            MaxFillerUtilization});
-  }
-  // One that is released at the same time may miss less.
-  Duration Limit = Bound.After_ < Duration::max() ? Bound.After_ + Duration(1)
-                                                  : Bound.After_;
-  std::optional<Duration> After =
-      timeUntilReleased(Worker, Request, CanStay, Limit);
-  if (!After)
+  if (Step.IsFiller_)
+    Missing = std::max(Missing,
+                       Worker.utilizationWithFiller(Step.Request_.MilliCpu_) -
+                           MaxFillerUtilization);
+  // What follows goes through the runs of the worker.
+  if (Missing >= Bound ||
+      !Capacity.fits(longRunningUse(Worker), Request.Needed_))
+    return std::nullopt;
+  if (!Step.IsFiller_)
+    return Missing;
+  double Share =
+      static_cast<double>(Step.Request_.MilliCpu_) / Worker.milliCpu();
+  double Unreleased = LongRunningCpuUsage *
+                      static_cast<double>(Worker.LongRunningMilliCpu_) /
+                      Worker.milliCpu();
+  if (Unreleased + Share > MaxFillerUtilization ||
+      Share > fillerHeadroom(Model_,
+                             tailRooms(Model_, Worker.servingSamples(), {}),
+                             Step.Image_))
+    return std::nullopt;
+  Missing = std::max(Missing, Share - headroom(Worker, Step.Image_));
+  return Missing < Bound ? std::optional(Missing) : std::nullopt;
+}
+
+std::optional<Duration>
+Scheduler::Impl::releaseTime(WorkerState &Worker,
+                             const PlacementRequest &Request, Duration Bound,
+                             TimePoint Now) const {
+  constexpr double Unbounded = std::numeric_limits<double>::infinity();
+  if (!missingCapacity(Worker, Request, Unbounded, Now))
     return std::nullopt;
-  CapacityRelease Release{*After, Missing};
-  return Release < Bound ? std::optional(Release) : std::nullopt;
+  const StepSpec &Step = Request.Step_;
+  bool CanStay =
+      !Step.IsFiller_ ||
+      static_cast<double>(Step.Request_.MilliCpu_) / Worker.milliCpu() <=
+          headroom(Worker, Step.Image_);
+  return timeUntilReleased(Worker, Request, CanStay, Bound);
+}
+
+WorkerState *Scheduler::Impl::findSoonest(const PlacementRequest &Request,
+                                          WorkerState &Reserved,
+                                          TimePoint Now) {
+  std::optional<Duration> Present =
+      releaseTime(Reserved, Request, Duration::max(), Now);
+  if (!Present || *Present <= LongRelease)
+    return &Reserved;
+  WorkerState *Soonest = &Reserved;
+  Duration Bound = *Present / 2;
+  for (const UsableWorker &Usable : UsableWorkers_) {
+    if (!Usable.Worker_->ReservedJob_.empty())
+      continue;
+    if (std::optional<Duration> Time =
+            releaseTime(*Usable.Worker_, Request, Bound, Now)) {
+      Soonest = Usable.Worker_;
+      Bound = *Time;
+    }
+  }
+  return Soonest;
 }
 
 void Scheduler::Impl::reserveCapacity(const PlacementRequest &Request,
@@ -222,31 +252,32 @@
   if (findReservation(Reservations_, Name) ||
       ReservedWorkers_ > UsableWorkers_.size() / ReservedDivisor)
     return;
-  constexpr CapacityRelease Unbounded{Duration::max()};
   const CapacityReservation *Previous =
       findReservation(PreviousReservations_, Name);
   WorkerState *Chosen = Previous ? findWorker(Previous->Worker_) : nullptr;
   // Another step of the job may have chosen the worker in this pass.
-  std::optional<CapacityRelease> Least;
-  if (Chosen && Chosen->ReservedJob_.empty())
-    Least = findRelease(*Chosen, Request, Unbounded, Now);
-  if (!Least)
+  auto IsFree = [](const WorkerState &Worker) {
+    return Worker.ReservedJob_.empty();
+  };
+  constexpr double Unbounded = std::numeric_limits<double>::infinity();
+  if (Chosen &&
+      !(IsFree(*Chosen) && missingCapacity(*Chosen, Request, Unbounded, Now)))
     Chosen = nullptr;
-  TimePoint NextReviewAt = Chosen ? Previous->NextReviewAt_ : Now;
-  bool IsReviewed =
-      !Chosen || (Least->After_ > LongRelease && NextReviewAt <= Now);
-  if (IsReviewed && ReservationSearchesLeft_ > 0) {
+  TimePoint ReviewAt = Chosen ? Previous->ReviewAt_ : Now + ReviewInterval;
+  if (Chosen && ReviewAt <= Now && ReservationSearchesLeft_ > 0) {
+    --ReservationSearchesLeft_;
+    ReviewAt = Now + ReviewInterval;
+    Chosen = findSoonest(Request, *Chosen, Now);
+  } else if (!Chosen && ReservationSearchesLeft_ > 0) {
     --ReservationSearchesLeft_;
-    NextReviewAt = Now + ReviewInterval;
-    CapacityRelease Bound =
-        Chosen ? CapacityRelease{Least->After_ / 2} : Unbounded;
+    double Least = Unbounded;
     for (const UsableWorker &Usable : UsableWorkers_) {
-      if (!Usable.Worker_->ReservedJob_.empty())
+      if (!IsFree(*Usable.Worker_))
         continue;
-      if (std::optional<CapacityRelease> Release =
-              findRelease(*Usable.Worker_, Request, Bound, Now)) {
+      if (std::optional<double> Missing =
+              missingCapacity(*Usable.Worker_, Request, Least, Now)) {
         Chosen = Usable.Worker_;
-        Bound = *Release;
+        Least = *Missing;
       }
     }
   }
@@ -255,7 +286,7 @@
   Chosen->ReservedJob_ = Name.Job_;
   ++ReservedWorkers_;
   Reservations_[Name.Job_].push_back(
-      {Name.Occurrence_, Name.Step_, Chosen->Entry_.Id_, NextReviewAt});
+      {Name.Occurrence_, Name.Step_, Chosen->Entry_.Id_, ReviewAt});
 }
 
 } // namespace filbertspring::scheduling
