--- a/packages/scheduling/src/scheduler_overdue.cpp
+++ b/packages/scheduling/src/scheduler_overdue.cpp
@@ -142,12 +142,7 @@
   PlacementRequest Request = requestFor(TheJob, Overdue.Slot_, Now);
   if (UnplaceableOverdue_.covers(Request))
     return false;
-  struct Offer {
-    double Cost_;
-    WorkerState *Worker_;
-    bool operator<(const Offer &Other) const { return Cost_ > Other.Cost_; }
-  };
-  std::vector<Offer> Offers;
+  std::vector<WorkerOffer> Offers;
   for (const UsableWorker &Usable : UsableWorkers_)
     if (std::optional<double> Cost = overdueCost(
             *Usable.Worker_, Request, Now - Overdue.WaitsSince_, Now))
