Placement: a task that one worker cannot take does not hold up the others of its step

A long-running task waited although a worker had room. Cause: placeStep stopped at the first task of a step that found no offer, also if that task alone was kept from the offers that were left, by an earlier run there; and it passed over the worker on which a task had failed last although every other offer had an earlier run of it.

does_not_wait_for_an_earlier_run_of_another_one and runs_there_again_if_no_other_worker_can_take_it failed before and pass now.

--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -49,6 +49,38 @@
   return Worker.ServingImages_.size() - Worker.ServingImages_.count(Image);
 }
 
+/// Takes the best of \p Offers, a heap, for the task \p Waiting called \p Text.
+/// A worker that may still execute a run of it cannot take another one, and the
+/// worker on which it last failed is the last choice.
+WorkerState *takeBestOffer(std::vector<WorkerOffer> &Offers,
+                           const Task &Waiting, const std::string &Text) {
+  std::vector<WorkerOffer> Skipped;
+  WorkerState *Chosen = nullptr;
+  WorkerState *LastChoice = nullptr;
+  while (!Offers.empty() && !Chosen) {
+    std::pop_heap(Offers.begin(), Offers.end());
+    WorkerOffer Best = Offers.back();
+    Offers.pop_back();
+    bool HasRun = Best.Worker_->Runs_.contains(Text);
+    bool HasFailed = Best.Worker_->Entry_.Id_ == Waiting.LastFailedWorker_;
+    if (!HasRun && !HasFailed) {
+      Chosen = Best.Worker_;
+      continue;
+    }
+    Skipped.push_back(Best);
+    if (!HasRun)
+      LastChoice = Best.Worker_;
+  }
+  if (!Chosen)
+    Chosen = LastChoice;
+  for (const WorkerOffer &Offer : Skipped)
+    if (Offer.Worker_ != Chosen) {
+      Offers.push_back(Offer);
+      std::push_heap(Offers.begin(), Offers.end());
+    }
+  return Chosen;
+}
+
 /// Returns the number of runs on \p Worker that belong to the step of \p Name.
 std::int64_t countStepTasks(const WorkerState &Worker, const TaskName &Name) {
   return std::count_if(
@@ -239,12 +271,7 @@
       reserveCapacity(Request, Now);
     return;
   }
-  struct Offer {
-    double Cost_;
-    WorkerState *Worker_;
-    bool operator<(const Offer &Other) const { return Cost_ > Other.Cost_; }
-  };
-  std::vector<Offer> Offers;
+  std::vector<WorkerOffer> Offers;
   auto AddOffer = [&](WorkerState &Worker) {
     if (!isEligible(Worker, Request, Now))
       return;
@@ -274,27 +301,10 @@
     TaskName Name = TheJob.nameOf(Slot);
     Task &Waiting = TheJob.at(Slot);
     std::string Text = Name.text();
-    // Offers that are still usable for other tasks of the step.
-    std::vector<Offer> SkippedOffers;
-    WorkerState *Chosen = nullptr;
-    while (!Offers.empty() && !Chosen) {
-      std::pop_heap(Offers.begin(), Offers.end());
-      Offer BestOffer = Offers.back();
-      Offers.pop_back();
-      // A worker that may still execute a run of the task cannot take another
-      // one, and the worker on which the task last failed is the last choice.
-      bool IsAvoided =
-          BestOffer.Worker_->Entry_.Id_ == Waiting.LastFailedWorker_ &&
-          !Offers.empty();
-      if (IsAvoided || BestOffer.Worker_->Runs_.contains(Text))
-        SkippedOffers.push_back(BestOffer);
-      else
-        Chosen = BestOffer.Worker_;
-    }
-    for (const Offer &Skipped : SkippedOffers) {
-      Offers.push_back(Skipped);
-      std::push_heap(Offers.begin(), Offers.end());
-    }
+    WorkerState *Chosen = takeBestOffer(Offers, Waiting, Text);
+    // Only this task is kept from the offers that are left.
+    if (!Chosen && !Offers.empty())
+      continue;
     if (!Chosen && IsIsolated)
       reserveWorker(Request, Now);
     else if (!Chosen && HasWaited)
