Placement: overdue long-running tasks use reserved workers, and count refused starts

Two ways in which a long-running task went on waiting beside a worker with room: a worker that is reserved for another job, whose other runs do not end, had room for it (leaves_its_free_capacity_to_another_one); and a start that was refused, or planned and not sent, set back the time since when the task waits (has_waited_since_it_became_ready). Timed tasks leave reserved workers alone: they could take the capacity that a larger task waits for.

--- a/packages/scheduling/src/obstacle.cpp
+++ b/packages/scheduling/src/obstacle.cpp
@@ -14,6 +14,8 @@
 /// A worker that is reserved for a suspected task has settled by then.
 constexpr Duration MaxIsolationWait = std::chrono::milliseconds(2500);
 
+constexpr Duration MaxReservationWait = std::chrono::milliseconds(2500);
+
 struct ObstacleTrait {
   Obstacle Value_;
   std::string_view Name_;
@@ -31,9 +33,8 @@
     {Obstacle::StartsInFlight, "starts_in_flight", {}},
     {Obstacle::FreshSuspect, "fresh_suspect", MaxJudgementWait},
     {Obstacle::Reserved, "reserved", MaxJudgementWait},
-    // The job of the reservation waits for as long, and it has a quarter of the
-    // workers at most.
-    {Obstacle::ReservedForJob, "reserved_for_job", {}},
+    // Longer, since the job of the reservation waits, too.
+    {Obstacle::ReservedForJob, "reserved_for_job", MaxReservationWait},
     {Obstacle::NotIsolated, "not_isolated", MaxIsolationWait},
     {Obstacle::StepLimit, "step_limit", {}},
     // Ends with the suspension of the fillers.
--- a/packages/scheduling/src/scheduler_commands.cpp
+++ b/packages/scheduling/src/scheduler_commands.cpp
@@ -52,7 +52,7 @@
     Worker->AvoidUntil_ = std::max(Worker->AvoidUntil_, Now + Avoid);
     Worker->dropRun(Name.text());
     if (Record)
-      Impl_->requeueRun(*Worker, *Record, Name, Number, Now, Duration::zero());
+      Impl_->returnUnstarted(*Worker, *Record, Name, Number);
   };
   // The previous start command for this run may have been executed.
   bool MayHaveStarted = Target.StartsSent_ > 1 &&
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -264,6 +264,9 @@
   /// present run. It is not placed again before \p Delay has passed.
   void requeueRun(WorkerState &Worker, JobRecord &Record, const TaskName &Name,
                   std::uint64_t Run, TimePoint Now, Duration Delay);
+  /// The same for a run that was not started: the task goes on waiting.
+  void returnUnstarted(WorkerState &Worker, JobRecord &Record,
+                       const TaskName &Name, std::uint64_t Number);
   void stopUncountedRun(WorkerState &Worker, JobRecord &Record,
                         const TaskName &Name, TimePoint Now);
 
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -12,24 +12,12 @@
 /// Interval between placement passes without an event, for tasks that are not
 /// to be placed before a certain time.
 constexpr Duration PlacementInterval = std::chrono::milliseconds(100);
-/// Cost of each other serving image on a worker, in units of a fully used
-/// worker. Concentrates the tasks of one image, which leaves workers without
-/// that image to the fillers that interfere with it.
-constexpr double MixedImageCost = 2.0;
-/// Cost for a filler of a worker on which every filler image is harmless, in
-/// units of a fully used worker. Leaves such workers to the filler images that
-/// are harmful elsewhere.
-constexpr double FlexibilityCost = 1.0;
 /// Cost for a suspected task of each recent crash of a worker, in units of a
 /// fully used worker.
 constexpr double UnsteadyCost = 20.0;
 /// Cost for a suspected task of a worker with runs that may be the cause of its
 /// next crash, too.
 constexpr double YoungRunsCost = 10.0;
-/// Cost of a worker on a rack that does not hold the data, in units of a fully
-/// used worker.
-constexpr double RemoteDataCost = 2.0;
-
 /// Returns whether the other runs of \p Worker are as settled as \p Needed.
 bool isSettled(const WorkerState &Worker, Isolation Needed) {
   switch (Needed) {
@@ -43,12 +31,6 @@
   return false;
 }
 
-/// Returns the number of serving images on \p Worker other than \p Image.
-std::size_t countOtherImages(const WorkerState &Worker,
-                             const std::string &Image) {
-  return Worker.ServingImages_.size() - Worker.ServingImages_.count(Image);
-}
-
 /// Takes the best of \p Offers, a heap, for the task \p Waiting called \p Text.
 /// A worker that may still execute a run of it cannot take another one, and the
 /// worker on which it last failed is the last choice.
@@ -344,6 +326,7 @@
   if (std::optional<Obstacle> Found = findObstacle(Worker))
     return Found;
   const WorkerEntry &Entry = Worker.Entry_;
+  const StepSpec &Step = Request.Step_;
   if (Entry.Service_ != Request.Service_)
     return Obstacle::NotAllowed;
   auto Counts = [Wait](Obstacle Judgement) {
@@ -353,14 +336,16 @@
     return Obstacle::Avoided;
   if (Worker.FreshSuspects_ > 0 && Counts(Obstacle::FreshSuspect))
     return Obstacle::FreshSuspect;
-  if (!Worker.ReservedJob_.empty() && Worker.ReservedJob_ != Request.Name_.Job_)
+  // A timed task could take the capacity that a larger one waits for.
+  if (!Worker.ReservedJob_.empty() &&
+      Worker.ReservedJob_ != Request.Name_.Job_ &&
+      (!Step.IsLongRunning_ || Counts(Obstacle::ReservedForJob)))
     return Obstacle::ReservedForJob;
   if (Request.Isolation_ == Isolation::None && Worker.ReservedUntil_ > Now &&
       Counts(Obstacle::Reserved))
     return Obstacle::Reserved;
   if (!isSettled(Worker, Request.Isolation_) && Counts(Obstacle::NotIsolated))
     return Obstacle::NotIsolated;
-  const StepSpec &Step = Request.Step_;
   if (Step.IsFiller_ && Worker.OverTargetSince_)
     return Obstacle::OverTarget;
   const std::vector<std::string> &Labels = Entry.Labels_;
@@ -381,72 +366,6 @@
   return std::nullopt;
 }
 
-double Scheduler::Impl::headroom(WorkerState &Worker,
-                                 const std::string &Image) const {
-  if (!Worker.TailRooms_)
-    Worker.TailRooms_ =
-        tailRooms(Model_, Worker.servingSamples(), Worker.fillerSamples());
-  return fillerHeadroom(Model_, *Worker.TailRooms_, Image);
-}
-
-double Scheduler::Impl::flexibility(WorkerState &Worker) const {
-  if (!Worker.Flexibility_) {
-    std::vector<std::string_view> Images;
-    for (const auto &[Image, Tasks] : Worker.ServingImages_)
-      Images.push_back(Image);
-    Worker.Flexibility_ = fillerFlexibility(Model_, Images);
-  }
-  return *Worker.Flexibility_;
-}
-
-std::optional<Obstacle>
-Scheduler::Impl::findFillerObstacle(WorkerState &Worker,
-                                    const StepSpec &Step) const {
-  if (!Step.IsFiller_)
-    return std::nullopt;
-  if (Worker.utilizationWithFiller(Step.Request_.MilliCpu_) >
-      MaxFillerUtilization)
-    return Obstacle::Utilization;
-  auto Requested = static_cast<double>(Step.Request_.MilliCpu_);
-  if (Requested / Worker.milliCpu() > headroom(Worker, Step.Image_))
-    return Obstacle::Interference;
-  return std::nullopt;
-}
-
-/// Returns the cost of placing a task of \p Step on \p Worker; lower is better.
-/// Returns nothing for a filler that would violate a tail latency target or the
-/// maximum utilization of the worker.
-std::optional<double>
-Scheduler::Impl::placementCost(WorkerState &Worker,
-                               const StepSpec &Step) const {
-  if (findFillerObstacle(Worker, Step))
-    return std::nullopt;
-  double Capacity = Worker.milliCpu();
-  auto Requested = static_cast<double>(Step.Request_.MilliCpu_);
-  double Cost = 0;
-  if (Step.IsFiller_) {
-    Cost = Worker.utilizationWithFiller(Step.Request_.MilliCpu_) +
-           FlexibilityCost * flexibility(Worker);
-  } else {
-    // Best fit: prefers workers with little free capacity, which leaves room
-    // for large tasks and for steps with many tasks.
-    Cost = 1 -
-           (static_cast<double>(Worker.Used_.MilliCpu_) + Requested) / Capacity;
-    if (Step.IsLongRunning_)
-      Cost += MixedImageCost * countOtherImages(Worker, Step.Image_);
-  }
-  return Cost + remoteDataCost(Worker, Step);
-}
-
-double Scheduler::Impl::remoteDataCost(const WorkerState &Worker,
-                                       const StepSpec &Step) {
-  const std::vector<std::string> &Labels = Worker.Entry_.Labels_;
-  bool IsRemote =
-      !Step.DataRack_.empty() &&
-      std::find(Labels.begin(), Labels.end(), Step.DataRack_) == Labels.end();
-  return IsRemote ? RemoteDataCost : 0.0;
-}
-
 bool Scheduler::Impl::hasBetterWorker(const WorkerState &Present,
                                       const Run &Movable, TimePoint Now) {
   JobRecord *Record = findJob(Movable.Name_.Job_);
@@ -502,8 +421,7 @@
       continue;
     }
     Worker->dropRun(Planned.Name_.text());
-    requeueRun(*Worker, *Record, Planned.Name_, Planned.Number_, Now,
-               Duration::zero());
+    returnUnstarted(*Worker, *Record, Planned.Name_, Planned.Number_);
   }
 }
 
--- a/packages/scheduling/src/scheduler_workers.cpp
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -156,6 +156,16 @@
   NeedsPlacement_ = true;
 }
 
+void Scheduler::Impl::returnUnstarted(WorkerState &Worker, JobRecord &Record,
+                                      const TaskName &Name,
+                                      std::uint64_t Number) {
+  const Task *Unstarted = Record.Job_.find(Name);
+  if (!Unstarted)
+    return;
+  TimePoint ReadyAt = Unstarted->ReadyAt_;
+  requeueRun(Worker, Record, Name, Number, ReadyAt, Duration::zero());
+}
+
 /// Stops the present run of \p Name if \p Worker has no run of that task any
 /// more: an earlier one, which the worker listed, has taken its place.
 void Scheduler::Impl::stopUncountedRun(WorkerState &Worker, JobRecord &Record,
--- a/packages/scheduling/tests/overdue_test.cpp
+++ b/packages/scheduling/tests/overdue_test.cpp
@@ -94,6 +94,26 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_task_whose_starts_are_refused)
+
+BOOST_FIXTURE_TEST_CASE(has_waited_since_it_became_ready, Cell) {
+  submit("00000000000000bb", {task(1)});
+  for (int Refusals = 0; Refusals < 4; ++Refusals) {
+    while (Starts_.empty()) {
+      step();
+      answerRenewals();
+    }
+    StartTask Refused = Starts_.back();
+    Starts_.clear();
+    Scheduler_.startAnswered(Refused.Worker_, Refused.Name_, Refused.Run_,
+                             CallOutcome::RejectedNoCapacity, Now_);
+    if (Refusals == 3)
+      BOOST_TEST((Refused.Waited_ >= 900ms));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(beside_a_worker_that_is_not_quarantined)
 
 BOOST_FIXTURE_TEST_CASE(an_overdue_task_waits_for_it, FailingCell) {
