--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -7,6 +7,7 @@
 /// paces are decided in scheduler_fillers.cpp; placement is in
 /// scheduler_placement.cpp and storage in scheduler_writes.cpp.
 
+#include "obstacle.h"
 #include "progress_queue.h"
 #include "worker_state.h"
 
@@ -112,32 +113,40 @@
   Isolation Isolation_ = Isolation::None;
 };
 
-/// Why a worker does not get a task.
-enum class Obstacle {
-  /// Not registered, draining, unreachable, or in a closed zone.
-  NotUsable,
-  /// Another service, or without the required label.
-  NotAllowed,
-  /// Its runs leave too little of its capacity.
-  NoCapacity,
-  /// Quarantined, or avoided for a moment after a failed command.
-  Avoided,
-  /// It executes a run of an unknown job.
-  UnknownRun,
-  /// Too many start commands are outstanding.
-  StartsInFlight,
-  /// A suspected task has not settled on it.
-  FreshSuspect,
-  /// It is reserved for suspected tasks.
-  Reserved,
-  /// The task has to be isolated, and other runs have not settled.
-  NotIsolated,
-  /// It has as many tasks of the step as are allowed, or a run of the task.
-  StepLimit,
-  /// Fillers would use more processors than it has.
-  Utilization,
-  /// A filler may violate a tail latency target.
-  Interference,
+/// The task that has waited longest of some jobs.
+struct LongestWait {
+  JobRecord *Record_ = nullptr;
+  std::uint32_t Slot_ = 0;
+  /// The number of the jobs.
+  std::int64_t Jobs_ = 0;
+
+  /// \p Slot: the task of \p Record that has waited longest.
+  void add(JobRecord &Record, std::uint32_t Slot);
+};
+
+/// A worker that can take a task; lower costs are better. The heap functions of
+/// the standard library put the best one first.
+struct WorkerOffer {
+  double Cost_ = 0;
+  WorkerState *Worker_ = nullptr;
+  bool operator<(const WorkerOffer &Other) const { return Cost_ > Other.Cost_; }
+};
+
+/// A task that must not wait any longer.
+struct OverdueTask {
+  JobRecord *Record_ = nullptr;
+  std::uint32_t Slot_ = 0;
+  TimePoint WaitsSince_;
+};
+
+/// A worker that is reserved for a step of a job until it has capacity for one
+/// of its tasks.
+struct CapacityReservation {
+  std::uint32_t Occurrence_ = 0;
+  std::uint32_t Step_ = 0;
+  std::string Worker_;
+  /// When the worker is next compared with others.
+  TimePoint ReviewAt_{};
 };
 
 /// Returns whether \p Waiting has waited for so long that a worker is reserved
@@ -184,6 +193,10 @@
                              const char *Cause);
   void moveFromDrainingWorkers(TimePoint Now);
   void expireLeases(TimePoint Now, TimePoint ConfirmedAt);
+  /// Returns until when a task may run under a lease that is granted at \p Now.
+  TimePoint leaseEnd(Duration Lease, TimePoint Now) const;
+  /// Returns until when tasks may run under leases of the previous tenure.
+  TimePoint predecessorLeaseEnd() const;
   /// Sets the time of the next renewal, unless one is outstanding then.
   void scheduleRenewal(WorkerState &Worker, TimePoint At);
   void sendDueRenewals(TimePoint Now, bool MaySendCommands);
@@ -251,6 +264,11 @@
   /// present run. It is not placed again before \p Delay has passed.
   void requeueRun(WorkerState &Worker, JobRecord &Record, const TaskName &Name,
                   std::uint64_t Run, TimePoint Now, Duration Delay);
+  /// The same for a run that was not started: the task goes on waiting.
+  void returnUnstarted(WorkerState &Worker, JobRecord &Record,
+                       const TaskName &Name, std::uint64_t Number);
+  void stopUncountedRun(WorkerState &Worker, JobRecord &Record,
+                        const TaskName &Name, TimePoint Now);
 
   // Commands.
   void sendStart(WorkerState &Worker, Run &Target, JobRecord &Record,
@@ -263,9 +281,43 @@
   void releaseDueSteps(TimePoint Now);
   std::size_t placeWaitingTasks(TimePoint Now, std::size_t MaxStarts);
   void findUsableWorkers(TimePoint Now);
+  /// Returns the tasks that must not wait any longer: long-running ones, and
+  /// one task of each timed job of which no task is placed. Empty between two
+  /// checks. Linear in the waiting jobs and their tasks.
+  std::vector<OverdueTask> findOverdueTasks(TimePoint Now);
+  /// Returns how many starts a placement pass leaves to \p Overdue.
+  std::size_t startsForOverdueTasks(std::span<const OverdueTask> Overdue,
+                                    TimePoint Now) const;
+  /// Places those of \p Overdue that have not been placed in this pass because
+  /// of a judgement, timed ones only while their service has ample capacity.
+  /// Linear in the number of workers for a few tasks; the rest follow in the
+  /// next checks.
+  void placeOverdueTasks(std::span<const OverdueTask> Overdue, TimePoint Now);
+  /// Returns whether a worker was searched for.
+  bool placeOverdueTask(const OverdueTask &Overdue, TimePoint Now);
+  /// Returns the cost of placing an overdue task on \p Worker, if that is
+  /// possible.
+  std::optional<double> overdueCost(WorkerState &Worker,
+                                    const PlacementRequest &Request,
+                                    Duration Wait, TimePoint Now) const;
+  /// Returns the cost of placing an overdue filler on \p Worker, where it has
+  /// to be slow; nothing if it has not waited long enough, or is too slow.
+  std::optional<double> slowStartCost(WorkerState &Worker, const StepSpec &Step,
+                                      Duration Wait) const;
+  /// Returns the pace that a filler of \p Step would get on \p Worker, in
+  /// percent of full speed.
+  int expectedPacePercent(const WorkerState &Worker,
+                          const StepSpec &Step) const;
+  /// Returns whether less than half of the capacity of \p Service is reserved.
+  bool hasAmpleCapacity(const std::string &Service) const;
   /// Places the waiting tasks of a job that are suspected, or the others.
-  void placeJob(JobRecord &Record, const Queue *Policy, bool AreSuspected,
-                TimePoint Now);
+  void placeJob(JobRecord &Record, bool AreSuspected, TimePoint Now);
+  /// Returns the service on whose workers the tasks of \p TheJob run.
+  const std::string &serviceOf(const Job &TheJob) const;
+  /// Returns the request for the task in \p Slot of \p TheJob, which has to
+  /// outlive it.
+  PlacementRequest requestFor(const Job &TheJob, std::uint32_t Slot,
+                              TimePoint Now) const;
   /// Reserves a worker for a suspected task, so that its runs settle.
   void reserveWorker(const PlacementRequest &Request, TimePoint Now);
   /// Ends the reservations of capacity of the last placement pass.
@@ -281,18 +333,28 @@
   std::optional<double> missingCapacity(WorkerState &Worker,
                                         const PlacementRequest &Request,
                                         double Bound, TimePoint Now) const;
-  void placeStep(JobRecord &Record, const std::string &Service,
-                 std::span<const std::uint32_t> Slots, TimePoint Now);
-  /// Returns why \p Worker gets no tasks now.
-  std::optional<Obstacle> findObstacle(const WorkerState &Worker,
-                                       TimePoint Now) const;
-  /// Returns why \p Worker may not get a task of \p Request now.
+  /// Returns the expected time until \p Worker can take a task of \p Request;
+  /// nothing if that is not below \p Bound, or if it cannot take the task.
+  std::optional<Duration> releaseTime(WorkerState &Worker,
+                                      const PlacementRequest &Request,
+                                      Duration Bound, TimePoint Now) const;
+  /// Returns the worker that can take a task of \p Request soonest if it can
+  /// much sooner than \p Reserved, or else that one. Linear in the number of
+  /// runs.
+  WorkerState *findSoonest(const PlacementRequest &Request,
+                           WorkerState &Reserved, TimePoint Now);
+  void placeStep(JobRecord &Record, std::span<const std::uint32_t> Slots,
+                 TimePoint Now);
+  /// Returns why \p Worker gets no tasks now, whatever their requests, and
+  /// however long they have waited.
+  std::optional<Obstacle> findObstacle(const WorkerState &Worker) const;
+  /// Returns why \p Worker may not get a task of \p Request now that has waited
+  /// for \p Wait. Judgements do not count for a task that has waited for long;
+  /// pass no wait for one that can go on waiting.
   std::optional<Obstacle> findObstacle(const WorkerState &Worker,
                                        const PlacementRequest &Request,
-                                       TimePoint Now) const;
-  bool isUsable(const WorkerState &Worker, TimePoint Now) const {
-    return !findObstacle(Worker, Now);
-  }
+                                       TimePoint Now,
+                                       Duration Wait = Duration::zero()) const;
   bool isEligible(const WorkerState &Worker, const PlacementRequest &Request,
                   TimePoint Now) const {
     return !findObstacle(Worker, Request, Now);
@@ -300,10 +362,14 @@
   /// Returns why \p Worker gets no filler of \p Step although it is eligible.
   std::optional<Obstacle> findFillerObstacle(WorkerState &Worker,
                                              const StepSpec &Step) const;
-  /// Logs, once a second, why the task that has waited longest is not placed.
+  /// Logs, once a second, why the long-running task and the timed one that have
+  /// waited longest are not placed.
   void reportWaits(TimePoint Now);
+  void reportWait(const char *Kind, const LongestWait &Longest, TimePoint Now);
   std::optional<double> placementCost(WorkerState &Worker,
                                       const StepSpec &Step) const;
+  /// Returns the cost of a worker that is far from the data of \p Step.
+  static double remoteDataCost(const WorkerState &Worker, const StepSpec &Step);
   double headroom(WorkerState &Worker, const std::string &Image) const;
   double flexibility(WorkerState &Worker) const;
   void planRun(WorkerState &Worker, JobRecord &Record, const TaskName &Name,
@@ -348,11 +414,17 @@
   std::set<std::string> WorkersOverTarget_;
   /// The workers of the present placement pass.
   std::vector<UsableWorker> UsableWorkers_;
-  /// The workers that are reserved for a job in the present placement pass, and
-  /// those of the last pass. By job.
-  std::unordered_map<std::string, std::string> Reservations_;
-  std::unordered_map<std::string, std::string> PreviousReservations_;
-  /// Jobs for which a worker may still be searched in this placement pass.
+  /// Those of them that are neither avoided nor have fresh suspects.
+  std::size_t ReservableWorkers_ = 0;
+  /// The reservations of capacity of the present placement pass, and those of
+  /// the last pass. By job.
+  std::unordered_map<std::string, std::vector<CapacityReservation>>
+      Reservations_;
+  std::unordered_map<std::string, std::vector<CapacityReservation>>
+      PreviousReservations_;
+  /// The number of workers that are reserved in the present placement pass.
+  std::size_t ReservedWorkers_ = 0;
+  /// Steps for which a worker may still be searched in this placement pass.
   std::size_t ReservationSearchesLeft_ = 0;
   /// Jobs that may have steps to release.
   std::set<std::string> JobsToRelease_;
@@ -387,6 +459,16 @@
   bool HasNewEnds_ = false;
   TimePoint NextPlacementAt_{};
   TimePoint NextWaitReportAt_{};
+  TimePoint NextOverdueCheckAt_{};
+  /// Since when no start has been left for overdue tasks.
+  std::optional<TimePoint> OverdueSince_;
+  /// The position of the next overdue task to search a worker for.
+  std::size_t OverduePosition_ = 0;
+  /// How many fillers may still be started in this pass that have to be slow.
+  std::size_t SlowStartsLeft_ = 0;
+  /// Requests of overdue tasks for which no worker was found in the present
+  /// placement pass.
+  UnplaceableRequests UnplaceableOverdue_;
   TimePoint NextWorkerCheckAt_{};
 };
 
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -12,33 +12,17 @@
 /// Interval between placement passes without an event, for tasks that are not
 /// to be placed before a certain time.
 constexpr Duration PlacementInterval = std::chrono::milliseconds(100);
-/// Cost of each other serving image on a worker, in units of a fully used
-/// worker. Concentrates the tasks of one image, which leaves workers without
-/// that image to the fillers that interfere with it.
-constexpr double MixedImageCost = 2.0;
-/// Cost for a filler of a worker on which every filler image is harmless, in
-/// units of a fully used worker. Leaves such workers to the filler images that
-/// are harmful elsewhere.
-constexpr double FlexibilityCost = 1.0;
 /// Cost for a suspected task of each recent crash of a worker, in units of a
 /// fully used worker.
 constexpr double UnsteadyCost = 20.0;
 /// Cost for a suspected task of a worker with runs that may be the cause of its
 /// next crash, too.
 constexpr double YoungRunsCost = 10.0;
-/// Cost of a worker on a rack that does not hold the data, in units of a fully
-/// used worker.
-constexpr double RemoteDataCost = 2.0;
-
-/// Returns whether the reservations and the other runs of \p Worker allow for a
-/// task of \p Request.
-bool satisfies(const WorkerState &Worker, const PlacementRequest &Request,
-               TimePoint Now) {
-  if (!Worker.ReservedJob_.empty() && Worker.ReservedJob_ != Request.Name_.Job_)
-    return false;
-  switch (Request.Isolation_) {
+/// Returns whether the other runs of \p Worker are as settled as \p Needed.
+bool isSettled(const WorkerState &Worker, Isolation Needed) {
+  switch (Needed) {
   case Isolation::None:
-    return Worker.ReservedUntil_ <= Now;
+    return true;
   case Isolation::Settled:
     return Worker.FreshRuns_ == 0;
   case Isolation::LongSettled:
@@ -47,10 +31,36 @@
   return false;
 }
 
-/// Returns the number of serving images on \p Worker other than \p Image.
-std::size_t countOtherImages(const WorkerState &Worker,
-                             const std::string &Image) {
-  return Worker.ServingImages_.size() - Worker.ServingImages_.count(Image);
+/// Takes the best of \p Offers, a heap, for the task \p Waiting called \p Text.
+/// A worker that may still execute a run of it cannot take another one, and the
+/// worker on which it last failed is the last choice.
+WorkerState *takeBestOffer(std::vector<WorkerOffer> &Offers,
+                           const Task &Waiting, const std::string &Text) {
+  std::vector<WorkerOffer> Skipped;
+  WorkerState *Chosen = nullptr;
+  WorkerState *LastChoice = nullptr;
+  while (!Offers.empty() && !Chosen) {
+    std::pop_heap(Offers.begin(), Offers.end());
+    WorkerOffer Best = Offers.back();
+    Offers.pop_back();
+    bool HasRun = Best.Worker_->Runs_.contains(Text);
+    bool HasFailed = Best.Worker_->Entry_.Id_ == Waiting.LastFailedWorker_;
+    if (!HasRun && !HasFailed) {
+      Chosen = Best.Worker_;
+      continue;
+    }
+    Skipped.push_back(Best);
+    if (!HasRun)
+      LastChoice = Best.Worker_;
+  }
+  if (!Chosen)
+    Chosen = LastChoice;
+  for (const WorkerOffer &Offer : Skipped)
+    if (Offer.Worker_ != Chosen) {
+      Offers.push_back(Offer);
+      std::push_heap(Offers.begin(), Offers.end());
+    }
+  return Chosen;
 }
 
 /// Returns the number of runs on \p Worker that belong to the step of \p Name.
@@ -120,7 +130,6 @@
   struct Candidate {
     JobRank Rank_;
     JobRecord *Record_;
-    const Queue *Policy_;
   };
   std::vector<Candidate> Candidates;
   for (auto It = JobsWithWaitingTasks_.begin();
@@ -132,7 +141,7 @@
     }
     ++It;
     const Queue *Policy = Queues_->find(Record->Job_.accepted().Queue_);
-    Candidates.push_back({rankOf(Record->Job_, Policy, Now), Record, Policy});
+    Candidates.push_back({rankOf(Record->Job_, Policy, Now), Record});
   }
   std::sort(Candidates.begin(), Candidates.end(),
             [](const Candidate &Left, const Candidate &Right) {
@@ -141,43 +150,67 @@
   Unplaceable_.clear();
   releaseReservations();
   findUsableWorkers(Now);
+  std::vector<OverdueTask> Overdue = findOverdueTasks(Now);
+  std::size_t OverdueStarts = startsForOverdueTasks(Overdue, Now);
+  StartsLeft_ = Limit - OverdueStarts;
   // Suspected tasks get the few workers on which all runs have settled. They
   // leave starts to the others, which may be more urgent.
-  std::size_t SuspectLimit = (Limit + 1) / 2;
-  StartsLeft_ = SuspectLimit;
+  std::size_t OtherLimit = StartsLeft_ / 2;
+  StartsLeft_ -= OtherLimit;
   for (const Candidate &Waiting : Candidates)
     if (JobsWithSuspects_.contains(Waiting.Record_->Job_.accepted().Id_))
-      placeJob(*Waiting.Record_, Waiting.Policy_, true, Now);
+      placeJob(*Waiting.Record_, true, Now);
   bool IsCutShort = StartsLeft_ == 0;
-  StartsLeft_ += Limit - SuspectLimit;
+  StartsLeft_ += OtherLimit;
   for (const Candidate &Waiting : Candidates) {
     if (StartsLeft_ == 0)
       break;
-    placeJob(*Waiting.Record_, Waiting.Policy_, false, Now);
+    placeJob(*Waiting.Record_, false, Now);
   }
-  reportWaits(Now);
   NeedsPlacement_ = IsCutShort || StartsLeft_ == 0;
+  StartsLeft_ += OverdueStarts;
+  placeOverdueTasks(Overdue, Now);
+  reportWaits(Now);
   return Limit - StartsLeft_;
 }
 
 /// Collects the workers that can get a task at all, with their free capacity.
 void Scheduler::Impl::findUsableWorkers(TimePoint Now) {
   UsableWorkers_.clear();
+  ReservableWorkers_ = 0;
   for (auto &[Id, Worker] : Workers_) {
-    if (!isUsable(Worker, Now))
+    if (findObstacle(Worker))
       continue;
     Resources Free = Worker.Entry_.Capacity_;
     Free -= Worker.Used_;
     Worker.UsablePosition_ = UsableWorkers_.size();
     UsableWorkers_.push_back({&Worker, Free});
+    ReservableWorkers_ +=
+        Worker.AvoidUntil_ <= Now && Worker.FreshSuspects_ == 0 ? 1 : 0;
   }
 }
 
-void Scheduler::Impl::placeJob(JobRecord &Record, const Queue *Policy,
-                               bool AreSuspected, TimePoint Now) {
+const std::string &Scheduler::Impl::serviceOf(const Job &TheJob) const {
+  const Queue *Policy = Queues_->find(TheJob.accepted().Queue_);
+  return Policy ? Policy->Service_ : TheJob.accepted().Service_;
+}
+
+PlacementRequest Scheduler::Impl::requestFor(const Job &TheJob,
+                                             std::uint32_t Slot,
+                                             TimePoint Now) const {
+  TaskName Name = TheJob.nameOf(Slot);
+  const StepSpec &Step = TheJob.step(Name);
+  PlacementRequest Request{
+      Step,        serviceOf(TheJob), Name,
+      Name.text(), Step.Request_,     neededIsolation(TheJob.at(Slot), Now)};
+  if (Step.IsFiller_)
+    Request.Needed_.MilliCpu_ = 0;
+  return Request;
+}
+
+void Scheduler::Impl::placeJob(JobRecord &Record, bool AreSuspected,
+                               TimePoint Now) {
   Job &TheJob = Record.Job_;
-  const std::string &Service =
-      Policy ? Policy->Service_ : TheJob.accepted().Service_;
   // Copied because placing a task removes it from the set.
   std::vector<std::uint32_t> Slots;
   for (std::uint32_t Slot : TheJob.waiting())
@@ -195,40 +228,32 @@
         std::find_if(StepBegin, Slots.end(), [&](std::uint32_t Slot) {
           return IsOtherStep(*StepBegin, Slot);
         });
-    placeStep(Record, Service, {StepBegin, StepEnd}, Now);
+    placeStep(Record, {StepBegin, StepEnd}, Now);
     StepBegin = StepEnd;
   }
 }
 
 /// Places the tasks of one step, which are identical, until no worker is left
 /// for one. Evaluates each worker once, and again after it was assigned a task.
-void Scheduler::Impl::placeStep(JobRecord &Record, const std::string &Service,
+void Scheduler::Impl::placeStep(JobRecord &Record,
                                 std::span<const std::uint32_t> Slots,
                                 TimePoint Now) {
   Job &TheJob = Record.Job_;
-  TaskName First = TheJob.nameOf(Slots.front());
-  const StepSpec &Step = TheJob.step(First);
-  PlacementRequest Request{
-      Step, Service,       First,
-      {},   Step.Request_, neededIsolation(TheJob.at(Slots.front()), Now)};
-  if (Step.IsFiller_)
-    Request.Needed_.MilliCpu_ = 0;
+  PlacementRequest Request = requestFor(TheJob, Slots.front(), Now);
+  // Any task of the step.
+  Request.TaskText_.clear();
+  const StepSpec &Step = Request.Step_;
   bool IsIsolated = Request.Isolation_ != Isolation::None;
   bool HasWaited =
       !IsIsolated && hasWaitedForCapacity(TheJob.at(Slots.front()), Now);
   // A worker that was reserved for the job may have capacity for it by now.
-  if (!PreviousReservations_.contains(First.Job_) &&
+  if (!PreviousReservations_.contains(Request.Name_.Job_) &&
       Unplaceable_.covers(Request)) {
     if (HasWaited)
       reserveCapacity(Request, Now);
     return;
   }
-  struct Offer {
-    double Cost_;
-    WorkerState *Worker_;
-    bool operator<(const Offer &Other) const { return Cost_ > Other.Cost_; }
-  };
-  std::vector<Offer> Offers;
+  std::vector<WorkerOffer> Offers;
   auto AddOffer = [&](WorkerState &Worker) {
     if (!isEligible(Worker, Request, Now))
       return;
@@ -258,27 +283,10 @@
     TaskName Name = TheJob.nameOf(Slot);
     Task &Waiting = TheJob.at(Slot);
     std::string Text = Name.text();
-    // Offers that are still usable for other tasks of the step.
-    std::vector<Offer> SkippedOffers;
-    WorkerState *Chosen = nullptr;
-    while (!Offers.empty() && !Chosen) {
-      std::pop_heap(Offers.begin(), Offers.end());
-      Offer BestOffer = Offers.back();
-      Offers.pop_back();
-      // A worker that may still execute a run of the task cannot take another
-      // one, and the worker on which the task last failed is the last choice.
-      bool IsAvoided =
-          BestOffer.Worker_->Entry_.Id_ == Waiting.LastFailedWorker_ &&
-          !Offers.empty();
-      if (IsAvoided || BestOffer.Worker_->Runs_.contains(Text))
-        SkippedOffers.push_back(BestOffer);
-      else
-        Chosen = BestOffer.Worker_;
-    }
-    for (const Offer &Skipped : SkippedOffers) {
-      Offers.push_back(Skipped);
-      std::push_heap(Offers.begin(), Offers.end());
-    }
+    WorkerState *Chosen = takeBestOffer(Offers, Waiting, Text);
+    // Only this task is kept from the offers that are left.
+    if (!Chosen && !Offers.empty())
+      continue;
     if (!Chosen && IsIsolated)
       reserveWorker(Request, Now);
     else if (!Chosen && HasWaited)
@@ -297,39 +305,49 @@
   }
 }
 
-std::optional<Obstacle> Scheduler::Impl::findObstacle(const WorkerState &Worker,
-                                                      TimePoint Now) const {
+std::optional<Obstacle>
+Scheduler::Impl::findObstacle(const WorkerState &Worker) const {
   const WorkerEntry &Entry = Worker.Entry_;
   if (!Worker.IsRegistered_ || !Worker.IsStored_ || !Worker.isReachable() ||
       Worker.IsExpired_ || Entry.IsDraining_ || !Worker.ClockMs_ ||
       ClosedZones_.contains(Entry.Zone_))
     return Obstacle::NotUsable;
-  if (Worker.AvoidUntil_ > Now)
-    return Obstacle::Avoided;
   if (Worker.UnknownRuns_ > 0)
     return Obstacle::UnknownRun;
   if (Worker.StartsInFlight_ >= MaxStartsInFlight)
     return Obstacle::StartsInFlight;
-  if (Worker.FreshSuspects_ > 0)
-    return Obstacle::FreshSuspect;
   return std::nullopt;
 }
 
 std::optional<Obstacle>
 Scheduler::Impl::findObstacle(const WorkerState &Worker,
-                              const PlacementRequest &Request,
-                              TimePoint Now) const {
-  if (std::optional<Obstacle> Found = findObstacle(Worker, Now))
+                              const PlacementRequest &Request, TimePoint Now,
+                              Duration Wait) const {
+  if (std::optional<Obstacle> Found = findObstacle(Worker))
     return Found;
   const WorkerEntry &Entry = Worker.Entry_;
+  const StepSpec &Step = Request.Step_;
   if (Entry.Service_ != Request.Service_)
     return Obstacle::NotAllowed;
-  if (!satisfies(Worker, Request, Now))
-    return Request.Isolation_ == Isolation::None ? Obstacle::Reserved
-                                                 : Obstacle::NotIsolated;
-  const StepSpec &Step = Request.Step_;
+  auto Counts = [Wait](Obstacle Judgement) {
+    return Wait < maxWait(Judgement).value_or(Duration::max());
+  };
+  if (Worker.AvoidUntil_ > Now && Counts(Obstacle::Avoided))
+    return Obstacle::Avoided;
+  if (Worker.FreshSuspects_ > 0 && Counts(Obstacle::FreshSuspect))
+    return Obstacle::FreshSuspect;
+  // A timed task could take the capacity that a larger one waits for.
+  if (!Worker.ReservedJob_.empty() &&
+      Worker.ReservedJob_ != Request.Name_.Job_ &&
+      (!Step.IsLongRunning_ || Counts(Obstacle::ReservedForJob)))
+    return Obstacle::ReservedForJob;
+  if (Request.Isolation_ == Isolation::None && Worker.ReservedUntil_ > Now &&
+      Counts(Obstacle::Reserved))
+    return Obstacle::Reserved;
+  if (!isSettled(Worker, Request.Isolation_) && Counts(Obstacle::NotIsolated))
+    return Obstacle::NotIsolated;
   if (Step.IsFiller_ && Worker.OverTargetSince_)
-    return Obstacle::Interference;
+    return Obstacle::OverTarget;
   const std::vector<std::string> &Labels = Entry.Labels_;
   if (!Step.RequiredLabel_.empty() &&
       std::find(Labels.begin(), Labels.end(), Step.RequiredLabel_) ==
@@ -348,67 +366,6 @@
   return std::nullopt;
 }
 
-double Scheduler::Impl::headroom(WorkerState &Worker,
-                                 const std::string &Image) const {
-  if (!Worker.TailRooms_)
-    Worker.TailRooms_ =
-        tailRooms(Model_, Worker.servingSamples(), Worker.fillerSamples());
-  return fillerHeadroom(Model_, *Worker.TailRooms_, Image);
-}
-
-double Scheduler::Impl::flexibility(WorkerState &Worker) const {
-  if (!Worker.Flexibility_) {
-    std::vector<std::string_view> Images;
-    for (const auto &[Image, Tasks] : Worker.ServingImages_)
-      Images.push_back(Image);
-    Worker.Flexibility_ = fillerFlexibility(Model_, Images);
-  }
-  return *Worker.Flexibility_;
-}
-
-std::optional<Obstacle>
-Scheduler::Impl::findFillerObstacle(WorkerState &Worker,
-                                    const StepSpec &Step) const {
-  if (!Step.IsFiller_)
-    return std::nullopt;
-  if (Worker.utilizationWithFiller(Step.Request_.MilliCpu_) >
-      MaxFillerUtilization)
-    return Obstacle::Utilization;
-  auto Requested = static_cast<double>(Step.Request_.MilliCpu_);
-  if (Requested / Worker.milliCpu() > headroom(Worker, Step.Image_))
-    return Obstacle::Interference;
-  return std::nullopt;
-}
-
-/// Returns the cost of placing a task of \p Step on \p Worker; lower is better.
-/// Returns nothing for a filler that would violate a tail latency target or the
-/// maximum utilization of the worker.
-std::optional<double>
-Scheduler::Impl::placementCost(WorkerState &Worker,
-                               const StepSpec &Step) const {
-  if (findFillerObstacle(Worker, Step))
-    return std::nullopt;
-  double Capacity = Worker.milliCpu();
-  auto Requested = static_cast<double>(Step.Request_.MilliCpu_);
-  double Cost = 0;
-  if (Step.IsFiller_) {
-    Cost = Worker.utilizationWithFiller(Step.Request_.MilliCpu_) +
-           FlexibilityCost * flexibility(Worker);
-  } else {
-    // Best fit: prefers workers with little free capacity, which leaves room
-    // for large tasks and for steps with many tasks.
-    Cost = 1 -
-           (static_cast<double>(Worker.Used_.MilliCpu_) + Requested) / Capacity;
-    if (Step.IsLongRunning_)
-      Cost += MixedImageCost * countOtherImages(Worker, Step.Image_);
-  }
-  const std::vector<std::string> &Labels = Worker.Entry_.Labels_;
-  if (!Step.DataRack_.empty() &&
-      std::find(Labels.begin(), Labels.end(), Step.DataRack_) == Labels.end())
-    Cost += RemoteDataCost;
-  return Cost;
-}
-
 bool Scheduler::Impl::hasBetterWorker(const WorkerState &Present,
                                       const Run &Movable, TimePoint Now) {
   JobRecord *Record = findJob(Movable.Name_.Job_);
@@ -464,8 +421,7 @@
       continue;
     }
     Worker->dropRun(Planned.Name_.text());
-    requeueRun(*Worker, *Record, Planned.Name_, Planned.Number_, Now,
-               Duration::zero());
+    returnUnstarted(*Worker, *Record, Planned.Name_, Planned.Number_);
   }
 }
 
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -35,6 +35,11 @@
   bool IsOtherIncarnation = Report.StartedAtMs_ != 0 &&
                             Worker->Entry_.StartedAtMs_ != 0 &&
                             Report.StartedAtMs_ != Worker->Entry_.StartedAtMs_;
+  // An answer that was under way for long. It is not the one to the renewal
+  // that is outstanding.
+  if (IsOtherIncarnation && Worker->HasReported_ &&
+      Report.StartedAtMs_ == Worker->PreviousStartedAtMs_)
+    return;
   if (IsOtherIncarnation) {
     Impl_->handleNextIncarnation(*Worker, Now, "report of a new life");
     WorkerEntry Entry = Worker->Entry_;
@@ -43,9 +48,7 @@
     // Not registered: only the registration of this incarnation shows its
     // capacity, its labels and whether it drains.
     Impl_->resetWorker(*Worker, Entry);
-    Impl_->scheduleRenewal(*Worker, Now);
     Impl_->WorkersToStore_.insert(Id);
-    return;
   }
   TimePoint SentAt = Worker->RenewalSentAt_;
   // The runs of this worker were abandoned. It is used again only when the
@@ -56,8 +59,15 @@
     return;
   }
   bool WasReachable = Worker->isReachable() && !Worker->IsExpired_;
+  // Its tasks run under leases of the previous tenure, which it has granted
+  // until now at the latest.
+  if (!Worker->HasReported_)
+    Worker->PredecessorLeaseEnd_ =
+        std::min(Impl_->leaseEnd(Impl_->Settings_.LeaseDuration_, Now),
+                 Impl_->predecessorLeaseEnd());
   Worker->IsRenewing_ = false;
   Worker->HasReported_ = true;
+  Worker->HasEnded_ = false;
   Worker->IsExpired_ = false;
   Impl_->forgetLostRuns(*Worker);
   Worker->AcknowledgedEnd_ = Worker->SentAcknowledgement_;
--- a/packages/scheduling/src/scheduler_reservations.cpp
+++ b/packages/scheduling/src/scheduler_reservations.cpp
@@ -23,6 +23,15 @@
 /// release its request, it stays below the three seconds for which users
 /// tolerate that a task waits beside free capacity.
 constexpr Duration MaxWaitWithoutReservation = std::chrono::milliseconds(500);
+/// A reservation whose worker is expected to release the capacity later than
+/// this is compared with other workers ...
+constexpr Duration LongRelease = std::chrono::milliseconds(1000);
+/// ... at this interval, and moves to one that is expected to release it in
+/// less than half of the time: what it has released is lost then.
+constexpr Duration ReviewInterval = std::chrono::milliseconds(500);
+/// The expected time of a run of which no progress is known. The reports of a
+/// worker are at most this far apart.
+constexpr Duration UnknownRunTime = std::chrono::milliseconds(1000);
 /// Searches for a worker in one placement pass; the rest follow in the next
 /// passes. Bounds the time that a pass takes while many tasks wait.
 constexpr std::size_t MaxReservationSearches = 2;
@@ -44,6 +53,23 @@
                 Needed.Accelerators_)});
 }
 
+/// Returns the reservation of the step of \p Name, or null.
+const CapacityReservation *findReservation(
+    const std::unordered_map<std::string, std::vector<CapacityReservation>>
+        &Reservations,
+    const TaskName &Name) {
+  auto Found = Reservations.find(Name.Job_);
+  if (Found == Reservations.end())
+    return nullptr;
+  const std::vector<CapacityReservation> &Entries = Found->second;
+  auto It = std::find_if(Entries.begin(), Entries.end(),
+                         [&](const CapacityReservation &Entry) {
+                           return Entry.Occurrence_ == Name.Occurrence_ &&
+                                  Entry.Step_ == Name.Step_;
+                         });
+  return It == Entries.end() ? nullptr : &*It;
+}
+
 /// Returns the capacity that the long-running tasks of \p Worker use.
 Resources longRunningUse(const WorkerState &Worker) {
   Resources Sum;
@@ -53,6 +79,61 @@
   return Sum;
 }
 
+/// Returns the expected time until \p ActiveRun ends, from its progress so far.
+/// That of a run that is slow or suspended rises.
+Duration remainingTime(const Run &ActiveRun) {
+  // Less says little, and the time has to be finite.
+  if (ActiveRun.Percent_ < 1)
+    return std::max(ActiveRun.ListedFor_, UnknownRunTime);
+  double Rest = std::max(0.0, 100 - ActiveRun.Percent_) / ActiveRun.Percent_;
+  return std::chrono::duration_cast<Duration>(ActiveRun.ListedFor_ * Rest);
+}
+
+/// Returns the expected time until \p Worker has released the capacity for a
+/// task of \p Request; nothing if it is not below \p Bound. \p CanStay: the
+/// other fillers leave room for the task if it is a filler.
+std::optional<Duration> timeUntilReleased(const WorkerState &Worker,
+                                          const PlacementRequest &Request,
+                                          bool CanStay, Duration Bound) {
+  std::vector<std::pair<Duration, const Run *>> Ends;
+  std::size_t FillersLeft = 0;
+  std::size_t Endless = 0;
+  for (const auto &[Text, ActiveRun] : Worker.Runs_) {
+    FillersLeft += ActiveRun.IsFiller_ ? 1 : 0;
+    Endless += ActiveRun.IsLongRunning_ ? 1 : 0;
+    Duration Remaining = remainingTime(ActiveRun);
+    if (!ActiveRun.IsLongRunning_ && Remaining < Bound)
+      Ends.emplace_back(Remaining, &ActiveRun);
+  }
+  const StepSpec &Step = Request.Step_;
+  Resources Used = Worker.Used_;
+  double FillerUse = Worker.utilizationWithFiller(Step.Request_.MilliCpu_);
+  auto HasRoom = [&] {
+    return Worker.Entry_.Capacity_.fits(Used, Request.Needed_) &&
+           (!Step.IsFiller_ || (FillerUse <= MaxFillerUtilization &&
+                                (CanStay || FillersLeft == 0)));
+  };
+  if (HasRoom())
+    return Duration::zero();
+  std::sort(Ends.begin(), Ends.end());
+  for (const auto &[Remaining, Ended] : Ends) {
+    Used -= Ended->Reserved_;
+    FillersLeft -= Ended->IsFiller_ ? 1 : 0;
+    double Use = Ended->IsFiller_
+                     ? static_cast<double>(Ended->RequestedMilliCpu_) *
+                           std::max(0, Ended->PacePercent_) / 100.0
+                     : static_cast<double>(Ended->Reserved_.MilliCpu_);
+    FillerUse -= Use / Worker.milliCpu();
+    if (HasRoom())
+      return Remaining;
+  }
+  // Nothing is left but long-running tasks, beside which the task fits.
+  bool IsEmpty = Ends.size() + Endless == Worker.Runs_.size();
+  if (!IsEmpty)
+    return std::nullopt;
+  return Ends.empty() ? Duration::zero() : Ends.back().first;
+}
+
 } // namespace
 
 bool hasWaitedForCapacity(const Task &Waiting, TimePoint Now) {
@@ -79,17 +160,19 @@
     if (isEligible(Worker, Relaxed, Now) && (!Best || IsWorse(*Best, Worker)))
       Best = &Worker;
   }
-  if (Best && Reserved <= UsableWorkers_.size() / ReservedDivisor)
+  if (Best && Reserved <= ReservableWorkers_ / ReservedDivisor)
     Best->ReservedUntil_ = Now + (Request.Isolation_ == Isolation::LongSettled
                                       ? LongReservationTime
                                       : ReservationTime);
 }
 
 void Scheduler::Impl::releaseReservations() {
-  for (const auto &[Job, Id] : Reservations_)
-    if (WorkerState *Worker = findWorker(Id))
-      Worker->ReservedJob_.clear();
+  for (const auto &[Job, Entries] : Reservations_)
+    for (const CapacityReservation &Entry : Entries)
+      if (WorkerState *Worker = findWorker(Entry.Worker_))
+        Worker->ReservedJob_.clear();
   PreviousReservations_ = std::exchange(Reservations_, {});
+  ReservedWorkers_ = 0;
   ReservationSearchesLeft_ = MaxReservationSearches;
 }
 
@@ -127,33 +210,83 @@
   return Missing < Bound ? std::optional(Missing) : std::nullopt;
 }
 
+std::optional<Duration>
+Scheduler::Impl::releaseTime(WorkerState &Worker,
+                             const PlacementRequest &Request, Duration Bound,
+                             TimePoint Now) const {
+  constexpr double Unbounded = std::numeric_limits<double>::infinity();
+  if (!missingCapacity(Worker, Request, Unbounded, Now))
+    return std::nullopt;
+  const StepSpec &Step = Request.Step_;
+  bool CanStay =
+      !Step.IsFiller_ ||
+      static_cast<double>(Step.Request_.MilliCpu_) / Worker.milliCpu() <=
+          headroom(Worker, Step.Image_);
+  return timeUntilReleased(Worker, Request, CanStay, Bound);
+}
+
+WorkerState *Scheduler::Impl::findSoonest(const PlacementRequest &Request,
+                                          WorkerState &Reserved,
+                                          TimePoint Now) {
+  std::optional<Duration> Present =
+      releaseTime(Reserved, Request, Duration::max(), Now);
+  if (!Present || *Present <= LongRelease)
+    return &Reserved;
+  WorkerState *Soonest = &Reserved;
+  Duration Bound = *Present / 2;
+  for (const UsableWorker &Usable : UsableWorkers_) {
+    if (!Usable.Worker_->ReservedJob_.empty())
+      continue;
+    if (std::optional<Duration> Time =
+            releaseTime(*Usable.Worker_, Request, Bound, Now)) {
+      Soonest = Usable.Worker_;
+      Bound = *Time;
+    }
+  }
+  return Soonest;
+}
+
 void Scheduler::Impl::reserveCapacity(const PlacementRequest &Request,
                                       TimePoint Now) {
-  const std::string &Job = Request.Name_.Job_;
-  if (Reservations_.contains(Job) ||
-      Reservations_.size() > UsableWorkers_.size() / ReservedDivisor)
+  const TaskName &Name = Request.Name_;
+  if (findReservation(Reservations_, Name) ||
+      ReservedWorkers_ > ReservableWorkers_ / ReservedDivisor)
     return;
-  auto Previous = PreviousReservations_.find(Job);
-  WorkerState *Chosen = Previous == PreviousReservations_.end()
-                            ? nullptr
-                            : findWorker(Previous->second);
+  const CapacityReservation *Previous =
+      findReservation(PreviousReservations_, Name);
+  WorkerState *Chosen = Previous ? findWorker(Previous->Worker_) : nullptr;
+  // Another step of the job may have chosen the worker in this pass.
+  auto IsFree = [](const WorkerState &Worker) {
+    return Worker.ReservedJob_.empty();
+  };
   constexpr double Unbounded = std::numeric_limits<double>::infinity();
-  if (Chosen && !missingCapacity(*Chosen, Request, Unbounded, Now))
+  if (Chosen &&
+      !(IsFree(*Chosen) && missingCapacity(*Chosen, Request, Unbounded, Now)))
     Chosen = nullptr;
-  if (!Chosen && ReservationSearchesLeft_ > 0) {
+  TimePoint ReviewAt = Chosen ? Previous->ReviewAt_ : Now + ReviewInterval;
+  if (Chosen && ReviewAt <= Now && ReservationSearchesLeft_ > 0) {
+    --ReservationSearchesLeft_;
+    ReviewAt = Now + ReviewInterval;
+    Chosen = findSoonest(Request, *Chosen, Now);
+  } else if (!Chosen && ReservationSearchesLeft_ > 0) {
     --ReservationSearchesLeft_;
     double Least = Unbounded;
-    for (const UsableWorker &Usable : UsableWorkers_)
+    for (const UsableWorker &Usable : UsableWorkers_) {
+      if (!IsFree(*Usable.Worker_))
+        continue;
       if (std::optional<double> Missing =
               missingCapacity(*Usable.Worker_, Request, Least, Now)) {
         Chosen = Usable.Worker_;
         Least = *Missing;
       }
+    }
   }
   if (!Chosen)
     return;
-  Chosen->ReservedJob_ = Job;
-  Reservations_.emplace(Job, Chosen->Entry_.Id_);
+  Chosen->ReservedJob_ = Name.Job_;
+  ++ReservedWorkers_;
+  Reservations_[Name.Job_].push_back(
+      {Name.Occurrence_, Name.Step_, Chosen->Entry_.Id_, ReviewAt});
 }
 
 } // namespace filbertspring::scheduling
