Placement: room is reserved for a task that smaller ones overtake

Seen by callers: a task that needs most of a worker was not started for as long as smaller ones came; explain said "no worker has room".

Cause: a decision that finds no room for a task takes the next one. Each core that an end frees goes to a small task at once, so the room for a large one never comes together.

Change: a task that has waited 5 s for room gets room reserved on the worker that will have it first; later decisions see that worker without this room. The choice is made anew in each decision, and its expected time only falls. A reservation stays while the task waits for a grant of quota: without that the small tasks took the room while the ledger was read.

--- a/packages/placement/include/filbertspring/placement/colocation.h
+++ b/packages/placement/include/filbertspring/placement/colocation.h
@@ -95,6 +95,10 @@
   bool admits(const WorkerName &Worker, const BatchKindName &Kind,
               double Fraction) const;
 
+  /// Returns true when such a task may run there if no other batch task does.
+  bool admitsAlone(const WorkerName &Worker, const BatchKindName &Kind,
+                   double Fraction) const;
+
   /// Adds a task to the batch mix of \p Worker. The next report of the worker
   /// replaces the mix.
   void addPlacement(const WorkerName &Worker, const BatchKindName &Kind,
@@ -120,6 +124,7 @@
     std::map<ServiceName, double> PeakLoad_;
   };
 
+  bool admitsMix(const WorkerView &View, const BatchMix &Mix) const;
   void updateModel(WorkerView &View, const ColocationReport &Report);
   void updateView(WorkerView &View, const ColocationReport &Report) const;
   std::optional<ServiceReport> worstService(const WorkerView &View) const;
--- a/packages/placement/include/filbertspring/placement/scheduler_settings.h
+++ b/packages/placement/include/filbertspring/placement/scheduler_settings.h
@@ -57,6 +57,8 @@
   /// considers the job.
   Duration FallbackDelayPerRank_ = std::chrono::seconds(1);
   std::size_t MaxFallbackRank_ = 3;
+  /// A task that has waited this long for room gets room reserved.
+  Duration ReserveAfter_ = std::chrono::seconds(5);
 };
 
 /// Bounds on the work of one decision or transaction.
--- a/packages/placement/src/colocation.cpp
+++ b/packages/placement/src/colocation.cpp
@@ -170,12 +170,24 @@
     return true;
   BatchMix Mix = View->second.CurrentMix_;
   addUse(Mix, Kind, Fraction);
-  for (const ServiceReport &Service : View->second.Services_) {
+  return admitsMix(View->second, Mix);
+}
+
+bool ColocationPolicy::admitsAlone(const WorkerName &Worker,
+                                   const BatchKindName &Kind,
+                                   double Fraction) const {
+  auto View = Workers_.find(Worker);
+  return View == Workers_.end() || admitsMix(View->second, {{Kind, Fraction}});
+}
+
+bool ColocationPolicy::admitsMix(const WorkerView &View,
+                                 const BatchMix &Mix) const {
+  for (const ServiceReport &Service : View.Services_) {
     auto Target = Targets_.find(Service.Service_);
     if (Target == Targets_.end())
       continue;
     std::optional<TailPrediction> Prediction = Model_.predict(
-        Service.Service_, View->second.PeakLoad_.at(Service.Service_), Mix);
+        Service.Service_, View.PeakLoad_.at(Service.Service_), Mix);
     if (!Prediction)
       return false; // The model has no measurement of this service yet.
     double UpperBound =
--- a/packages/placement/src/colocation_adapter.cpp
+++ b/packages/placement/src/colocation_adapter.cpp
@@ -88,6 +88,13 @@
                                  cpuFraction(Job.Size_, Worker.Capacity_));
 }
 
+bool admitsAlone(const SchedulerCore &Core, const WorkerCandidate &Worker,
+                 const JobRecord &Job) {
+  return !Core.Settings_.Interference_ ||
+         Core.Colocation_.admitsAlone(Worker.Name_, Job.Kind_,
+                                      cpuFraction(Job.Size_, Worker.Capacity_));
+}
+
 void addPlacement(SchedulerCore &Core, const WorkerCandidate &Worker,
                   const JobRecord &Job) {
   Core.Colocation_.addPlacement(Worker.Name_, Job.Kind_,
--- a/packages/placement/src/colocation_adapter.h
+++ b/packages/placement/src/colocation_adapter.h
@@ -21,6 +21,10 @@
 bool admitsBesideServices(const SchedulerCore &Core,
                           const WorkerCandidate &Worker, const JobRecord &Job);
 
+/// Returns true when such a task may run there if no other batch task does.
+bool admitsAlone(const SchedulerCore &Core, const WorkerCandidate &Worker,
+                 const JobRecord &Job);
+
 /// Adds a claimed task of \p Job to the batch mix of \p Worker until its next
 /// report.
 void addPlacement(SchedulerCore &Core, const WorkerCandidate &Worker,
--- a/packages/placement/src/job_index.cpp
+++ b/packages/placement/src/job_index.cpp
@@ -1,6 +1,7 @@
 #include "job_index.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace filbertspring::placement {
 namespace {
@@ -17,10 +18,13 @@
   Entry.Record_ = Record;
   Entry.Version_ = Version;
   Entry.Stale_ = false;
-  Entry.WaitingTaskIndexes_.clear();
+  std::set<std::int32_t> WaitedBefore =
+      std::exchange(Entry.WaitingTaskIndexes_, {});
   for (std::size_t Index = 0; Index < Record.Tasks_.size(); ++Index)
     if (Record.Tasks_[Index].State_ == TaskState::Waiting)
       Entry.WaitingTaskIndexes_.insert(static_cast<std::int32_t>(Index));
+  if (!std::ranges::includes(Entry.WaitingTaskIndexes_, WaitedBefore))
+    Entry.PassedOverSince_.reset();
   return Entry;
 }
 
--- a/packages/placement/src/job_index.h
+++ b/packages/placement/src/job_index.h
@@ -27,6 +27,8 @@
   bool Stale_ = false;
   bool Queued_ = false;
   TimePoint EligibleAt_{};
+  /// When a task first found no room since a task of the job was last claimed.
+  std::optional<TimePoint> PassedOverSince_;
   WaitReason LastWaitReason_ = WaitReason::NotConsidered;
   /// Indexes of the waiting tasks.
   std::set<std::int32_t> WaitingTaskIndexes_;
--- a/packages/placement/src/rack_state.h
+++ b/packages/placement/src/rack_state.h
@@ -54,6 +54,8 @@
   std::map<AttemptRef, TrackedAttempt> TrackedAttempts_;
   /// When each contract last claimed capacity in this rack.
   std::map<ContractName, TimePoint> LastClaim_;
+  /// The workers on which room is reserved for jobs.
+  std::map<JobId, WorkerName> Reservations_;
   /// The generation of the job index at which no job could be placed.
   std::optional<std::uint64_t> BlockedGeneration_;
 };
--- a/packages/placement/src/start_planner.cpp
+++ b/packages/placement/src/start_planner.cpp
@@ -2,6 +2,7 @@
 
 #include "colocation_adapter.h"
 #include "grant_planner.h"
+#include "room_reservations.h"
 #include "worker_exchange.h"
 
 #include "filbertspring/placement/worker_choice.h"
@@ -17,12 +18,16 @@
 class ClaimPlanner {
 public:
   ClaimPlanner(SchedulerCore &Core, RackState &Rack, RackDraft &Draft)
-      : Core_(Core), Rack_(Rack), Draft_(Draft) {}
+      : Core_(Core), Rack_(Rack), Draft_(Draft),
+        Reservations_(Core, Rack, Workers_, Draft) {}
 
   Starts run() {
     collectWorkers();
-    claimTasks(true);
-    claimTasks(false);
+    // Urgent tasks may use the room that is reserved for others.
+    for (bool Urgent : {true, false}) {
+      Reservations_.withhold(Urgent);
+      claimTasks(Urgent);
+    }
     if (Starts_.empty())
       Rack_.BlockedGeneration_ = Core_.Jobs_.generation();
     return std::move(Starts_);
@@ -44,7 +49,7 @@
       if (!Usable)
         continue;
       bool HasFreshReading = hasFreshReading(Core_, *Worker);
-      (HasFreshReading ? FreshWorkers_ : StaleWorkers_)
+      (HasFreshReading ? Workers_.Fresh_ : Workers_.Stale_)
           .push_back(
               {Row.Name_, Row.Capacity_, Row.free(), remainingAllowance(Row)});
       TotalCapacity_ += Row.Capacity_;
@@ -64,6 +69,7 @@
       Contracts_.push_back({Contract, {}, 0});
       Contracts_.back().Jobs_ = Core_.Jobs_.candidates(
           Contract, Urgent, Core_.Settings_.Batch_.MaxSkipsPerContract_);
+      addJobsWithReservations(Contracts_.back(), Urgent);
     }
     while (!Contracts_.empty() && !commitIsFull())
       tryNextJob(leastShareContract());
@@ -77,6 +83,16 @@
     std::size_t NextJob_ = 0;
   };
 
+  void addJobsWithReservations(ContractCandidates &Candidates, bool Urgent) {
+    for (const JobId &Job :
+         Reservations_.jobsOf(Candidates.Contract_, Urgent)) {
+      bool Listed =
+          std::ranges::find(Candidates.Jobs_, Job) != Candidates.Jobs_.end();
+      if (!Listed)
+        Candidates.Jobs_.insert(Candidates.Jobs_.begin(), Job);
+    }
+  }
+
   std::size_t leastShareContract() const {
     auto Least = std::ranges::min_element(
         Contracts_, {}, [this](const ContractCandidates &Candidates) {
@@ -97,13 +113,29 @@
       return;
     }
     JobEntry *Entry = Core_.Jobs_.find(Candidates.Jobs_[Candidates.NextJob_]);
+    Reservations_.release(Entry->Record_);
     std::optional<WaitReason> Obstacle = tryTask(*Entry);
     if (!Obstacle)
       return;
+    notePassedOver(*Entry, *Obstacle);
     Entry->LastWaitReason_ = *Obstacle;
     ++Candidates.NextJob_;
   }
 
+  /// Reserves room for a task that waits for room, or has it and waits for a
+  /// grant.
+  void notePassedOver(JobEntry &Entry, WaitReason Obstacle) {
+    bool WaitsForRoom =
+        Obstacle == WaitReason::NoRoom || Obstacle == WaitReason::NoFreshWorker;
+    bool WaitsForGrant = Obstacle == WaitReason::CommitUnderWay;
+    bool HasClaimed = LastClaimedTask_.contains(Entry.Record_.Id_);
+    if (HasClaimed || (!WaitsForRoom && !WaitsForGrant))
+      return;
+    if (WaitsForRoom && !Entry.PassedOverSince_)
+      Entry.PassedOverSince_ = Core_.Now_;
+    Reservations_.reserve(Entry);
+  }
+
   /// Claims the next waiting task of the job. Returns the reason on failure.
   std::optional<WaitReason> tryTask(JobEntry &Entry) {
     std::optional<std::int32_t> Index = nextTask(Entry);
@@ -114,7 +146,7 @@
       return Obstacle;
     const JobRecord &Record = Entry.Record_;
     std::optional<std::size_t> Chosen = chooseWorker(
-        FreshWorkers_, Record.Size_, [&](const WorkerCandidate &Worker) {
+        Workers_.Fresh_, Record.Size_, [&](const WorkerCandidate &Worker) {
           return admitsBesideServices(Core_, Worker, Record);
         });
     if (!Chosen)
@@ -122,7 +154,7 @@
     if (auto Obstacle = ensureGrant(Core_, Entry.Record_.Contract_,
                                     Entry.Record_.Size_, Draft_))
       return Obstacle;
-    return claim(Entry, *Index, FreshWorkers_[*Chosen]);
+    return claim(Entry, *Index, Workers_.Fresh_[*Chosen]);
   }
 
   std::optional<std::int32_t> nextTask(const JobEntry &Entry) {
@@ -155,7 +187,7 @@
 
   /// Returns the reason why no worker was chosen.
   WaitReason reasonForNoWorker(const Resources &Size) {
-    if (chooseWorker(FreshWorkers_, Size))
+    if (chooseWorker(Workers_.Fresh_, Size))
       return WaitReason::SlowsService;
     return requestFreshReport(Size);
   }
@@ -163,10 +195,10 @@
   /// Requests a report of a worker with room, so that a later transaction can
   /// use the worker.
   WaitReason requestFreshReport(const Resources &Size) {
-    std::optional<std::size_t> Chosen = chooseWorker(StaleWorkers_, Size);
+    std::optional<std::size_t> Chosen = chooseWorker(Workers_.Stale_, Size);
     if (!Chosen)
       return WaitReason::NoRoom;
-    WorkerState &Worker = *Core_.findWorker(StaleWorkers_[*Chosen].Name_);
+    WorkerState &Worker = *Core_.findWorker(Workers_.Stale_[*Chosen].Name_);
     if (!Worker.InFlight_)
       Core_.scheduleExchangeNow(Worker);
     return WaitReason::NoFreshWorker;
@@ -254,8 +286,8 @@
   SchedulerCore &Core_;
   RackState &Rack_;
   RackDraft &Draft_;
-  std::vector<WorkerCandidate> FreshWorkers_;
-  std::vector<WorkerCandidate> StaleWorkers_;
+  RackCandidates Workers_;
+  RoomReservations Reservations_;
   Resources TotalCapacity_;
   std::vector<ContractCandidates> Contracts_;
   /// Index of the last claimed task by job.
--- /dev/null
+++ b/packages/placement/tests/scheduler_waiting_test.cpp
@@ -0,0 +1,80 @@
+#include "test_cluster.h"
+
+#include <fmt/format.h>
+
+using namespace filbertspring;
+using namespace filbertspring::placement;
+using namespace filbertspring::placement::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Run time of each task that TestCluster submits.
+constexpr Duration RunTime = 1min;
+/// Capacity is kept for a task that has waited this long for room.
+constexpr Duration ReserveAfter = 5s;
+/// Time for the scans, reports and commits between an end and the next start.
+constexpr Duration Reaction = 10s;
+
+/// Small jobs that keep a worker busy and leave room only for each other.
+struct SmallJobs {
+  SmallJobs() { Cluster_.start(); }
+
+  void submitFor(Duration Span) {
+    for (Duration Elapsed{}; Elapsed < Span; Elapsed += 1s) {
+      if (Now_ % Interval_ == 0s)
+        Cluster_.submit(fmt::format("small-{}", ++Count_), Size_, false,
+                        Contract_);
+      Cluster_.advance(1s);
+      Now_ += 1s;
+    }
+  }
+  /// Returns true when \p Job is claimed within \p Span.
+  bool isClaimedWithin(Duration Span, const char *Job) {
+    for (Duration Elapsed{}; Elapsed < Span; Elapsed += 1s) {
+      submitFor(1s);
+      if (Cluster_.task(Job).State_ == TaskState::Claimed)
+        return true;
+    }
+    return false;
+  }
+
+  TestCluster Cluster_;
+  Resources Size_ = SmallSize;
+  ContractName Contract_ = LightContract;
+  Duration Interval_ = 18s;
+
+private:
+  Duration Now_{};
+  int Count_ = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(scheduler)
+
+BOOST_FIXTURE_TEST_SUITE(a_large_task_behind_which_small_ones_wait, SmallJobs)
+
+BOOST_AUTO_TEST_CASE(is_started_when_the_tasks_before_it_have_ended) {
+  submitFor(2min);
+  Cluster_.submit("large", Capacity);
+  BOOST_TEST(isClaimedWithin(ReserveAfter + RunTime + Reaction, "large"));
+}
+
+BOOST_AUTO_TEST_CASE(is_started_when_it_is_large_in_memory_only) {
+  Size_.Memory_ = Mebibytes(2048);
+  submitFor(2min);
+  Cluster_.submit("large", {SmallSize.Cpu_, Capacity.Memory_, Accelerators(0)});
+  BOOST_TEST(isClaimedWithin(ReserveAfter + RunTime + Reaction, "large"));
+}
+
+BOOST_AUTO_TEST_CASE(is_started_when_the_small_ones_are_of_another_contract) {
+  Contract_ = HeavyContract;
+  submitFor(2min);
+  Cluster_.submit("large", Capacity);
+  BOOST_TEST(isClaimedWithin(ReserveAfter + RunTime + Reaction, "large"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
