Placement: the rest of a quota is kept for a task that waits for it

Seen by callers: a task that needs most of its contract's quota was not started for as long as smaller tasks of the same contract came; explain said "quota used up", while the smaller ones were started.

Cause: the same as of the reserved room, in the ledger: what an end gives back to the quota goes to the next task that it suffices for.

Ruled out: room (the worker of the test has twice the quota) and grants that idle racks hold (one rack; they return after 10 s).

Change: when a task that has room has waited 5 s for quota, the decision tries no other job of the contract, and neither do those of the instance's other racks for the next 4 s. Urgent jobs still go first. The room is not reserved meanwhile: a contract that has used its quota would keep capacity idle.

What it costs: jobs that the rest of the quota would suffice for wait too, for as long as the contract's running tasks last.

--- a/packages/placement/src/job_index.h
+++ b/packages/placement/src/job_index.h
@@ -27,8 +27,11 @@
   bool Stale_ = false;
   bool Queued_ = false;
   TimePoint EligibleAt_{};
-  /// When a task first found no room since a task of the job was last claimed.
+  /// When a task first found no room or quota since a task of the job was last
+  /// claimed.
   std::optional<TimePoint> PassedOverSince_;
+  /// When a task last found room but no quota.
+  std::optional<TimePoint> QuotaUsedAt_;
   WaitReason LastWaitReason_ = WaitReason::NotConsidered;
   /// Indexes of the waiting tasks.
   std::set<std::int32_t> WaitingTaskIndexes_;
--- a/packages/placement/src/room_reservations.cpp
+++ b/packages/placement/src/room_reservations.cpp
@@ -87,12 +87,10 @@
 }
 
 bool RoomReservations::mayReserve(const JobEntry &Job) const {
-  bool WaitedLong =
-      Job.PassedOverSince_ && Core_.Now_ - *Job.PassedOverSince_ >=
-                                  Core_.Settings_.Timing_.ReserveAfter_;
   // The other workers go on to serve tasks that fit at once.
   std::size_t Workers = Candidates_.Fresh_.size() + Candidates_.Stale_.size();
-  return WaitedLong && Rack_.Reservations_.size() < (Workers + 1) / 2;
+  return hasWaitedLong(Core_, Job) &&
+         Rack_.Reservations_.size() < (Workers + 1) / 2;
 }
 
 std::optional<Duration>
@@ -132,4 +130,9 @@
   return First;
 }
 
+bool hasWaitedLong(const SchedulerCore &Core, const JobEntry &Job) {
+  return Job.PassedOverSince_ && Core.Now_ - *Job.PassedOverSince_ >=
+                                     Core.Settings_.Timing_.ReserveAfter_;
+}
+
 } // namespace filbertspring::placement
--- a/packages/placement/src/room_reservations.h
+++ b/packages/placement/src/room_reservations.h
@@ -57,6 +57,10 @@
   RackDraft &Draft_;
 };
 
+/// Returns true when a task of \p Job has waited for room or quota for as long
+/// as others may overtake it.
+bool hasWaitedLong(const SchedulerCore &Core, const JobEntry &Job);
+
 } // namespace filbertspring::placement
 
 #endif // FILBERTSPRING_PLACEMENT_ROOM_RESERVATIONS_H
--- a/packages/placement/src/start_planner.cpp
+++ b/packages/placement/src/start_planner.cpp
@@ -66,6 +66,8 @@
 
   void claimTasks(bool Urgent) {
     for (const ContractName &Contract : Core_.Jobs_.contractsByShare(Urgent)) {
+      if (ContractsWithoutQuota_.contains(Contract))
+        continue;
       Contracts_.push_back({Contract, {}, 0});
       Contracts_.back().Jobs_ = Core_.Jobs_.candidates(
           Contract, Urgent, Core_.Settings_.Batch_.MaxSkipsPerContract_);
@@ -120,6 +122,23 @@
     notePassedOver(*Entry, *Obstacle);
     Entry->LastWaitReason_ = *Obstacle;
     ++Candidates.NextJob_;
+    if (needsRestOfQuota(*Entry))
+      keepQuota(Candidates);
+  }
+
+  /// Returns true when the quota that is left is kept for a task of the job.
+  bool needsRestOfQuota(const JobEntry &Entry) const {
+    const TimingSettings &Timing = Core_.Settings_.Timing_;
+    return Entry.QuotaUsedAt_ && hasWaitedLong(Core_, Entry) &&
+           Core_.Now_ - *Entry.QuotaUsedAt_ <= 2 * Timing.WorkerPollInterval_;
+  }
+
+  /// Lets the other jobs of the contract wait, those of lower urgency too.
+  void keepQuota(ContractCandidates &Candidates) {
+    for (; Candidates.NextJob_ < Candidates.Jobs_.size(); ++Candidates.NextJob_)
+      Core_.Jobs_.find(Candidates.Jobs_[Candidates.NextJob_])->LastWaitReason_ =
+          WaitReason::QuotaUsed;
+    ContractsWithoutQuota_.insert(Candidates.Contract_);
   }
 
   /// Reserves room for a task that waits for room, or has it and waits for a
@@ -129,11 +148,15 @@
         Obstacle == WaitReason::NoRoom || Obstacle == WaitReason::NoFreshWorker;
     bool WaitsForGrant = Obstacle == WaitReason::CommitUnderWay;
     bool HasClaimed = LastClaimedTask_.contains(Entry.Record_.Id_);
-    if (HasClaimed || (!WaitsForRoom && !WaitsForGrant))
+    bool WaitsForQuota = Obstacle == WaitReason::QuotaUsed;
+    if (HasClaimed)
       return;
-    if (WaitsForRoom && !Entry.PassedOverSince_)
+    if ((WaitsForRoom || WaitsForQuota) && !Entry.PassedOverSince_)
       Entry.PassedOverSince_ = Core_.Now_;
-    Reservations_.reserve(Entry);
+    if (WaitsForQuota)
+      Entry.QuotaUsedAt_ = Core_.Now_;
+    if (WaitsForRoom || WaitsForGrant)
+      Reservations_.reserve(Entry);
   }
 
   /// Claims the next waiting task of the job. Returns the reason on failure.
@@ -290,6 +313,8 @@
   RoomReservations Reservations_;
   Resources TotalCapacity_;
   std::vector<ContractCandidates> Contracts_;
+  /// Contracts whose quota is kept for a task that has waited long.
+  std::set<ContractName> ContractsWithoutQuota_;
   /// Index of the last claimed task by job.
   std::map<JobId, std::int32_t> LastClaimedTask_;
   Starts Starts_;
--- a/packages/placement/tests/scheduler_waiting_test.cpp
+++ b/packages/placement/tests/scheduler_waiting_test.cpp
@@ -75,6 +75,18 @@
   BOOST_TEST(isClaimedWithin(ReserveAfter + RunTime + Reaction, "large"));
 }
 
+BOOST_AUTO_TEST_CASE(is_started_when_the_quota_of_its_contract_is_used_up) {
+  Resources Quota = SmallSize + SmallSize;
+  ContractRecord Contract;
+  Contract.Terms_.Name_ = LightContract;
+  Contract.Terms_.Batch_ = BatchTerms{Quota, 1000, {{TestKind}}};
+  Cluster_.write({RowKind::Contract, LightContract.str()}, Contract);
+  Interval_ = 36s;
+  submitFor(2min);
+  Cluster_.submit("large", Quota);
+  BOOST_TEST(isClaimedWithin(ReserveAfter + RunTime + Reaction, "large"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
