Placement: long attempts do not keep a quarantined worker from its trial

Seen by callers: after three jobs had failed on a worker, tasks that had room there waited for as long as the worker's other tasks ran, up to the hours of their run time: the trial that follows the quarantine was never made, or made by one long task beside which nothing else was started.

Cause: after a quarantine a worker may run one attempt at a time, and every assigned attempt counted, those from before the quarantine and a trial that runs well too. The limit grew with ends only. Class: a judgement that ends with an event, without a bound in time.

Ruled out: the quarantine itself ends after 30 s to 10 min by its timer (is_tried_again_after_its_quarantine passed before the change).

Change: an attempt that has run for the length of the first quarantine no longer counts. A worker that fails everything has no such attempt, so that one trial at a time stays the rule there.

Evidence: is_tried_again_although_earlier_tasks_run_on and is_trusted_when_its_trial_lasts_longer_than_a_quarantine failed before and pass now; the other cases of placement_test pass.

--- a/packages/placement/include/filbertspring/placement/failure_evidence.h
+++ b/packages/placement/include/filbertspring/placement/failure_evidence.h
@@ -32,7 +32,8 @@
   Duration MaxQuarantine_ = std::chrono::minutes(10);
   /// After a quarantine a worker is on trial: it may run one attempt at a time,
   /// and twice as many after each success. The trial ends when the limit would
-  /// reach this.
+  /// reach this. An attempt that has run for FirstQuarantine_ without a failure
+  /// no longer counts towards the limit.
   std::size_t UnboundedFromAllowance_ = 16;
   /// Evidence older than this is discarded.
   Duration Retention_ = std::chrono::hours(1);
@@ -62,9 +63,16 @@
   bool record(const WorkerName &Worker, const JobId &Job, bool Failed,
               TimePoint Now);
 
-  /// Returns how many attempts \p Worker may run concurrently.
+  /// Returns how many attempts \p Worker may run concurrently, besides those
+  /// that have proved themselves.
   std::size_t allowance(const WorkerName &Worker, TimePoint Now) const;
 
+  /// Returns true for an attempt that has run long enough to say that its
+  /// worker does not fail everything.
+  bool hasProvedItself(Duration Running) const {
+    return Running >= Settings_.FirstQuarantine_;
+  }
+
   /// Returns true when \p Job has failed on WorkersToSuspectJob_ credible
   /// workers.
   bool isSuspect(const JobId &Job) const;
--- a/packages/placement/src/attempt_reconcile.cpp
+++ b/packages/placement/src/attempt_reconcile.cpp
@@ -46,6 +46,7 @@
     Tracked.LatestLeaseExpiry_ =
         latestLeaseExpiry(*Worker.LatestReading_, Core.Settings_.Leases_);
   Tracked.State_ = AttemptPhase::Running;
+  Tracked.RunningSince_ = Core.Now_;
   Tracked.Boot_ = Worker.Boot_;
   Tracked.Start_.reset();
   Core.log(Adopted ? LogEvent::TaskRecovered : LogEvent::TaskStarted,
--- a/packages/placement/src/start_planner.cpp
+++ b/packages/placement/src/start_planner.cpp
@@ -61,7 +61,15 @@
     std::size_t Allowed = Core_.Evidence_.allowance(Worker.Name_, Core_.Now_);
     if (Allowed == UnboundedAllowance)
       return Allowed;
-    return Allowed - std::min(Allowed, Worker.Assignments_.size());
+    auto Counted = static_cast<std::size_t>(std::ranges::count_if(
+        Worker.Assignments_, [this](const Assignment &Entry) {
+          const TrackedAttempt *Held = Core_.findAttempt(Entry.Attempt_);
+          bool Proved = Held != nullptr && Held->RunningSince_ &&
+                        Core_.Evidence_.hasProvedItself(Core_.Now_ -
+                                                        *Held->RunningSince_);
+          return !Proved;
+        }));
+    return Allowed - std::min(Allowed, Counted);
   }
 
   void claimTasks(bool Urgent) {
--- a/packages/placement/src/tracked_attempt.h
+++ b/packages/placement/src/tracked_attempt.h
@@ -52,6 +52,8 @@
   std::optional<double> Throttle_;
   Duration DeclaredRunTime_{};
   double Progress_ = 0.0;
+  /// When a report first showed it running.
+  std::optional<TimePoint> RunningSince_;
   CheckpointRef Checkpoint_;
   /// Set when Ended.
   AttemptEnd End_ = AttemptEnd::Lost;
--- a/packages/placement/tests/scheduler_waiting_test.cpp
+++ b/packages/placement/tests/scheduler_waiting_test.cpp
@@ -15,6 +15,7 @@
 constexpr Duration ReserveAfter = 5s;
 /// Time for the scans, reports and commits between an end and the next start.
 constexpr Duration Reaction = 10s;
+constexpr Duration FirstQuarantine = 30s;
 
 /// Small jobs that keep a worker busy and leave room only for each other.
 struct SmallJobs {
@@ -49,6 +50,24 @@
   int Count_ = 0;
 };
 
+/// Lets three jobs fail on the worker, which puts it into quarantine.
+void failThreeJobs(TestCluster &Cluster) {
+  Cluster.Worker_.setFailAll(true);
+  for (const char *Job : {"bad-1", "bad-2", "bad-3"})
+    Cluster.submit(Job, SmallSize);
+  Cluster.advance(Reaction);
+  Cluster.Worker_.setFailAll(false);
+}
+
+struct QuarantinedWorker {
+  QuarantinedWorker() {
+    Cluster_.start();
+    failThreeJobs(Cluster_);
+  }
+
+  TestCluster Cluster_;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(scheduler)
@@ -89,4 +108,37 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(a_worker_on_which_every_task_failed, QuarantinedWorker)
+
+BOOST_AUTO_TEST_CASE(is_tried_again_after_its_quarantine) {
+  Cluster_.submit("next", SmallSize);
+  Cluster_.advance(FirstQuarantine + Reaction);
+  BOOST_TEST((Cluster_.task("next").State_ == TaskState::Claimed));
+}
+
+BOOST_AUTO_TEST_CASE(is_tried_again_although_earlier_tasks_run_on) {
+  TestCluster Subject;
+  Subject.start();
+  Subject.submit("earlier", SmallSize);
+  Subject.advance(Reaction);
+  failThreeJobs(Subject);
+  Subject.submit("next", SmallSize);
+  Subject.advance(FirstQuarantine + Reaction);
+  BOOST_TEST((Subject.task("earlier").State_ == TaskState::Claimed));
+  BOOST_TEST((Subject.task("next").State_ == TaskState::Claimed));
+}
+
+BOOST_AUTO_TEST_CASE(is_trusted_when_its_trial_lasts_longer_than_a_quarantine) {
+  Cluster_.submit("trial", SmallSize);
+  Cluster_.submit("next", SmallSize);
+  Cluster_.advance(FirstQuarantine + Reaction);
+  BOOST_REQUIRE((Cluster_.task("trial").State_ == TaskState::Claimed));
+  BOOST_REQUIRE((Cluster_.task("next").State_ == TaskState::Waiting));
+  Cluster_.advance(FirstQuarantine);
+  BOOST_TEST((Cluster_.task("trial").State_ == TaskState::Claimed));
+  BOOST_TEST((Cluster_.task("next").State_ == TaskState::Claimed));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
