Placement: a task is told that it waits for a quarantined worker

Seen by callers: explain said "no worker has room" of a task whose only workers with room were quarantined or on trial.

Cause: a worker without an allowance was passed over by the choice, and the reason was derived from an empty choice. Now the reason names it. A task that waits for this gets room reserved like one that waits for room, on workers that may be used.

Evidence: is_named_as_what_a_task_waits_for failed before with "no worker has room" and passes now; placement_test passes.

--- a/packages/placement/include/filbertspring/placement/scheduler_view.h
+++ b/packages/placement/include/filbertspring/placement/scheduler_view.h
@@ -29,13 +29,14 @@
   ZoneReturning,
   QuotaUsed,
   NoRoom,
+  WorkersOnTrial,
   NoFreshWorker,
   SlowsService,
   CommitUnderWay,
   Draining
 };
 
-inline constexpr EnumTable<WaitReason, 14> WaitReasonNames{
+inline constexpr EnumTable<WaitReason, 15> WaitReasonNames{
     {{WaitReason::NotConsidered, "not considered yet"},
      {WaitReason::LeftToPeer, "left to another entry instance"},
      {WaitReason::PlatformUnreachable, "platform unreachable"},
@@ -46,6 +47,8 @@
      {WaitReason::ZoneReturning, "zone is being filled slowly"},
      {WaitReason::QuotaUsed, "quota used up"},
      {WaitReason::NoRoom, "no worker has room"},
+     {WaitReason::WorkersOnTrial,
+      "the workers with room are quarantined or on trial"},
      {WaitReason::NoFreshWorker, "no fresh report of a worker with room"},
      {WaitReason::SlowsService, "would slow a service beside it"},
      {WaitReason::CommitUnderWay, "commit under way"},
--- a/packages/placement/src/start_planner.cpp
+++ b/packages/placement/src/start_planner.cpp
@@ -152,8 +152,9 @@
   /// Reserves room for a task that waits for room, or has it and waits for a
   /// grant.
   void notePassedOver(JobEntry &Entry, WaitReason Obstacle) {
-    bool WaitsForRoom =
-        Obstacle == WaitReason::NoRoom || Obstacle == WaitReason::NoFreshWorker;
+    bool WaitsForRoom = Obstacle == WaitReason::NoRoom ||
+                        Obstacle == WaitReason::WorkersOnTrial ||
+                        Obstacle == WaitReason::NoFreshWorker;
     bool WaitsForGrant = Obstacle == WaitReason::CommitUnderWay;
     bool HasClaimed = LastClaimedTask_.contains(Entry.Record_.Id_);
     bool WaitsForQuota = Obstacle == WaitReason::QuotaUsed;
@@ -228,13 +229,23 @@
   WaitReason requestFreshReport(const Resources &Size) {
     std::optional<std::size_t> Chosen = chooseWorker(Workers_.Stale_, Size);
     if (!Chosen)
-      return WaitReason::NoRoom;
+      return hasRoomOnTrial(Size) ? WaitReason::WorkersOnTrial
+                                  : WaitReason::NoRoom;
     WorkerState &Worker = *Core_.findWorker(Workers_.Stale_[*Chosen].Name_);
     if (!Worker.InFlight_)
       Core_.scheduleExchangeNow(Worker);
     return WaitReason::NoFreshWorker;
   }
 
+  /// Returns true when a worker has room whose allowance is used up.
+  bool hasRoomOnTrial(const Resources &Size) const {
+    auto HasRoom = [&Size](const WorkerCandidate &Worker) {
+      return Worker.Allowance_ == 0 && Size.fitsIn(Worker.Free_);
+    };
+    return std::ranges::any_of(Workers_.Fresh_, HasRoom) ||
+           std::ranges::any_of(Workers_.Stale_, HasRoom);
+  }
+
   std::optional<WaitReason> claim(JobEntry &Entry, std::int32_t Index,
                                   WorkerCandidate &Chosen) {
     const JobRecord &Record = Entry.Record_;
--- a/packages/placement/tests/scheduler_waiting_test.cpp
+++ b/packages/placement/tests/scheduler_waiting_test.cpp
@@ -110,6 +110,13 @@
 
 BOOST_FIXTURE_TEST_SUITE(a_worker_on_which_every_task_failed, QuarantinedWorker)
 
+BOOST_AUTO_TEST_CASE(is_named_as_what_a_task_waits_for) {
+  Cluster_.submit("next", SmallSize);
+  Cluster_.advance(Reaction);
+  BOOST_TEST(Cluster_.explanation("next") ==
+             "the workers with room are quarantined or on trial");
+}
+
 BOOST_AUTO_TEST_CASE(is_tried_again_after_its_quarantine) {
   Cluster_.submit("next", SmallSize);
   Cluster_.advance(FirstQuarantine + Reaction);
