Placement tests: what a task is told that would slow every service

A task that would slow every service is kept out for as long as the judgement stands, however much capacity is free. By the contract terms this is meant: latency_target and objective are promised to a service, quota bounds what batch work may use, and nothing promises a start.

Two cases show what the user is told meanwhile, and that the wait ends when the service has become faster.

--- a/packages/placement/tests/scheduler_waiting_test.cpp
+++ b/packages/placement/tests/scheduler_waiting_test.cpp
@@ -68,6 +68,35 @@
   TestCluster Cluster_;
 };
 
+/// A worker with a service that uses nine tenths of its latency target.
+struct SlowService {
+  SlowService() {
+    ContractRecord Contract;
+    Contract.Terms_.Name_ = HeavyContract;
+    ServiceTerms Terms;
+    Terms.Name_ = ServiceName("booking-check");
+    Terms.LatencyTarget_ = 100ms;
+    Contract.Terms_.Services_ = {Terms};
+    Cluster_.write({RowKind::Contract, HeavyContract.str()}, Contract);
+    Cluster_.start();
+    advance(1min, 90ms);
+  }
+
+  void advance(Duration Span, Duration TailLatency) {
+    for (Duration Elapsed{}; Elapsed < Span; Elapsed += 1s) {
+      Cluster_.advance(1s);
+      MeasuredAt_ += WorkerTime(Duration(1s).count());
+      Cluster_.Worker_.recordService(
+          {ServiceName("booking-check"), TailLatency, 50.0, MeasuredAt_});
+    }
+  }
+
+  TestCluster Cluster_;
+
+private:
+  WorkerTime MeasuredAt_ = 0;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(scheduler)
@@ -148,4 +177,23 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(a_task_that_would_slow_every_service, SlowService)
+
+BOOST_AUTO_TEST_CASE(waits_and_says_why_although_most_capacity_is_free) {
+  Cluster_.submit("album", SmallSize);
+  advance(1min, 90ms);
+  BOOST_TEST((Cluster_.task("album").State_ == TaskState::Waiting));
+  BOOST_TEST(Cluster_.explanation("album") == "would slow a service beside it");
+}
+
+BOOST_AUTO_TEST_CASE(is_started_when_the_service_has_become_faster) {
+  Cluster_.submit("album", SmallSize);
+  advance(1min, 90ms);
+  BOOST_REQUIRE((Cluster_.task("album").State_ == TaskState::Waiting));
+  advance(1min, 10ms);
+  BOOST_TEST((Cluster_.task("album").State_ == TaskState::Claimed));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
