Placement: quarantines of most workers of a rack do not outlast the first

Cause: jobs that always fail put one worker after another into quarantine, and then spend its trials, each of which doubles the quarantine up to 10 minutes. A job becomes suspect on credible workers only, and none was left. Class: a judgement about single workers from events that have one cause, which keeps a task from all of them.

Ruled out: room, quota and reservations (explain named the quarantine on both instances, all workers had all their capacity free).

Change: while more than half of the usable workers of a rack are quarantined, each may be tried again 30 s after its last failure; a failure then counts as a failed trial. A single broken worker is kept as long as before.

--- a/packages/placement/include/filbertspring/placement/failure_evidence.h
+++ b/packages/placement/include/filbertspring/placement/failure_evidence.h
@@ -67,6 +67,12 @@
   /// that have proved themselves.
   std::size_t allowance(const WorkerName &Worker, TimePoint Now) const;
 
+  /// Returns the allowance when no quarantine is longer than the first one.
+  /// Failures on most workers of a rack say more of the jobs than of a worker,
+  /// so that there a failed trial does not lengthen the quarantine.
+  std::size_t allowanceAmongSuspects(const WorkerName &Worker,
+                                     TimePoint Now) const;
+
   /// Returns true for an attempt that has run long enough to say that its
   /// worker does not fail everything.
   bool hasProvedItself(Duration Running) const {
@@ -92,6 +98,7 @@
     /// healthy worker.
     std::optional<std::size_t> SuccessfulTrials_;
     std::size_t QuarantineCount_ = 0;
+    TimePoint QuarantinedSince_{};
     TimePoint QuarantinedUntil_{};
     TimePoint LastOutcomeAt_{};
   };
@@ -103,6 +110,8 @@
   void recordSuccess(WorkerEvidence &Worker, const JobId &Job);
   bool recordFailure(WorkerEvidence &Worker, const WorkerName &Name,
                      const JobId &Job, TimePoint Now);
+  std::size_t allowanceAfter(const WorkerName &Worker, TimePoint Now,
+                             Duration MaxLength) const;
   std::size_t countedFailures(const WorkerEvidence &Worker) const;
   void quarantine(WorkerEvidence &Worker, TimePoint Now) const;
 
--- a/packages/placement/src/failure_evidence.cpp
+++ b/packages/placement/src/failure_evidence.cpp
@@ -41,7 +41,8 @@
     return false;
   Worker.FailedJobs_.insert(Job);
   bool FailedTrial =
-      Worker.SuccessfulTrials_ && Now >= Worker.QuarantinedUntil_;
+      Worker.SuccessfulTrials_ &&
+      Now >= Worker.QuarantinedSince_ + Settings_.FirstQuarantine_;
   bool TooManyFailures = !Worker.SuccessfulTrials_ &&
                          countedFailures(Worker) >= Settings_.JobsToQuarantine_;
   if (!FailedTrial && !TooManyFailures)
@@ -66,11 +67,23 @@
   ++Worker.QuarantineCount_;
   Worker.SuccessfulTrials_ = 0;
   Worker.Succeeded_ = false;
+  Worker.QuarantinedSince_ = Now;
   Worker.QuarantinedUntil_ = Now + Length;
 }
 
 std::size_t FailureEvidence::allowance(const WorkerName &Worker,
                                        TimePoint Now) const {
+  return allowanceAfter(Worker, Now, Settings_.MaxQuarantine_);
+}
+
+std::size_t FailureEvidence::allowanceAmongSuspects(const WorkerName &Worker,
+                                                    TimePoint Now) const {
+  return allowanceAfter(Worker, Now, Settings_.FirstQuarantine_);
+}
+
+std::size_t FailureEvidence::allowanceAfter(const WorkerName &Worker,
+                                            TimePoint Now,
+                                            Duration MaxLength) const {
   auto Found = Workers_.find(Worker);
   if (Found == Workers_.end() || !Found->second.SuccessfulTrials_)
     return UnboundedAllowance;
@@ -80,7 +93,8 @@
                             countedFailures(Entry) == 0;
   if (AllFailuresExcused)
     return UnboundedAllowance;
-  if (Now < Entry.QuarantinedUntil_)
+  if (Now <
+      std::min(Entry.QuarantinedUntil_, Entry.QuarantinedSince_ + MaxLength))
     return 0;
   return std::size_t{1} << std::min<std::size_t>(*Entry.SuccessfulTrials_, 32);
 }
--- a/packages/placement/src/start_planner.cpp
+++ b/packages/placement/src/start_planner.cpp
@@ -41,24 +41,38 @@
   /// Collects the usable workers of the rack: those with a fresh clock reading,
   /// and those that must report before a claim may use them.
   void collectWorkers() {
-    for (const RackWorker &Row : Draft_.rack().record().Workers_) {
-      const WorkerState *Worker = Core_.findWorker(Row.Name_);
-      bool Usable = Worker != nullptr && Worker->ListedAt_ &&
-                    !Worker->Leaving_ && Worker->Failures_ == 0 &&
-                    Worker->AcceptedEpoch_ == Rack_.Epoch_;
-      if (!Usable)
-        continue;
-      bool HasFreshReading = hasFreshReading(Core_, *Worker);
+    std::vector<const RackWorker *> Usable;
+    for (const RackWorker &Row : Draft_.rack().record().Workers_)
+      if (isUsable(Row))
+        Usable.push_back(&Row);
+    auto Quarantined = static_cast<std::size_t>(
+        std::ranges::count_if(Usable, [this](const RackWorker *Row) {
+          return Core_.Evidence_.allowance(Row->Name_, Core_.Now_) == 0;
+        }));
+    bool MostAreSuspect = 2 * Quarantined > Usable.size();
+    for (const RackWorker *Row : Usable) {
+      bool HasFreshReading =
+          hasFreshReading(Core_, *Core_.findWorker(Row->Name_));
+      std::size_t Allowed =
+          MostAreSuspect
+              ? Core_.Evidence_.allowanceAmongSuspects(Row->Name_, Core_.Now_)
+              : Core_.Evidence_.allowance(Row->Name_, Core_.Now_);
       (HasFreshReading ? Workers_.Fresh_ : Workers_.Stale_)
-          .push_back(
-              {Row.Name_, Row.Capacity_, Row.free(), remainingAllowance(Row)});
-      TotalCapacity_ += Row.Capacity_;
+          .push_back({Row->Name_, Row->Capacity_, Row->free(),
+                      remainingAllowance(*Row, Allowed)});
+      TotalCapacity_ += Row->Capacity_;
     }
   }
 
+  bool isUsable(const RackWorker &Row) const {
+    const WorkerState *Worker = Core_.findWorker(Row.Name_);
+    return Worker != nullptr && Worker->ListedAt_ && !Worker->Leaving_ &&
+           Worker->Failures_ == 0 && Worker->AcceptedEpoch_ == Rack_.Epoch_;
+  }
+
   /// Returns how many more attempts \p Worker may be assigned.
-  std::size_t remainingAllowance(const RackWorker &Worker) const {
-    std::size_t Allowed = Core_.Evidence_.allowance(Worker.Name_, Core_.Now_);
+  std::size_t remainingAllowance(const RackWorker &Worker,
+                                 std::size_t Allowed) const {
     if (Allowed == UnboundedAllowance)
       return Allowed;
     auto Counted = static_cast<std::size_t>(std::ranges::count_if(
--- a/packages/placement/tests/scheduler_waiting_test.cpp
+++ b/packages/placement/tests/scheduler_waiting_test.cpp
@@ -152,6 +152,18 @@
   BOOST_TEST((Cluster_.task("next").State_ == TaskState::Claimed));
 }
 
+BOOST_AUTO_TEST_CASE(is_tried_again_soon_when_no_other_worker_is_left) {
+  Cluster_.Worker_.setFailAll(true);
+  for (int Trial = 0; Trial < 3; ++Trial) {
+    Cluster_.submit(fmt::format("trial-{}", Trial), SmallSize);
+    Cluster_.advance(2min);
+  }
+  Cluster_.Worker_.setFailAll(false);
+  Cluster_.submit("next", SmallSize);
+  Cluster_.advance(FirstQuarantine + Reaction);
+  BOOST_TEST((Cluster_.task("next").State_ == TaskState::Claimed));
+}
+
 BOOST_AUTO_TEST_CASE(is_tried_again_although_earlier_tasks_run_on) {
   TestCluster Subject;
   Subject.start();
