--- a/packages/placement/include/filbertspring/placement/failure_evidence.h
+++ b/packages/placement/include/filbertspring/placement/failure_evidence.h
@@ -32,7 +32,8 @@
   Duration MaxQuarantine_ = std::chrono::minutes(10);
   /// After a quarantine a worker is on trial: it may run one attempt at a time,
   /// and twice as many after each success. The trial ends when the limit would
-  /// reach this.
+  /// reach this. An attempt that has run for FirstQuarantine_ without a failure
+  /// no longer counts towards the limit.
   std::size_t UnboundedFromAllowance_ = 16;
   /// Evidence older than this is discarded.
   Duration Retention_ = std::chrono::hours(1);
@@ -62,9 +63,22 @@
   bool record(const WorkerName &Worker, const JobId &Job, bool Failed,
               TimePoint Now);
 
-  /// Returns how many attempts \p Worker may run concurrently.
+  /// Returns how many attempts \p Worker may run concurrently, besides those
+  /// that have proved themselves.
   std::size_t allowance(const WorkerName &Worker, TimePoint Now) const;
 
+  /// Returns the allowance when no quarantine is longer than the first one.
+  /// Failures on most workers of a rack say more of the jobs than of a worker,
+  /// so that there a failed trial does not lengthen the quarantine.
+  std::size_t allowanceAmongSuspects(const WorkerName &Worker,
+                                     TimePoint Now) const;
+
+  /// Returns true for an attempt that has run long enough to say that its
+  /// worker does not fail everything.
+  bool hasProvedItself(Duration Running) const {
+    return Running >= Settings_.FirstQuarantine_;
+  }
+
   /// Returns true when \p Job has failed on WorkersToSuspectJob_ credible
   /// workers.
   bool isSuspect(const JobId &Job) const;
@@ -84,6 +98,7 @@
     /// healthy worker.
     std::optional<std::size_t> SuccessfulTrials_;
     std::size_t QuarantineCount_ = 0;
+    TimePoint QuarantinedSince_{};
     TimePoint QuarantinedUntil_{};
     TimePoint LastOutcomeAt_{};
   };
@@ -95,6 +110,8 @@
   void recordSuccess(WorkerEvidence &Worker, const JobId &Job);
   bool recordFailure(WorkerEvidence &Worker, const WorkerName &Name,
                      const JobId &Job, TimePoint Now);
+  std::size_t allowanceAfter(const WorkerName &Worker, TimePoint Now,
+                             Duration MaxLength) const;
   std::size_t countedFailures(const WorkerEvidence &Worker) const;
   void quarantine(WorkerEvidence &Worker, TimePoint Now) const;
 
--- a/packages/placement/src/start_planner.cpp
+++ b/packages/placement/src/start_planner.cpp
@@ -2,6 +2,7 @@
 
 #include "colocation_adapter.h"
 #include "grant_planner.h"
+#include "room_reservations.h"
 #include "worker_exchange.h"
 
 #include "filbertspring/placement/worker_choice.h"
@@ -17,12 +18,16 @@
 class ClaimPlanner {
 public:
   ClaimPlanner(SchedulerCore &Core, RackState &Rack, RackDraft &Draft)
-      : Core_(Core), Rack_(Rack), Draft_(Draft) {}
+      : Core_(Core), Rack_(Rack), Draft_(Draft),
+        Reservations_(Core, Rack, Workers_, Draft) {}
 
   Starts run() {
     collectWorkers();
-    claimTasks(true);
-    claimTasks(false);
+    // Urgent tasks may use the room that is reserved for others.
+    for (bool Urgent : {true, false}) {
+      Reservations_.withhold(Urgent);
+      claimTasks(Urgent);
+    }
     if (Starts_.empty())
       Rack_.BlockedGeneration_ = Core_.Jobs_.generation();
     return std::move(Starts_);
@@ -36,34 +41,59 @@
   /// Collects the usable workers of the rack: those with a fresh clock reading,
   /// and those that must report before a claim may use them.
   void collectWorkers() {
-    for (const RackWorker &Row : Draft_.rack().record().Workers_) {
-      const WorkerState *Worker = Core_.findWorker(Row.Name_);
-      bool Usable = Worker != nullptr && Worker->ListedAt_ &&
-                    !Worker->Leaving_ && Worker->Failures_ == 0 &&
-                    Worker->AcceptedEpoch_ == Rack_.Epoch_;
-      if (!Usable)
-        continue;
-      bool HasFreshReading = hasFreshReading(Core_, *Worker);
-      (HasFreshReading ? FreshWorkers_ : StaleWorkers_)
-          .push_back(
-              {Row.Name_, Row.Capacity_, Row.free(), remainingAllowance(Row)});
-      TotalCapacity_ += Row.Capacity_;
+    std::vector<const RackWorker *> Usable;
+    for (const RackWorker &Row : Draft_.rack().record().Workers_)
+      if (isUsable(Row))
+        Usable.push_back(&Row);
+    auto Quarantined = static_cast<std::size_t>(
+        std::ranges::count_if(Usable, [this](const RackWorker *Row) {
+          return Core_.Evidence_.allowance(Row->Name_, Core_.Now_) == 0;
+        }));
+    bool MostAreSuspect = 2 * Quarantined > Usable.size();
+    for (const RackWorker *Row : Usable) {
+      bool HasFreshReading =
+          hasFreshReading(Core_, *Core_.findWorker(Row->Name_));
+      std::size_t Allowed =
+          MostAreSuspect
+              ? Core_.Evidence_.allowanceAmongSuspects(Row->Name_, Core_.Now_)
+              : Core_.Evidence_.allowance(Row->Name_, Core_.Now_);
+      (HasFreshReading ? Workers_.Fresh_ : Workers_.Stale_)
+          .push_back({Row->Name_, Row->Capacity_, Row->free(),
+                      remainingAllowance(*Row, Allowed)});
+      TotalCapacity_ += Row->Capacity_;
     }
   }
 
+  bool isUsable(const RackWorker &Row) const {
+    const WorkerState *Worker = Core_.findWorker(Row.Name_);
+    return Worker != nullptr && Worker->ListedAt_ && !Worker->Leaving_ &&
+           Worker->Failures_ == 0 && Worker->AcceptedEpoch_ == Rack_.Epoch_;
+  }
+
   /// Returns how many more attempts \p Worker may be assigned.
-  std::size_t remainingAllowance(const RackWorker &Worker) const {
-    std::size_t Allowed = Core_.Evidence_.allowance(Worker.Name_, Core_.Now_);
+  std::size_t remainingAllowance(const RackWorker &Worker,
+                                 std::size_t Allowed) const {
     if (Allowed == UnboundedAllowance)
       return Allowed;
-    return Allowed - std::min(Allowed, Worker.Assignments_.size());
+    auto Counted = static_cast<std::size_t>(std::ranges::count_if(
+        Worker.Assignments_, [this](const Assignment &Entry) {
+          const TrackedAttempt *Held = Core_.findAttempt(Entry.Attempt_);
+          bool Proved = Held != nullptr && Held->RunningSince_ &&
+                        Core_.Evidence_.hasProvedItself(Core_.Now_ -
+                                                        *Held->RunningSince_);
+          return !Proved;
+        }));
+    return Allowed - std::min(Allowed, Counted);
   }
 
   void claimTasks(bool Urgent) {
     for (const ContractName &Contract : Core_.Jobs_.contractsByShare(Urgent)) {
+      if (ContractsWithoutQuota_.contains(Contract))
+        continue;
       Contracts_.push_back({Contract, {}, 0});
       Contracts_.back().Jobs_ = Core_.Jobs_.candidates(
           Contract, Urgent, Core_.Settings_.Batch_.MaxSkipsPerContract_);
+      addJobsWithReservations(Contracts_.back(), Urgent);
     }
     while (!Contracts_.empty() && !commitIsFull())
       tryNextJob(leastShareContract());
@@ -77,6 +107,16 @@
     std::size_t NextJob_ = 0;
   };
 
+  void addJobsWithReservations(ContractCandidates &Candidates, bool Urgent) {
+    for (const JobId &Job :
+         Reservations_.jobsOf(Candidates.Contract_, Urgent)) {
+      bool Listed =
+          std::ranges::find(Candidates.Jobs_, Job) != Candidates.Jobs_.end();
+      if (!Listed)
+        Candidates.Jobs_.insert(Candidates.Jobs_.begin(), Job);
+    }
+  }
+
   std::size_t leastShareContract() const {
     auto Least = std::ranges::min_element(
         Contracts_, {}, [this](const ContractCandidates &Candidates) {
@@ -97,11 +137,49 @@
       return;
     }
     JobEntry *Entry = Core_.Jobs_.find(Candidates.Jobs_[Candidates.NextJob_]);
+    Reservations_.release(Entry->Record_);
     std::optional<WaitReason> Obstacle = tryTask(*Entry);
     if (!Obstacle)
       return;
+    notePassedOver(*Entry, *Obstacle);
     Entry->LastWaitReason_ = *Obstacle;
     ++Candidates.NextJob_;
+    if (needsRestOfQuota(*Entry))
+      keepQuota(Candidates);
+  }
+
+  /// Returns true when the quota that is left is kept for a task of the job.
+  bool needsRestOfQuota(const JobEntry &Entry) const {
+    const TimingSettings &Timing = Core_.Settings_.Timing_;
+    return Entry.QuotaUsedAt_ && hasWaitedLong(Core_, Entry) &&
+           Core_.Now_ - *Entry.QuotaUsedAt_ <= 2 * Timing.WorkerPollInterval_;
+  }
+
+  /// Lets the other jobs of the contract wait, those of lower urgency too.
+  void keepQuota(ContractCandidates &Candidates) {
+    for (; Candidates.NextJob_ < Candidates.Jobs_.size(); ++Candidates.NextJob_)
+      Core_.Jobs_.find(Candidates.Jobs_[Candidates.NextJob_])->LastWaitReason_ =
+          WaitReason::QuotaUsed;
+    ContractsWithoutQuota_.insert(Candidates.Contract_);
+  }
+
+  /// Reserves room for a task that waits for room, or has it and waits for a
+  /// grant.
+  void notePassedOver(JobEntry &Entry, WaitReason Obstacle) {
+    bool WaitsForRoom = Obstacle == WaitReason::NoRoom ||
+                        Obstacle == WaitReason::WorkersOnTrial ||
+                        Obstacle == WaitReason::NoFreshWorker;
+    bool WaitsForGrant = Obstacle == WaitReason::CommitUnderWay;
+    bool HasClaimed = LastClaimedTask_.contains(Entry.Record_.Id_);
+    bool WaitsForQuota = Obstacle == WaitReason::QuotaUsed;
+    if (HasClaimed)
+      return;
+    if ((WaitsForRoom || WaitsForQuota) && !Entry.PassedOverSince_)
+      Entry.PassedOverSince_ = Core_.Now_;
+    if (WaitsForQuota)
+      Entry.QuotaUsedAt_ = Core_.Now_;
+    if (WaitsForRoom || WaitsForGrant)
+      Reservations_.reserve(Entry);
   }
 
   /// Claims the next waiting task of the job. Returns the reason on failure.
@@ -114,7 +192,7 @@
       return Obstacle;
     const JobRecord &Record = Entry.Record_;
     std::optional<std::size_t> Chosen = chooseWorker(
-        FreshWorkers_, Record.Size_, [&](const WorkerCandidate &Worker) {
+        Workers_.Fresh_, Record.Size_, [&](const WorkerCandidate &Worker) {
           return admitsBesideServices(Core_, Worker, Record);
         });
     if (!Chosen)
@@ -122,7 +200,7 @@
     if (auto Obstacle = ensureGrant(Core_, Entry.Record_.Contract_,
                                     Entry.Record_.Size_, Draft_))
       return Obstacle;
-    return claim(Entry, *Index, FreshWorkers_[*Chosen]);
+    return claim(Entry, *Index, Workers_.Fresh_[*Chosen]);
   }
 
   std::optional<std::int32_t> nextTask(const JobEntry &Entry) {
@@ -155,7 +233,7 @@
 
   /// Returns the reason why no worker was chosen.
   WaitReason reasonForNoWorker(const Resources &Size) {
-    if (chooseWorker(FreshWorkers_, Size))
+    if (chooseWorker(Workers_.Fresh_, Size))
       return WaitReason::SlowsService;
     return requestFreshReport(Size);
   }
@@ -163,15 +241,25 @@
   /// Requests a report of a worker with room, so that a later transaction can
   /// use the worker.
   WaitReason requestFreshReport(const Resources &Size) {
-    std::optional<std::size_t> Chosen = chooseWorker(StaleWorkers_, Size);
+    std::optional<std::size_t> Chosen = chooseWorker(Workers_.Stale_, Size);
     if (!Chosen)
-      return WaitReason::NoRoom;
-    WorkerState &Worker = *Core_.findWorker(StaleWorkers_[*Chosen].Name_);
+      return hasRoomOnTrial(Size) ? WaitReason::WorkersOnTrial
+                                  : WaitReason::NoRoom;
+    WorkerState &Worker = *Core_.findWorker(Workers_.Stale_[*Chosen].Name_);
     if (!Worker.InFlight_)
       Core_.scheduleExchangeNow(Worker);
     return WaitReason::NoFreshWorker;
   }
 
+  /// Returns true when a worker has room whose allowance is used up.
+  bool hasRoomOnTrial(const Resources &Size) const {
+    auto HasRoom = [&Size](const WorkerCandidate &Worker) {
+      return Worker.Allowance_ == 0 && Size.fitsIn(Worker.Free_);
+    };
+    return std::ranges::any_of(Workers_.Fresh_, HasRoom) ||
+           std::ranges::any_of(Workers_.Stale_, HasRoom);
+  }
+
   std::optional<WaitReason> claim(JobEntry &Entry, std::int32_t Index,
                                   WorkerCandidate &Chosen) {
     const JobRecord &Record = Entry.Record_;
@@ -254,10 +342,12 @@
   SchedulerCore &Core_;
   RackState &Rack_;
   RackDraft &Draft_;
-  std::vector<WorkerCandidate> FreshWorkers_;
-  std::vector<WorkerCandidate> StaleWorkers_;
+  RackCandidates Workers_;
+  RoomReservations Reservations_;
   Resources TotalCapacity_;
   std::vector<ContractCandidates> Contracts_;
+  /// Contracts whose quota is kept for a task that has waited long.
+  std::set<ContractName> ContractsWithoutQuota_;
   /// Index of the last claimed task by job.
   std::map<JobId, std::int32_t> LastClaimedTask_;
   Starts Starts_;
