Oracle: the wait of a long-running task is checked whatever else runs

Callers saw LOST for single long-running tasks whose jobs had other tasks running, in services that were more than half full. The oracle checked such a task only while less than half of all capacity was in use.

A second rule now checks each long-running task: four seconds after the last fault and six after its last run it may not wait for three seconds while a worker that runs and may get it has twice the capacity that it requests. The first rule stays as it was for all kinds. Workers that are gone, drain, are in a closed zone, lack the label or are at the limit of the step do not count as capacity. A task whose worker is gone for good may be taken for running until its lease has lapsed.

Simulated workers carry out paces, and report tail latencies that fillers lengthen by their images and paces. Workers can be on racks, leave for good, fail all that they start, and execute tasks of unknown jobs. A violation keeps the owner's last report on the wait.

Failures of single tasks are no fault. A worker that fails all that it starts is one while it does so.

--- a/packages/scheduling/tests/oracle.cpp
+++ b/packages/scheduling/tests/oracle.cpp
@@ -20,6 +20,11 @@
 constexpr Duration ShrinkLimit = std::chrono::milliseconds(3000 + 1500);
 /// How long a task may wait beside free capacity.
 constexpr Duration MaxWait = std::chrono::milliseconds(3000);
+/// How long after the last fault, and after the last run of the task, the wait
+/// of a long-running task counts.
+constexpr Duration LongRunningCalm = std::chrono::milliseconds(4000);
+constexpr Duration LongRunningPause = std::chrono::milliseconds(6000);
+constexpr Duration LeaseDuration = SchedulerSettings().LeaseDuration_;
 /// How often a task may start after three workers have crashed under it.
 constexpr std::size_t MaxStartsAfterThirdCrash = 2;
 
@@ -146,26 +151,69 @@
   }
 }
 
-bool Oracle::hasAmpleCapacity(const StepSpec &Step) const {
+void Oracle::leaving(const std::string &Worker, TimePoint Now) {
+  Capacities_.erase(Worker);
+  for (auto &[Id, Job] : Jobs_)
+    for (auto &[Text, Task] : Job.Tasks_)
+      if (Task.Runs_.contains(Worker))
+        Task.LostUntil_ = Now + LeaseDuration;
+}
+
+void Oracle::labelled(const std::string &Worker,
+                      const std::vector<std::string> &Labels) {
+  Labels_[Worker] = {Labels.begin(), Labels.end()};
+}
+
+Resources Oracle::usedOn(const std::string &Worker) const {
+  Resources Used;
+  if (auto Reserved = Reserved_.find(Worker); Reserved != Reserved_.end())
+    for (const auto &[Text, Amount] : Reserved->second)
+      Used += Amount;
+  return Used;
+}
+
+bool Oracle::isAtLimit(const JobHistory &Job, std::uint32_t Number,
+                       const std::string &Worker) {
+  std::uint32_t Limit = Job.Accepted_.Spec_.Steps_[Number].MaxPerWorker_;
+  if (Limit == 0)
+    return false;
+  std::uint32_t Running = 0;
+  for (const auto &[Text, Task] : Job.Tasks_)
+    Running +=
+        Task.Runs_.contains(Worker) && parseTaskName(Text)->Step_ == Number ? 1
+                                                                            : 0;
+  return Running >= Limit;
+}
+
+bool Oracle::hasRoomTwice(const JobHistory &Job, std::uint32_t Number) const {
+  const StepSpec &Step = Job.Accepted_.Spec_.Steps_[Number];
   Resources Needed = Step.Request_;
   if (Step.IsFiller_)
     Needed.MilliCpu_ = 0;
   Needed += Needed;
+  return std::any_of(
+      Capacities_.begin(), Capacities_.end(), [&](const auto &Entry) {
+        const auto &[Worker, Capacities] = Entry;
+        auto Labels = Labels_.find(Worker);
+        bool IsAllowed = !Excluded_.contains(Worker) &&
+                         (Step.RequiredLabel_.empty() ||
+                          (Labels != Labels_.end() &&
+                           Labels->second.contains(Step.RequiredLabel_))) &&
+                         !isAtLimit(Job, Number, Worker);
+        return IsAllowed &&
+               Capacities.rbegin()->second.fits(usedOn(Worker), Needed);
+      });
+}
+
+bool Oracle::isHalfFree() const {
   Resources Total;
   Resources InUse;
-  bool Fits = false;
   for (const auto &[Worker, Capacities] : Capacities_) {
-    const Resources &Capacity = Capacities.rbegin()->second;
-    Resources Used;
-    if (auto Reserved = Reserved_.find(Worker); Reserved != Reserved_.end())
-      for (const auto &[Text, Amount] : Reserved->second)
-        Used += Amount;
-    Fits |= Capacity.fits(Used, Needed);
-    Total += Capacity;
-    InUse += Used;
+    Total += Capacities.rbegin()->second;
+    InUse += usedOn(Worker);
   }
   InUse += InUse;
-  return Fits && Total.fits(InUse, {});
+  return Total.fits(InUse, {});
 }
 
 bool Oracle::isDone(const JobHistory &Job, std::uint32_t Step) const {
@@ -175,42 +223,57 @@
   return Done == Job.Accepted_.Spec_.Steps_[Step].Count_;
 }
 
-void Oracle::checkWaiting(JobHistory &Job, TimePoint Now) {
+void Oracle::checkWait(const char *Rule, const std::string &Text,
+                       bool IsWaiting, std::optional<TimePoint> &Since,
+                       TimePoint Now) {
+  if (!IsWaiting)
+    return Since.reset();
+  if (!Since)
+    Since = Now;
+  if (Now - *Since <= MaxWait)
+    return;
+  auto [Longest, IsNew] =
+      LongWaits_.try_emplace(fmt::format("{}: {}", Rule, Text));
+  Longest->second = std::max(Longest->second, Now - *Since);
+  if (IsNew)
+    report(Rule, Text);
+}
+
+void Oracle::checkWaiting(JobHistory &Job, Duration Calm, TimePoint Now) {
   const JobSpec &Spec = Job.Accepted_.Spec_;
+  bool IsClosed = Job.IsFinal_ || Job.CancelledAt_;
   bool IsRunning =
       std::any_of(Job.Tasks_.begin(), Job.Tasks_.end(), [](const auto &Entry) {
         return !Entry.second.Runs_.empty();
       });
+  bool IsHalfFree = !IsClosed && isHalfFree();
   for (std::uint32_t Number = 0; Number < Spec.Steps_.size(); ++Number) {
     const StepSpec &Step = Spec.Steps_[Number];
-    bool IsReady = std::all_of(
-        Step.DependsOn_.begin(), Step.DependsOn_.end(),
-        [&](std::uint32_t Earlier) { return isDone(Job, Earlier); });
-    bool MayWait = !IsReady || Job.IsFinal_ || Job.CancelledAt_ ||
-                   (IsRunning && !Step.IsLongRunning_) ||
-                   !hasAmpleCapacity(Step);
+    bool IsReady =
+        !IsClosed && std::all_of(Step.DependsOn_.begin(), Step.DependsOn_.end(),
+                                 [&](std::uint32_t Earlier) {
+                                   return isDone(Job, Earlier);
+                                 });
+    bool HasRoom = IsReady && hasRoomTwice(Job, Number);
     for (std::uint32_t Index = 0; Index < Step.Count_; ++Index) {
       std::string Text = TaskName{Job.Accepted_.Id_, 0, Number, Index}.text();
       TaskHistory &Task = Job.Tasks_[Text];
-      if (MayWait || Task.HasDone_ || !Task.Runs_.empty()) {
-        Task.WaitsSince_.reset();
-        continue;
-      }
-      if (!Task.WaitsSince_)
-        Task.WaitsSince_ = Now;
-      if (Now - *Task.WaitsSince_ > MaxWait)
-        report("waits", Text);
+      bool CouldRun = HasRoom && !Task.HasDone_ && Task.Runs_.empty();
+      bool IsIdle = CouldRun && (!IsRunning || Step.IsLongRunning_) &&
+                    IsHalfFree && Calm > StableWindow && Now > Task.LostUntil_;
+      checkWait("waits", Text, IsIdle, Task.WaitsSince_, Now);
+      bool IsMissing =
+          CouldRun && Step.IsLongRunning_ && Calm > LongRunningCalm &&
+          (!Task.LastEndedAt_ || Now > *Task.LastEndedAt_ + LongRunningPause);
+      checkWait("long-running task waits", Text, IsMissing, Task.MissingSince_,
+                Now);
     }
   }
 }
 
 void Oracle::calm(TimePoint Since, TimePoint Now) {
   for (auto &[Id, Job] : Jobs_) {
-    if (Now > Since + StableWindow)
-      checkWaiting(Job, Now);
-    else
-      for (auto &[Text, Task] : Job.Tasks_)
-        Task.WaitsSince_.reset();
+    checkWaiting(Job, Now - Since, Now);
     if (!Job.CancelledAt_ ||
         Now - std::max(*Job.CancelledAt_, Since + StableWindow) <=
             CancelLimit + KillTimeout)
@@ -260,9 +323,10 @@
 }
 
 void Oracle::ended(const std::string &Worker, const TaskName &Name,
-                   std::uint64_t Run, EndReason Reason, TimePoint) {
+                   std::uint64_t Run, EndReason Reason, TimePoint Now) {
   TaskHistory &History = Jobs_[Name.Job_].Tasks_[Name.text()];
   History.Runs_.erase(Worker);
+  History.LastEndedAt_ = Now;
   Reserved_[Worker].erase(Name.text());
   if (Reason != EndReason::Done)
     return;
--- a/packages/scheduling/tests/oracle.h
+++ b/packages/scheduling/tests/oracle.h
@@ -47,10 +47,24 @@
               TimePoint Now);
   /// The owner with \p Token takes note of \p Report.
   void reported(std::uint64_t Token, const WorkerReport &Report);
+  /// The workers that may not get a task, since they do not run, drain or are
+  /// in a closed zone.
+  void excluded(std::set<std::string> Workers) {
+    Excluded_ = std::move(Workers);
+  }
+  /// \p Worker, and all that it executes, is about to be gone for good.
+  void leaving(const std::string &Worker, TimePoint Now);
+  void labelled(const std::string &Worker,
+                const std::vector<std::string> &Labels);
   /// There has been no fault since \p Since, the end of the last one.
   void calm(TimePoint Since, TimePoint Now);
 
   const std::vector<Violation> &violations() const { return Violations_; }
+  /// Returns how long each task that has waited too long has waited on end, by
+  /// the rule and the task.
+  const std::map<std::string, Duration> &longWaits() const {
+    return LongWaits_;
+  }
   /// Returns whether a run of each task of \p Job has succeeded.
   bool isDone(const std::string &Job) const;
   std::size_t starts() const { return Starts_; }
@@ -78,8 +92,15 @@
     std::vector<SavedCheckpoint> SavedCheckpoints_;
     std::size_t Crashes_ = 0;
     std::size_t StartsAfterThirdCrash_ = 0;
-    /// Since when the task has waited beside free capacity.
+    std::optional<TimePoint> LastEndedAt_;
+    /// Until when an owner may have to take a run on a worker that is gone for
+    /// running.
+    TimePoint LostUntil_{};
+    /// Since when the task has waited beside free capacity while its job had
+    /// nothing running and less than half of all capacity was in use.
     std::optional<TimePoint> WaitsSince_;
+    /// Since when the long-running task has waited beside a worker with room.
+    std::optional<TimePoint> MissingSince_;
   };
   struct JobHistory {
     AcceptedJob Accepted_;
@@ -94,11 +115,22 @@
   void checkCapacity(const std::string &Worker, TimePoint Now);
   void checkCheckpoint(const TaskHistory &History, const StartTask &Start,
                        std::uint64_t Token, TimePoint Now);
-  /// Checks that no job without a running task waits beside free capacity.
-  void checkWaiting(JobHistory &Job, TimePoint Now);
-  /// Returns whether a worker has twice the capacity that a task of \p Step
-  /// requests, while less than half of all capacity is in use.
-  bool hasAmpleCapacity(const StepSpec &Step) const;
+  /// Checks that no job without a running task waits beside free capacity, and
+  /// that no long-running task does, whatever else runs. \p Calm: the time
+  /// since the last fault.
+  void checkWaiting(JobHistory &Job, Duration Calm, TimePoint Now);
+  /// Reports a task that has waited since \p Since if that is too long, once.
+  void checkWait(const char *Rule, const std::string &Text, bool IsWaiting,
+                 std::optional<TimePoint> &Since, TimePoint Now);
+  /// Returns whether a worker that may get a task of step \p Number of \p Job
+  /// has twice the capacity that it requests.
+  bool hasRoomTwice(const JobHistory &Job, std::uint32_t Number) const;
+  /// Returns whether less than half of all capacity is in use.
+  bool isHalfFree() const;
+  Resources usedOn(const std::string &Worker) const;
+  /// Returns whether \p Worker has as many tasks of step \p Number as it may.
+  static bool isAtLimit(const JobHistory &Job, std::uint32_t Number,
+                        const std::string &Worker);
   bool isDone(const JobHistory &Job, std::uint32_t Step) const;
   static void save(TaskHistory &History, std::uint64_t Checkpoint,
                    TimePoint Now);
@@ -107,6 +139,9 @@
   /// The capacities of each worker by the time since when it has had them.
   std::map<std::string, std::map<TimePoint, Resources>> Capacities_;
   std::map<std::string, std::map<std::string, Resources>> Reserved_;
+  std::set<std::string> Excluded_;
+  std::map<std::string, std::set<std::string>> Labels_;
+  std::map<std::string, Duration> LongWaits_;
   std::vector<Violation> Violations_;
   std::size_t Starts_ = 0;
   std::uint64_t NextCheckpoint_ = 1;
--- a/packages/scheduling/tests/simulated_cell.cpp
+++ b/packages/scheduling/tests/simulated_cell.cpp
@@ -4,6 +4,9 @@
 #include "filbertspring/scheduling/owner_lease.h"
 #include "filbertspring/scheduling/progress_codec.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace filbertspring::scheduling::test {
 namespace {
 
@@ -30,9 +33,14 @@
 };
 
 SimulatedCell::SimulatedCell(std::uint64_t Seed, std::size_t Workers,
-                             FaultRates Faults)
+                             FaultRates Faults, std::size_t Racks)
     : Random_(Seed), InitialFaults_(Faults), Faults_(Faults),
       WorkerCount_(Workers), Queues_(std::make_shared<QueueTable>()) {
+  TailLatencies_->DrawNoise_ = [this] {
+    std::normal_distribution<double> Noise(0,
+                                           InterferenceModel::ReportDeviation);
+    return std::exp(Noise(Random_));
+  };
   for (std::size_t Index = 0; Index < Workers; ++Index) {
     WorkerEntry Entry;
     Entry.Id_ = workerId(Index);
@@ -41,6 +49,9 @@
     Entry.Zone_ = Index % 2 == 0 ? "zone-a" : "zone-b";
     Entry.Capacity_ = FullCapacity;
     Entry.StartedAtMs_ = 1;
+    if (Racks > 0)
+      Entry.Labels_ = {"rack-" + std::to_string(Index % Racks)};
+    Oracle_.labelled(Entry.Id_, Entry.Labels_);
     double Rate = 0.98 + 0.02 * chance();
     Workers_[Entry.Id_] = std::make_unique<SimulatedWorker>(
         Entry, Rate, Oracle_,
@@ -54,11 +65,12 @@
               Oracle_.crashedBy(Name);
               crashWorker(Index, true);
             });
-          TaskOutcome Outcome = drawOutcome(Name);
+          TaskOutcome Outcome = drawOutcome(Name, Index);
           if (Deadly != Deadly_.end())
             Outcome = {std::chrono::hours(1)};
           return Outcome;
-        });
+        },
+        TailLatencies_);
   }
   takeOver(false);
   refreshRegistrations();
@@ -70,26 +82,40 @@
   return std::uniform_real_distribution<double>(0, 1)(Random_);
 }
 
-TaskOutcome SimulatedCell::drawOutcome(const TaskName &Name) {
+TaskOutcome SimulatedCell::drawOutcome(const TaskName &Name,
+                                       std::size_t Worker) {
   const StepSpec &Step = Jobs_.at(Name.Job_).Spec_.Steps_[Name.Step_];
   auto Milliseconds = [this](double From, double To) {
     return std::chrono::milliseconds(
         static_cast<std::int64_t>(From + chance() * (To - From)));
   };
   TaskOutcome Outcome{Milliseconds(200, 1700), chance() < Faults_.TaskFails_};
+  Outcome.Fails_ |= Failing_.contains(Worker);
   if (Step.SavesProgress_) {
     Outcome.Work_ = Milliseconds(1000, 5000);
     Outcome.CheckpointInterval_ = Milliseconds(200, 600);
   }
   if (Step.IsLongRunning_ && !Outcome.Fails_)
     Outcome.Work_ = std::chrono::hours(1);
+  Outcome.Load_ = {Step.IsFiller_, Step.TailLatencyTarget_ > Duration::zero(),
+                   Step.Image_, Step.Request_.MilliCpu_};
   return Outcome;
 }
 
 bool SimulatedCell::hasFault() const {
   bool IsSplit = !Owner_->UnreachableZone_.empty() ||
                  (Predecessor_ && !Predecessor_->UnreachableZone_.empty());
-  return IsStoreDown_ || IsSplit || !Unreachable_.empty() || !Stopped_.empty();
+  return IsStoreDown_ || IsSplit || !Unreachable_.empty() ||
+         Stopped_.size() > Gone_.size() || !Failing_.empty();
+}
+
+std::set<std::string> SimulatedCell::excludedWorkers() const {
+  std::set<std::string> Excluded = Stopped_;
+  Excluded.insert(Draining_.begin(), Draining_.end());
+  for (const auto &[Id, Worker] : Workers_)
+    if (ClosedZones_.contains(Worker->entry().Zone_))
+      Excluded.insert(Id);
+  return Excluded;
 }
 
 bool SimulatedCell::isFaulty(double Rate) {
@@ -116,7 +142,25 @@
 }
 
 void SimulatedCell::setClosedZones(std::set<std::string> Zones) {
-  Owner_->Scheduler_.setClosedZones(std::move(Zones));
+  ClosedZones_ = std::move(Zones);
+  Owner_->Scheduler_.setClosedZones(ClosedZones_);
+}
+
+void SimulatedCell::startUnknown(std::size_t Index, const AcceptedJob &Job) {
+  Oracle_.accepted(Job, 1);
+  Oracle_.cancelled(Job.Id_, Now_);
+  Jobs_[Job.Id_] = Job;
+  Cancelled_.insert(Job.Id_);
+  std::string Id = workerId(Index);
+  SimulatedWorker &Target = *Workers_.at(Id);
+  StartTask Start;
+  Start.Worker_ = Id;
+  Start.Name_ = {Job.Id_, 0, 0, 0};
+  Start.Run_ = 1;
+  Start.Payload_ = Job.Spec_.Payload_;
+  Start.DeadlineMs_ = Target.clockMs(Now_) + 1000;
+  if (!Stopped_.contains(Id))
+    Target.start(Start, Owner_->Token_, Target.entry().StartedAtMs_, Now_);
 }
 
 void SimulatedCell::submit(const AcceptedJob &Job) {
@@ -146,6 +190,7 @@
   CellOwner->ConfirmedAt_ = Now_;
   Owner_ = CellOwner;
   CellOwner->Scheduler_.configure(Queues_);
+  CellOwner->Scheduler_.setClosedZones(ClosedZones_);
   for (const auto &[Id, Entry] : StoredWorkers_)
     CellOwner->Scheduler_.restoreWorker(Entry, Now_);
   for (const auto &[Id, Entry] : Registrations_)
@@ -177,9 +222,13 @@
 
 void SimulatedCell::crashWorker(std::size_t Index, bool Restarts) {
   std::string Id = workerId(Index);
+  if (!Restarts)
+    Oracle_.leaving(Id, Now_);
   Workers_[Id]->crash(Now_);
   Stopped_.insert(Id);
   if (!Restarts) {
+    noteFault();
+    Gone_.insert(Id);
     // The registration expires.
     after(std::chrono::milliseconds(4500),
           [this, Id] { Owner_->Scheduler_.workerDeregistered(Id, Now_); });
@@ -198,6 +247,15 @@
   registerWorker(Id);
 }
 
+void SimulatedCell::leave(std::size_t Index) {
+  std::string Id = workerId(Index);
+  Oracle_.leaving(Id, Now_);
+  Workers_[Id]->crash(Now_);
+  Stopped_.insert(Id);
+  Gone_.insert(Id);
+  Owner_->Scheduler_.workerDeregistered(Id, Now_);
+}
+
 void SimulatedCell::resizeWorker(std::size_t Index, double Share) {
   auto ShareOf = [Share](std::int64_t Amount) {
     return static_cast<std::int64_t>(static_cast<double>(Amount) * Share);
@@ -257,7 +315,8 @@
                                 IsTrusted);
   for (const Action &NextAction : CellOwner->Scheduler_.takeActions())
     execute(CellOwner, NextAction);
-  CellOwner->Scheduler_.takeLogRecords();
+  for (const LogRecord &Record : CellOwner->Scheduler_.takeLogRecords())
+    noteObstacles(Record);
   if (CellOwner->Scheduler_.isFenced()) {
     CellOwner->IsGone_ = true;
     return;
@@ -265,7 +324,9 @@
   write(CellOwner);
   if (hasFault())
     noteFault();
+  Oracle_.excluded(excludedWorkers());
   Oracle_.calm(FaultAt_, Now_);
+  explainViolations();
   after(Tick, [this, CellOwner] { tick(CellOwner); });
 }
 
@@ -380,8 +441,8 @@
           [&](const PaceTask &Pace) {
             call(
                 CellOwner, Pace.Worker_, {},
-                [this, Token](SimulatedWorker &Target, std::int64_t) {
-                  return Target.pace(Token, Now_);
+                [this, Pace, Token](SimulatedWorker &Target, std::int64_t) {
+                  return Target.pace(Pace, Token, Now_);
                 },
                 [this, CellOwner, Pace](CallOutcome Outcome) {
                   if (Outcome != CallOutcome::Accepted)
@@ -427,45 +488,4 @@
   });
 }
 
-std::map<std::string, JobProgress> SimulatedCell::storedProgress() const {
-  std::map<std::string, JobProgress> Progress;
-  for (const auto &[Id, Text] : Progress_)
-    Progress[Id] = *decodeProgress(Text);
-  for (const auto &[Number, Text] : Journal_)
-    applyJournalRow({Number, *decodeJournal(Text)}, Progress);
-  return Progress;
-}
-
-void SimulatedCell::apply(const PendingWrites &Writes) {
-  if (!Writes.Journal_.Entries_.empty())
-    Journal_[Writes.Journal_.Number_] = encodeJournal(Writes.Journal_.Entries_);
-  for (const JournalRow &Rest : Writes.SnapshotRests_)
-    Journal_[Rest.Number_] = encodeJournal(Rest.Entries_);
-  for (std::uint64_t Number : Writes.RemovedJournalRows_)
-    Journal_.erase(Number);
-  for (const auto &[Id, Changes] : Writes.Journal_.Entries_)
-    Oracle_.stored(Id, Changes, Now_);
-  for (const auto &[Id, Progress] : Writes.Progress_) {
-    Oracle_.stored(Id, Progress, Now_);
-    Progress_[Id] = encodeProgress(Progress);
-  }
-  for (const WorkerEntry &Entry : Writes.StoredWorkers_)
-    StoredWorkers_[Entry.Id_] = Entry;
-  for (const std::string &Id : Writes.RemovedWorkers_)
-    StoredWorkers_.erase(Id);
-}
-
-std::string SimulatedCell::storedCause(const std::string &Job) const {
-  auto It = Progress_.find(Job);
-  return It == Progress_.end() ? "" : decodeProgress(It->second)->Cause_;
-}
-
-std::optional<JobState>
-SimulatedCell::storedState(const std::string &Job) const {
-  auto It = Progress_.find(Job);
-  if (It != Progress_.end())
-    return decodeProgress(It->second)->State_;
-  return Jobs_.contains(Job) ? std::optional(JobState::Queued) : std::nullopt;
-}
-
 } // namespace filbertspring::scheduling::test
--- a/packages/scheduling/tests/simulated_cell.h
+++ b/packages/scheduling/tests/simulated_cell.h
@@ -34,7 +34,9 @@
 /// A cell with its workers, its present owner and the previous one.
 class SimulatedCell {
 public:
-  SimulatedCell(std::uint64_t Seed, std::size_t Workers, FaultRates Faults);
+  /// The workers are on \p Racks racks; without any they have no labels.
+  SimulatedCell(std::uint64_t Seed, std::size_t Workers, FaultRates Faults,
+                std::size_t Racks = 0);
   ~SimulatedCell();
 
   TimePoint now() const { return Now_; }
@@ -51,6 +53,21 @@
   void makeDeadly(const std::string &Task, Duration After = {}) {
     Deadly_[Task] = After;
   }
+  /// Sets what a filler of image \p Filler that uses a whole worker adds to the
+  /// logarithm of the tail latency of a serving task of image \p Serving.
+  void setEffect(const std::string &Serving, const std::string &Filler,
+                 double Effect) {
+    TailLatencies_->Effects_[{Serving, Filler}] = Effect;
+  }
+  /// All tasks that start on the worker fail.
+  void setFailing(std::size_t Index, bool IsFailing) {
+    if (IsFailing)
+      Failing_.insert(Index);
+    else
+      Failing_.erase(Index);
+  }
+  /// The worker starts a task of a job that no owner has read.
+  void startUnknown(std::size_t Index, const AcceptedJob &Job);
   /// How long a crashed worker takes to restart.
   void setRestartTime(Duration Time) { RestartTime_ = Time; }
   /// Workers delay the answers to renewals until a task ends.
@@ -60,6 +77,8 @@
   void takeOver(bool IsPredecessorAlive);
   void crashWorker(std::size_t Index, bool Restarts);
   void drainWorker(std::size_t Index);
+  /// The worker ends and removes its registration.
+  void leave(std::size_t Index);
   /// The capacity of the worker becomes \p Share of its first one. Its next
   /// registration shows it.
   void resizeWorker(std::size_t Index, double Share);
@@ -88,7 +107,11 @@
   void setCallFaults(bool HasFaults) {
     Faults_ = HasFaults ? InitialFaults_ : FaultRates();
   }
+  void setFaults(const FaultRates &Faults) { Faults_ = Faults; }
   std::size_t workerCount() const { return WorkerCount_; }
+  /// Returns what kept the task of each violation of the oracle from the
+  /// workers, as the owner last reported of it, or else of any task.
+  const std::vector<std::string> &explanations() const { return Explanations_; }
   bool isDown(std::size_t Index) const {
     return Stopped_.contains(workerId(Index));
   }
@@ -106,7 +129,11 @@
   static std::string workerId(std::size_t Index) {
     return "w" + std::to_string(Index);
   }
-  TaskOutcome drawOutcome(const TaskName &Name);
+  TaskOutcome drawOutcome(const TaskName &Name, std::size_t Worker);
+  void noteObstacles(const LogRecord &Record);
+  void explainViolations();
+  /// Returns the workers that may not get a task.
+  std::set<std::string> excludedWorkers() const;
   void noteFault() { FaultAt_ = Now_; }
   /// Returns whether a fault lasts.
   bool hasFault() const;
@@ -143,7 +170,13 @@
   std::size_t WorkerCount_;
   Oracle Oracle_;
   std::map<std::string, std::unique_ptr<SimulatedWorker>> Workers_;
+  std::shared_ptr<TailLatencies> TailLatencies_ =
+      std::make_shared<TailLatencies>();
   std::set<std::string> Stopped_;
+  /// The stopped workers that do not return.
+  std::set<std::string> Gone_;
+  std::set<std::size_t> Failing_;
+  std::set<std::string> ClosedZones_;
   std::set<std::string> Draining_;
   std::set<std::string> Unreachable_;
   std::priority_queue<Event> Events_;
@@ -163,6 +196,10 @@
   std::map<std::string, WorkerEntry> StoredWorkers_;
   /// The registrations in the store.
   std::map<std::string, WorkerEntry> Registrations_;
+  /// The last report on the wait of each task.
+  std::map<std::string, std::string> Obstacles_;
+  std::string LastWait_;
+  std::vector<std::string> Explanations_;
 };
 
 } // namespace filbertspring::scheduling::test
--- a/packages/scheduling/tests/simulated_worker.cpp
+++ b/packages/scheduling/tests/simulated_worker.cpp
@@ -1,18 +1,28 @@
 #include "simulated_worker.h"
 
+#include <cmath>
+#include <numeric>
+
 namespace filbertspring::scheduling::test {
 namespace {
 
 /// Maximum duration of a lease that a worker accepts.
 constexpr std::int64_t MaxLeaseMs = 6000;
+/// When a pace comes into force.
+constexpr Duration PaceStartDelay = std::chrono::milliseconds(100);
+constexpr Duration TailInterval = std::chrono::milliseconds(50);
+/// A reported tail latency covers half a second.
+constexpr std::size_t TailsPerReport =
+    std::chrono::milliseconds(500) / TailInterval;
 
 } // namespace
 
 SimulatedWorker::SimulatedWorker(
     WorkerEntry Entry, double ClockRate, WorkerObserver &Observer,
-    std::function<TaskOutcome(const TaskName &, std::uint64_t)> DrawOutcome)
+    std::function<TaskOutcome(const TaskName &, std::uint64_t)> DrawOutcome,
+    std::shared_ptr<const TailLatencies> Tails)
     : Entry_(std::move(Entry)), ClockRate_(ClockRate), Observer_(Observer),
-      DrawOutcome_(std::move(DrawOutcome)) {}
+      DrawOutcome_(std::move(DrawOutcome)), TailLatencies_(std::move(Tails)) {}
 
 std::int64_t SimulatedWorker::clockMs(TimePoint Now) const {
   std::chrono::duration<double, std::milli> Age = Now - StartedAt_;
@@ -42,7 +52,63 @@
   Observer_.checkpointed(Saved.Name_, Saved.Run_, Saved.Checkpoint_);
 }
 
+void SimulatedWorker::applyPaces(TimePoint Now) {
+  for (auto &[Text, Run] : Runs_) {
+    // A slow run ends later.
+    if (Run.PacePercent_ < 100)
+      Run.EndsAt_ += (Now - AdvancedAt_) * (100 - Run.PacePercent_) / 100;
+    if (Run.NextPace_ && Run.NextPace_->first <= Now)
+      Run.PacePercent_ = std::exchange(Run.NextPace_, {})->second;
+  }
+  AdvancedAt_ = Now;
+}
+
+double SimulatedWorker::tailMs(const ActiveRun &Serving) const {
+  double Effect = 0;
+  for (const auto &[Text, Run] : Runs_) {
+    auto It = Run.Load_.IsFiller_
+                  ? TailLatencies_->Effects_.find(
+                        {Serving.Load_.Image_, Run.Load_.Image_})
+                  : TailLatencies_->Effects_.end();
+    if (It != TailLatencies_->Effects_.end())
+      Effect += It->second * Run.PacePercent_ / 100.0 *
+                static_cast<double>(Run.Load_.MilliCpu_) /
+                static_cast<double>(Entry_.Capacity_.MilliCpu_);
+  }
+  return TailLatencies_->BaseMs_ * std::exp(Effect);
+}
+
+void SimulatedWorker::observeTails(TimePoint Now) {
+  if (Now < NextTailAt_)
+    return;
+  NextTailAt_ = Now + TailInterval;
+  for (auto &[Text, Run] : Runs_) {
+    if (!Run.Load_.IsServing_)
+      continue;
+    Run.Tails_.push_back(tailMs(Run));
+    if (Run.Tails_.size() > TailsPerReport)
+      Run.Tails_.pop_front();
+  }
+}
+
+double SimulatedWorker::reportedLoad(const ActiveRun &Listed) const {
+  if (Listed.Load_.IsFiller_)
+    return static_cast<double>(Listed.Load_.MilliCpu_) * Listed.PacePercent_ /
+           100.0;
+  if (!Listed.Load_.IsServing_)
+    return 1;
+  if (Listed.Tails_.empty())
+    return TailLatencies_->BaseMs_;
+  double Mean =
+      std::accumulate(Listed.Tails_.begin(), Listed.Tails_.end(), 0.0) /
+      static_cast<double>(Listed.Tails_.size());
+  return std::round(
+      Mean * (TailLatencies_->DrawNoise_ ? TailLatencies_->DrawNoise_() : 1));
+}
+
 void SimulatedWorker::advance(TimePoint Now) {
+  applyPaces(Now);
+  observeTails(Now);
   for (auto &[Text, Run] : Runs_)
     if (Run.CheckpointInterval_ > Duration::zero() &&
         Run.NextCheckpointAt_ <= Now) {
@@ -92,7 +158,8 @@
                  Outcome.Fails_,
                  Start.Checkpoint_,
                  Outcome.CheckpointInterval_,
-                 Now + Outcome.CheckpointInterval_};
+                 Now + Outcome.CheckpointInterval_,
+                 Outcome.Load_};
   Observer_.started(Entry_.Id_, Start, Token, Now);
   return CallOutcome::Accepted;
 }
@@ -113,10 +180,15 @@
   return CallOutcome::Accepted;
 }
 
-CallOutcome SimulatedWorker::pace(std::uint64_t Token, TimePoint Now) {
+CallOutcome SimulatedWorker::pace(const PaceTask &Pace, std::uint64_t Token,
+                                  TimePoint Now) {
   advance(Now);
-  return Token < Token_ ? CallOutcome::RejectedStaleToken
-                        : CallOutcome::Accepted;
+  if (Token < Token_)
+    return CallOutcome::RejectedStaleToken;
+  auto It = Runs_.find(Pace.Name_.text());
+  if (It != Runs_.end() && It->second.Run_ == Pace.Run_)
+    It->second.NextPace_ = {Now + PaceStartDelay, Pace.Percent_};
+  return CallOutcome::Accepted;
 }
 
 CallOutcome SimulatedWorker::renew(const RenewLease &Renewal,
@@ -143,8 +215,9 @@
   Report.ClockMs_ = clockMs(Now);
   Report.StartedAtMs_ = Entry_.StartedAtMs_;
   for (const auto &[Text, Run] : Runs_)
-    Report.RunningTasks_.push_back(
-        {Run.Name_, Run.Run_, Run.Checkpoint_, 50, 1});
+    Report.RunningTasks_.push_back({Run.Name_, Run.Run_, Run.Checkpoint_,
+                                    Run.Load_.IsServing_ ? 100.0 : 50.0,
+                                    reportedLoad(Run)});
   for (const UnacknowledgedEnd &End : Ends_)
     Report.EndedTasks_.push_back(End.Task_);
   return CallOutcome::Accepted;
--- a/packages/scheduling/tests/simulated_worker.h
+++ b/packages/scheduling/tests/simulated_worker.h
@@ -9,7 +9,10 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 
 namespace filbertspring::scheduling::test {
 
@@ -29,12 +32,33 @@
                             const std::string & /*Checkpoint*/) {}
 };
 
+/// What a run adds to the load of its worker.
+struct RunLoad {
+  bool IsFiller_ = false;
+  /// The task has a tail latency target.
+  bool IsServing_ = false;
+  std::string Image_;
+  std::int64_t MilliCpu_ = 0;
+};
+
 /// The run time of a task and whether it fails.
 struct TaskOutcome {
   Duration Work_;
   bool Fails_ = false;
   /// Time between two checkpoints; 0 if the task produces none.
   Duration CheckpointInterval_{};
+  RunLoad Load_{};
+};
+
+/// How fillers lengthen the tail latencies of the serving tasks beside them.
+struct TailLatencies {
+  /// The tail latency without fillers.
+  double BaseMs_ = 10;
+  /// What a filler that uses the whole worker adds to the logarithm of the tail
+  /// latency, by the images of the serving task and of the filler.
+  std::map<std::pair<std::string, std::string>, double> Effects_;
+  /// Returns a random factor of a reported tail latency.
+  std::function<double()> DrawNoise_;
 };
 
 /// A worker that restarts with the same id and a new start time after a crash.
@@ -42,7 +66,9 @@
 public:
   SimulatedWorker(
       WorkerEntry Entry, double ClockRate, WorkerObserver &Observer,
-      std::function<TaskOutcome(const TaskName &, std::uint64_t)> DrawOutcome);
+      std::function<TaskOutcome(const TaskName &, std::uint64_t)> DrawOutcome,
+      std::shared_ptr<const TailLatencies> Tails =
+          std::make_shared<TailLatencies>());
 
   const WorkerEntry &entry() const { return Entry_; }
   /// Ends tasks whose run time has passed, and all tasks if the lease has
@@ -52,7 +78,7 @@
                     std::int64_t BornMs, TimePoint Now);
   CallOutcome stop(const StopTask &Stop, std::uint64_t Token,
                    std::int64_t BornMs, TimePoint Now);
-  CallOutcome pace(std::uint64_t Token, TimePoint Now);
+  CallOutcome pace(const PaceTask &Pace, std::uint64_t Token, TimePoint Now);
   CallOutcome renew(const RenewLease &Renewal, std::uint64_t Token,
                     std::int64_t BornMs, TimePoint Now, WorkerReport &Report);
   void crash(TimePoint Now);
@@ -75,6 +101,12 @@
     std::string Checkpoint_;
     Duration CheckpointInterval_{};
     TimePoint NextCheckpointAt_{};
+    RunLoad Load_;
+    int PacePercent_ = 100;
+    /// The last pace that was received, and when it comes into force.
+    std::optional<std::pair<TimePoint, int>> NextPace_{};
+    /// The tail latencies of the last half second.
+    std::deque<double> Tails_{};
   };
   struct UnacknowledgedEnd {
     EndedTask Task_;
@@ -82,11 +114,19 @@
   };
   void end(const std::string &Text, EndReason Reason, TimePoint Now);
   void saveCheckpoint(ActiveRun &Saved);
+  void applyPaces(TimePoint Now);
+  void observeTails(TimePoint Now);
+  double tailMs(const ActiveRun &Serving) const;
+  /// Returns the last entry of \p Listed in a report.
+  double reportedLoad(const ActiveRun &Listed) const;
 
   WorkerEntry Entry_;
   double ClockRate_;
   WorkerObserver &Observer_;
   std::function<TaskOutcome(const TaskName &, std::uint64_t)> DrawOutcome_;
+  std::shared_ptr<const TailLatencies> TailLatencies_;
+  TimePoint AdvancedAt_{};
+  TimePoint NextTailAt_{};
   TimePoint StartedAt_{};
   std::uint64_t Token_ = 0;
   std::int64_t DeadlineMs_ = 0;
