--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -35,6 +35,11 @@
   bool IsOtherIncarnation = Report.StartedAtMs_ != 0 &&
                             Worker->Entry_.StartedAtMs_ != 0 &&
                             Report.StartedAtMs_ != Worker->Entry_.StartedAtMs_;
+  // An answer that was under way for long. It is not the one to the renewal
+  // that is outstanding.
+  if (IsOtherIncarnation && Worker->HasReported_ &&
+      Report.StartedAtMs_ == Worker->PreviousStartedAtMs_)
+    return;
   if (IsOtherIncarnation) {
     Impl_->handleNextIncarnation(*Worker, Now, "report of a new life");
     WorkerEntry Entry = Worker->Entry_;
@@ -56,8 +61,16 @@
     return;
   }
   bool WasReachable = Worker->isReachable() && !Worker->IsExpired_;
+  // Its tasks run under leases of the previous tenure, which it has granted
+  // until now at the latest.
+  if (!Worker->HasReported_)
+    Worker->LeaseExpiresAt_ =
+        std::max(Worker->LeaseExpiresAt_,
+                 std::min(Impl_->leaseEnd(Impl_->Settings_.LeaseDuration_, Now),
+                          Impl_->predecessorLeaseEnd()));
   Worker->IsRenewing_ = false;
   Worker->HasReported_ = true;
+  Worker->HasEnded_ = false;
   Worker->IsExpired_ = false;
   Impl_->forgetLostRuns(*Worker);
   Worker->AcknowledgedEnd_ = Worker->SentAcknowledgement_;
