Oracle: no serving task is over its target for four seconds because of fillers

A filler that is placed as a last choice beside a serving task that it would harm must not harm it for long. The simulated workers know since when the tail latency of the last half second has been over its target; the oracle reports four seconds of it in a calm time.

--- a/packages/scheduling/tests/oracle.cpp
+++ b/packages/scheduling/tests/oracle.cpp
@@ -25,6 +25,8 @@
 constexpr Duration LongRunningCalm = std::chrono::milliseconds(4000);
 constexpr Duration LongRunningPause = std::chrono::milliseconds(6000);
 constexpr Duration LeaseDuration = SchedulerSettings().LeaseDuration_;
+/// How long a serving task may be over its target because of fillers.
+constexpr Duration MaxHarm = std::chrono::milliseconds(4000);
 /// How often a task may start after three workers have crashed under it.
 constexpr std::size_t MaxStartsAfterThirdCrash = 2;
 
@@ -271,6 +273,13 @@
   }
 }
 
+void Oracle::harmed(const std::string &Worker, TimePoint Since,
+                    TimePoint CalmSince, TimePoint Now) {
+  if (Now - std::max(Since, CalmSince + StableWindow) > MaxHarm &&
+      HarmedWorkers_.insert(Worker).second)
+    report("harm", Worker);
+}
+
 void Oracle::calm(TimePoint Since, TimePoint Now) {
   for (auto &[Id, Job] : Jobs_) {
     checkWaiting(Job, Now - Since, Now);
--- a/packages/scheduling/tests/oracle.h
+++ b/packages/scheduling/tests/oracle.h
@@ -56,6 +56,10 @@
   void leaving(const std::string &Worker, TimePoint Now);
   void labelled(const std::string &Worker,
                 const std::vector<std::string> &Labels);
+  /// A serving task on \p Worker has been over its target since \p Since
+  /// because of fillers, and there has been no fault since \p CalmSince.
+  void harmed(const std::string &Worker, TimePoint Since, TimePoint CalmSince,
+              TimePoint Now);
   /// There has been no fault since \p Since, the end of the last one.
   void calm(TimePoint Since, TimePoint Now);
 
@@ -142,6 +146,7 @@
   std::set<std::string> Excluded_;
   std::map<std::string, std::set<std::string>> Labels_;
   std::map<std::string, Duration> LongWaits_;
+  std::set<std::string> HarmedWorkers_;
   std::vector<Violation> Violations_;
   std::size_t Starts_ = 0;
   std::uint64_t NextCheckpoint_ = 1;
--- a/packages/scheduling/tests/simulated_cell.cpp
+++ b/packages/scheduling/tests/simulated_cell.cpp
@@ -97,8 +97,11 @@
   }
   if (Step.IsLongRunning_ && !Outcome.Fails_)
     Outcome.Work_ = std::chrono::hours(1);
-  Outcome.Load_ = {Step.IsFiller_, Step.TailLatencyTarget_ > Duration::zero(),
-                   Step.Image_, Step.Request_.MilliCpu_};
+  Outcome.Load_ = {
+      Step.IsFiller_,
+      std::chrono::duration<double, std::milli>(Step.TailLatencyTarget_)
+          .count(),
+      Step.Image_, Step.Request_.MilliCpu_};
   return Outcome;
 }
 
@@ -326,6 +329,9 @@
     noteFault();
   Oracle_.excluded(excludedWorkers());
   Oracle_.calm(FaultAt_, Now_);
+  for (const auto &[Id, Worker] : Workers_)
+    if (std::optional<TimePoint> Since = Worker->harmedSince())
+      Oracle_.harmed(Id, *Since, FaultAt_, Now_);
   explainViolations();
   after(Tick, [this, CellOwner] { tick(CellOwner); });
 }
--- a/packages/scheduling/tests/simulated_worker.cpp
+++ b/packages/scheduling/tests/simulated_worker.cpp
@@ -83,27 +83,42 @@
     return;
   NextTailAt_ = Now + TailInterval;
   for (auto &[Text, Run] : Runs_) {
-    if (!Run.Load_.IsServing_)
+    if (Run.Load_.TargetMs_ == 0)
       continue;
     Run.Tails_.push_back(tailMs(Run));
     if (Run.Tails_.size() > TailsPerReport)
       Run.Tails_.pop_front();
+    if (meanTailMs(Run) <= Run.Load_.TargetMs_)
+      Run.OverTargetSince_.reset();
+    else if (!Run.OverTargetSince_)
+      Run.OverTargetSince_ = Now;
   }
 }
 
+double SimulatedWorker::meanTailMs(const ActiveRun &Serving) const {
+  return std::accumulate(Serving.Tails_.begin(), Serving.Tails_.end(), 0.0) /
+         static_cast<double>(Serving.Tails_.size());
+}
+
+std::optional<TimePoint> SimulatedWorker::harmedSince() const {
+  std::optional<TimePoint> First;
+  for (const auto &[Text, Run] : Runs_)
+    if (Run.OverTargetSince_ && (!First || *Run.OverTargetSince_ < *First))
+      First = Run.OverTargetSince_;
+  return First;
+}
+
 double SimulatedWorker::reportedLoad(const ActiveRun &Listed) const {
   if (Listed.Load_.IsFiller_)
     return static_cast<double>(Listed.Load_.MilliCpu_) * Listed.PacePercent_ /
            100.0;
-  if (!Listed.Load_.IsServing_)
+  if (Listed.Load_.TargetMs_ == 0)
     return 1;
   if (Listed.Tails_.empty())
     return TailLatencies_->BaseMs_;
-  double Mean =
-      std::accumulate(Listed.Tails_.begin(), Listed.Tails_.end(), 0.0) /
-      static_cast<double>(Listed.Tails_.size());
-  return std::round(
-      Mean * (TailLatencies_->DrawNoise_ ? TailLatencies_->DrawNoise_() : 1));
+  return std::round(meanTailMs(Listed) * (TailLatencies_->DrawNoise_
+                                              ? TailLatencies_->DrawNoise_()
+                                              : 1));
 }
 
 void SimulatedWorker::advance(TimePoint Now) {
@@ -216,7 +231,7 @@
   Report.StartedAtMs_ = Entry_.StartedAtMs_;
   for (const auto &[Text, Run] : Runs_)
     Report.RunningTasks_.push_back({Run.Name_, Run.Run_, Run.Checkpoint_,
-                                    Run.Load_.IsServing_ ? 100.0 : 50.0,
+                                    Run.Load_.TargetMs_ > 0 ? 100.0 : 50.0,
                                     reportedLoad(Run)});
   for (const UnacknowledgedEnd &End : Ends_)
     Report.EndedTasks_.push_back(End.Task_);
--- a/packages/scheduling/tests/simulated_worker.h
+++ b/packages/scheduling/tests/simulated_worker.h
@@ -35,8 +35,8 @@
 /// What a run adds to the load of its worker.
 struct RunLoad {
   bool IsFiller_ = false;
-  /// The task has a tail latency target.
-  bool IsServing_ = false;
+  /// The tail latency target of a serving task; 0 for other tasks.
+  double TargetMs_ = 0;
   std::string Image_;
   std::int64_t MilliCpu_ = 0;
 };
@@ -89,6 +89,9 @@
     return Entry_;
   }
   bool holds(const std::string &Text) const { return Runs_.contains(Text); }
+  /// Returns since when a serving task has been over its target because of
+  /// fillers; nothing if none is.
+  std::optional<TimePoint> harmedSince() const;
   bool hasEnds() const { return !Ends_.empty(); }
   std::int64_t clockMs(TimePoint Now) const;
 
@@ -107,6 +110,7 @@
     std::optional<std::pair<TimePoint, int>> NextPace_{};
     /// The tail latencies of the last half second.
     std::deque<double> Tails_{};
+    std::optional<TimePoint> OverTargetSince_{};
   };
   struct UnacknowledgedEnd {
     EndedTask Task_;
@@ -117,6 +121,8 @@
   void applyPaces(TimePoint Now);
   void observeTails(TimePoint Now);
   double tailMs(const ActiveRun &Serving) const;
+  /// Returns the tail latency of the last half second.
+  double meanTailMs(const ActiveRun &Serving) const;
   /// Returns the last entry of \p Listed in a report.
   double reportedLoad(const ActiveRun &Listed) const;
 
--- a/packages/scheduling/tests/waiting_histories_test.cpp
+++ b/packages/scheduling/tests/waiting_histories_test.cpp
@@ -320,9 +320,8 @@
       continue;
     std::string Text = Found.Rule_ + ": " + Found.Detail_;
     if (auto Wait = Waits.find(Text); Wait != Waits.end())
-      Text += fmt::format(" for {} ms", Wait->second / 1ms);
-    if (Index < Cell_.explanations().size())
-      Text += "; " + Cell_.explanations()[Index];
+      Text += fmt::format(" for {} ms; {}", Wait->second / 1ms,
+                          Cell_.explanations()[Index]);
     Broken.push_back(Text);
   }
   return Broken;
