--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -48,9 +48,7 @@
     // Not registered: only the registration of this incarnation shows its
     // capacity, its labels and whether it drains.
     Impl_->resetWorker(*Worker, Entry);
-    Impl_->scheduleRenewal(*Worker, Now);
     Impl_->WorkersToStore_.insert(Id);
-    return;
   }
   TimePoint SentAt = Worker->RenewalSentAt_;
   // The runs of this worker were abandoned. It is used again only when the
@@ -64,10 +62,9 @@
   // Its tasks run under leases of the previous tenure, which it has granted
   // until now at the latest.
   if (!Worker->HasReported_)
-    Worker->LeaseExpiresAt_ =
-        std::max(Worker->LeaseExpiresAt_,
-                 std::min(Impl_->leaseEnd(Impl_->Settings_.LeaseDuration_, Now),
-                          Impl_->predecessorLeaseEnd()));
+    Worker->PredecessorLeaseEnd_ =
+        std::min(Impl_->leaseEnd(Impl_->Settings_.LeaseDuration_, Now),
+                 Impl_->predecessorLeaseEnd());
   Worker->IsRenewing_ = false;
   Worker->HasReported_ = true;
   Worker->HasEnded_ = false;
