Overdue fillers: slow starts are not limited on a calm service, nor by their pace

The limit is for a service under load. It does not hold while less than half of the processors is in use, fillers included, and any pace above 0 is enough.

--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -304,6 +304,8 @@
   /// to be slow; nothing if it has not waited long enough, or is too slow.
   std::optional<double> slowStartCost(WorkerState &Worker, const StepSpec &Step,
                                       Duration Wait) const;
+  /// Returns how many fillers may be started now that have to be slow.
+  std::size_t slowStartsLeft() const;
   /// Returns the pace that a filler of \p Step would get on \p Worker, in
   /// percent of full speed.
   int expectedPacePercent(const WorkerState &Worker,
--- a/packages/scheduling/src/scheduler_overdue.cpp
+++ b/packages/scheduling/src/scheduler_overdue.cpp
@@ -22,10 +22,10 @@
 constexpr std::size_t MaxOverdueSearches = 16;
 constexpr std::size_t FillerSearches = 4;
 /// Fillers that were started although they have to be slow are at most this
-/// fraction of the workers. They slow down the others beside them.
+/// fraction of the workers, since they slow down the others beside them ...
 constexpr std::size_t SlowStartDivisor = 8;
-/// A filler that would be slower is not started, in percent of full speed.
-constexpr int MinSlowStartPercent = 10;
+/// ... unless a smaller fraction of the processors than this is in use.
+constexpr double MaxCalmUtilization = 0.5;
 /// Workers of which the pace of a slow start is computed, those with the least
 /// interference first.
 constexpr std::size_t MaxPaceEstimates = 16;
@@ -96,6 +96,22 @@
   return IsStarved && !Overdue.empty() ? 1 : 0;
 }
 
+std::size_t Scheduler::Impl::slowStartsLeft() const {
+  double MilliCpu = 0;
+  double Used = 0;
+  std::size_t SlowStarts = 0;
+  for (const UsableWorker &Usable : UsableWorkers_) {
+    const WorkerState &Worker = *Usable.Worker_;
+    MilliCpu += Worker.milliCpu();
+    Used += Worker.utilizationWithFiller(0) * Worker.milliCpu();
+    SlowStarts += Worker.SlowStarts_;
+  }
+  if (Used < MaxCalmUtilization * MilliCpu)
+    return UsableWorkers_.size();
+  std::size_t MaxSlowStarts = 1 + UsableWorkers_.size() / SlowStartDivisor;
+  return MaxSlowStarts - std::min(MaxSlowStarts, SlowStarts);
+}
+
 void Scheduler::Impl::placeOverdueTasks(std::span<const OverdueTask> Overdue,
                                         TimePoint Now) {
   if (Overdue.empty())
@@ -105,11 +121,7 @@
   else if (!OverdueSince_)
     OverdueSince_ = Now;
   UnplaceableOverdue_.clear();
-  std::size_t SlowStarts = 0;
-  for (const UsableWorker &Usable : UsableWorkers_)
-    SlowStarts += Usable.Worker_->SlowStarts_;
-  std::size_t MaxSlowStarts = 1 + UsableWorkers_.size() / SlowStartDivisor;
-  SlowStartsLeft_ = MaxSlowStarts - std::min(MaxSlowStarts, SlowStarts);
+  SlowStartsLeft_ = slowStartsLeft();
   std::map<std::string, bool> HasAmpleCapacity;
   std::size_t Searches = 0;
   std::size_t Position =
@@ -152,7 +164,7 @@
   auto IsTooSlow = [&](WorkerState &Worker) {
     return findFillerObstacle(Worker, Request.Step_) &&
            (++PaceEstimates > MaxPaceEstimates ||
-            expectedPacePercent(Worker, Request.Step_) < MinSlowStartPercent);
+            expectedPacePercent(Worker, Request.Step_) == 0);
   };
   while (!Offers.empty() && IsTooSlow(*Offers.front().Worker_)) {
     std::pop_heap(Offers.begin(), Offers.end());
