--- a/packages/scheduling/src/obstacle.cpp
+++ b/packages/scheduling/src/obstacle.cpp
@@ -26,7 +26,10 @@
     {Obstacle::NotUsable, "not_usable", {}},
     {Obstacle::NotAllowed, "not_allowed", {}},
     {Obstacle::NoCapacity, "no_capacity", {}},
-    {Obstacle::Avoided, "avoided", MaxJudgementWait},
+    // For a second at most. Without it, a worker that refuses all starts would
+    // be chosen again and again.
+    {Obstacle::Avoided, "avoided", {}},
+    {Obstacle::Quarantined, "quarantined", MaxJudgementWait},
     // It may use all of the worker, and is being stopped.
     {Obstacle::UnknownRun, "unknown_run", {}},
     // Calls time out.
@@ -37,7 +40,7 @@
     {Obstacle::ReservedForJob, "reserved_for_job", MaxReservationWait},
     {Obstacle::NotIsolated, "not_isolated", MaxIsolationWait},
     {Obstacle::StepLimit, "step_limit", {}},
-    // Ends with the suspension of the fillers.
+    // Until the serving task has recovered; fillers beside it are suspended.
     {Obstacle::OverTarget, "over_target", {}},
     {Obstacle::Utilization, "utilization", MaxJudgementWait},
     {Obstacle::Interference, "interference", MaxJudgementWait},
--- a/packages/scheduling/src/obstacle.h
+++ b/packages/scheduling/src/obstacle.h
@@ -25,8 +25,10 @@
   NotAllowed,
   /// Its runs leave too little of its capacity.
   NoCapacity,
-  /// Quarantined, or avoided for a moment after a failed command.
+  /// A start command failed there a moment ago.
   Avoided,
+  /// It has failed several tasks in a row.
+  Quarantined,
   /// It executes a run of an unknown job.
   UnknownRun,
   /// Too many start commands are outstanding.
@@ -48,7 +50,7 @@
   /// A filler may violate a tail latency target.
   Interference,
 };
-inline constexpr std::size_t ObstacleCount = 14;
+inline constexpr std::size_t ObstacleCount = 15;
 
 /// Returns the name of \p Value in logs.
 std::string_view nameOf(Obstacle Value);
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -139,6 +139,19 @@
   TimePoint WaitsSince_;
 };
 
+/// The tasks that must not wait any longer, each in the order of their waits.
+struct OverdueTasks {
+  std::vector<OverdueTask> LongRunning_;
+  /// One for each step of a timed job without a placed task.
+  std::vector<OverdueTask> Timed_;
+};
+
+/// Which of the overdue tasks are searched for next.
+struct OverdueSweep {
+  std::size_t Position_ = 0;
+  bool ContinuesNext_ = false;
+};
+
 /// A worker that is reserved for a step of a job until it has capacity for one
 /// of its tasks.
 struct CapacityReservation {
@@ -281,18 +294,20 @@
   void releaseDueSteps(TimePoint Now);
   std::size_t placeWaitingTasks(TimePoint Now, std::size_t MaxStarts);
   void findUsableWorkers(TimePoint Now);
-  /// Returns the tasks that must not wait any longer: long-running ones, and
-  /// one task of each timed job of which no task is placed. Empty between two
-  /// checks. Linear in the waiting jobs and their tasks.
-  std::vector<OverdueTask> findOverdueTasks(TimePoint Now);
-  /// Returns how many starts a placement pass leaves to \p Overdue.
-  std::size_t startsForOverdueTasks(std::span<const OverdueTask> Overdue,
-                                    TimePoint Now) const;
+  /// Returns the tasks that must not wait any longer. Empty between two checks.
+  /// Linear in the waiting jobs and their tasks.
+  OverdueTasks findOverdueTasks(TimePoint Now);
+  /// Returns how many of the \p Limit starts of a placement pass are left to
+  /// \p Overdue.
+  std::size_t startsForOverdueTasks(const OverdueTasks &Overdue,
+                                    std::size_t Limit, TimePoint Now) const;
   /// Places those of \p Overdue that have not been placed in this pass because
   /// of a judgement, timed ones only while their service has ample capacity.
   /// Linear in the number of workers for a few tasks; the rest follow in the
   /// next checks.
-  void placeOverdueTasks(std::span<const OverdueTask> Overdue, TimePoint Now);
+  void placeOverdueTasks(const OverdueTasks &Overdue, TimePoint Now);
+  void sweepOverdueTasks(std::span<const OverdueTask> Tasks,
+                         OverdueSweep &Sweep, TimePoint Now);
   /// Returns whether a worker was searched for.
   bool placeOverdueTask(const OverdueTask &Overdue, TimePoint Now);
   /// Returns the cost of placing an overdue task on \p Worker, if that is
@@ -462,10 +477,10 @@
   TimePoint NextPlacementAt_{};
   TimePoint NextWaitReportAt_{};
   TimePoint NextOverdueCheckAt_{};
-  /// Since when no start has been left for overdue tasks.
+  /// Since when no start has been left for overdue long-running tasks.
   std::optional<TimePoint> OverdueSince_;
-  /// The position of the next overdue task to search a worker for.
-  std::size_t OverduePosition_ = 0;
+  OverdueSweep LongRunningSweep_;
+  OverdueSweep TimedSweep_;
   /// How many fillers may still be started in this pass that have to be slow.
   std::size_t SlowStartsLeft_ = 0;
   /// Requests of overdue tasks for which no worker was found in the present
--- a/packages/scheduling/src/scheduler_overdue.cpp
+++ b/packages/scheduling/src/scheduler_overdue.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 
 namespace filbertspring::scheduling {
 namespace {
@@ -13,9 +14,10 @@
 /// Tasks that have waited for less are not overdue.
 constexpr Duration MinOverdueWait = std::chrono::milliseconds(2000);
 constexpr Duration OverdueCheckInterval = std::chrono::milliseconds(200);
-/// If no start has been left for overdue tasks for this time, the next pass
-/// leaves one.
+/// If no start has been left for overdue long-running tasks for this time, the
+/// next passes leave them a part of theirs.
 constexpr Duration MaxOverdueDelay = std::chrono::milliseconds(300);
+constexpr std::size_t OverdueStartsDivisor = 4;
 /// Overdue tasks for which a worker is searched in one check, which bounds the
 /// time that it takes while many tasks wait. A filler counts as several, since
 /// its effect on each worker is estimated.
@@ -32,6 +34,9 @@
 /// Cost of a worker that a judgement speaks against, in units of a fully used
 /// worker. Exceeds all other costs.
 constexpr double OverrideCost = 100.0;
+/// Cost of the worker on which the task last failed. Exceeds that of others
+/// that judgements speak against.
+constexpr double RepeatedFailureCost = 3 * OverrideCost;
 
 bool isFiller(const OverdueTask &Overdue) {
   const Job &TheJob = Overdue.Record_->Job_;
@@ -44,8 +49,8 @@
 
 } // namespace
 
-std::vector<OverdueTask> Scheduler::Impl::findOverdueTasks(TimePoint Now) {
-  std::vector<OverdueTask> Overdue;
+OverdueTasks Scheduler::Impl::findOverdueTasks(TimePoint Now) {
+  OverdueTasks Overdue;
   if (Now < NextOverdueCheckAt_)
     return Overdue;
   NextOverdueCheckAt_ = Now + OverdueCheckInterval;
@@ -61,18 +66,29 @@
       // Also those that are held back: the number of their starts has no limit.
       for (std::uint32_t Slot : Waiting.waiting())
         if (IsOverdue(Waiting.at(Slot)))
-          Overdue.push_back({Record, Slot, waitsSince(Waiting.at(Slot))});
+          Overdue.LongRunning_.push_back(
+              {Record, Slot, waitsSince(Waiting.at(Slot))});
       continue;
     }
-    std::uint32_t Slot = Waiting.longestWaiting();
-    if (IsOverdue(Waiting.at(Slot)) && !isHeldBack(Waiting.at(Slot)) &&
-        !Waiting.hasPlacedTask())
-      Overdue.push_back({Record, Slot, waitsSince(Waiting.at(Slot))});
+    if (!IsOverdue(Waiting.at(Waiting.longestWaiting())) ||
+        Waiting.hasPlacedTask())
+      continue;
+    // Another step may fit where the first one does not.
+    std::uint32_t EndOfLastStep = 0;
+    for (std::uint32_t Slot : Waiting.waiting()) {
+      if (Slot < EndOfLastStep || !IsOverdue(Waiting.at(Slot)) ||
+          isHeldBack(Waiting.at(Slot)))
+        continue;
+      EndOfLastStep = Waiting.endOfStep(Slot);
+      Overdue.Timed_.push_back({Record, Slot, waitsSince(Waiting.at(Slot))});
+    }
   }
-  std::sort(Overdue.begin(), Overdue.end(),
-            [](const OverdueTask &Left, const OverdueTask &Right) {
-              return Left.WaitsSince_ < Right.WaitsSince_;
-            });
+  for (std::vector<OverdueTask> *Tasks :
+       {&Overdue.LongRunning_, &Overdue.Timed_})
+    std::sort(Tasks->begin(), Tasks->end(),
+              [](const OverdueTask &Left, const OverdueTask &Right) {
+                return Left.WaitsSince_ < Right.WaitsSince_;
+              });
   return Overdue;
 }
 
@@ -89,11 +105,14 @@
   return Total.fits(Reserved, {});
 }
 
-std::size_t
-Scheduler::Impl::startsForOverdueTasks(std::span<const OverdueTask> Overdue,
-                                       TimePoint Now) const {
+std::size_t Scheduler::Impl::startsForOverdueTasks(const OverdueTasks &Overdue,
+                                                   std::size_t Limit,
+                                                   TimePoint Now) const {
   bool IsStarved = OverdueSince_ && Now - *OverdueSince_ >= MaxOverdueDelay;
-  return IsStarved && !Overdue.empty() ? 1 : 0;
+  if (!IsStarved)
+    return 0;
+  return std::min(Overdue.LongRunning_.size(),
+                  std::max<std::size_t>(1, Limit / OverdueStartsDivisor));
 }
 
 std::size_t Scheduler::Impl::slowStartsLeft() const {
@@ -112,36 +131,43 @@
   return MaxSlowStarts - std::min(MaxSlowStarts, SlowStarts);
 }
 
-void Scheduler::Impl::placeOverdueTasks(std::span<const OverdueTask> Overdue,
+void Scheduler::Impl::placeOverdueTasks(const OverdueTasks &Overdue,
                                         TimePoint Now) {
-  if (Overdue.empty())
-    return;
-  if (StartsLeft_ > 0)
-    OverdueSince_.reset();
-  else if (!OverdueSince_)
-    OverdueSince_ = Now;
   UnplaceableOverdue_.clear();
-  SlowStartsLeft_ = slowStartsLeft();
-  std::map<std::string, bool> HasAmpleCapacity;
-  std::size_t Searches = 0;
+  if (!Overdue.Timed_.empty())
+    SlowStartsLeft_ = slowStartsLeft();
+  sweepOverdueTasks(Overdue.LongRunning_, LongRunningSweep_, Now);
+  sweepOverdueTasks(Overdue.Timed_, TimedSweep_, Now);
+}
+
+void Scheduler::Impl::sweepOverdueTasks(std::span<const OverdueTask> Tasks,
+                                        OverdueSweep &Sweep, TimePoint Now) {
+  if (Tasks.empty())
+    return;
+  // Every second time those that have waited longest are searched for again.
+  bool ContinuesLast =
+      std::exchange(Sweep.ContinuesNext_, !Sweep.ContinuesNext_);
   std::size_t Position =
-      OverduePosition_ < Overdue.size() ? OverduePosition_ : 0;
-  for (; Position < Overdue.size() && Searches < MaxOverdueSearches &&
-         StartsLeft_ > 0;
+      ContinuesLast && Sweep.Position_ < Tasks.size() ? Sweep.Position_ : 0;
+  std::map<std::string, bool> HasAmpleCapacity;
+  for (std::size_t Searches = 0;
+       Position < Tasks.size() && Searches < MaxOverdueSearches &&
+       StartsLeft_ > 0;
        ++Position) {
-    const Job &Waiting = Overdue[Position].Record_->Job_;
+    const Job &Waiting = Tasks[Position].Record_->Job_;
     if (!Waiting.isLongRunning()) {
       const std::string &Service = serviceOf(Waiting);
       auto [It, IsNew] = HasAmpleCapacity.try_emplace(Service);
       if (IsNew)
         It->second = hasAmpleCapacity(Service);
-      if (!It->second)
+      if (!It->second || Waiting.hasPlacedTask())
         continue;
     }
-    if (placeOverdueTask(Overdue[Position], Now))
-      Searches += isFiller(Overdue[Position]) ? FillerSearches : 1;
+    if (placeOverdueTask(Tasks[Position], Now))
+      Searches += isFiller(Tasks[Position]) ? FillerSearches : 1;
   }
-  OverduePosition_ = Position < Overdue.size() ? Position : 0;
+  if (ContinuesLast || Position > Sweep.Position_)
+    Sweep.Position_ = Position;
 }
 
 bool Scheduler::Impl::placeOverdueTask(const OverdueTask &Overdue,
@@ -157,8 +183,11 @@
   std::vector<WorkerOffer> Offers;
   for (const UsableWorker &Usable : UsableWorkers_)
     if (std::optional<double> Cost = overdueCost(
-            *Usable.Worker_, Request, Now - Overdue.WaitsSince_, Now))
+            *Usable.Worker_, Request, Now - Overdue.WaitsSince_, Now)) {
+      if (Usable.Worker_->Entry_.Id_ == Waiting.LastFailedWorker_)
+        *Cost += RepeatedFailureCost;
       Offers.push_back({*Cost, Usable.Worker_});
+    }
   std::make_heap(Offers.begin(), Offers.end());
   std::size_t PaceEstimates = 0;
   auto IsTooSlow = [&](WorkerState &Worker) {
@@ -171,7 +200,13 @@
     Offers.pop_back();
   }
   if (Offers.empty()) {
-    if (Request.Step_.MaxPerWorker_ == 0)
+    // One that has a run of this task could take others of the step.
+    bool HasRun =
+        std::any_of(UsableWorkers_.begin(), UsableWorkers_.end(),
+                    [&](const UsableWorker &Usable) {
+                      return Usable.Worker_->Runs_.contains(Request.TaskText_);
+                    });
+    if (Request.Step_.MaxPerWorker_ == 0 && !HasRun)
       UnplaceableOverdue_.add(Request);
     return true;
   }
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -150,8 +150,8 @@
   Unplaceable_.clear();
   releaseReservations();
   findUsableWorkers(Now);
-  std::vector<OverdueTask> Overdue = findOverdueTasks(Now);
-  std::size_t OverdueStarts = startsForOverdueTasks(Overdue, Now);
+  OverdueTasks Overdue = findOverdueTasks(Now);
+  std::size_t OverdueStarts = startsForOverdueTasks(Overdue, Limit, Now);
   StartsLeft_ = Limit - OverdueStarts;
   // Suspected tasks get the few workers on which all runs have settled. They
   // leave starts to the others, which may be more urgent.
@@ -168,6 +168,10 @@
     placeJob(*Waiting.Record_, false, Now);
   }
   NeedsPlacement_ = IsCutShort || StartsLeft_ == 0;
+  if (StartsLeft_ > 0)
+    OverdueSince_.reset();
+  else if (!OverdueSince_ && !Overdue.LongRunning_.empty())
+    OverdueSince_ = Now;
   StartsLeft_ += OverdueStarts;
   placeOverdueTasks(Overdue, Now);
   reportWaits(Now);
@@ -185,8 +189,11 @@
     Free -= Worker.Used_;
     Worker.UsablePosition_ = UsableWorkers_.size();
     UsableWorkers_.push_back({&Worker, Free});
-    ReservableWorkers_ +=
-        Worker.AvoidUntil_ <= Now && Worker.FreshSuspects_ == 0 ? 1 : 0;
+    ReservableWorkers_ += Worker.AvoidUntil_ <= Now &&
+                                  Worker.QuarantinedUntil_ <= Now &&
+                                  Worker.FreshSuspects_ == 0
+                              ? 1
+                              : 0;
   }
 }
 
@@ -332,9 +339,15 @@
   auto Counts = [Wait](Obstacle Judgement) {
     return Wait < maxWait(Judgement).value_or(Duration::max());
   };
-  if (Worker.AvoidUntil_ > Now && Counts(Obstacle::Avoided))
+  if (Worker.AvoidUntil_ > Now)
     return Obstacle::Avoided;
-  if (Worker.FreshSuspects_ > 0 && Counts(Obstacle::FreshSuspect))
+  if (Worker.QuarantinedUntil_ > Now && Counts(Obstacle::Quarantined))
+    return Obstacle::Quarantined;
+  // Two suspected tasks that start together crash together, and the one that is
+  // not at fault would be given up, too.
+  bool IsSuspected = Request.Isolation_ != Isolation::None;
+  if (Worker.FreshSuspects_ > 0 &&
+      (IsSuspected || Counts(Obstacle::FreshSuspect)))
     return Obstacle::FreshSuspect;
   // A timed task could take the capacity that a larger one waits for.
   if (!Worker.ReservedJob_.empty() &&
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -167,7 +167,7 @@
   if (Worker.FailureStreak_ >= QuarantineFailures) {
     std::uint32_t Doublings = std::min(
         Worker.FailureStreak_ - QuarantineFailures, MaxQuarantineDoublings);
-    Worker.AvoidUntil_ = Now + InitialQuarantine * (1U << Doublings);
+    Worker.QuarantinedUntil_ = Now + InitialQuarantine * (1U << Doublings);
     recordEvent(LogEvent::WorkerQuarantined,
                 {{"worker", Worker.Entry_.Id_},
                  {"failures", std::to_string(Worker.FailureStreak_)}});
--- a/packages/scheduling/src/worker_state.h
+++ b/packages/scheduling/src/worker_state.h
@@ -164,6 +164,9 @@
   std::int64_t LastDeadlineMs_ = 0;
   /// The worker gets no start commands before this time.
   TimePoint AvoidUntil_{};
+  /// The worker has failed several tasks in a row and gets no others before
+  /// this time.
+  TimePoint QuarantinedUntil_{};
   /// The position among the usable workers of the present placement pass.
   std::size_t UsablePosition_ = 0;
   /// When a worker that drains is next searched for tasks to move.
--- a/packages/scheduling/tests/long_running_wait_test.cpp
+++ b/packages/scheduling/tests/long_running_wait_test.cpp
@@ -169,6 +169,34 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(beside_one_that_crashes_its_worker)
+
+// Suspected tasks that start together crash together.
+BOOST_AUTO_TEST_CASE(does_not_fail_with_it) {
+  WatchedCell Pair(2);
+  for (int Number = 0; Number < 13; ++Number)
+    Pair.submit("good" + std::to_string(Number),
+                {WatchedCell::longRunning(1, 1000)});
+  Pair.play(2s);
+  Pair.submit("bad", {WatchedCell::longRunning(1, 1000)});
+  std::optional<TimePoint> RunsSince;
+  for (TimePoint End = Pair.Now_ + 150s; Pair.Now_ < End;) {
+    Pair.play(20ms);
+    std::string Worker = Pair.workerOf("bad.0.0.0");
+    if (Worker.empty())
+      RunsSince.reset();
+    else if (!RunsSince)
+      RunsSince = Pair.Now_;
+    else if (Pair.Now_ - *RunsSince >= 900ms)
+      Pair.crash(Worker);
+  }
+  for (int Number = 0; Number < 13; ++Number)
+    BOOST_TEST((Pair.Scheduler_.stateOf("good" + std::to_string(Number)) ==
+                JobState::Running));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(that_was_not_at_fault)
 
 BOOST_FIXTURE_TEST_CASE(does_not_wait_until_workers_that_left_are_judged,
