--- a/packages/scheduling/src/crash_attribution.cpp
+++ b/packages/scheduling/src/crash_attribution.cpp
@@ -48,6 +48,10 @@
   return Progress.CrashedWorkers_.size() + Progress.Exposures_ > 1;
 }
 
+bool isNearlyGivenUp(const TaskProgress &Progress) {
+  return Progress.CrashedWorkers_.size() + 2 >= MaxCrashes;
+}
+
 bool isHeldBack(const Task &Waiting) {
   return Waiting.PendingLosses_ > 0 &&
          Waiting.Progress_.CrashedWorkers_.size() + Waiting.PendingLosses_ >=
--- a/packages/scheduling/src/crash_attribution.h
+++ b/packages/scheduling/src/crash_attribution.h
@@ -43,6 +43,9 @@
 
 /// Returns whether a task is to be started in isolation.
 bool isSuspected(const TaskProgress &Progress);
+/// Returns whether a task may have caused so many crashes that a few more end
+/// its job.
+bool isNearlyGivenUp(const TaskProgress &Progress);
 /// Returns whether a task may have caused several crashes.
 bool isSuspectedRepeatedly(const TaskProgress &Progress);
 
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -111,6 +111,9 @@
   /// The resources that are counted against a worker's capacity.
   Resources Needed_;
   Isolation Isolation_ = Isolation::None;
+  /// Suspected tasks that start together crash together. One that has crashed
+  /// often is not placed beside another one, since it would be given up soon.
+  bool IsNearlyGivenUp_ = false;
 };
 
 /// The task that has waited longest of some jobs.
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -212,6 +212,7 @@
       Name.text(), Step.Request_,     neededIsolation(TheJob.at(Slot), Now)};
   if (Step.IsFiller_)
     Request.Needed_.MilliCpu_ = 0;
+  Request.IsNearlyGivenUp_ = isNearlyGivenUp(TheJob.at(Slot).Progress_);
   return Request;
 }
 
@@ -343,11 +344,8 @@
     return Obstacle::Avoided;
   if (Worker.QuarantinedUntil_ > Now && Counts(Obstacle::Quarantined))
     return Obstacle::Quarantined;
-  // Two suspected tasks that start together crash together, and the one that is
-  // not at fault would be given up, too.
-  bool IsSuspected = Request.Isolation_ != Isolation::None;
   if (Worker.FreshSuspects_ > 0 &&
-      (IsSuspected || Counts(Obstacle::FreshSuspect)))
+      (Request.IsNearlyGivenUp_ || Counts(Obstacle::FreshSuspect)))
     return Obstacle::FreshSuspect;
   // A timed task could take the capacity that a larger one waits for.
   if (!Worker.ReservedJob_.empty() &&
