Overdue tasks: one that is nearly given up says nothing about others

A task with three crashes is kept from workers with fresh suspects; that no worker is left for it does not mean that there is none for other suspected tasks. Found by reading.

--- a/packages/scheduling/src/scheduler_overdue.cpp
+++ b/packages/scheduling/src/scheduler_overdue.cpp
@@ -206,7 +206,9 @@
                     [&](const UsableWorker &Usable) {
                       return Usable.Worker_->Runs_.contains(Request.TaskText_);
                     });
-    if (Request.Step_.MaxPerWorker_ == 0 && !HasRun)
+    bool IsLikeOthers = Request.Step_.MaxPerWorker_ == 0 &&
+                        !Request.IsNearlyGivenUp_ && !HasRun;
+    if (IsLikeOthers)
       UnplaceableOverdue_.add(Request);
     return true;
   }
