--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -15,6 +15,7 @@
       Scenarios = {{"many-ends", review::manyEnds},
                    {"crash-loop", review::crashLoop},
                    {"cancelled-unseen", review::cancelledUnseen},
+                   {"stale-start", review::staleStart},
                    {"queue-removed", review::queueRemoved}};
   if (Count != 4 || !Scenarios.contains(Arguments[1])) {
     std::fprintf(stderr, "usage: scenario NAME FOLDER RECORD\n");
--- a/review/standin/scenarios.cpp
+++ b/review/standin/scenarios.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <map>
 
 namespace review {
@@ -225,6 +226,54 @@
   return Broken > 0 ? Verdict::Broken : Verdict::Held;
 }
 
+/// An executor loses power just before it gets work, and the owner of the cell
+/// stands still. Both are back at the same time, when another node owns the
+/// cell.
+Verdict staleStart(const std::string &Folder, bool HasTrouble) {
+  constexpr double FreezeAt = 0.4;
+  constexpr double BackAt = 4.35;
+  constexpr const char *Job = "00000000000000f1";
+  Deployment Site(Folder);
+  auto Decide = [](const std::string &) {
+    return Work{Milliseconds(3000), false};
+  };
+  addWorkers(Site, 8, Decide);
+  Site.configure(1, true);
+  Site.start();
+  Node *Owner = Site.owner();
+  if (!Owner)
+    return Verdict::NotRun;
+  Worker &Lost = *Site.Workers_[3];
+  Clock::time_point Begin = Clock::now();
+  auto SleepUntil = [Begin](double Seconds) {
+    std::this_thread::sleep_until(
+        Begin + Milliseconds(static_cast<std::int64_t>(Seconds * 1000)));
+  };
+  if (HasTrouble)
+    Lost.losePower();
+  SleepUntil(0.05);
+  Answer Reply = Site.otherThan(Owner).call(
+      "POST", std::string("/album/") + Job,
+      R"({"Spec":"quote","Steps":[{"Count":32,"AntiAffinity":4,"Cpu":4100,"MemMb":8200,)"
+      R"("EstimateMs":3000}]})");
+  if (!submitted(Reply).empty())
+    return Verdict::NotRun;
+  SleepUntil(FreezeAt);
+  if (HasTrouble)
+    Owner->signal(SIGSTOP);
+  SleepUntil(BackAt);
+  if (HasTrouble) {
+    Lost.start("127.0.1.4");
+    Owner->signal(SIGCONT);
+  }
+  waitUntil([&] { return Site.stateOf(Job) == "completed"; },
+            Milliseconds(40'000));
+  pause(2.0);
+  std::size_t Broken = countDoubleRuns(Site);
+  record("check   starts that break the rule: " + std::to_string(Broken));
+  return Broken > 0 ? Verdict::Broken : Verdict::Held;
+}
+
 /// A queue is removed from the configuration and added again while a job runs
 /// of which a task fails once; the queue allows for three attempts.
 Verdict queueRemoved(const std::string &Folder, bool HasTrouble) {
--- a/review/standin/scenarios.h
+++ b/review/standin/scenarios.h
@@ -13,6 +13,7 @@
 Verdict manyEnds(const std::string &Folder, bool HasTrouble);
 Verdict crashLoop(const std::string &Folder, bool HasTrouble);
 Verdict cancelledUnseen(const std::string &Folder, bool HasTrouble);
+Verdict staleStart(const std::string &Folder, bool HasTrouble);
 Verdict queueRemoved(const std::string &Folder, bool HasTrouble);
 
 } // namespace review
--- a/review/standin/worker.cpp
+++ b/review/standin/worker.cpp
@@ -61,6 +61,12 @@
 
 void Worker::start(const std::string &Ip) {
   Ip_ = Ip;
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    ++Life_;
+  }
+  Changed_.notify_all();
+  Server_.stop();
   Server_.start(Ip, Port_);
   std::lock_guard<std::mutex> Lock(Mutex_);
   Port_ = Server_.port();
@@ -76,6 +82,7 @@
   HighestEnded_.clear();
   Ends_.clear();
   IsUp_ = true;
+  IsWithoutPower_ = false;
   NextBeatAt_ = Clock::now();
   record("worker  " + Id_ + " up, born " + std::to_string(BornMs_));
 }
@@ -95,6 +102,21 @@
   Server_.stop();
 }
 
+void Worker::losePower() {
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    IsUp_ = false;
+    IsWithoutPower_ = true;
+    ++Life_;
+    DownSince_ = Clock::now();
+    record("worker  " + Id_ + " loses power");
+    for (const auto &[Task, Active] : Runs_)
+      Log_.add(Id_, Task, Active.Run_, "crashed");
+    Runs_.clear();
+  }
+  Changed_.notify_all();
+}
+
 std::size_t Worker::running() const {
   std::lock_guard<std::mutex> Lock(Mutex_);
   return Runs_.size();
@@ -119,7 +141,11 @@
 
 std::optional<Answer> Worker::handle(const Request &Call) {
   std::unique_lock<std::mutex> Lock(Mutex_);
-  if (!IsUp_)
+  // Nothing that arrives without power is ever answered.
+  std::uint64_t Life = Life_;
+  if (IsWithoutPower_)
+    Changed_.wait(Lock, [&] { return Life_ != Life || IsEnding_; });
+  if (!IsUp_ || Life_ != Life)
     return std::nullopt;
   auto Expected = Call.Headers_.find("x-filbertspring-expected-instance");
   if (Expected != Call.Headers_.end() && Expected->second != Id_)
--- a/review/standin/worker.h
+++ b/review/standin/worker.h
@@ -56,6 +56,9 @@
   /// Ends this life at once: nothing runs on, and nothing more is said. The
   /// entry in the store stays for three heartbeat intervals.
   void crash();
+  /// Ends this life like a loss of power: connections stay as they are, and
+  /// nothing is answered. start() resets them.
+  void losePower();
   std::size_t running() const;
   /// Returns the number of ends that have not been acknowledged.
   std::size_t openEnds() const;
@@ -99,6 +102,7 @@
   mutable std::mutex Mutex_;
   std::condition_variable Changed_;
   bool IsUp_ = false;
+  bool IsWithoutPower_ = false;
   bool IsEnding_ = false;
   std::uint64_t Life_ = 0;
   std::uint64_t Sequence_ = 0;
