--- a/packages/node/src/cell_owner.cpp
+++ b/packages/node/src/cell_owner.cpp
@@ -145,7 +145,7 @@
                                 Lease_.isValid(Now));
     for (const scheduling::Action &SchedulerAction :
          Tenure_->Scheduler_.takeActions())
-      Tenure_->Calls_.execute(SchedulerAction);
+      Tenure_->Calls_.execute(SchedulerAction, Lease_.commandLimits());
     Tenure_->Calls_.channel().flush();
     logSchedulerNotes();
     if (Tenure_->Scheduler_.isFenced()) {
--- a/packages/node/src/run_node.cpp
+++ b/packages/node/src/run_node.cpp
@@ -95,7 +95,7 @@
                         [this](const scheduling::Row &StoredRow) {
                           notifyOwner(StoredRow);
                         }),
-        PeerClient_(Loop_, {}), Relay_(Loop_, Counters_),
+        PeerClient_(Loop_, {}), Relay_(Loop_, Counters_, makeNonce()),
         Configuration_(
             Loop_, Store_,
             [this](std::shared_ptr<const scheduling::QueueTable> Queues) {
--- a/packages/node/src/worker_call_batch.cpp
+++ b/packages/node/src/worker_call_batch.cpp
@@ -3,6 +3,7 @@
 #include "filbertspring/base/enum_table.h"
 #include "filbertspring/base/error.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <optional>
@@ -13,15 +14,18 @@
 /// The status code of a call without an answer; the body is the error's name.
 constexpr std::uint64_t NoAnswerStatus = 0;
 
-constexpr EnumTable<Errc, 2> FailureNames{{
+constexpr EnumTable<Errc, 3> FailureNames{{
     {Errc::ConnectFailed, "not-sent"},
+    {Errc::DeadlineExceeded, "expired"},
     {Errc::OutcomeUnknown, "unknown"},
 }};
 
 /// Returns the error that is reported for a call which failed with \p Error.
 Errc failureOf(const std::error_code &Error) {
-  return Error == Errc::ConnectFailed ? Errc::ConnectFailed
-                                      : Errc::OutcomeUnknown;
+  for (Errc Unsent : {Errc::ConnectFailed, Errc::DeadlineExceeded})
+    if (Error == Unsent)
+      return Unsent;
+  return Errc::OutcomeUnknown;
 }
 
 /// Writes fields, each as its length, a colon and its bytes. Any bytes can be
@@ -102,7 +106,9 @@
 RelayedWorkerCall readCall(FieldReader &Reader) {
   RelayedWorkerCall Call;
   Call.Id_ = Reader.number();
-  Call.Timeout_ = std::chrono::milliseconds(Reader.number());
+  Call.Limits_.Timeout_ = std::chrono::milliseconds(Reader.number());
+  Call.Limits_.SendBefore_ =
+      TimePoint(Duration(static_cast<Duration::rep>(Reader.number())));
   Call.Address_ = Reader.text();
   Call.Request_.Method_ = "POST";
   Call.Request_.Path_ = Reader.text();
@@ -139,10 +145,13 @@
   FieldWriter Writer;
   Writer.add(Batch.OwnerAddress_);
   Writer.add(Batch.OwnerToken_);
+  Writer.add(Batch.RelayProcess_);
   for (const RelayedWorkerCall &Call : Batch.Calls_) {
     Writer.add(Call.Id_);
-    Writer.add(static_cast<std::uint64_t>(Call.Timeout_ /
+    Writer.add(static_cast<std::uint64_t>(Call.Limits_.Timeout_ /
                                           std::chrono::milliseconds(1)));
+    Writer.add(static_cast<std::uint64_t>(std::max<Duration::rep>(
+        0, Call.Limits_.SendBefore_.time_since_epoch().count())));
     Writer.add(Call.Address_);
     Writer.add(Call.Request_.Path_);
     Writer.add(std::uint64_t{Call.Request_.Headers_.size()});
@@ -160,6 +169,7 @@
   WorkerCallBatch Batch;
   Batch.OwnerAddress_ = Reader.text();
   Batch.OwnerToken_ = Reader.number();
+  Batch.RelayProcess_ = Reader.text();
   while (!Reader.isAtEnd())
     Batch.Calls_.push_back(readCall(Reader));
   if (Reader.failed() || Batch.OwnerAddress_.empty())
--- a/packages/node/src/worker_call_batch.h
+++ b/packages/node/src/worker_call_batch.h
@@ -7,6 +7,7 @@
 
 #include "filbertspring/base/result.h"
 #include "filbertspring/base/time.h"
+#include "filbertspring/transport/async_http_client.h"
 #include "filbertspring/transport/http_message.h"
 
 #include <cstdint>
@@ -31,15 +32,27 @@
   std::uint64_t Id_ = 0;
   std::string Address_;
   HttpRequest Request_;
-  Duration Timeout_{};
+  /// The sending limit is on the clock of the instance that makes the call.
+  CallLimits Limits_;
 };
 
+/// Headers of the answer to a batch: the process of the relay, and its
+/// SchedulerClock in microseconds when it answered.
+inline constexpr const char *RelayProcessHeader = "Relay-Process";
+inline constexpr const char *RelayClockHeader = "Relay-Clock-Us";
+/// The status of the answer to a batch whose sending limits refer to the clock
+/// of another process. None of its calls was made.
+inline constexpr int OtherRelayProcessStatus = 409;
+
 /// Calls of one owner to one relay.
 struct WorkerCallBatch {
   /// The address to which the answers are sent.
   std::string OwnerAddress_;
   /// The fencing token of the tenure to which the calls belong.
   std::uint64_t OwnerToken_ = 0;
+  /// The process of the relay to whose clock the sending limits refer; empty if
+  /// the owner does not know that clock.
+  std::string RelayProcess_;
   std::vector<RelayedWorkerCall> Calls_;
 };
 
--- a/packages/node/src/worker_calls.cpp
+++ b/packages/node/src/worker_calls.cpp
@@ -13,12 +13,14 @@
 CallOutcome callOutcome(const Result<HttpAnswer> &Answer) {
   if (Answer)
     return platform::decodeCallOutcome(*Answer);
+  if (Answer.error() == Errc::DeadlineExceeded)
+    return CallOutcome::Expired;
   return Answer.error() == Errc::ConnectFailed ? CallOutcome::NotSent
                                                : CallOutcome::NoAnswer;
 }
 
 /// Names of the outcomes in log lines.
-constexpr EnumTable<CallOutcome, 10> OutcomeNames{{
+constexpr EnumTable<CallOutcome, 11> OutcomeNames{{
     {CallOutcome::Accepted, "accepted"},
     {CallOutcome::RejectedStaleToken, "fenced"},
     {CallOutcome::RejectedOldRun, "old_run"},
@@ -28,6 +30,7 @@
     {CallOutcome::Unhealthy, "unhealthy"},
     {CallOutcome::OtherInstance, "other_instance"},
     {CallOutcome::NotSent, "not_sent"},
+    {CallOutcome::Expired, "expired"},
     {CallOutcome::NoAnswer, "no_answer"},
 }};
 
@@ -44,21 +47,31 @@
 
 WorkerCalls::~WorkerCalls() { *IsAlive_ = false; }
 
-void WorkerCalls::execute(const scheduling::Action &Requested) {
-  std::visit(
-      Overloaded{
-          [this](const scheduling::RenewLease &Renewal) { renew(Renewal); },
-          [this](const scheduling::StartTask &Start) { start(Start); },
-          [this](const scheduling::StopTask &Stop) { stop(Stop); },
-          [this](const scheduling::PaceTask &Pace) { pace(Pace); },
-      },
-      Requested);
+void WorkerCalls::execute(const scheduling::Action &Requested,
+                          const scheduling::CommandLimits &Limits) {
+  TimePoint SendBefore = scheduling::sendingLimit(Requested, Limits);
+  std::visit(Overloaded{
+                 [&](const scheduling::RenewLease &Renewal) {
+                   renew(Renewal, SendBefore);
+                 },
+                 [&](const scheduling::StartTask &Start) {
+                   start(Start, SendBefore);
+                 },
+                 [&](const scheduling::StopTask &Stop) {
+                   stop(Stop, SendBefore);
+                 },
+                 [&](const scheduling::PaceTask &Pace) {
+                   pace(Pace, SendBefore);
+                 },
+             },
+             Requested);
 }
 
-void WorkerCalls::renew(const scheduling::RenewLease &Renewal) {
+void WorkerCalls::renew(const scheduling::RenewLease &Renewal,
+                        TimePoint SendBefore) {
   Channel_.send(
       Renewal.Address_, platform::makeRenewalRequest(Renewal, OwnerToken_),
-      WorkerCallTimeout + Renewal.Wait_,
+      CallLimits{WorkerCallTimeout + Renewal.Wait_, SendBefore},
       [this, IsAlive = IsAlive_,
        Worker = Renewal.Worker_](const Result<HttpAnswer> &Answer) {
         if (!*IsAlive)
@@ -85,11 +98,12 @@
       CallUrgency::MayWait);
 }
 
-void WorkerCalls::start(const scheduling::StartTask &Start) {
+void WorkerCalls::start(const scheduling::StartTask &Start,
+                        TimePoint SendBefore) {
   TimePoint SentAt = SchedulerClock::now();
   Channel_.send(
       Start.Address_, platform::makeStartRequest(Start, OwnerToken_),
-      WorkerCallTimeout,
+      CallLimits{WorkerCallTimeout, SendBefore},
       [this, IsAlive = IsAlive_, Worker = Start.Worker_, Name = Start.Name_,
        Run = Start.Run_, Waited = Start.Waited_, Checkpoint = Start.Checkpoint_,
        SentAt](const Result<HttpAnswer> &Answer) {
@@ -116,9 +130,10 @@
       });
 }
 
-void WorkerCalls::stop(const scheduling::StopTask &Stop) {
+void WorkerCalls::stop(const scheduling::StopTask &Stop,
+                       TimePoint SendBefore) {
   Channel_.send(Stop.Address_, platform::makeStopRequest(Stop, OwnerToken_),
-                WorkerCallTimeout,
+                CallLimits{WorkerCallTimeout, SendBefore},
                 [this, IsAlive = IsAlive_, Worker = Stop.Worker_,
                  Name = Stop.Name_,
                  Run = Stop.Run_](const Result<HttpAnswer> &Answer) {
@@ -136,11 +151,12 @@
                 });
 }
 
-void WorkerCalls::pace(const scheduling::PaceTask &Pace) {
+void WorkerCalls::pace(const scheduling::PaceTask &Pace,
+                       TimePoint SendBefore) {
   Counters_.counter("task_paces_total").add();
   Channel_.send(
       Pace.Address_, platform::makePaceRequest(Pace, OwnerToken_),
-      WorkerCallTimeout,
+      CallLimits{WorkerCallTimeout, SendBefore},
       [this, IsAlive = IsAlive_, Worker = Pace.Worker_, Name = Pace.Name_,
        Run = Pace.Run_](const Result<HttpAnswer> &Answer) {
         if (!*IsAlive || (Answer && Answer->Status_ == 200))
--- a/packages/node/src/worker_calls.h
+++ b/packages/node/src/worker_calls.h
@@ -28,15 +28,17 @@
   WorkerCalls(const WorkerCalls &) = delete;
   WorkerCalls &operator=(const WorkerCalls &) = delete;
 
-  /// Makes the call that \p Requested describes.
-  void execute(const scheduling::Action &Requested);
+  /// Makes the call that \p Requested describes, unless its sending limit has
+  /// passed when it is to be written to a connection.
+  void execute(const scheduling::Action &Requested,
+               const scheduling::CommandLimits &Limits);
   WorkerChannel &channel() { return Channel_; }
 
 private:
-  void renew(const scheduling::RenewLease &Renewal);
-  void start(const scheduling::StartTask &Start);
-  void stop(const scheduling::StopTask &Stop);
-  void pace(const scheduling::PaceTask &Pace);
+  void renew(const scheduling::RenewLease &Renewal, TimePoint SendBefore);
+  void start(const scheduling::StartTask &Start, TimePoint SendBefore);
+  void stop(const scheduling::StopTask &Stop, TimePoint SendBefore);
+  void pace(const scheduling::PaceTask &Pace, TimePoint SendBefore);
 
   CounterRegistry &Counters_;
   scheduling::Scheduler &Scheduler_;
--- a/packages/node/src/worker_channel.cpp
+++ b/packages/node/src/worker_channel.cpp
@@ -3,6 +3,7 @@
 #include "filbertspring/base/log.h"
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 namespace filbertspring::node {
@@ -44,29 +45,30 @@
 WorkerChannel::~WorkerChannel() { *IsAlive_ = false; }
 
 void WorkerChannel::send(const std::string &Address, const HttpRequest &Request,
-                         Duration Timeout, HttpCallback Callback,
+                         const CallLimits &Limits, HttpCallback Callback,
                          CallUrgency Urgency) {
   TimePoint Now = SchedulerClock::now();
   std::string Relay = Routes_.relayFor(Address, Now);
   if (!Relay.empty())
-    return sendRelayed(Relay, Address, Request, Timeout, std::move(Callback),
+    return sendRelayed(Relay, Address, Request, Limits, std::move(Callback),
                        Urgency);
   if (Routes_.isDetoured(Address, Now))
-    return sendDetoured(Address, Request, Timeout, std::move(Callback));
-  Workers_.send(Address, Request, Timeout, std::move(Callback));
+    return sendDetoured(Address, Request, Limits, std::move(Callback));
+  Workers_.send(Address, Request, Limits, std::move(Callback));
 }
 
 /// Makes a call directly because a relay did not reach the worker.
 void WorkerChannel::sendDetoured(const std::string &Address,
-                                 const HttpRequest &Request, Duration Timeout,
+                                 const HttpRequest &Request,
+                                 const CallLimits &Limits,
                                  HttpCallback Callback) {
   Counters_.counter("worker_calls_detoured_total").add();
-  Workers_.send(Address, Request, Timeout,
+  Workers_.send(Address, Request, Limits,
                 [this, IsAlive = IsAlive_, Address,
                  Callback = std::move(Callback)](Result<HttpAnswer> Answer) {
                   if (!*IsAlive)
                     return;
-                  if (!Answer)
+                  if (!Answer && Answer.error() != Errc::DeadlineExceeded)
                     Routes_.workerMissedByOwner(Address, SchedulerClock::now());
                   Callback(std::move(Answer));
                 });
@@ -74,15 +76,16 @@
 
 void WorkerChannel::sendRelayed(const std::string &Relay,
                                 const std::string &Address,
-                                const HttpRequest &Request, Duration Timeout,
-                                HttpCallback Callback, CallUrgency Urgency) {
+                                const HttpRequest &Request,
+                                const CallLimits &Limits, HttpCallback Callback,
+                                CallUrgency Urgency) {
   TimePoint Now = SchedulerClock::now();
   std::uint64_t Id = ++LastId_;
-  Pending_.emplace(Id, PendingCall{Relay, Address, Now,
-                                   Loop_.deadlineAfter(Timeout + RelayMargin),
+  LoopTime Deadline = Loop_.deadlineAfter(Limits.Timeout_ + RelayMargin);
+  Pending_.emplace(Id, PendingCall{Relay, Address, Now, Deadline, Limits,
                                    std::move(Callback)});
   Outbox &Waiting = Outboxes_[Relay];
-  Waiting.Calls_.push_back({Id, Address, Request, Timeout});
+  Waiting.Calls_.push_back({Id, Address, Request, Limits});
   Waiting.Bytes_ += Request.Body_.size();
   Waiting.IsUrgent_ |= Urgency == CallUrgency::AtOnce;
   Counters_.counter("worker_calls_relayed_total").add();
@@ -101,7 +104,11 @@
 
 void WorkerChannel::sendBatch(const std::string &Relay, Outbox &Waiting,
                               TimePoint Now) {
-  WorkerCallBatch Batch{OwnAddress_, OwnerToken_, std::move(Waiting.Calls_)};
+  const RelayClock &Clock = RelayClocks_[Relay];
+  WorkerCallBatch Batch{OwnAddress_, OwnerToken_, Clock.process(),
+                        std::move(Waiting.Calls_)};
+  for (RelayedWorkerCall &Call : Batch.Calls_)
+    Call.Limits_.SendBefore_ = Clock.toRelay(Call.Limits_.SendBefore_);
   Waiting = {};
   Waiting.SentAt_ = Now;
   Counters_.counter("worker_call_batches_total").add();
@@ -122,10 +129,15 @@
     const std::string &Relay, TimePoint SentAt,
     const std::vector<RelayedWorkerCall> &Calls,
     const Result<HttpAnswer> &Answer) {
+  if (Answer)
+    noteClock(Relay, *Answer);
   bool IsTaken = Answer && Answer->Status_ == 200;
   if (IsTaken)
     return handleAnswersInBody(Relay, SentAt, Answer->Body_);
-  noteFailure(Relay, SentAt);
+  // After the first batch to a process, its clock is known.
+  bool IsOtherProcess = Answer && Answer->Status_ == OtherRelayProcessStatus;
+  if (!IsOtherProcess)
+    noteFailure(Relay, SentAt);
   // The relay may have made the calls; their answers may still arrive.
   if (!Answer && Answer.error() != Errc::ConnectFailed)
     return;
@@ -133,6 +145,21 @@
     redirect(Call);
 }
 
+void WorkerChannel::noteClock(const std::string &Relay,
+                              const HttpAnswer &Answer) {
+  std::string_view Process = Answer.header(RelayProcessHeader);
+  std::string_view Text = Answer.header(RelayClockHeader);
+  Duration::rep Microseconds = 0;
+  auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Microseconds);
+  if (Process.empty() || Text.empty() || Error != std::errc() ||
+      End != Text.data() + Text.size())
+    return;
+  RelayClocks_[Relay].observed(std::string(Process),
+                               TimePoint(Duration(Microseconds)),
+                               SchedulerClock::now());
+}
+
 /// Handles the answers that a relay had when it answered a batch.
 void WorkerChannel::handleAnswersInBody(const std::string &Relay,
                                         TimePoint SentAt,
@@ -156,8 +183,10 @@
     return Redirected.Callback_(fail(Errc::ConnectFailed));
   // The time left includes that for a relay. A longer timeout would put a
   // command behind renewals, whose answers workers delay.
-  Workers_.send(Call.Address_, Call.Request_,
-                std::min(Loop_.timeLeft(Redirected.Deadline_), Call.Timeout_),
+  CallLimits Limits = Redirected.Limits_;
+  Limits.Timeout_ =
+      std::min(Loop_.timeLeft(Redirected.Deadline_), Limits.Timeout_);
+  Workers_.send(Call.Address_, Call.Request_, Limits,
                 std::move(Redirected.Callback_));
 }
 
@@ -176,7 +205,7 @@
     Routes_.relayAnswered(Answered.Relay_, Now);
     if (Entry.Answer_)
       Routes_.workerAnsweredRelay(Answered.Address_);
-    else
+    else if (Entry.Answer_.error() != Errc::DeadlineExceeded)
       Routes_.workerMissedByRelay(Answered.Address_, Now);
     Answered.Callback_(std::move(Entry.Answer_));
     if (!*IsAlive)
--- a/packages/node/src/worker_channel.h
+++ b/packages/node/src/worker_channel.h
@@ -6,6 +6,7 @@
 
 #include "filbertspring/base/counters.h"
 #include "filbertspring/transport/async_http_client.h"
+#include "relay_clock.h"
 #include "worker_call_batch.h"
 #include "worker_connections.h"
 #include "worker_routes.h"
@@ -37,9 +38,11 @@
   WorkerChannel &operator=(const WorkerChannel &) = delete;
 
   WorkerRoutes &routes() { return Routes_; }
-  /// Sends \p Request to the worker at \p Address.
+  /// Sends \p Request to the worker at \p Address. The sending limit holds for
+  /// whichever instance writes the request to the worker's connection; it is on
+  /// the clock of this one.
   void send(const std::string &Address, const HttpRequest &Request,
-            Duration Timeout, HttpCallback Callback,
+            const CallLimits &Limits, HttpCallback Callback,
             CallUrgency Urgency = CallUrgency::AtOnce);
   /// Sends the calls that wait to be relayed, except those that may wait
   /// longer. To be called after each group of calls and regularly.
@@ -55,9 +58,11 @@
     std::string Address_;
     TimePoint SentAt_{};
     LoopTime Deadline_{};
+    CallLimits Limits_;
     HttpCallback Callback_;
   };
-  /// Calls that are sent to a relay together.
+  /// Calls that are sent to a relay together. Their sending limits are on the
+  /// clock of this instance.
   struct Outbox {
     std::vector<RelayedWorkerCall> Calls_;
     std::size_t Bytes_ = 0;
@@ -67,15 +72,16 @@
   };
 
   void sendDetoured(const std::string &Address, const HttpRequest &Request,
-                    Duration Timeout, HttpCallback Callback);
+                    const CallLimits &Limits, HttpCallback Callback);
   void sendRelayed(const std::string &Relay, const std::string &Address,
-                   const HttpRequest &Request, Duration Timeout,
+                   const HttpRequest &Request, const CallLimits &Limits,
                    HttpCallback Callback, CallUrgency Urgency);
   /// Sends the calls of \p Waiting to \p Relay.
   void sendBatch(const std::string &Relay, Outbox &Waiting, TimePoint Now);
   void handleBatchResult(const std::string &Relay, TimePoint SentAt,
                          const std::vector<RelayedWorkerCall> &Calls,
                          const Result<HttpAnswer> &Answer);
+  void noteClock(const std::string &Relay, const HttpAnswer &Answer);
   void handleAnswersInBody(const std::string &Relay, TimePoint SentAt,
                            std::string_view Body);
   /// Makes a call directly that its relay certainly did not make.
@@ -91,6 +97,7 @@
   WorkerConnections Workers_;
   AsyncHttpClient RelayClient_;
   std::map<std::string, Outbox> Outboxes_;
+  std::map<std::string, RelayClock> RelayClocks_;
   std::unordered_map<std::uint64_t, PendingCall> Pending_;
   std::uint64_t LastId_ = 0;
   /// Set to false by the destructor; callbacks check it before they use this
--- a/packages/node/src/worker_connections.h
+++ b/packages/node/src/worker_connections.h
@@ -25,10 +25,10 @@
   /// Sends \p Request. A timeout above WorkerCallTimeout states that the worker
   /// may delay its answer.
   void send(const std::string &Address, const HttpRequest &Request,
-            Duration Timeout, HttpCallback Callback) {
+            const CallLimits &Limits, HttpCallback Callback) {
     AsyncHttpClient &Client =
-        Timeout > WorkerCallTimeout ? WaitingClient_ : CommandClient_;
-    Client.send(Address, Request, Timeout, std::move(Callback));
+        Limits.Timeout_ > WorkerCallTimeout ? WaitingClient_ : CommandClient_;
+    Client.send(Address, Request, Limits, std::move(Callback));
   }
 
 private:
--- a/packages/node/src/worker_relay.cpp
+++ b/packages/node/src/worker_relay.cpp
@@ -39,8 +39,16 @@
 
 } // namespace
 
-WorkerRelay::WorkerRelay(EventLoop &Loop, CounterRegistry &Counters)
-    : Loop_(Loop), Counters_(Counters), Workers_(Loop), OwnerClient_(Loop, {}) {
+WorkerRelay::WorkerRelay(EventLoop &Loop, CounterRegistry &Counters,
+                         std::string Process)
+    : Loop_(Loop), Counters_(Counters), Process_(std::move(Process)),
+      Workers_(Loop), OwnerClient_(Loop, {}) {}
+
+void WorkerRelay::addClock(HttpAnswer &Answer) const {
+  Answer.Headers_.push_back({RelayProcessHeader, Process_});
+  Answer.Headers_.push_back(
+      {RelayClockHeader,
+       std::to_string(SchedulerClock::now().time_since_epoch().count())});
 }
 
 void WorkerRelay::handle(const HttpRequest &Request,
@@ -52,11 +60,17 @@
     Answer.Status_ = 400;
   } else if (IsStopping_ || CallsInFlight_ > MaxCallsInFlight) {
     Answer.Status_ = 503;
+  } else if (Batch->RelayProcess_ != Process_) {
+    Answer.Status_ = OtherRelayProcessStatus;
+    addClock(Answer);
   }
   if (Answer.Status_ != 200)
     return Respond(std::move(Answer));
   Receiver Owner(Batch->OwnerAddress_, Batch->OwnerToken_);
-  OpenBatches_[Owner].push_back(Respond);
+  OpenBatches_[Owner].push_back([this, Respond](HttpAnswer BatchAnswer) {
+    addClock(BatchAnswer);
+    Respond(std::move(BatchAnswer));
+  });
   requestFlush();
   for (const RelayedWorkerCall &Call : Batch->Calls_)
     makeCall(Owner, Call);
@@ -66,7 +80,7 @@
                            const RelayedWorkerCall &Call) {
   ++CallsInFlight_;
   Counters_.counter("worker_calls_for_owner_total").add();
-  Workers_.send(Call.Address_, Call.Request_, Call.Timeout_,
+  Workers_.send(Call.Address_, Call.Request_, Call.Limits_,
                 [this, Owner, Id = Call.Id_](Result<HttpAnswer> Answer) {
                   --CallsInFlight_;
                   addAnswer(Owner, {Id, std::move(Answer)});
--- a/packages/node/src/worker_relay.h
+++ b/packages/node/src/worker_relay.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -21,12 +22,13 @@
 /// Makes the calls of batches that an owner sends, and sends the answers back
 /// in batches: with the answer to a batch, which is delayed for that, or in a
 /// request of its own if no batch is open. Decides nothing: a call carries the
-/// owner's fencing token and, if it starts a task, the time after which the
-/// worker rejects it, so a call that is made late has no effect. Not
-/// thread-safe.
+/// owner's fencing token and a sending limit on the clock of this process, so a
+/// call that this process would make late, because it stood still, is not made.
+/// Not thread-safe.
 class WorkerRelay {
 public:
-  WorkerRelay(EventLoop &Loop, CounterRegistry &Counters);
+  /// \p Process distinguishes this process from all others.
+  WorkerRelay(EventLoop &Loop, CounterRegistry &Counters, std::string Process);
 
   /// Handles a batch of calls. It is taken as a whole or, if it is malformed or
   /// this instance is stopping or overloaded, not at all.
@@ -40,6 +42,8 @@
   /// The answers for one tenure of one owner.
   using Receiver = std::pair<std::string, std::uint64_t>;
 
+  /// Adds the clock of this process to \p Answer.
+  void addClock(HttpAnswer &Answer) const;
   void makeCall(const Receiver &Owner, const RelayedWorkerCall &Call);
   void addAnswer(const Receiver &Owner, RelayedWorkerAnswer Answer);
   void requestFlush();
@@ -51,6 +55,7 @@
 
   EventLoop &Loop_;
   CounterRegistry &Counters_;
+  std::string Process_;
   WorkerConnections Workers_;
   AsyncHttpClient OwnerClient_;
   std::map<Receiver, std::vector<RelayedWorkerAnswer>> Answers_;
--- a/packages/node/tests/late_loop_test.cpp
+++ b/packages/node/tests/late_loop_test.cpp
@@ -47,7 +47,7 @@
 class PromptRelay {
 public:
   PromptRelay()
-      : Relay_(Loop_, Counters_),
+      : Relay_(Loop_, Counters_, "process"),
         RelayServer_(
             Loop_, {},
             [this](const HttpRequest &Request, const HttpResponder &Respond) {
@@ -127,7 +127,7 @@
     if (Channel_.routes().relayFor(Address, SchedulerClock::now()) !=
         RelayAddress)
       ++CallsWithoutRelay_;
-    Channel_.send(Address, Request, Timeout,
+    Channel_.send(Address, Request, {Timeout},
                   [this, Worker, Path](const Result<HttpAnswer> &Answer) {
                     ++(Answer ? Answered_ : Failed_);
                     if (Path == WaitingPath)
@@ -188,7 +188,7 @@
 /// answer one after another.
 struct RelayOfLateOwner {
   RelayOfLateOwner()
-      : Relay_(Loop_, Counters_), Owner_(Loop_, {},
+      : Relay_(Loop_, Counters_, "process"), Owner_(Loop_, {},
                                          [this](const HttpRequest &Request,
                                                 const HttpResponder &Respond) {
                                            takeAnswers(Request, Respond);
@@ -218,12 +218,12 @@
 
   /// Calls all workers in one batch, which is answered before they answer.
   void callWorkers() {
-    WorkerCallBatch Batch{OwnerAddress, OwnerToken, {}};
+    WorkerCallBatch Batch{OwnerAddress, OwnerToken, "process", {}};
     HttpRequest Call;
     Call.Method_ = "POST";
     Call.Path_ = WaitingPath;
     for (std::size_t Worker = 0; Worker < Workers; ++Worker)
-      Batch.Calls_.push_back({Worker + 1, workerAddress(Worker), Call, 5s});
+      Batch.Calls_.push_back({Worker + 1, workerAddress(Worker), Call, {5s}});
     HttpRequest Request;
     Request.Body_ = encodeWorkerCalls(Batch);
     Relay_.handle(Request, [](const HttpAnswer &) {});
--- a/packages/node/tests/worker_channel_test.cpp
+++ b/packages/node/tests/worker_channel_test.cpp
@@ -9,6 +9,7 @@
 #include <asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 #include <optional>
+#include <thread>
 
 namespace filbertspring::node {
 namespace {
@@ -23,13 +24,24 @@
 /// The path of calls that the worker does not answer at once.
 constexpr const char *WaitingCall = "/hold";
 
+constexpr Duration Standstill = 100ms;
+
 /// How the relay handles batches.
-enum class RelayBehaviour { Relay, Refuse, Ignore, ReachNoWorker, Freeze };
+enum class RelayBehaviour {
+  Relay,
+  Refuse,
+  Ignore,
+  ReachNoWorker,
+  Freeze,
+  /// It stands still before it reads a batch.
+  RelayLate,
+  RefuseLate
+};
 
 /// An owner, a relay and a worker on one event loop.
 struct RelayedWorker {
   RelayedWorker()
-      : Relay_(Loop_, Counters_),
+      : Relay_(Loop_, Counters_, "process"),
         WorkerServer_(
             Loop_, {},
             [this](const HttpRequest &Request, const HttpResponder &Respond) {
@@ -66,6 +78,13 @@
                                    "other" + std::to_string(Index), "a");
     Channel_->routes().addWorker("w1", WorkerAddress, "a");
     Channel_->routes().addWorker("w2", UnusedAddress, "a");
+    // The answer to the first batch shows the clock of the relay.
+    BOOST_REQUIRE(call().has_value());
+    // The next batch does not wait for others.
+    runFor(50ms);
+    Loop_.context().restart();
+    Batches_ = 0;
+    WorkerCalls_ = 0;
   }
 
   void handleBatch(const HttpRequest &Request, const HttpResponder &Respond) {
@@ -83,6 +102,12 @@
     case RelayBehaviour::Freeze:
       Frozen_.push_back(Respond);
       return;
+    case RelayBehaviour::RelayLate:
+      return Loop_.after(Standstill, [this, Request, Respond] {
+        Relay_.handle(Request, Respond);
+      });
+    case RelayBehaviour::RefuseLate:
+      return Loop_.after(Standstill, [Refusal, Respond] { Respond(Refusal); });
     }
   }
 
@@ -99,16 +124,18 @@
   }
 
   /// Sends a call and returns its outcome.
-  Result<HttpAnswer> call(const char *Address = WorkerAddress) {
+  Result<HttpAnswer> call(const char *Address = WorkerAddress,
+                          TimePoint SendBefore = TimePoint::max()) {
     HttpRequest Request;
     Request.Method_ = "POST";
     Request.Path_ = "/stop";
     Request.Body_ = "body";
     std::optional<Result<HttpAnswer>> Outcome;
-    Channel_->send(Address, Request, 300ms, [&](Result<HttpAnswer> Answer) {
-      Outcome.emplace(std::move(Answer));
-      Loop_.stop();
-    });
+    Channel_->send(Address, Request, {300ms, SendBefore},
+                   [&](Result<HttpAnswer> Answer) {
+                     Outcome.emplace(std::move(Answer));
+                     Loop_.stop();
+                   });
     Channel_->flush();
     Loop_.context().restart();
     Loop_.run();
@@ -123,7 +150,7 @@
     Request.Path_ = WaitingCall;
     Request.Body_ = "body";
     Channel_->send(
-        WorkerAddress, Request, WorkerCallTimeout + 1s,
+        WorkerAddress, Request, {WorkerCallTimeout + 1s},
         [this](const Result<HttpAnswer> &) { ++WaitingEnded_; },
         CallUrgency::MayWait);
   }
@@ -141,7 +168,7 @@
       Request.Method_ = "POST";
       Request.Path_ = "/stop";
       Request.Body_ = "body";
-      Channel_->send(WorkerAddress, Request, WorkerCallTimeout,
+      Channel_->send(WorkerAddress, Request, {WorkerCallTimeout},
                      [this](const Result<HttpAnswer> &Answer) {
                        IsStopAnswered_ |= Answer.has_value();
                        if (Answer)
@@ -259,6 +286,114 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// An owner that was replaced, or a relay that stood still, would otherwise start
+// tasks that the next owner has started elsewhere.
+BOOST_AUTO_TEST_SUITE(a_call_whose_sending_limit_has_passed)
+
+BOOST_FIXTURE_TEST_CASE(is_not_made, RelayedWorker) {
+  Channel_->routes().setCandidates({});
+  BOOST_TEST((call(WorkerAddress, SchedulerClock::now()).error() ==
+              Errc::DeadlineExceeded));
+  BOOST_TEST(WorkerCalls_ == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(is_not_made_once_it_gets_a_connection, RelayedWorker) {
+  // Without any connection.
+  Channel_.emplace(Loop_, Counters_, OwnerAddress, OwnerToken);
+  std::optional<std::error_code> Error;
+  Loop_.after(0ms, [&] {
+    HttpRequest Request;
+    Request.Method_ = "POST";
+    Request.Path_ = "/stop";
+    Channel_->send(WorkerAddress, Request,
+                   {300ms, SchedulerClock::now() + Standstill / 2},
+                   [&](const Result<HttpAnswer> &Answer) {
+                     BOOST_REQUIRE(!Answer.has_value());
+                     Error = Answer.error();
+                   });
+    // The connection is noticed afterwards.
+    std::this_thread::sleep_for(Standstill);
+  });
+  runFor(2 * Standstill);
+  BOOST_TEST((Error == Errc::DeadlineExceeded));
+  BOOST_TEST(WorkerCalls_ == 0);
+  // The connection is used by the next call.
+  BOOST_TEST(call().has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(is_not_made_by_a_relay_that_stood_still,
+                        RelayedWorker) {
+  Behaviour_ = RelayBehaviour::RelayLate;
+  BOOST_TEST(
+      (call(WorkerAddress, SchedulerClock::now() + Standstill / 2).error() ==
+       Errc::DeadlineExceeded));
+  BOOST_TEST(WorkerCalls_ == 0);
+  // This says nothing about the path from the relay to the worker.
+  BOOST_TEST(call().has_value());
+  BOOST_TEST(Batches_ == 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(is_not_made_in_place_of_a_relay, RelayedWorker) {
+  Behaviour_ = RelayBehaviour::RefuseLate;
+  BOOST_TEST(
+      (call(WorkerAddress, SchedulerClock::now() + Standstill / 2).error() ==
+       Errc::DeadlineExceeded));
+  BOOST_TEST(WorkerCalls_ == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_relay_that_has_restarted)
+
+BOOST_FIXTURE_TEST_CASE(makes_no_call_with_a_limit_on_its_former_clock,
+                        RelayedWorker) {
+  WorkerRelay Restarted(Loop_, Counters_, "next process");
+  HttpRequest Request;
+  WorkerCallBatch Batch{OwnerAddress, OwnerToken, "process", {}};
+  HttpRequest Call;
+  Call.Method_ = "POST";
+  Call.Path_ = "/stop";
+  Batch.Calls_.push_back({1, WorkerAddress, Call, {300ms}});
+  Request.Body_ = encodeWorkerCalls(Batch);
+  HttpAnswer Rejection;
+  Restarted.handle(Request,
+                   [&](const HttpAnswer &Answer) { Rejection = Answer; });
+  runFor(50ms);
+  BOOST_TEST(Rejection.Status_ == OtherRelayProcessStatus);
+  BOOST_TEST(Rejection.header(RelayProcessHeader) == "next process");
+  BOOST_TEST(WorkerCalls_ == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(the_clock_of_a_relay)
+
+BOOST_AUTO_TEST_CASE(is_never_taken_for_later_than_it_is) {
+  RelayClock Clock;
+  // The relay is 7 s ahead; its answers are handled 30 ms and 200 ms later.
+  Clock.observed("a", TimePoint(107s), TimePoint(100s + 30ms));
+  BOOST_TEST((Clock.toRelay(TimePoint(102s)) == TimePoint(109s - 30ms)));
+  Clock.observed("a", TimePoint(108s), TimePoint(101s + 200ms));
+  BOOST_TEST((Clock.toRelay(TimePoint(102s)) == TimePoint(109s - 30ms)));
+}
+
+BOOST_AUTO_TEST_CASE(is_observed_anew_after_some_time) {
+  RelayClock Clock;
+  Clock.observed("a", TimePoint(107s), TimePoint(100s));
+  Clock.observed("a", TimePoint(117s), TimePoint(111s));
+  BOOST_TEST((Clock.toRelay(TimePoint(112s)) == TimePoint(118s)));
+}
+
+BOOST_AUTO_TEST_CASE(is_another_one_after_a_restart) {
+  RelayClock Clock;
+  Clock.observed("a", TimePoint(107s), TimePoint(100s));
+  Clock.observed("b", TimePoint(3s), TimePoint(101s));
+  BOOST_TEST(Clock.process() == "b");
+  BOOST_TEST((Clock.toRelay(TimePoint(102s)) == TimePoint(4s)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_relayed_renewal)
 
 BOOST_FIXTURE_TEST_CASE(waits_for_others_after_a_batch, RelayedWorker) {
--- a/packages/scheduling/include/filbertspring/scheduling/owner_lease.h
+++ b/packages/scheduling/include/filbertspring/scheduling/owner_lease.h
@@ -52,6 +52,16 @@
   Duration FirstOwnerDelay_ = std::chrono::milliseconds(800);
 };
 
+/// Until when the owner of a cell may send commands to workers. The times are on
+/// SchedulerClock, which also counts the time during which a process stands
+/// still.
+struct CommandLimits {
+  /// No other instance owns the cell before this time.
+  TimePoint ExclusiveUntil_{};
+  /// A successor waits for the leases that are granted before this time.
+  TimePoint ValidUntil_{};
+};
+
 /// Returns the additional delay before an instance with \p OwnCores processor
 /// cores takes a cell over, so that instances with more cores, of which the
 /// largest has \p StrongestCores, can do so first.
@@ -91,6 +101,9 @@
   bool isOwner() const;
   /// Returns whether this instance may send commands to workers at \p Now.
   bool isValid(TimePoint Now) const;
+  /// Returns the limits of commands that the owner decides on now. They have
+  /// passed if this instance is not the owner.
+  CommandLimits commandLimits() const;
   /// Returns how long the row is known to be unchanged.
   Duration unchangedDuration() const { return UnchangedUntil_ - ChangedAt_; }
   /// Returns whether a takeover should be attempted at \p Now.
--- a/packages/scheduling/include/filbertspring/scheduling/scheduler.h
+++ b/packages/scheduling/include/filbertspring/scheduling/scheduler.h
@@ -15,6 +15,7 @@
 #include "filbertspring/base/time.h"
 #include "filbertspring/scheduling/interference.h"
 #include "filbertspring/scheduling/job.h"
+#include "filbertspring/scheduling/owner_lease.h"
 #include "filbertspring/scheduling/progress_journal.h"
 #include "filbertspring/scheduling/queue_table.h"
 #include "filbertspring/scheduling/start_admission.h"
@@ -105,6 +106,14 @@
 
 using Action = std::variant<RenewLease, StartTask, StopTask, PaceTask>;
 
+/// Returns the time from which \p Decided may not be sent any more by an owner
+/// with \p Limits. It applies when the command is written to a connection. A
+/// command that was not sent because of it had no effect.
+///
+/// A worker that has restarted knows no fencing token, so only this limit keeps
+/// it from starting a task for an owner that was replaced.
+TimePoint sendingLimit(const Action &Decided, const CommandLimits &Limits);
+
 /// A log record about a decision of the scheduler.
 struct LogRecord {
   LogEvent Event_;
--- a/packages/scheduling/include/filbertspring/scheduling/worker.h
+++ b/packages/scheduling/include/filbertspring/scheduling/worker.h
@@ -100,6 +100,9 @@
   OtherInstance,
   /// No connection was made; the call had no effect.
   NotSent,
+  /// The owner's permission ended before the call was sent; see sendingLimit().
+  /// The call had no effect.
+  Expired,
   /// The call may have been executed, or may still be executed later.
   NoAnswer,
 };
--- a/packages/scheduling/src/owner_lease.cpp
+++ b/packages/scheduling/src/owner_lease.cpp
@@ -92,6 +92,12 @@
   return isOwner() && Now - ConfirmedAt_ < Times_.ValidFor_;
 }
 
+CommandLimits OwnerLease::commandLimits() const {
+  if (!isOwner())
+    return {};
+  return {ConfirmedAt_ + Times_.TakeoverAfter_, ConfirmedAt_ + Times_.ValidFor_};
+}
+
 bool OwnerLease::shouldTakeOver(TimePoint /*Now*/) const {
   if (!HasReadRow_ || isOwner())
     return false;
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -1,3 +1,4 @@
+#include "filbertspring/base/overloaded.h"
 #include "scheduler_impl.h"
 
 #include <algorithm>
@@ -31,6 +32,21 @@
 
 } // namespace
 
+TimePoint sendingLimit(const Action &Decided, const CommandLimits &Limits) {
+  return std::visit(
+      Overloaded{
+          [&](const StartTask &) { return Limits.ExclusiveUntil_; },
+          [&](const RenewLease &Renewal) {
+            // Only asks for a report.
+            bool HasEffect = Renewal.DeadlineMs_ || Renewal.Acknowledged_ > 0;
+            return HasEffect ? Limits.ValidUntil_ : TimePoint::max();
+          },
+          [&](const StopTask &) { return Limits.ValidUntil_; },
+          [&](const PaceTask &) { return Limits.ValidUntil_; },
+      },
+      Decided);
+}
+
 Scheduler::Impl::Impl(SchedulerSettings Settings, TimePoint Now)
     : Settings_(Settings), TenureStart_(Now),
       Queues_(std::make_shared<QueueTable>()),
@@ -221,8 +237,11 @@
   RenewLease Renewal;
   Renewal.Worker_ = Worker.Entry_.Id_;
   Renewal.Address_ = Worker.Entry_.Address_;
-  Renewal.Acknowledged_ = Worker.StoredEnd_;
-  Worker.SentAcknowledgement_ = Worker.StoredEnd_;
+  // A worker without contact may have restarted and count its ends anew.
+  bool MayAcknowledge = MayExtendLease && Worker.FailedRenewals_ == 0;
+  Renewal.Acknowledged_ = MayAcknowledge ? Worker.StoredEnd_ : 0;
+  Worker.SentAcknowledgement_ =
+      std::max(Worker.AcknowledgedEnd_, Renewal.Acknowledged_);
   std::optional<std::int64_t> Clock = Worker.clockAt(Now);
   // The lease of an unreachable worker is not extended, so that its runs end at
   // a known time.
@@ -277,6 +296,9 @@
     Impl_->IsFenced_ = true;
     return;
   }
+  // Says nothing about the worker.
+  if (Outcome == CallOutcome::Expired)
+    return;
   if (Worker->FailedRenewals_++ == 0) {
     Worker->UnreachableSince_ = Now;
     Impl_->recordEvent(LogEvent::WorkerUnreachable,
--- a/packages/scheduling/src/scheduler_commands.cpp
+++ b/packages/scheduling/src/scheduler_commands.cpp
@@ -94,6 +94,9 @@
   case CallOutcome::NotSent:
     Worker->LastStartAt_ = {};
     return ReleaseRun(AvoidAfterRefusal);
+  case CallOutcome::Expired:
+    Worker->LastStartAt_ = {};
+    return ReleaseRun(Duration::zero());
   case CallOutcome::RejectedNoCapacity:
   case CallOutcome::RejectedOther:
   case CallOutcome::Unhealthy:
--- a/packages/scheduling/tests/owner_lease_test.cpp
+++ b/packages/scheduling/tests/owner_lease_test.cpp
@@ -50,6 +50,22 @@
   BOOST_TEST(Lease.takeoverRecord().Tenure_ == 4);
 }
 
+// Fencing does not protect workers that have restarted.
+BOOST_AUTO_TEST_CASE(takes_over_only_after_the_owner_sends_no_starts) {
+  OwnerLease Owner = candidate();
+  OwnerRecord Record = makeRecord("me");
+  // The write takes effect between the call and its answer.
+  Owner.rowWritten(Record, 5, Start);
+  OwnerLease Successor(makeRecord("other"), {});
+  Successor.rowRead(Record, 5, Start + 30ms);
+  TimePoint ExclusiveUntil = Owner.commandLimits().ExclusiveUntil_;
+  BOOST_TEST((ExclusiveUntil > Start));
+  for (TimePoint Now = Start + 30ms; Now < ExclusiveUntil; Now += 10ms) {
+    Successor.rowUnchanged(Now);
+    BOOST_TEST(!Successor.shouldTakeOver(Now));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(has_no_additional_delay_at_equal_strength) {
   BOOST_TEST((takeoverDelay(0.5, 0.5) == Duration::zero()));
   BOOST_TEST((takeoverDelay(0.25, 0.25) == Duration::zero()));
--- a/packages/scheduling/tests/simulated_cell.cpp
+++ b/packages/scheduling/tests/simulated_cell.cpp
@@ -30,6 +30,7 @@
   bool HasStore_ = true;
   bool IsWriting_ = false;
   TimePoint ConfirmedAt_{};
+  TimePoint FrozenUntil_{};
 };
 
 SimulatedCell::SimulatedCell(std::uint64_t Seed, std::size_t Workers,
@@ -210,6 +211,21 @@
   after(Duration::zero(), [this, CellOwner] { tick(CellOwner); });
 }
 
+void SimulatedCell::freezeOwner(Duration Time) {
+  noteFault();
+  Owner_->FrozenUntil_ = Now_ + Time;
+}
+
+void SimulatedCell::afterStandstill(const std::shared_ptr<Owner> &CellOwner,
+                                    Duration Delay, std::function<void()> Act) {
+  after(Delay, [this, CellOwner, Act = std::move(Act)] {
+    if (Now_ >= CellOwner->FrozenUntil_)
+      return Act();
+    noteFault();
+    afterStandstill(CellOwner, CellOwner->FrozenUntil_ - Now_, Act);
+  });
+}
+
 void SimulatedCell::splitOwners() {
   takeOver(true);
   Predecessor_->UnreachableZone_ = "zone-a";
@@ -308,6 +324,12 @@
 void SimulatedCell::tick(const std::shared_ptr<Owner> &CellOwner) {
   if (CellOwner->IsGone_)
     return;
+  if (Now_ < CellOwner->FrozenUntil_) {
+    noteFault();
+    // Timers run after the sockets are read.
+    return after(CellOwner->FrozenUntil_ - Now_ + std::chrono::milliseconds(1),
+                 [this, CellOwner] { tick(CellOwner); });
+  }
   if (CellOwner->HasStore_ && !IsStoreDown_)
     CellOwner->ConfirmedAt_ = Now_;
   bool IsTrusted =
@@ -337,20 +359,38 @@
 }
 
 void SimulatedCell::call(
+    const std::shared_ptr<Owner> &CellOwner, const std::string &Worker,
+    Duration Wait, TimePoint SendBefore,
+    const std::function<CallOutcome(SimulatedWorker &, std::int64_t)> &Execute,
+    const std::function<void(CallOutcome)> &Answered) {
+  auto Send = [this, CellOwner, Worker, Wait, SendBefore, Execute, Answered] {
+    if (Now_ < SendBefore)
+      write(CellOwner, Worker, Wait, Execute, Answered);
+    else
+      after(Duration::zero(),
+            [Answered] { Answered(CallOutcome::Expired); });
+  };
+  if (SendingTime_ == Duration::zero())
+    return Send();
+  afterStandstill(CellOwner, SendingTime_, Send);
+}
+
+void SimulatedCell::write(
     const std::shared_ptr<Owner> &CellOwner, const std::string &Worker,
     Duration Wait,
     const std::function<CallOutcome(SimulatedWorker &, std::int64_t)> &Execute,
     const std::function<void(CallOutcome)> &Answered) {
   auto Answer = [this, CellOwner, Answered](Duration Delay,
                                             CallOutcome Outcome) {
-    after(Delay, [CellOwner, Answered, Outcome] {
+    afterStandstill(CellOwner, Delay, [CellOwner, Answered, Outcome] {
       if (!CellOwner->IsGone_)
         Answered(Outcome);
     });
   };
   auto It = Workers_.find(Worker);
   if (It == Workers_.end() || Stopped_.contains(Worker))
-    return Answer(latency(), CallOutcome::NotSent);
+    return LosesPower_ ? Answer(CallTimeout, CallOutcome::NoAnswer)
+                       : Answer(latency(), CallOutcome::NotSent);
   bool IsIsolated = Unreachable_.contains(Worker) ||
                     It->second->entry().Zone_ == CellOwner->UnreachableZone_;
   if (IsIsolated)
@@ -401,12 +441,16 @@
 void SimulatedCell::execute(const std::shared_ptr<Owner> &CellOwner,
                             const Action &NextAction) {
   std::uint64_t Token = CellOwner->Token_;
+  OwnerLeaseTimings Times;
+  TimePoint SendBefore = sendingLimit(
+      NextAction, {CellOwner->ConfirmedAt_ + Times.TakeoverAfter_,
+                   CellOwner->ConfirmedAt_ + Times.ValidFor_});
   std::visit(
       Overloaded{
           [&](const RenewLease &Renewal) {
             auto Report = std::make_shared<WorkerReport>();
             call(
-                CellOwner, Renewal.Worker_, Renewal.Wait_,
+                CellOwner, Renewal.Worker_, Renewal.Wait_, SendBefore,
                 [this, Renewal, Token, Report](SimulatedWorker &Target,
                                                std::int64_t Born) {
                   return Target.renew(Renewal, Token, Born, Now_, *Report);
@@ -422,7 +466,7 @@
           },
           [&](const StartTask &Start) {
             call(
-                CellOwner, Start.Worker_, {},
+                CellOwner, Start.Worker_, {}, SendBefore,
                 [this, Start, Token](SimulatedWorker &Target,
                                      std::int64_t Born) {
                   return Target.start(Start, Token, Born, Now_);
@@ -434,7 +478,7 @@
           },
           [&](const StopTask &Stop) {
             call(
-                CellOwner, Stop.Worker_, {},
+                CellOwner, Stop.Worker_, {}, SendBefore,
                 [this, Stop, Token](SimulatedWorker &Target,
                                     std::int64_t Born) {
                   return Target.stop(Stop, Token, Born, Now_);
@@ -446,7 +490,7 @@
           },
           [&](const PaceTask &Pace) {
             call(
-                CellOwner, Pace.Worker_, {},
+                CellOwner, Pace.Worker_, {}, SendBefore,
                 [this, Pace, Token](SimulatedWorker &Target, std::int64_t) {
                   return Target.pace(Pace, Token, Now_);
                 },
@@ -470,7 +514,7 @@
   PendingWrites Writes = CellOwner->Scheduler_.takeWrites(MaxRows);
   CellOwner->IsWriting_ = true;
   auto Fail = [this, CellOwner, Writes](Duration Delay) {
-    after(Delay, [CellOwner, Writes] {
+    afterStandstill(CellOwner, Delay, [CellOwner, Writes] {
       CellOwner->IsWriting_ = false;
       CellOwner->Scheduler_.writesFailed(Writes);
     });
@@ -487,7 +531,7 @@
     apply(Writes);
     if (IsLost)
       return Fail(CommitTimeout);
-    after(latency(), [this, CellOwner, Writes] {
+    afterStandstill(CellOwner, latency(), [this, CellOwner, Writes] {
       CellOwner->IsWriting_ = false;
       CellOwner->Scheduler_.writesStored(Writes, Now_);
     });
--- a/packages/scheduling/tests/simulated_cell.h
+++ b/packages/scheduling/tests/simulated_cell.h
@@ -70,8 +70,15 @@
   void startUnknown(std::size_t Index, const AcceptedJob &Job);
   /// How long a crashed worker takes to restart.
   void setRestartTime(Duration Time) { RestartTime_ = Time; }
+  /// Calls to a crashed worker get no answer, as if it had lost power.
+  void enablePowerLoss() { LosesPower_ = true; }
   /// Workers delay the answers to renewals until a task ends.
   void enableReportWaits() { HasReportWaits_ = true; }
+  /// The present owner stands still for \p Time. Answers that arrive meanwhile
+  /// are handled at its end, before anything else.
+  void freezeOwner(Duration Time);
+  /// Owners take \p Time to write a command to a connection.
+  void setSendingTime(Duration Time) { SendingTime_ = Time; }
   /// Another instance takes the cell over. The previous owner has ended, or
   /// continues to run without access to the store.
   void takeOver(bool IsPredecessorAlive);
@@ -143,8 +150,17 @@
   void tick(const std::shared_ptr<Owner> &CellOwner);
   void execute(const std::shared_ptr<Owner> &CellOwner,
                const Action &NextAction);
+  /// Runs \p Act \p Delay from now, or once \p CellOwner no longer stands still.
+  void afterStandstill(const std::shared_ptr<Owner> &CellOwner, Duration Delay,
+                       std::function<void()> Act);
   /// Delivers a call to a worker and its outcome to the owner.
   void call(const std::shared_ptr<Owner> &CellOwner, const std::string &Worker,
+            Duration Wait, TimePoint SendBefore,
+            const std::function<CallOutcome(SimulatedWorker &, std::int64_t)>
+                &Execute,
+            const std::function<void(CallOutcome)> &Answered);
+  /// Writes a call to a connection to \p Worker.
+  void write(const std::shared_ptr<Owner> &CellOwner, const std::string &Worker,
             Duration Wait,
             const std::function<CallOutcome(SimulatedWorker &, std::int64_t)>
                 &Execute,
@@ -191,6 +207,8 @@
   std::map<std::string, Duration> Deadly_;
   Duration RestartTime_ = std::chrono::milliseconds(1500);
   bool HasReportWaits_ = false;
+  bool LosesPower_ = false;
+  Duration SendingTime_{};
   std::map<std::string, std::string> Progress_;
   std::map<std::uint64_t, std::string> Journal_;
   std::map<std::string, WorkerEntry> StoredWorkers_;
--- /dev/null
+++ b/packages/scheduling/tests/standstill_histories_test.cpp
@@ -0,0 +1,88 @@
+/// \file
+/// Checks random histories of owners that stand still, are replaced meanwhile,
+/// and go on while workers return.
+
+#include "simulated_cell.h"
+
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+
+namespace filbertspring::scheduling::test {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Returns a random time between \p From and \p To.
+Duration between(SimulatedCell &Cell, Duration From, Duration To) {
+  return From + std::chrono::duration_cast<Duration>((To - From) *
+                                                     Cell.chance());
+}
+
+AcceptedJob makeWideJob(std::uint32_t Number) {
+  AcceptedJob Job;
+  Job.Id_ = fmt::format("{:016x}", Number);
+  Job.Queue_ = "batch";
+  Job.Service_ = "service";
+  StepSpec Step;
+  Step.Count_ = 24;
+  Step.MaxPerWorker_ = 4;
+  Step.Request_ = {1500, 1000, 0};
+  Step.Estimate_ = 800ms;
+  Job.Spec_.Steps_ = {Step};
+  return Job;
+}
+
+QueueTable makeOneQueue() {
+  QueueTable Queues;
+  Queue Batch;
+  Batch.Name_ = "batch";
+  Batch.Service_ = "service";
+  Batch.Attempts_ = 3;
+  Queues.Queues_ = {Batch};
+  return Queues;
+}
+
+/// Simulates some standstills of owners, each while jobs start and a worker
+/// restarts. Returns the first violation, or an empty text.
+std::string simulateStandstills(std::uint64_t Seed) {
+  SimulatedCell Cell(Seed, 6, {});
+  Cell.setSendingTime(5ms);
+  Cell.enablePowerLoss();
+  Cell.configure(makeOneQueue());
+  Cell.run(2s);
+  for (std::uint32_t Round = 0; Round < 4; ++Round) {
+    Duration Standstill = between(Cell, 2600ms, 5500ms);
+    std::size_t Lost = Cell.random()() % Cell.workerCount();
+    // The worker is back about when the owner goes on.
+    Cell.setRestartTime(Standstill + between(Cell, -300ms, 100ms));
+    Cell.crashWorker(Lost, true);
+    Cell.submit(makeWideJob(Round));
+    Cell.run(between(Cell, 10ms, 200ms));
+    Cell.freezeOwner(Standstill);
+    Cell.run(2600ms);
+    Cell.takeOver(true);
+    Cell.run(12s);
+  }
+  Cell.run(10s);
+  if (Cell.oracle().violations().empty())
+    return {};
+  const Violation &First = Cell.oracle().violations().front();
+  return fmt::format("seed {}: {}: {}", Seed, First.Rule_, First.Detail_);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(an_owner_that_stands_still_and_is_replaced)
+
+// A worker that has restarted knows no fencing token. The former owner repeated
+// the starts that had no answer when it stood still.
+BOOST_AUTO_TEST_CASE(starts_nothing_afterwards) {
+  for (std::uint64_t Seed = 1; Seed <= 100; ++Seed) {
+    std::string Problem = simulateStandstills(Seed);
+    BOOST_TEST(Problem.empty(), Problem);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace filbertspring::scheduling::test
--- a/packages/transport/include/filbertspring/transport/async_http_client.h
+++ b/packages/transport/include/filbertspring/transport/async_http_client.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace filbertspring {
 
@@ -45,8 +46,20 @@
 /// Returns whether \p Address is an "IP:PORT" that can be called.
 bool isSocketAddress(const std::string &Address);
 
+/// Limits of one call.
+struct CallLimits {
+  /// The call ends after this time at the latest. Measured on the clock of the
+  /// event loop; see LoopClock.
+  Duration Timeout_{};
+  /// The request is not written at or after this time. SchedulerClock is read
+  /// at the moment of writing, so the limit also holds for a call that has
+  /// waited for a connection, and for a process that stood still.
+  TimePoint SendBefore_ = TimePoint::max();
+};
+
 /// Receives the answer or an error: Errc::ConnectFailed when the request was
-/// certainly not sent, Errc::OutcomeUnknown when it may have reached the
+/// certainly not sent, Errc::DeadlineExceeded when it was not sent because of
+/// CallLimits::SendBefore_, Errc::OutcomeUnknown when it may have reached the
 /// server.
 using HttpCallback = std::function<void(Result<HttpAnswer>)>;
 
@@ -64,7 +77,11 @@
   /// Sends \p Request, whose path includes the query, and calls \p Callback
   /// once, never before this function returns.
   void send(const std::string &Address, const HttpRequest &Request,
-            Duration Timeout, HttpCallback Callback);
+            const CallLimits &Limits, HttpCallback Callback);
+  void send(const std::string &Address, const HttpRequest &Request,
+            Duration Timeout, HttpCallback Callback) {
+    send(Address, Request, CallLimits{Timeout}, std::move(Callback));
+  }
   const AsyncHttpCounts &counts() const;
 
 private:
--- a/packages/transport/src/async_http_client.cpp
+++ b/packages/transport/src/async_http_client.cpp
@@ -20,8 +20,10 @@
 struct Call {
   std::string Bytes_;
   HttpCallback Callback_;
-  Duration Timeout_{};
+  CallLimits Limits_;
   LoopTime Deadline_;
+
+  bool maySend() const { return SchedulerClock::now() < Limits_.SendBefore_; }
 };
 
 std::string serialize(const std::string &Address, const HttpRequest &Request) {
@@ -143,8 +145,12 @@
            false);
   }
 
+  /// Writes the request, unless the time for it has passed. All requests are
+  /// written here.
   void write() {
     resetParser();
+    if (!Call_->maySend())
+      return failUnsent();
     Owner_.Counts_.BytesSent_ += Call_->Bytes_.size();
     asio::async_write(
         Socket_, asio::buffer(Call_->Bytes_),
@@ -154,6 +160,17 @@
         });
   }
 
+  /// Ends the call, of which nothing was sent, and keeps the connection. The
+  /// call may have been made by the caller of this function, so its callback
+  /// runs later.
+  void failUnsent() {
+    Timer_.cancel();
+    Owner_.Loop_.after(Duration::zero(), [Self = shared_from_this()] {
+      if (!Self->isClosed() && Self->Call_)
+        Self->finish(fail(Errc::DeadlineExceeded), true);
+    });
+  }
+
   /// Reads continuously, also to detect that the server closed an idle
   /// connection.
   void read() {
@@ -190,7 +207,7 @@
       return finish(fail(Errc::OutcomeUnknown), false);
     // The timer waits on when it finds that this deadline has not passed.
     if (Owner_.Limits_.IsTimeoutForEachPart_)
-      TimerDeadline_ = Owner_.Loop_.deadlineAfter(Call_->Timeout_);
+      TimerDeadline_ = Owner_.Loop_.deadlineAfter(Call_->Limits_.Timeout_);
     read();
   }
 
@@ -280,10 +297,13 @@
       return;
     Call NextCall = std::move(HostEntry.Queue_.front());
     HostEntry.Queue_.pop_front();
-    if (Loop_.hasPassed(NextCall.Deadline_)) {
-      Loop_.after(Duration::zero(), [Callback = std::move(NextCall.Callback_)] {
-        Callback(fail(Errc::ConnectFailed));
-      });
+    bool MaySend = NextCall.maySend();
+    if (!MaySend || Loop_.hasPassed(NextCall.Deadline_)) {
+      Errc Cause = MaySend ? Errc::ConnectFailed : Errc::DeadlineExceeded;
+      Loop_.after(Duration::zero(),
+                  [Cause, Callback = std::move(NextCall.Callback_)] {
+                    Callback(fail(Cause));
+                  });
       continue;
     }
     if (HasIdle) {
@@ -316,12 +336,12 @@
 }
 
 void AsyncHttpClient::send(const std::string &Address,
-                           const HttpRequest &Request, Duration Timeout,
-                           HttpCallback Callback) {
+                           const HttpRequest &Request,
+                           const CallLimits &Limits, HttpCallback Callback) {
   Impl::Host &HostEntry = Impl_->Hosts_[Address];
   if (!HostEntry.Endpoint_)
     HostEntry.Endpoint_ = parseAddress(Address);
-  if (!HostEntry.Endpoint_ || Timeout <= Duration::zero()) {
+  if (!HostEntry.Endpoint_ || Limits.Timeout_ <= Duration::zero()) {
     Impl_->Loop_.after(Duration::zero(), [Callback = std::move(Callback)] {
       Callback(fail(Errc::ConnectFailed));
     });
@@ -331,8 +351,8 @@
   Call NextCall;
   NextCall.Bytes_ = serialize(Address, Request);
   NextCall.Callback_ = std::move(Callback);
-  NextCall.Timeout_ = Timeout;
-  NextCall.Deadline_ = Impl_->Loop_.deadlineAfter(Timeout);
+  NextCall.Limits_ = Limits;
+  NextCall.Deadline_ = Impl_->Loop_.deadlineAfter(Limits.Timeout_);
   HostEntry.Queue_.push_back(std::move(NextCall));
   Impl_->dispatch(Address);
 }
