Worker reports: a missing run counts as lost only in a complete report

Cause: dropMissingRuns() takes each confirmed run that a report does not list for lost. A worker lists 500 ends at a time; after the kill of an owner it had more, and the runs whose ends were left out were in neither list. The same conclusion was possible from reports with entries that could not be read, and from the answer to an earlier renewal: after a new incarnation was recognized, a second renewal is sent while the first one is open, and its answer was taken for the answer to the second.

Ruled out: ends that were acknowledged without being stored (the record shows that they are listed by the next answers), restored progress that was outdated (the tasks were stored as placed).

Renewals are numbered, and only the outcome of the outstanding one has an effect, also when it failed: a late "other instance" made a running worker lose its runs. Each run that counts as over without a stop is logged (run_given_up) with the cause, the size and age of the report, and the estimates of the worker's clock and lease.

--- a/benchmark/experiments/cell_load_simulation.cpp
+++ b/benchmark/experiments/cell_load_simulation.cpp
@@ -61,6 +61,7 @@
   std::deque<EndedTask> Ends_;
   std::uint64_t NextEnd_ = 1;
   std::optional<TimePoint> RenewalUntil_;
+  RenewLease Renewal_;
 };
 
 /// Adds the processor time that its scope takes to a sum.
@@ -326,10 +327,10 @@
       Report.RunningTasks_.push_back(
           {Active.Name_, Active.Number_, "", 100, Load});
     }
-    after(CallTime / 2, [this, Id = Each.Entry_.Id_, Report] {
+    after(CallTime / 2, [this, Renewal = Each.Renewal_, Report] {
       ++Result_.Renewals_;
       Stopwatch Time(Result_.Time_.Reports_);
-      Scheduler_.renewalAnswered(Id, Report, Now_);
+      Scheduler_.renewalAnswered(Renewal, Report, Now_);
     });
   }
 
@@ -417,6 +418,7 @@
            Each.Ends_.front().Number_ <= Renewal.Acknowledged_)
       Each.Ends_.pop_front();
     Each.RenewalUntil_ = Now_ + Renewal.Wait_;
+    Each.Renewal_ = Renewal;
     answerRenewal(Each);
   }
 
--- a/packages/base/include/filbertspring/base/log_event.h
+++ b/packages/base/include/filbertspring/base/log_event.h
@@ -59,6 +59,7 @@
   StartsUnlimited = 3025,
   TaskOverTarget = 3026,
   TaskPlacedOverdue = 3027,
+  RunGivenUp = 3028,
 
   PeerConnected = 4001,
   PeerLost = 4002,
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -98,6 +98,8 @@
     {LogEvent::TaskPlacedOverdue, Info, "task_placed_overdue",
      "A task has waited too long and is placed on a worker that was a bad "
      "choice for it."},
+    {LogEvent::RunGivenUp, Warning, "run_given_up",
+     "A run that was not stopped counts as over; its task waits again."},
     {LogEvent::PeerConnected, Info, "peer_connected",
      "A stream to another entry instance is open."},
     {LogEvent::PeerLost, Warning, "peer_lost",
--- a/packages/node/src/worker_calls.cpp
+++ b/packages/node/src/worker_calls.cpp
@@ -73,26 +73,26 @@
       Renewal.Address_, platform::makeRenewalRequest(Renewal, OwnerToken_),
       CallLimits{WorkerCallTimeout + Renewal.Wait_, SendBefore},
       [this, IsAlive = IsAlive_,
-       Worker = Renewal.Worker_](const Result<HttpAnswer> &Answer) {
+       Renewal](const Result<HttpAnswer> &Answer) {
         if (!*IsAlive)
           return;
         TimePoint Now = SchedulerClock::now();
         CallOutcome Outcome = callOutcome(Answer);
         Counters_.counter("worker_reports_total").add();
         if (Outcome != CallOutcome::Accepted) {
-          Scheduler_.renewalFailed(Worker, Outcome, Now);
+          Scheduler_.renewalFailed(Renewal, Outcome, Now);
           return OutcomeReported_();
         }
         Result<WorkerReport> Report = platform::decodeRenewalAnswer(*Answer);
         if (Report && Report->UnreadableEntries_ > 0)
           logEvent(LogEvent::PeerMessageRejected,
-                   {{"worker", Worker},
+                   {{"worker", Renewal.Worker_},
                     {"entries",
                      static_cast<std::int64_t>(Report->UnreadableEntries_)}});
         if (Report)
-          Scheduler_.renewalAnswered(Worker, *Report, Now);
+          Scheduler_.renewalAnswered(Renewal, *Report, Now);
         else
-          Scheduler_.renewalFailed(Worker, CallOutcome::RejectedOther, Now);
+          Scheduler_.renewalFailed(Renewal, CallOutcome::RejectedOther, Now);
         OutcomeReported_();
       },
       CallUrgency::MayWait);
--- a/packages/scheduling/include/filbertspring/scheduling/scheduler.h
+++ b/packages/scheduling/include/filbertspring/scheduling/scheduler.h
@@ -62,6 +62,8 @@
 
 /// Renews the lease of all tasks on a worker and requests a report.
 struct RenewLease {
+  /// Unique among the renewals of a tenure.
+  std::uint64_t Number_ = 0;
   std::string Worker_;
   std::string Address_;
   /// The time on the worker's clock until which tasks may run; empty to request
@@ -193,9 +195,12 @@
   /// Handles the removal of a registration. Tasks on the worker may still run.
   void workerDeregistered(const std::string &Worker, TimePoint Now);
 
-  void renewalAnswered(const std::string &Worker, const WorkerReport &Report,
+  /// Handle the outcome of \p Renewal. It has no effect unless that is the
+  /// outstanding renewal of the worker: the next incarnation of a worker is
+  /// renewed although an answer of the previous one may still arrive.
+  void renewalAnswered(const RenewLease &Renewal, const WorkerReport &Report,
                        TimePoint Now);
-  void renewalFailed(const std::string &Worker, CallOutcome Outcome,
+  void renewalFailed(const RenewLease &Renewal, CallOutcome Outcome,
                      TimePoint Now);
   void startAnswered(const std::string &Worker, const TaskName &Name,
                      std::uint64_t Run, CallOutcome Outcome, TimePoint Now);
--- a/packages/scheduling/include/filbertspring/scheduling/worker.h
+++ b/packages/scheduling/include/filbertspring/scheduling/worker.h
@@ -69,16 +69,21 @@
   std::string Checkpoint_;
 };
 
-/// A worker's answer to a lease renewal.
+/// A worker's answer to a lease renewal: what it runs when it answers.
 struct WorkerReport {
   /// The worker's own clock in milliseconds.
   std::int64_t ClockMs_ = 0;
   std::int64_t StartedAtMs_ = 0;
   std::vector<RunningTask> RunningTasks_;
   std::vector<EndedTask> EndedTasks_;
-  /// Entries of both lists with a task name of another form. They are not of
-  /// this cell.
+  /// Entries of both lists with a task name of another form.
   std::size_t UnreadableEntries_ = 0;
+  /// The worker lists a limited number of ends at a time and may have more.
+  bool MayOmitEnds_ = false;
+
+  /// Returns whether a run that is in neither list does not exist any more. In
+  /// any other report, its end may be omitted or unreadable.
+  bool isComplete() const { return UnreadableEntries_ == 0 && !MayOmitEnds_; }
 };
 
 /// The outcome of a control call to a worker.
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -235,6 +235,7 @@
 void Scheduler::Impl::sendRenewal(WorkerState &Worker, TimePoint Now,
                                   bool MayExtendLease) {
   RenewLease Renewal;
+  Renewal.Number_ = ++LastRenewal_;
   Renewal.Worker_ = Worker.Entry_.Id_;
   Renewal.Address_ = Worker.Entry_.Address_;
   // A worker without contact may have restarted and count its ends anew.
@@ -263,6 +264,7 @@
   if (Worker.OverTargetSince_)
     Renewal.Wait_ = std::min(OverTargetReportWait, Renewal.Wait_);
   Worker.IsRenewing_ = true;
+  Worker.OutstandingRenewal_ = Renewal.Number_;
   Worker.RenewalSentAt_ = Now;
   Actions_.emplace_back(std::move(Renewal));
 }
@@ -285,10 +287,11 @@
   }
 }
 
-void Scheduler::renewalFailed(const std::string &Id, CallOutcome Outcome,
+void Scheduler::renewalFailed(const RenewLease &Renewal, CallOutcome Outcome,
                               TimePoint Now) {
+  const std::string &Id = Renewal.Worker_;
   WorkerState *Worker = Impl_->findWorker(Id);
-  if (!Worker)
+  if (!Worker || !Worker->isOutstanding(Renewal.Number_))
     return;
   Worker->IsRenewing_ = false;
   Impl_->scheduleRenewal(*Worker, Now + UnreachableRetryInterval);
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -274,7 +274,15 @@
                       TimePoint Now);
   void adoptRun(WorkerState &Worker, JobRecord *Record,
                 const RunningTask &Running, TimePoint Now);
-  void dropMissingRuns(WorkerState &Worker, TimePoint SentAt, TimePoint Now);
+  /// Removes confirmed runs that are missing from \p Report, which was requested
+  /// at \p SentAt, after they had been confirmed.
+  void dropMissingRuns(WorkerState &Worker, const WorkerReport &Report,
+                       TimePoint SentAt, TimePoint Now);
+  /// Logs that \p GivenUp counts as over although it was not stopped.
+  /// \p Report: the last one of the worker, or null if it is not the reason.
+  void recordGivenUp(const WorkerState &Worker, const Run &GivenUp,
+                     const char *Cause, const WorkerReport *Report,
+                     TimePoint Now);
   void observeTailLatencies(WorkerState &Worker, TimePoint Now);
   /// Returns the task to the waiting tasks if \p Run on \p Worker is its
   /// present run. It is not placed again before \p Delay has passed.
@@ -468,6 +476,7 @@
   /// Runs whose placement is part of the outstanding transaction.
   std::vector<PlannedRun> PlannedRunsInFlight_;
   std::uint64_t WriteSequence_ = 0;
+  std::uint64_t LastRenewal_ = 0;
   std::vector<Action> Actions_;
   std::vector<LogRecord> LogRecords_;
   UnplaceableRequests Unplaceable_;
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -27,10 +27,11 @@
 
 } // namespace
 
-void Scheduler::renewalAnswered(const std::string &Id,
+void Scheduler::renewalAnswered(const RenewLease &Renewal,
                                 const WorkerReport &Report, TimePoint Now) {
+  const std::string &Id = Renewal.Worker_;
   WorkerState *Worker = Impl_->findWorker(Id);
-  if (!Worker)
+  if (!Worker || !Worker->isOutstanding(Renewal.Number_))
     return;
   bool IsOtherIncarnation = Report.StartedAtMs_ != 0 &&
                             Worker->Entry_.StartedAtMs_ != 0 &&
@@ -81,7 +82,7 @@
   ++Worker->ReportCount_;
   for (const RunningTask &Running : Report.RunningTasks_)
     Impl_->processRunning(*Worker, Running, Now);
-  Impl_->dropMissingRuns(*Worker, SentAt, Now);
+  Impl_->dropMissingRuns(*Worker, Report, SentAt, Now);
   // A worker with unacknowledged ends does not delay its response.
   bool HasUnstoredEnds = Worker->ProcessedEnd_ > Worker->StoredEnd_;
   bool MayDelay =
@@ -253,10 +254,35 @@
   Worker.addRun(std::move(AdoptedRun));
 }
 
-/// Removes confirmed runs that are missing from a report that was requested
-/// later.
-void Scheduler::Impl::dropMissingRuns(WorkerState &Worker, TimePoint SentAt,
-                                      TimePoint Now) {
+void Scheduler::Impl::recordGivenUp(const WorkerState &Worker,
+                                    const Run &GivenUp, const char *Cause,
+                                    const WorkerReport *Report, TimePoint Now) {
+  constexpr auto Millisecond = std::chrono::milliseconds(1);
+  std::vector<std::pair<std::string, std::string>> Fields = {
+      {"task", GivenUp.Name_.text()},
+      {"run", std::to_string(GivenUp.Number_)},
+      {"worker", Worker.Entry_.Id_},
+      {"cause", Cause},
+      {"born", std::to_string(Worker.Entry_.StartedAtMs_)},
+      {"clock_ms", std::to_string(Worker.clockAt(Now).value_or(-1))},
+      {"lease_left_ms",
+       std::to_string((Worker.LeaseExpiresAt_ - Now) / Millisecond)}};
+  if (Report) {
+    Fields.emplace_back("running",
+                        std::to_string(Report->RunningTasks_.size()));
+    Fields.emplace_back("ended", std::to_string(Report->EndedTasks_.size()));
+    Fields.emplace_back(
+        "requested_ms_ago",
+        std::to_string((Now - Worker.RenewalSentAt_) / Millisecond));
+  }
+  recordEvent(LogEvent::RunGivenUp, std::move(Fields));
+}
+
+void Scheduler::Impl::dropMissingRuns(WorkerState &Worker,
+                                      const WorkerReport &Report,
+                                      TimePoint SentAt, TimePoint Now) {
+  if (!Report.isComplete())
+    return;
   std::vector<std::string> MissingRuns;
   for (const auto &[Text, ActiveRun] : Worker.Runs_) {
     if (ActiveRun.LastListedReport_ == Worker.ReportCount_)
@@ -271,6 +297,8 @@
   }
   for (const std::string &Text : MissingRuns) {
     Run Dropped = Worker.Runs_[Text];
+    if (!Dropped.StopConfirmedAt_)
+      recordGivenUp(Worker, Dropped, "not reported", &Report, Now);
     Worker.dropRun(Text);
     NeedsPlacement_ = true;
     if (JobRecord *Record = findJob(Dropped.Name_.Job_)) {
--- a/packages/scheduling/src/scheduler_workers.cpp
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -103,6 +103,7 @@
   std::unordered_map<std::string, Run> LostRuns = std::move(Worker.Runs_);
   Worker.dropAllRuns();
   for (auto &[Text, ActiveRun] : LostRuns) {
+    recordGivenUp(Worker, ActiveRun, Cause, nullptr, Now);
     JobRecord *Record = findJob(ActiveRun.Name_.Job_);
     if (!Record)
       continue;
--- a/packages/scheduling/src/worker_state.h
+++ b/packages/scheduling/src/worker_state.h
@@ -144,6 +144,8 @@
   /// Number of reports from this incarnation.
   std::uint64_t ReportCount_ = 0;
   bool IsRenewing_ = false;
+  /// The number of the outstanding renewal, and when the last one was sent.
+  std::uint64_t OutstandingRenewal_ = 0;
   TimePoint RenewalSentAt_{};
   TimePoint NextRenewalAt_{};
   std::uint32_t FailedRenewals_ = 0;
@@ -224,6 +226,10 @@
   /// Returns the processor capacity in thousandths of a processor. The result
   /// is at least 1, so that it can be used as a divisor.
   double milliCpu() const;
+  /// Returns whether the renewal with \p Number is outstanding.
+  bool isOutstanding(std::uint64_t Number) const {
+    return IsRenewing_ && Number == OutstandingRenewal_;
+  }
   bool isReachable() const { return HasReported_ && FailedRenewals_ == 0; }
   /// Returns when contact with this incarnation was lost, or else when the
   /// previous one crashed.
--- a/packages/scheduling/tests/capacity_test.cpp
+++ b/packages/scheduling/tests/capacity_test.cpp
@@ -444,13 +444,14 @@
       Next.writesStored(Next.takeWrites(90), Now_);
     for (const Action &NextAction : Next.takeActions()) {
       Starts += std::holds_alternative<StartTask>(NextAction) ? 1 : 0;
-      if (!std::holds_alternative<RenewLease>(NextAction))
+      const auto *Renewal = std::get_if<RenewLease>(&NextAction);
+      if (!Renewal)
         continue;
       WorkerReport Report;
       Report.ClockMs_ = Now_.time_since_epoch() / 1ms;
       Report.StartedAtMs_ = 1;
       Report.RunningTasks_ = RunningTasks_["w1"];
-      Next.renewalAnswered("w1", Report, Now_);
+      Next.renewalAnswered(*Renewal, Report, Now_);
     }
   };
   for (int Round = 0; Round < 10; ++Round)
--- a/packages/scheduling/tests/cell_fixture.h
+++ b/packages/scheduling/tests/cell_fixture.h
@@ -98,8 +98,10 @@
         Starts_.push_back(*Start);
       if (auto *Stop = std::get_if<StopTask>(&NextAction))
         Stops_.push_back(*Stop);
-      if (auto *Renewal = std::get_if<RenewLease>(&NextAction))
+      if (auto *Renewal = std::get_if<RenewLease>(&NextAction)) {
         Renewals_.push_back(*Renewal);
+        LastRenewals_[Renewal->Worker_] = *Renewal;
+      }
       if (auto *Pace = std::get_if<PaceTask>(&NextAction))
         Paces_[Pace->Name_.text()] = Pace->Percent_;
     }
@@ -112,7 +114,9 @@
       Report.StartedAtMs_ = Born_;
       Report.RunningTasks_ = RunningTasks_[Renewal.Worker_];
       Report.EndedTasks_ = EndedTasks_[Renewal.Worker_];
-      Scheduler_.renewalAnswered(Renewal.Worker_, Report, Now_);
+      Report.MayOmitEnds_ = MayOmitEnds_;
+      Report.UnreadableEntries_ = UnreadableEntries_;
+      Scheduler_.renewalAnswered(Renewal, Report, Now_);
     }
   }
 
@@ -156,10 +160,15 @@
   std::map<std::string, std::string> Racks_;
   /// The start time of the workers in their reports.
   std::int64_t Born_ = 1;
+  /// What their reports leave out.
+  bool MayOmitEnds_ = false;
+  std::size_t UnreadableEntries_ = 0;
   Scheduler Scheduler_;
   std::vector<StartTask> Starts_;
   std::vector<StopTask> Stops_;
   std::vector<RenewLease> Renewals_;
+  /// The last renewal of each worker.
+  std::map<std::string, RenewLease> LastRenewals_;
   /// The last pace that was sent for each task.
   std::map<std::string, int> Paces_;
   std::map<std::string, std::vector<RunningTask>> RunningTasks_;
--- a/packages/scheduling/tests/counted_runs_test.cpp
+++ b/packages/scheduling/tests/counted_runs_test.cpp
@@ -114,7 +114,7 @@
       std::vector<RenewLease> OfOthers;
       for (const RenewLease &Renewal : std::exchange(Renewals_, {}))
         if (Renewal.Worker_ == "w3")
-          Scheduler_.renewalFailed("w3", CallOutcome::NoAnswer, Now_);
+          Scheduler_.renewalFailed(Renewal, CallOutcome::NoAnswer, Now_);
         else
           OfOthers.push_back(Renewal);
       Renewals_ = std::move(OfOthers);
@@ -202,7 +202,10 @@
   WorkerReport Late;
   Late.ClockMs_ = Now_.time_since_epoch() / 1ms;
   Late.StartedAtMs_ = 1;
-  Scheduler_.renewalAnswered("w1", Late, Now_);
+  RenewLease Earlier;
+  Earlier.Number_ = 1;
+  Earlier.Worker_ = "w1";
+  Scheduler_.renewalAnswered(Earlier, Late, Now_);
   run(2s);
   for (const auto &[Task, Count] : StartCounts_)
     BOOST_TEST(Count == 1);
@@ -267,24 +270,70 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_run_that_a_report_does_not_list)
+
+BOOST_FIXTURE_TEST_CASE(is_kept_if_the_report_may_omit_ends, CellWithRun) {
+  RunningTasks_[First_.Worker_].clear();
+  MayOmitEnds_ = true;
+  play(2s);
+  BOOST_TEST(Starts_.size() == 1);
+  // The next report has room for its end.
+  MayOmitEnds_ = false;
+  addEnd(First_.Worker_, First_.Run_, EndReason::Failed);
+  play(2s);
+  BOOST_TEST(Starts_.size() == 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(is_kept_if_the_report_has_an_unreadable_entry,
+                        CellWithRun) {
+  RunningTasks_[First_.Worker_].clear();
+  UnreadableEntries_ = 1;
+  play(2s);
+  BOOST_TEST(Starts_.size() == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(is_kept_if_the_report_answers_an_earlier_renewal,
+                        CellWithRun) {
+  RenewLease Earlier = LastRenewals_[First_.Worker_];
+  play(2s);
+  BOOST_REQUIRE(LastRenewals_[First_.Worker_].Number_ != Earlier.Number_);
+  WorkerReport Report;
+  Report.ClockMs_ = Now_.time_since_epoch() / 1ms;
+  Report.StartedAtMs_ = Born_;
+  Scheduler_.renewalAnswered(Earlier, Report, Now_);
+  play(2s);
+  BOOST_TEST(Starts_.size() == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(is_lost_if_the_report_is_complete, CellWithRun) {
+  RunningTasks_[First_.Worker_].clear();
+  play(2s);
+  BOOST_TEST(Starts_.size() == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_worker_that_another_one_answered_for)
 
 BOOST_FIXTURE_TEST_CASE(loses_its_runs_again_the_next_time, CellWithRun) {
   std::string Worker = First_.Worker_;
   RunningTasks_[Worker].clear();
   closeZoneOf(otherWorker());
-  Scheduler_.renewalFailed(Worker, CallOutcome::OtherInstance, Now_);
+  Scheduler_.renewalFailed(LastRenewals_[Worker], CallOutcome::OtherInstance,
+                           Now_);
   play(2s);
   BOOST_REQUIRE(Starts_.size() == 2);
   RunningTasks_[Worker].clear();
   Scheduler_.setClosedZones({});
-  Scheduler_.renewalFailed(Worker, CallOutcome::OtherInstance, Now_);
+  Scheduler_.renewalFailed(LastRenewals_[Worker], CallOutcome::OtherInstance,
+                           Now_);
   for (TimePoint End = Now_ + MaxReadyWait; Now_ < End;) {
     step(100ms);
     std::vector<RenewLease> OfOthers;
     for (const RenewLease &Renewal : std::exchange(Renewals_, {}))
       if (Renewal.Worker_ == Worker)
-        Scheduler_.renewalFailed(Worker, CallOutcome::OtherInstance, Now_);
+        Scheduler_.renewalFailed(LastRenewals_[Worker], CallOutcome::OtherInstance,
+                           Now_);
       else
         OfOthers.push_back(Renewal);
     Renewals_ = std::move(OfOthers);
--- a/packages/scheduling/tests/crash_fixture.h
+++ b/packages/scheduling/tests/crash_fixture.h
@@ -86,7 +86,7 @@
     for (const RenewLease &Renewal : std::exchange(Renewals_, {})) {
       Machine &Target = Machines_[Renewal.Worker_];
       if (Target.DownUntil_ || Silent_.contains(Renewal.Worker_)) {
-        Scheduler_.renewalFailed(Renewal.Worker_, CallOutcome::NoAnswer, Now_);
+        Scheduler_.renewalFailed(Renewal, CallOutcome::NoAnswer, Now_);
         continue;
       }
       for (const ActiveTask &Active : Target.Tasks_)
@@ -103,7 +103,7 @@
         Report.RunningTasks_.push_back(
             {Active.Start_.Name_, Active.Start_.Run_, "", 0, 0});
       Report.EndedTasks_ = Target.Ends_;
-      Scheduler_.renewalAnswered(Renewal.Worker_, Report, Now_);
+      Scheduler_.renewalAnswered(Renewal, Report, Now_);
     }
   }
 
--- a/packages/scheduling/tests/large_cell.cpp
+++ b/packages/scheduling/tests/large_cell.cpp
@@ -187,9 +187,9 @@
     }
     WorkerReport Report;
     Workers_.at(Worker)->renew(Waiting.Renewal_, Tenure_, 1, Now_, Report);
-    std::string Id = Worker;
+    RenewLease Answered = Waiting.Renewal_;
     It = Renewals_.erase(It);
-    Scheduler_->renewalAnswered(Id, Report, Now_);
+    Scheduler_->renewalAnswered(Answered, Report, Now_);
   }
 }
 
--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -281,7 +281,7 @@
       BOOST_TEST((Renewal.Worker_ != Unreachable || Now_ == UnreachableAt ||
                   !Renewal.DeadlineMs_));
       if (Renewal.Worker_ == Unreachable)
-        Scheduler_.renewalFailed(Unreachable, CallOutcome::NoAnswer, Now_);
+        Scheduler_.renewalFailed(Renewal, CallOutcome::NoAnswer, Now_);
       else
         Renewals_.push_back(Renewal);
     }
--- a/packages/scheduling/tests/serving_worker.cpp
+++ b/packages/scheduling/tests/serving_worker.cpp
@@ -233,7 +233,9 @@
            Run.IsFiller_ ? FillerMilliCpu * Run.PacePercent_ / 100.0
                          : reportedTailMs()});
     after(Latency + ReportDelay_,
-          [=, this] { Scheduler_.renewalAnswered("w1", Report, Now_); });
+          [this, Renewal = Pending.Renewal_, Report] {
+            Scheduler_.renewalAnswered(Renewal, Report, Now_);
+          });
   }
 }
 
--- a/packages/scheduling/tests/simulated_cell.cpp
+++ b/packages/scheduling/tests/simulated_cell.cpp
@@ -457,10 +457,10 @@
                 },
                 [this, CellOwner, Renewal, Report](CallOutcome Outcome) {
                   if (Outcome != CallOutcome::Accepted)
-                    return CellOwner->Scheduler_.renewalFailed(Renewal.Worker_,
+                    return CellOwner->Scheduler_.renewalFailed(Renewal,
                                                                Outcome, Now_);
                   Oracle_.reported(CellOwner->Token_, *Report);
-                  CellOwner->Scheduler_.renewalAnswered(Renewal.Worker_,
+                  CellOwner->Scheduler_.renewalAnswered(Renewal,
                                                         *Report, Now_);
                 });
           },
--- a/packages/scheduling/tests/simulated_cell.h
+++ b/packages/scheduling/tests/simulated_cell.h
@@ -70,6 +70,11 @@
   void startUnknown(std::size_t Index, const AcceptedJob &Job);
   /// How long a crashed worker takes to restart.
   void setRestartTime(Duration Time) { RestartTime_ = Time; }
+  /// Reports of all workers list at most \p Count ends.
+  void limitListedEnds(std::size_t Count) {
+    for (auto &[Id, Worker] : Workers_)
+      Worker->limitListedEnds(Count);
+  }
   /// Calls to a crashed worker get no answer, as if it had lost power.
   void enablePowerLoss() { LosesPower_ = true; }
   /// Workers delay the answers to renewals until a task ends.
--- a/packages/scheduling/tests/simulated_worker.cpp
+++ b/packages/scheduling/tests/simulated_worker.cpp
@@ -234,7 +234,9 @@
                                     Run.Load_.TargetMs_ > 0 ? 100.0 : 50.0,
                                     reportedLoad(Run)});
   for (const UnacknowledgedEnd &End : Ends_)
-    Report.EndedTasks_.push_back(End.Task_);
+    if (Report.EndedTasks_.size() < MaxListedEnds_)
+      Report.EndedTasks_.push_back(End.Task_);
+  Report.MayOmitEnds_ = Report.EndedTasks_.size() == MaxListedEnds_;
   return CallOutcome::Accepted;
 }
 
--- a/packages/scheduling/tests/simulated_worker.h
+++ b/packages/scheduling/tests/simulated_worker.h
@@ -8,6 +8,7 @@
 
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -82,6 +83,8 @@
   CallOutcome renew(const RenewLease &Renewal, std::uint64_t Token,
                     std::int64_t BornMs, TimePoint Now, WorkerReport &Report);
   void crash(TimePoint Now);
+  /// Reports list at most \p Count ends.
+  void limitListedEnds(std::size_t Count) { MaxListedEnds_ = Count; }
   void setCapacity(const Resources &Capacity) { Entry_.Capacity_ = Capacity; }
   /// Returns the next registration.
   WorkerEntry registerAgain() {
@@ -138,6 +141,7 @@
   std::int64_t DeadlineMs_ = 0;
   std::uint64_t NextEnd_ = 1;
   std::uint64_t NextCheckpoint_ = 1;
+  std::size_t MaxListedEnds_ = std::numeric_limits<std::size_t>::max();
   std::map<std::string, ActiveRun> Runs_;
   std::map<std::string, std::uint64_t> HighestEndedRuns_;
   std::deque<UnacknowledgedEnd> Ends_;
--- a/packages/scheduling/tests/slow_owner.cpp
+++ b/packages/scheduling/tests/slow_owner.cpp
@@ -259,11 +259,12 @@
     Workers_.at(Id)->renew(Waiting.Renewal_, Token, 1, Now_, Report);
     Duration Timeout = CallTimeout + Waiting.Renewal_.Wait_;
     arrive(NetworkDelay,
-           [this, Worker = Id, Report, Timeout, SentAt = Waiting.SentAt_] {
+           [this, Renewal = Waiting.Renewal_, Report, Timeout,
+            SentAt = Waiting.SentAt_] {
              if (Now_ - SentAt > Timeout)
-               Scheduler_->renewalFailed(Worker, CallOutcome::NoAnswer, Now_);
+               Scheduler_->renewalFailed(Renewal, CallOutcome::NoAnswer, Now_);
              else
-               Scheduler_->renewalAnswered(Worker, Report, Now_);
+               Scheduler_->renewalAnswered(Renewal, Report, Now_);
              requestCycle();
              return Costs_.Answer_;
            });
--- a/packages/scheduling/tests/standstill_histories_test.cpp
+++ b/packages/scheduling/tests/standstill_histories_test.cpp
@@ -1,6 +1,6 @@
 /// \file
-/// Checks random histories of owners that stand still, are replaced meanwhile,
-/// and go on while workers return.
+/// Checks random histories of owners that stand still and are replaced, while
+/// workers restart or have more ends than one report lists.
 
 #include "simulated_cell.h"
 
@@ -70,6 +70,28 @@
   return fmt::format("seed {}: {}: {}", Seed, First.Rule_, First.Detail_);
 }
 
+/// Simulates owners that end while many tasks end. Returns the first violation,
+/// or an empty text.
+std::string simulateManyEnds(std::uint64_t Seed) {
+  SimulatedCell Cell(Seed, 6, {});
+  Cell.limitListedEnds(1 + Seed % 4);
+  Cell.configure(makeOneQueue());
+  Cell.run(2s);
+  for (std::uint32_t Round = 0; Round < 4; ++Round) {
+    Cell.submit(makeWideJob(Round));
+    Cell.run(between(Cell, 100ms, 600ms));
+    Cell.freezeOwner(between(Cell, 500ms, 2500ms));
+    Cell.run(2500ms);
+    Cell.takeOver(false);
+    Cell.run(8s);
+  }
+  Cell.run(10s);
+  if (Cell.oracle().violations().empty())
+    return {};
+  const Violation &First = Cell.oracle().violations().front();
+  return fmt::format("seed {}: {}: {}", Seed, First.Rule_, First.Detail_);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(an_owner_that_stands_still_and_is_replaced)
@@ -85,4 +107,16 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_worker_with_more_ends_than_a_report_lists)
+
+// The runs whose ends were left out counted as lost, and their tasks ran again.
+BOOST_AUTO_TEST_CASE(keeps_its_runs_until_their_ends_are_listed) {
+  for (std::uint64_t Seed = 1; Seed <= 100; ++Seed) {
+    std::string Problem = simulateManyEnds(Seed);
+    BOOST_TEST(Problem.empty(), Problem);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace filbertspring::scheduling::test
--- a/packages/scheduling/tests/start_limit_test.cpp
+++ b/packages/scheduling/tests/start_limit_test.cpp
@@ -180,7 +180,7 @@
     Report.ClockMs_ = Now_.time_since_epoch() / 1ms;
     Report.StartedAtMs_ = 1;
     Report.RunningTasks_ = RunningTasks_[Worker];
-    Scheduler_.renewalAnswered(Worker, Report, Now_);
+    Scheduler_.renewalAnswered(LastRenewals_[Worker], Report, Now_);
   };
   auto Renew = [this] {
     Scheduler_.advance(Now_, 0, Now_, true);
--- a/packages/scheduling/tests/watched_cell.h
+++ b/packages/scheduling/tests/watched_cell.h
@@ -272,7 +272,7 @@
       const RenewLease &Renewal = Next.Renewal_;
       Machine &Target = Machines_[Renewal.Worker_];
       if (Target.DownUntil_) {
-        Scheduler_.renewalFailed(Renewal.Worker_, CallOutcome::NoAnswer, Now_);
+        Scheduler_.renewalFailed(Renewal, CallOutcome::NoAnswer, Now_);
         continue;
       }
       endDueTasks(Target);
@@ -290,7 +290,7 @@
         Report.RunningTasks_.push_back({Active.Start_.Name_, Active.Start_.Run_,
                                         "", percentOf(Active), 0});
       Report.EndedTasks_ = Target.Ends_;
-      Scheduler_.renewalAnswered(Renewal.Worker_, Report, Now_);
+      Scheduler_.renewalAnswered(Renewal, Report, Now_);
     }
   }
 
--- a/packages/scheduling/tests/worker_loss_test.cpp
+++ b/packages/scheduling/tests/worker_loss_test.cpp
@@ -50,7 +50,7 @@
       std::vector<RenewLease> OfOthers;
       for (const RenewLease &Renewal : std::exchange(Renewals_, {}))
         if (Renewal.Worker_ == Worker_)
-          Scheduler_.renewalFailed(Worker_, Outcome, Now_);
+          Scheduler_.renewalFailed(Renewal, Outcome, Now_);
         else
           OfOthers.push_back(Renewal);
       Renewals_ = std::move(OfOthers);
