Cancellations: also stored if the job is not known, so that it cannot come later

Cause: cancelJob() answered 410 when the job's row did not exist and left nothing behind, so any instance could insert the job afterwards.

Ruled out: the caller's deadline. An instance that stood still cannot know how long a request waited in its socket, and a closed connection is noticed only after the request was read; neither would keep a promise of another instance.

Change: a cancellation is inserted in any case, on the condition that the job's row has the version that was read or does not exist. The insert of a job is conditional on its cancellation being absent as well; otherwise the submission is answered 410, and nothing runs. If a condition fails, the job's row is read again. The owner removes a cancellation without a job after the time for which final states are kept, and cancels a job at once whose acceptance it learns of after the cancellation. An id that never comes costs one small row for that time.

--- a/packages/node/src/callers.cpp
+++ b/packages/node/src/callers.cpp
@@ -63,6 +63,15 @@
 /// the same job id determines the outcome.
 HttpAnswer makeUnknownOutcomeAnswer() { return makeAnswer(504); }
 
+/// Returns the row \p Key, or null if \p Rows does not hold it.
+const Row *findRow(const std::vector<Row> &Rows,
+                   const scheduling::RowKey &Key) {
+  auto It = std::find_if(Rows.begin(), Rows.end(), [&](const Row &Stored) {
+    return Stored.Key_.Key_ == Key.Key_;
+  });
+  return It == Rows.end() ? nullptr : &*It;
+}
+
 /// Returns the range that contains only the row \p Key.
 platform::RowRange singleRowRange(const scheduling::RowKey &Key) {
   // Longer keys of the same job continue with a dot, which sorts after the
@@ -205,6 +214,8 @@
   Accepted.Body_ = std::move(CallerExchange->Request_.Body_);
   RowTransaction Insert;
   Insert.Conditions_.push_back({jobKey(CallerExchange->Job_), 0});
+  // The job may have been cancelled before it came; see cancelJob().
+  Insert.Conditions_.push_back({cancellationKey(CallerExchange->Job_), 0});
   Row NewRow;
   NewRow.Key_ = jobKey(CallerExchange->Job_);
   NewRow.Value_ = encodeAcceptance(Accepted);
@@ -222,9 +233,17 @@
   CallerExchange->Respond_(makeAnswer(400));
 }
 
+/// Answers a submission of a job that was cancelled before it was stored.
+void CallerRequestHandler::rejectCancelledJob(
+    const ExchangePtr &CallerExchange) {
+  logEvent(LogEvent::JobRefused, {{"job", CallerExchange->Job_},
+                                  {"problem", "cancelled before"}});
+  CallerExchange->Respond_(makeAnswer(410));
+}
+
 /// Inserts the job, and repeats the insert until its outcome is known or the
-/// caller's deadline has passed. The condition that the row does not exist
-/// makes repeats safe.
+/// caller's deadline has passed. The condition that neither the job nor its
+/// cancellation is stored makes repeats safe.
 void CallerRequestHandler::insertJob(const ExchangePtr &CallerExchange,
                                      const RowTransaction &Insert) {
   if (CallerExchange->IsAnswered_)
@@ -244,9 +263,13 @@
       Insert, Timeout,
       [this, CallerExchange, Insert](const CommitResult &Outcome) {
         CallerExchange->IsCommitting_ = false;
+        const Row &Accepted = Insert.Writes_.front();
+        if (Outcome.Outcome_ == CommitOutcome::Conflict &&
+            !findRow(Outcome.CurrentRows_, Accepted.Key_))
+          return rejectCancelledJob(CallerExchange);
         switch (Outcome.Outcome_) {
         case CommitOutcome::Committed:
-          RowStored_(Insert.Writes_.front());
+          RowStored_(Accepted);
           [[fallthrough]];
         case CommitOutcome::Conflict:
           logEvent(
@@ -268,7 +291,7 @@
           }
           if (Outcome.Outcome_ == CommitOutcome::Rejected)
             return rejectJob(CallerExchange, "the store takes no such row",
-                             Insert.Writes_.front().Value_.size());
+                             Accepted.Value_.size());
           logEvent(LogEvent::JobRefused, {{"job", CallerExchange->Job_},
                                           {"problem", "store refuses calls"}});
           return CallerExchange->Respond_(makeUnavailableAnswer());
@@ -326,14 +349,18 @@
               });
 }
 
+/// Cancels a job, whether it is stored or not. The answer that there is no such
+/// job is a promise that none will start, but an instance may still hold its
+/// submission. So the cancellation is stored in any case, and keeps the job
+/// from being inserted. The owner removes it after the time for which a final
+/// state is kept; see Scheduler::cancelJob().
 void CallerRequestHandler::cancelJob(const ExchangePtr &CallerExchange) {
   readAcceptance(CallerExchange, [this, CallerExchange](const Row *Accepted) {
-    if (!Accepted)
-      return CallerExchange->Respond_(makeAnswer(410));
-    insertCancellation(CallerExchange, Accepted->Version_);
+    insertCancellation(CallerExchange, Accepted ? Accepted->Version_ : 0);
   });
 }
 
+/// \p Version: the version of the job's row, 0 if it is not stored.
 void CallerRequestHandler::insertCancellation(const ExchangePtr &CallerExchange,
                                               std::uint64_t Version) {
   if (CallerExchange->IsAnswered_)
@@ -356,10 +383,11 @@
         case CommitOutcome::Committed:
           logEvent(LogEvent::StopRequested, {{"job", CallerExchange->Job_}});
           RowStored_(NewRow);
-          return CallerExchange->Respond_(makeAnswer(200));
+          return CallerExchange->Respond_(
+              makeAnswer(Version == 0 ? 410 : 200));
         case CommitOutcome::Conflict:
-          // The row of an accepted job changes only by its removal.
-          return CallerExchange->Respond_(makeAnswer(410));
+          // The job was stored or removed meanwhile.
+          return cancelJob(CallerExchange);
         case CommitOutcome::Refused:
         case CommitOutcome::Rejected:
           // An earlier insert for this request may still take effect.
--- a/packages/node/src/callers.h
+++ b/packages/node/src/callers.h
@@ -37,6 +37,7 @@
 
   void route(const ExchangePtr &CallerExchange);
   void submitJob(const ExchangePtr &CallerExchange);
+  void rejectCancelledJob(const ExchangePtr &CallerExchange);
   void rejectJob(const ExchangePtr &CallerExchange, std::string_view Problem,
                  std::size_t Bytes);
   void insertJob(const ExchangePtr &CallerExchange,
--- a/packages/scheduling/include/filbertspring/scheduling/scheduler.h
+++ b/packages/scheduling/include/filbertspring/scheduling/scheduler.h
@@ -186,6 +186,8 @@
   /// Notes a row of the journal that an earlier tenure wrote. Its changes must
   /// be included in the calls of restoreProgress().
   void restoreJournalRow(const JournalRow &Row);
+  /// Cancels a job. If it is not known, it is cancelled when it is added;
+  /// expiredJobs() returns it once it cannot come any more.
   void cancelJob(const std::string &Job, TimePoint Now);
 
   /// Adds a worker that the previous owner may have used.
@@ -241,7 +243,8 @@
   /// Returns whether there are changes to store or ended runs to acknowledge.
   bool hasWrites() const;
 
-  /// Returns up to \p MaxJobs jobs whose final state need not be kept any more.
+  /// Returns up to \p MaxJobs jobs whose final state, or whose cancellation
+  /// before their acceptance, need not be kept any more.
   /// Remove their stored acceptances before calling jobsRemoved(): progress
   /// without an acceptance is harmless, but an acceptance without progress
   /// would run the job again.
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -90,8 +90,12 @@
 }
 
 void Scheduler::addJob(const AcceptedJob &Accepted, TimePoint Now) {
-  if (Impl_->Jobs_.try_emplace(Accepted.Id_, Accepted, Now).second)
-    Impl_->JobsToRelease_.insert(Accepted.Id_);
+  if (!Impl_->Jobs_.try_emplace(Accepted.Id_, Accepted, Now).second)
+    return;
+  Impl_->JobsToRelease_.insert(Accepted.Id_);
+  // A notice of the cancellation may overtake that of the acceptance.
+  if (Impl_->CancelledBefore_.erase(Accepted.Id_) > 0)
+    cancelJob(Accepted.Id_, Now);
 }
 
 void Scheduler::restoreProgress(const std::string &Id,
@@ -143,6 +147,8 @@
 
 void Scheduler::cancelJob(const std::string &Id, TimePoint Now) {
   JobRecord *Record = Impl_->findJob(Id);
+  if (!Record)
+    Impl_->CancelledBefore_.try_emplace(Id, Now);
   if (!Record || isFinal(Record->Job_.state()))
     return;
   Record->Job_.cancel();
@@ -367,11 +373,17 @@
     if (IsExpired && !Impl_->Journal_.mayHoldRow(Record.LastJournalRow_))
       Expired.push_back(Id);
   }
+  for (const auto &[Id, CancelledAt] : Impl_->CancelledBefore_)
+    if (Expired.size() < MaxJobs &&
+        Now - CancelledAt > Impl_->Settings_.FinalStateRetention_)
+      Expired.push_back(Id);
   return Expired;
 }
 
 void Scheduler::jobsRemoved(const std::vector<std::string> &Jobs) {
   for (const std::string &Id : Jobs) {
+    if (Impl_->CancelledBefore_.erase(Id) > 0)
+      continue;
     Impl_->Jobs_.erase(Id);
     Impl_->DirtyJobs_.erase(Id);
     Impl_->Snapshots_.erase(Id);
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -422,6 +422,8 @@
   std::shared_ptr<const QueueTable> Queues_;
   std::set<std::string> ClosedZones_;
   std::map<std::string, JobRecord> Jobs_;
+  /// When jobs were cancelled that are not known.
+  std::map<std::string, TimePoint> CancelledBefore_;
   std::unordered_map<std::string, WorkerState> Workers_;
   /// The start times of the workers that the previous owner stored.
   std::unordered_map<std::string, std::int64_t> StoredStartTimes_;
--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -294,5 +294,29 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_job_that_was_cancelled_before_it_is_known)
+
+BOOST_FIXTURE_TEST_CASE(is_cancelled_when_it_is_added, Cell) {
+  Scheduler_.cancelJob("job", Now_);
+  submit("job", {task(1)});
+  step();
+  step();
+  BOOST_TEST(Starts_.empty());
+  BOOST_TEST((Scheduler_.stateOf("job") == JobState::Cancelled));
+}
+
+BOOST_FIXTURE_TEST_CASE(is_removed_after_the_retention_of_final_states, Cell) {
+  Scheduler_.cancelJob("job", Now_);
+  Duration Retention = SchedulerSettings().FinalStateRetention_;
+  BOOST_TEST(Scheduler_.expiredJobs(Now_ + Retention, 10).empty());
+  std::vector<std::string> Expired =
+      Scheduler_.expiredJobs(Now_ + Retention + 1ms, 10);
+  BOOST_TEST(Expired == std::vector<std::string>{"job"});
+  Scheduler_.jobsRemoved(Expired);
+  BOOST_TEST(Scheduler_.expiredJobs(Now_ + Retention + 1ms, 10).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace
 } // namespace filbertspring::scheduling::test
