--- a/packages/node/src/callers.cpp
+++ b/packages/node/src/callers.cpp
@@ -236,8 +236,8 @@
 /// Answers a submission of a job that was cancelled before it was stored.
 void CallerRequestHandler::rejectCancelledJob(
     const ExchangePtr &CallerExchange) {
-  logEvent(LogEvent::JobRefused, {{"job", CallerExchange->Job_},
-                                  {"problem", "cancelled before"}});
+  logEvent(LogEvent::JobRefused,
+           {{"job", CallerExchange->Job_}, {"problem", "cancelled before"}});
   CallerExchange->Respond_(makeAnswer(410));
 }
 
@@ -383,8 +383,7 @@
         case CommitOutcome::Committed:
           logEvent(LogEvent::StopRequested, {{"job", CallerExchange->Job_}});
           RowStored_(NewRow);
-          return CallerExchange->Respond_(
-              makeAnswer(Version == 0 ? 410 : 200));
+          return CallerExchange->Respond_(makeAnswer(Version == 0 ? 410 : 200));
         case CommitOutcome::Conflict:
           // The job was stored or removed meanwhile.
           return cancelJob(CallerExchange);
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -29,6 +29,8 @@
   if (!OutputFile.empty())
     posix_spawn_file_actions_addopen(&Files, STDOUT_FILENO, OutputFile.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0600);
+  // Ports that this program listens on would stay in use.
+  posix_spawn_file_actions_addclosefrom_np(&Files, STDERR_FILENO + 1);
   if (posix_spawn(&Pid_, Path.c_str(), &Files, nullptr, Argv.data(), environ) !=
       0)
     Pid_ = -1;
