Restarted workers: a run that is kept for the next incarnation is stopped if its job has ended

Found by reading: the crash of a worker can end a job (its task is given up) before its runs with a start under way are kept for the next incarnation, which would run on. The test covers a job that is cancelled; the case of a task that is given up has none.

--- a/packages/node/src/worker_relay.h
+++ b/packages/node/src/worker_relay.h
@@ -13,7 +13,6 @@
 #include <map>
 #include <memory>
 #include <string>
-#include <string>
 #include <utility>
 #include <vector>
 
--- a/packages/node/tests/late_loop_test.cpp
+++ b/packages/node/tests/late_loop_test.cpp
@@ -188,11 +188,12 @@
 /// answer one after another.
 struct RelayOfLateOwner {
   RelayOfLateOwner()
-      : Relay_(Loop_, Counters_, "process"), Owner_(Loop_, {},
-                                         [this](const HttpRequest &Request,
-                                                const HttpResponder &Respond) {
-                                           takeAnswers(Request, Respond);
-                                         }) {
+      : Relay_(Loop_, Counters_, "process"),
+        Owner_(
+            Loop_, {},
+            [this](const HttpRequest &Request, const HttpResponder &Respond) {
+              takeAnswers(Request, Respond);
+            }) {
     BOOST_REQUIRE(Owner_.listen(OwnerAddress).has_value());
     for (std::size_t Worker = 0; Worker < Workers; ++Worker) {
       WorkerServers_.push_back(std::make_unique<AsyncHttpServer>(
--- a/packages/node/tests/worker_channel_test.cpp
+++ b/packages/node/tests/worker_channel_test.cpp
@@ -286,8 +286,8 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-// An owner that was replaced, or a relay that stood still, would otherwise start
-// tasks that the next owner has started elsewhere.
+// An owner that was replaced, or a relay that stood still, would otherwise
+// start tasks that the next owner has started elsewhere.
 BOOST_AUTO_TEST_SUITE(a_call_whose_sending_limit_has_passed)
 
 BOOST_FIXTURE_TEST_CASE(is_not_made, RelayedWorker) {
--- a/packages/scheduling/include/filbertspring/scheduling/owner_lease.h
+++ b/packages/scheduling/include/filbertspring/scheduling/owner_lease.h
@@ -52,8 +52,8 @@
   Duration FirstOwnerDelay_ = std::chrono::milliseconds(800);
 };
 
-/// Until when the owner of a cell may send commands to workers. The times are on
-/// SchedulerClock, which also counts the time during which a process stands
+/// Until when the owner of a cell may send commands to workers. The times are
+/// on SchedulerClock, which also counts the time during which a process stands
 /// still.
 struct CommandLimits {
   /// No other instance owns the cell before this time.
--- a/packages/scheduling/src/owner_lease.cpp
+++ b/packages/scheduling/src/owner_lease.cpp
@@ -95,7 +95,8 @@
 CommandLimits OwnerLease::commandLimits() const {
   if (!isOwner())
     return {};
-  return {ConfirmedAt_ + Times_.TakeoverAfter_, ConfirmedAt_ + Times_.ValidFor_};
+  return {ConfirmedAt_ + Times_.TakeoverAfter_,
+          ConfirmedAt_ + Times_.ValidFor_};
 }
 
 bool OwnerLease::shouldTakeOver(TimePoint /*Now*/) const {
--- a/packages/scheduling/src/scheduler_workers.cpp
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -133,6 +133,10 @@
     Worker.LeaseExpiresAt_ = leaseEnd(Settings_.LeaseDuration_, Now);
     // The outcome of a start decides, or else the first complete report.
     Each.StartsSent_ = MaxStartsSent;
+    // The crash may have ended its job.
+    JobRecord *Record = findJob(Each.Name_.Job_);
+    if (!Record || isFinal(Record->Job_.state()))
+      requestStop(Worker, Each, Now);
     if (Each.Phase_ == RunPhase::Stopping)
       WorkersWithStops_.insert(Entry.Id_);
     Worker.addRun(std::move(Each));
--- a/packages/scheduling/tests/counted_runs_test.cpp
+++ b/packages/scheduling/tests/counted_runs_test.cpp
@@ -262,6 +262,27 @@
   BOOST_TEST(Starts_.size() == 8);
 }
 
+BOOST_FIXTURE_TEST_CASE(stops_a_start_under_way_if_its_job_is_cancelled, Cell) {
+  Scheduler_.setClosedZones({"zone-b"});
+  submit("00000000000000aa", {task(1)});
+  step();
+  BOOST_REQUIRE(Starts_.size() == 1);
+  const StartTask Start = Starts_.front();
+  Scheduler_.cancelJob(Start.Name_.Job_, Now_);
+  list("w1", false, 2);
+  Born_ = 2;
+  // The next incarnation carries it out.
+  RunningTasks_["w1"] = {{Start.Name_, Start.Run_, "", 0, 0}};
+  Scheduler_.startAnswered("w1", Start.Name_, Start.Run_, CallOutcome::Accepted,
+                           Now_, 1000);
+  for (int Round = 0; Round < 3; ++Round) {
+    step();
+    answerRenewals();
+  }
+  BOOST_REQUIRE(!Stops_.empty());
+  BOOST_TEST(Stops_.back().Run_ == Start.Run_);
+}
+
 BOOST_FIXTURE_TEST_CASE(keeps_a_run_whose_answer_shows_its_next_incarnation,
                         Cell) {
   Scheduler_.setClosedZones({"zone-b"});
--- a/packages/scheduling/tests/serving_worker.cpp
+++ b/packages/scheduling/tests/serving_worker.cpp
@@ -232,10 +232,9 @@
           {Run.Name_, Run.Run_, "", 100,
            Run.IsFiller_ ? FillerMilliCpu * Run.PacePercent_ / 100.0
                          : reportedTailMs()});
-    after(Latency + ReportDelay_,
-          [this, Renewal = Pending.Renewal_, Report] {
-            Scheduler_.renewalAnswered(Renewal, Report, Now_);
-          });
+    after(Latency + ReportDelay_, [this, Renewal = Pending.Renewal_, Report] {
+      Scheduler_.renewalAnswered(Renewal, Report, Now_);
+    });
   }
 }
 
--- a/packages/scheduling/tests/slow_owner.cpp
+++ b/packages/scheduling/tests/slow_owner.cpp
@@ -258,16 +258,15 @@
     WorkerReport Report;
     Workers_.at(Id)->renew(Waiting.Renewal_, Token, 1, Now_, Report);
     Duration Timeout = CallTimeout + Waiting.Renewal_.Wait_;
-    arrive(NetworkDelay,
-           [this, Renewal = Waiting.Renewal_, Report, Timeout,
-            SentAt = Waiting.SentAt_] {
-             if (Now_ - SentAt > Timeout)
-               Scheduler_->renewalFailed(Renewal, CallOutcome::NoAnswer, Now_);
-             else
-               Scheduler_->renewalAnswered(Renewal, Report, Now_);
-             requestCycle();
-             return Costs_.Answer_;
-           });
+    arrive(NetworkDelay, [this, Renewal = Waiting.Renewal_, Report, Timeout,
+                          SentAt = Waiting.SentAt_] {
+      if (Now_ - SentAt > Timeout)
+        Scheduler_->renewalFailed(Renewal, CallOutcome::NoAnswer, Now_);
+      else
+        Scheduler_->renewalAnswered(Renewal, Report, Now_);
+      requestCycle();
+      return Costs_.Answer_;
+    });
     It = Renewals_.erase(It);
   }
 }
--- a/packages/transport/src/async_http_client.cpp
+++ b/packages/transport/src/async_http_client.cpp
@@ -336,8 +336,8 @@
 }
 
 void AsyncHttpClient::send(const std::string &Address,
-                           const HttpRequest &Request,
-                           const CallLimits &Limits, HttpCallback Callback) {
+                           const HttpRequest &Request, const CallLimits &Limits,
+                           HttpCallback Callback) {
   Impl::Host &HostEntry = Impl_->Hosts_[Address];
   if (!HostEntry.Endpoint_)
     HostEntry.Endpoint_ = parseAddress(Address);
