Restarted workers: a lease counts before the first report

Cause, from run_given_up: expireLeases() knew only the leases of the previous owner for a worker without a report, so the runs that are kept for its next incarnation were given up at once. Now its own lease counts, too.

--- a/packages/scheduling/src/scheduler_workers.cpp
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -233,7 +233,7 @@
     TimePoint LeaseEnd =
         Worker.HasReported_
             ? std::max(Worker.LeaseExpiresAt_, Worker.PredecessorLeaseEnd_)
-            : predecessorLeaseEnd();
+            : std::max(Worker.LeaseExpiresAt_, predecessorLeaseEnd());
     if (IsUnreachable && Now > LeaseEnd && ConfirmedAt > LeaseEnd &&
         !Worker.IsExpired_) {
       rememberLostRuns(Worker, Now);
--- a/packages/scheduling/tests/counted_runs_test.cpp
+++ b/packages/scheduling/tests/counted_runs_test.cpp
@@ -262,6 +262,23 @@
   BOOST_TEST(Starts_.size() == 8);
 }
 
+// The leases of the previous owner ended long ago, but not that of the run.
+BOOST_FIXTURE_TEST_CASE(keeps_a_start_under_way_until_its_lease_ends, Cell) {
+  Scheduler_.setClosedZones({"zone-b"});
+  for (int Round = 0; Round < 150; ++Round) {
+    step(100ms);
+    answerRenewals();
+  }
+  submit("00000000000000aa", {task(1)});
+  step();
+  BOOST_REQUIRE(Starts_.size() == 1);
+  list("w1", false, 2);
+  Scheduler_.setClosedZones({});
+  for (int Round = 0; Round < 10; ++Round)
+    step(100ms);
+  BOOST_TEST(Starts_.size() == 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(stops_a_start_under_way_if_its_job_is_cancelled, Cell) {
   Scheduler_.setClosedZones({"zone-b"});
   submit("00000000000000aa", {task(1)});
