--- a/packages/scheduling/include/filbertspring/scheduling/job.h
+++ b/packages/scheduling/include/filbertspring/scheduling/job.h
@@ -39,6 +39,8 @@
   std::string Queue_;
   /// The service that the queue was configured with when the job was accepted.
   std::string Service_;
+  /// The workspace whose key was used to submit the job; empty if none was.
+  std::string Workspace_;
   JobSpec Spec_;
   /// Time of acceptance, milliseconds since 1970.
   std::int64_t AcceptedMs_ = 0;
--- a/packages/scheduling/include/filbertspring/scheduling/queue_table.h
+++ b/packages/scheduling/include/filbertspring/scheduling/queue_table.h
@@ -2,9 +2,11 @@
 #define FILBERTSPRING_SCHEDULING_QUEUE_TABLE_H
 
 /// \file
-/// The operator's configuration: queues and the services that run their tasks.
+/// The operator's configuration: queues, the services that run their tasks, and
+/// the workspaces that share them.
 
 #include "filbertspring/base/time.h"
+#include "filbertspring/scheduling/job_spec.h"
 
 #include <cstdint>
 #include <string>
@@ -30,6 +32,8 @@
   Duration TargetLatency_{};
   /// Time limit of a caller's request.
   Duration Timeout_{};
+  /// Requests need no key of a workspace, and their jobs belong to none.
+  bool IsPublic_ = false;
 };
 
 /// A named pool of workers.
@@ -39,11 +43,25 @@
   bool EnforcesCapacity_ = false;
 };
 
+/// A team whose callers share keys, a quota and a share of the workers.
+struct Workspace {
+  std::string Name_;
+  /// Each of them identifies a caller of the workspace.
+  std::vector<std::string> Keys_;
+  /// The share of the workspace relative to others while tasks wait for
+  /// capacity; also the jobs per second that its share covers.
+  double Weight_ = 1.0;
+  /// What its tasks may use on all workers together; 0 means no limit.
+  Resources Maximum_;
+};
+
 /// One complete version of the configuration.
 struct QueueTable {
   std::uint64_t Version_ = 0;
   std::vector<Queue> Queues_;
   std::vector<ServicePool> Services_;
+  /// Empty if the deployment has no workspaces. Requests then need no keys.
+  std::vector<Workspace> Workspaces_;
   /// Maximum size of the body of a caller's request.
   std::size_t MaxBodyBytes_ = 262'144;
 
@@ -52,6 +70,8 @@
   const Queue *match(std::string_view Host, std::string_view Path) const;
   /// Returns the queue called \p Name, or null. Linear in the number of queues.
   const Queue *find(std::string_view Name) const;
+  /// Returns whether requests to queues that are not public need a key.
+  bool requiresKeys() const { return !Workspaces_.empty(); }
 };
 
 } // namespace filbertspring::scheduling
