Interference model: the estimates of rarely seen fillers do not diverge

Cause: after each report the variance of each coefficient was cut to that of its prior, but its covariances stayed. Once fillers are rarely seen, the forgetting factor lets both grow, the matrix is no longer positive definite, and the gain of the next report can have any size and sign.

Change: the covariances shrink with the variance.

The new test failed before (an estimate of 4,728 where none is above 10 in the simulated reports) and passes now.

--- a/packages/scheduling/src/interference.cpp
+++ b/packages/scheduling/src/interference.cpp
@@ -121,10 +121,26 @@
       for (std::size_t Column = 0; Column < Size; ++Column)
         Cells[Column] =
             (Cells[Column] - Factor * Gain[Column]) * InverseForgettingFactor;
-      // Without new data, the forgetting factor would let variances grow
-      // without bound.
-      Cells[Row] = std::min(Cells[Row], relativeVariance(PriorEffectDeviation));
     }
+    for (std::size_t Column = 0; Column < Size; ++Column)
+      limitVariance(Column);
+  }
+
+private:
+  /// Limits the variance of a coefficient to that of its prior. Without new
+  /// data, the forgetting factor would let it grow without bound.
+  void limitVariance(std::size_t Column) {
+    double Limit = relativeVariance(PriorEffectDeviation);
+    double Variance = Covariance_[Column][Column];
+    if (Variance <= Limit)
+      return;
+    // The covariances shrink with it. Otherwise the matrix would no longer be
+    // positive definite, and the fit would diverge.
+    double Factor = std::sqrt(Limit / Variance);
+    for (std::vector<double> &Row : Covariance_)
+      Row[Column] *= Factor;
+    for (double &Cell : Covariance_[Column])
+      Cell *= Factor;
   }
 };
 
--- a/packages/scheduling/tests/interference_test.cpp
+++ b/packages/scheduling/tests/interference_test.cpp
@@ -59,6 +59,39 @@
   BOOST_TEST(Model.effect("serving", "harmless").Mean_ - Before < 1.0);
 }
 
+// Guards against a covariance that loses its positive definiteness while some
+// fillers are rarely seen: the estimates then diverge.
+BOOST_AUTO_TEST_CASE(stays_bounded_while_most_images_are_rarely_seen) {
+  constexpr int Images = 18;
+  std::mt19937 Random(20261206);
+  std::uniform_real_distribution<double> Uniform(0.0, 1.0);
+  std::normal_distribution<double> Noise(0.0,
+                                         InterferenceModel::ReportDeviation);
+  std::vector<std::string> Names;
+  for (int Image = 0; Image < Images; ++Image)
+    Names.push_back("filler-" + std::to_string(Image));
+  InterferenceModel Model;
+  double Largest = 0;
+  for (int Report = 0; Report < 60'000; ++Report) {
+    std::vector<FillerShare> Fillers;
+    double Log = Noise(Random);
+    // The present images change every 2,000 reports.
+    int First = Report / 2000 % Images;
+    for (int Image = First; Image < First + 6; ++Image) {
+      if (Uniform(Random) < 0.5)
+        continue;
+      Fillers.push_back({Names[Image % Images], 0.1 * Uniform(Random)});
+      Log += (Image % 3 == 0 ? HarmfulEffect : 0.3) * Fillers.back().Share_;
+    }
+    Model.observe("serving", AloneMs * std::exp(Log), Fillers);
+    if (Report % 100 == 0)
+      for (const InterferenceEstimate &Pair : Model.estimates())
+        Largest = std::max(Largest, std::abs(Pair.Value_.Mean_));
+  }
+  // Three times the largest effect that was simulated.
+  BOOST_TEST(Largest < 3 * HarmfulEffect);
+}
+
 BOOST_AUTO_TEST_CASE(is_restored_from_its_estimates) {
   InterferenceModel Model = makeFittedModel();
   InterferenceModel Successor;
