--- a/packages/scheduling/include/filbertspring/scheduling/queue_table.h
+++ b/packages/scheduling/include/filbertspring/scheduling/queue_table.h
@@ -55,6 +55,14 @@
   Resources Maximum_;
 };
 
+/// Why an entry of the list of workspaces is not, or not wholly, in force.
+struct WorkspaceProblem {
+  /// The name of the workspace, shortened; its position if it has no name.
+  std::string Workspace_;
+  /// For people.
+  std::string Problem_;
+};
+
 /// One complete version of the configuration.
 struct QueueTable {
   std::uint64_t Version_ = 0;
@@ -62,6 +70,7 @@
   std::vector<ServicePool> Services_;
   /// Empty if the deployment has no workspaces. Requests then need no keys.
   std::vector<Workspace> Workspaces_;
+  std::vector<WorkspaceProblem> WorkspaceProblems_;
   /// Maximum size of the body of a caller's request.
   std::size_t MaxBodyBytes_ = 262'144;
 
@@ -70,8 +79,12 @@
   const Queue *match(std::string_view Host, std::string_view Path) const;
   /// Returns the queue called \p Name, or null. Linear in the number of queues.
   const Queue *find(std::string_view Name) const;
-  /// Returns whether requests to queues that are not public need a key.
-  bool requiresKeys() const { return !Workspaces_.empty(); }
+  /// Returns whether requests to queues that are not public need a key. They do
+  /// also if no entry of the list of workspaces could be read, since an error
+  /// in the configuration must not admit everybody.
+  bool requiresKeys() const {
+    return !Workspaces_.empty() || !WorkspaceProblems_.empty();
+  }
 };
 
 } // namespace filbertspring::scheduling
