--- a/packages/node/src/configuration_follower.cpp
+++ b/packages/node/src/configuration_follower.cpp
@@ -21,6 +21,9 @@
 constexpr Duration KeyedFeedWait = std::chrono::milliseconds(500);
 /// If the last confirmation is older, the store is asked to answer at once.
 constexpr Duration UsualConfirmationAge = std::chrono::milliseconds(1200);
+/// The wait for such an answer. Not zero, which a store may take for a call
+/// without a limit.
+constexpr Duration ShortestFeedWait = std::chrono::milliseconds(1);
 
 /// The pause after each answer, which limits the rate of calls while the store
 /// answers immediately. Changes have to take effect within seconds.
@@ -85,7 +88,7 @@
   if (!RequiresKeys_)
     return ConfigurationFeedWait;
   bool IsLate = SchedulerClock::now() - ConfirmedAt_ > UsualConfirmationAge;
-  return IsLate ? Duration::zero() : KeyedFeedWait;
+  return IsLate ? ShortestFeedWait : KeyedFeedWait;
 }
 
 void ConfigurationFollower::handleRow(const Row &StoredRow) {
