Clients: memory, time and descriptors are bounded for each listener

Cause: bodies were stored before the path was examined, fields took 64 bytes and more for 4, the idle timer began anew with each byte, full listeners closed new connections only, and each answered request kept its timer until the deadline that its client had named. Steps of a submission were built before their number was checked.

Change: a budget of memory (ClientBudget) for the connections of a listener, derived from limits.memory_mb, and connections from limits.max_fds; the choice of the connections to close is a function without I/O. Requests are refused at the end of their headers by path, method and Content-Length (refuseEarly), bodies wait in bounded socket buffers, and time counts from the first byte of a request.

--- a/packages/node/include/filbertspring/node/node_settings.h
+++ b/packages/node/include/filbertspring/node/node_settings.h
@@ -28,6 +28,11 @@
   double CpuShare_ = 1.0;
   /// The speed of that core relative to a reference core.
   double RelativeCoreSpeed_ = 1.0;
+  /// The memory of the machine in MB. The default is the smallest machine of
+  /// the platform.
+  double MemoryMb_ = 160;
+  /// The number of descriptors that the process may open.
+  double MaxDescriptors_ = 4100;
   /// The longest lease that workers accept.
   Duration MaxLease_ = std::chrono::seconds(6);
   /// The longest time that a worker takes to kill a task.
--- a/packages/node/src/callers.cpp
+++ b/packages/node/src/callers.cpp
@@ -27,6 +27,12 @@
 constexpr Duration AnswerMargin = std::chrono::milliseconds(150);
 /// The timeout of callers that send none.
 constexpr Duration DefaultCallerTimeout = std::chrono::milliseconds(3000);
+/// Longer timeouts of callers count as this one. They bound how long a request
+/// is held while the store does not answer.
+constexpr std::chrono::milliseconds MaxCallerTimeout{60'000};
+/// The largest body whatever the configuration says; rows of the store are not
+/// larger.
+constexpr std::size_t LargestBodyBytes = 1U << 20U;
 /// The Retry-After value if the store refused a call or did not answer. The
 /// shortest outages have ended by then.
 constexpr const char *StoreRetryAfterSeconds = "1";
@@ -93,7 +99,18 @@
       std::from_chars(Text.data(), Text.data() + Text.size(), Milliseconds);
   if (Text.empty() || Error != std::errc() || Milliseconds <= 0)
     return DefaultCallerTimeout;
-  return std::chrono::milliseconds(Milliseconds);
+  return std::chrono::milliseconds(
+      std::min<std::int64_t>(Milliseconds, MaxCallerTimeout.count()));
+}
+
+/// Returns the value of the header Content-Length, or 0.
+std::uint64_t contentLength(const HttpRequest &Head) {
+  std::string_view Text = Head.header("Content-Length");
+  std::uint64_t Length = 0;
+  auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Length);
+  // The server refuses a length that is not a number.
+  return Error == std::errc() ? Length : 0;
 }
 
 } // namespace
@@ -113,6 +130,9 @@
   /// A transaction for this request has no outcome yet.
   bool IsCommitting_ = false;
   bool IsAnswered_ = false;
+  /// Answers at the deadline. Ends with the exchange, so that requests that
+  /// were answered take no memory.
+  std::shared_ptr<void> DeadlineTimer_;
 };
 
 CallerRequestHandler::CallerRequestHandler(
@@ -126,6 +146,33 @@
   Queues_ = std::move(Queues);
 }
 
+std::size_t CallerRequestHandler::maxBodyBytes() const {
+  return Queues_ ? std::min(Queues_->MaxBodyBytes_, LargestBodyBytes)
+                 : scheduling::QueueTable().MaxBodyBytes_;
+}
+
+std::optional<HttpAnswer>
+CallerRequestHandler::refuseEarly(const HttpRequest &Head) const {
+  if (!Queues_)
+    return makeUnavailableAnswer();
+  std::string_view Host = Head.header("Host");
+  const Queue *MatchedQueue =
+      Queues_->match(Host.substr(0, Host.find(':')), Head.Path_);
+  if (!MatchedQueue)
+    return makeAnswer(404);
+  std::string_view Job =
+      std::string_view(Head.Path_).substr(MatchedQueue->PathPrefix_.size());
+  bool IsCount = Head.Method_ == "GET" && Job.empty();
+  if (!IsCount && !isJobId(Job))
+    return makeAnswer(404);
+  if (Head.Method_ != "POST" && Head.Method_ != "GET" &&
+      Head.Method_ != "DELETE")
+    return makeAnswer(405);
+  if (contentLength(Head) > maxBodyBytes())
+    return makeAnswer(413);
+  return std::nullopt;
+}
+
 Duration CallerRequestHandler::timeLeft(const Exchange &CallerExchange) const {
   return std::min(StoreCallTimeout, CallerExchange.Deadline_ -
                                         SchedulerClock::now() - AnswerMargin);
@@ -151,11 +198,12 @@
                           std::to_string(Answer.Status_) + "\"");
     Respond(std::move(Answer));
   };
-  Loop_.after(callerTimeout(CallerExchange->Request_) - AnswerMargin,
-              [this, Reference = std::weak_ptr(CallerExchange)] {
-                if (ExchangePtr Open = Reference.lock())
-                  answerAtDeadline(Open);
-              });
+  CallerExchange->DeadlineTimer_ =
+      Loop_.timer(callerTimeout(CallerExchange->Request_) - AnswerMargin,
+                  [this, Reference = std::weak_ptr(CallerExchange)] {
+                    if (ExchangePtr Open = Reference.lock())
+                      answerAtDeadline(Open);
+                  });
   route(CallerExchange);
 }
 
@@ -200,6 +248,9 @@
 }
 
 void CallerRequestHandler::submitJob(const ExchangePtr &CallerExchange) {
+  if (!platform::isDocumentWithinLimits(CallerExchange->Request_.Body_))
+    return rejectJob(CallerExchange, "the document is nested too deeply",
+                     CallerExchange->Request_.Body_.size());
   Result<scheduling::JobSpec> Spec =
       platform::decodeJobSpec(CallerExchange->Request_.Body_);
   std::string Problem =
--- a/packages/node/src/callers.h
+++ b/packages/node/src/callers.h
@@ -12,6 +12,7 @@
 #include "store_client.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace filbertspring::node {
@@ -28,6 +29,11 @@
                        std::function<void(const scheduling::Row &)> RowStored);
 
   void configure(std::shared_ptr<const scheduling::QueueTable> Queues);
+  /// Returns the refusal of a request whose body has not arrived, from its
+  /// method, path and headers alone; std::nullopt if it may be handled.
+  std::optional<HttpAnswer> refuseEarly(const HttpRequest &Head) const;
+  /// Returns the size in force of the largest body.
+  std::size_t maxBodyBytes() const;
   /// Handles \p Request and calls \p Respond exactly once.
   void handle(HttpRequest Request, HttpResponder Respond);
 
--- a/packages/node/src/run_node.cpp
+++ b/packages/node/src/run_node.cpp
@@ -2,6 +2,7 @@
 
 #include "callers.h"
 #include "cell_owner.h"
+#include "client_limits.h"
 #include "configuration_follower.h"
 #include "filbertspring/base/log.h"
 #include "filbertspring/node/node_settings.h"
@@ -77,12 +78,6 @@
   return fmt::format("{:08x}{:08x}", Random(), Random());
 }
 
-AsyncServerLimits peerLimits() {
-  AsyncServerLimits Limits;
-  Limits.MaxBodyBytes_ = 4 * MaxBatchBytes;
-  return Limits;
-}
-
 /// Owns the components of an instance and runs its event loop.
 class Instance {
 public:
@@ -105,31 +100,40 @@
             [this](std::set<std::string> Zones) {
               Owner_.setClosedZones(std::move(Zones));
             }),
-        CallerServer_(Loop_, {},
-                      [this](HttpRequest Request, HttpResponder Respond) {
-                        CallerRequests_.handle(std::move(Request),
-                                               std::move(Respond));
-                      }),
+        Limits_(
+            deriveClientLimits(Settings_.MemoryMb_, Settings_.MaxDescriptors_)),
+        Refusals_(Counters_), CallerBudget_(Limits_.CallerBytes_),
+        ReadinessBudget_(Limits_.ReadinessBytes_),
+        MetricsBudget_(Limits_.MetricsBytes_),
+        CallerServer_(
+            Loop_, Limits_.Callers_,
+            [this](HttpRequest Request, HttpResponder Respond) {
+              CallerRequests_.handle(std::move(Request), std::move(Respond));
+            },
+            callerHooks(), &CallerBudget_),
         ReadinessServer_(
-            Loop_, {},
+            Loop_, Limits_.Readiness_,
             [this](const HttpRequest &, const HttpResponder &Respond) {
               HttpAnswer Answer;
               Answer.Status_ = isReady() ? 200 : 503;
               Respond(std::move(Answer));
-            }),
+            },
+            refusalHooks("readiness"), &ReadinessBudget_),
         PeerServer_(
             Loop_, peerLimits(),
             [this](const HttpRequest &Request, const HttpResponder &Respond) {
               handlePeerRequest(Request, Respond);
-            }),
+            },
+            refusalHooks("peers")),
         MetricsServer_(
-            Loop_, {},
+            Loop_, Limits_.Metrics_,
             [this](const HttpRequest &, const HttpResponder &Respond) {
               HttpAnswer Answer;
               Answer.ContentType_ = "text/plain; version=0.0.4";
               Answer.Body_ = Counters_.toPrometheusText();
               Respond(std::move(Answer));
-            }) {}
+            },
+            refusalHooks("metrics"), &MetricsBudget_) {}
 
   int run() {
     if (!listen(CallerServer_, Settings_.CallerAddress_) ||
@@ -157,7 +161,27 @@
   }
 
 private:
+  /// \p Listener must be a literal.
+  AsyncServerHooks refusalHooks(std::string_view Listener) {
+    AsyncServerHooks Hooks;
+    Hooks.Refused_ = [this, Listener](ClientRefusal Reason) {
+      Refusals_.note(Listener, Reason, SchedulerClock::now());
+    };
+    return Hooks;
+  }
+
+  AsyncServerHooks callerHooks() {
+    AsyncServerHooks Hooks = refusalHooks("callers");
+    Hooks.CheckHead_ = [this](const HttpRequest &Head) {
+      return HeadDecision{CallerRequests_.refuseEarly(Head),
+                          CallerRequests_.maxBodyBytes()};
+    };
+    return Hooks;
+  }
+
   void noteLoopDelay(Duration Delay) {
+    Counters_.gauge("client_memory_bytes")
+        .set(static_cast<std::int64_t>(CallerBudget_.used()));
     Counters_.observe("event_loop_delay_seconds", Delay);
     std::optional<LoopDelays> Due =
         DelayLog_.probed(Delay, SchedulerClock::now());
@@ -294,6 +318,11 @@
   AsyncHttpClient PeerClient_;
   WorkerRelay Relay_;
   ConfigurationFollower Configuration_;
+  ClientLimits Limits_;
+  RefusalLog Refusals_;
+  ClientBudget CallerBudget_;
+  ClientBudget ReadinessBudget_;
+  ClientBudget MetricsBudget_;
   AsyncHttpServer CallerServer_;
   AsyncHttpServer ReadinessServer_;
   AsyncHttpServer PeerServer_;
--- a/packages/node/tests/callers_test.cpp
+++ b/packages/node/tests/callers_test.cpp
@@ -115,4 +115,32 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(the_head_of_a_request)
+
+// A body that would be dropped must not be stored first.
+BOOST_FIXTURE_TEST_CASE(is_refused_if_the_request_cannot_be_handled, Caller) {
+  struct Head {
+    const char *Method_;
+    const char *Path_;
+    const char *Length_;
+    int Status_;
+  };
+  for (const Head &Each :
+       {Head{"POST", "/batch/0123456789abcdef", "262144", 0},
+        Head{"POST", "/batch/0123456789abcdef", "262145", 413},
+        Head{"POST", "/nowhere/0123456789abcdef", "1", 404},
+        Head{"POST", "/batch/no-id", "1", 404},
+        Head{"PUT", "/batch/0123456789abcdef", "1", 405},
+        Head{"GET", "/batch/", "0", 0}, Head{"POST", "/batch/", "1", 404}}) {
+    HttpRequest Request;
+    Request.Method_ = Each.Method_;
+    Request.Path_ = Each.Path_;
+    Request.Headers_ = {{"Host", "host:80"}, {"Content-Length", Each.Length_}};
+    std::optional<HttpAnswer> Refusal = Requests_.refuseEarly(Request);
+    BOOST_TEST((Refusal ? Refusal->Status_ : 0) == Each.Status_, Each.Path_);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace filbertspring::node
--- a/packages/scheduling/include/filbertspring/scheduling/job_spec.h
+++ b/packages/scheduling/include/filbertspring/scheduling/job_spec.h
@@ -64,6 +64,11 @@
   std::uint32_t MaxUnavailable_ = 0;
 };
 
+/// Maximum number of tasks of one job; bounds the memory that one caller can
+/// use. The progress of a job with more tasks may not fit into a row of the
+/// store, and a job that cannot be stored would hold up all others.
+inline constexpr std::uint64_t MaxTasksPerJob = 2000;
+
 /// The specification of a job.
 struct JobSpec {
   /// Opaque text that each task receives.
--- a/packages/scheduling/src/job_spec.cpp
+++ b/packages/scheduling/src/job_spec.cpp
@@ -5,16 +5,6 @@
 
 namespace filbertspring::scheduling {
 
-namespace {
-
-/// Maximum number of tasks of one job; bounds the memory that one caller can
-/// use.
-/// The progress of a job with more tasks may not fit into a row of the store,
-/// and a job that cannot be stored would hold up all others.
-constexpr std::uint64_t MaxTasksPerJob = 2000;
-
-} // namespace
-
 Resources &Resources::operator+=(const Resources &Other) {
   MilliCpu_ += Other.MilliCpu_;
   MemoryMb_ += Other.MemoryMb_;
--- a/packages/transport/include/filbertspring/transport/event_loop.h
+++ b/packages/transport/include/filbertspring/transport/event_loop.h
@@ -31,6 +31,10 @@
   void stop();
   /// Calls \p Callback once, \p Delay from now.
   void after(Duration Delay, std::function<void()> Callback);
+  /// Calls \p Callback once, \p Delay from now, unless the result is destroyed
+  /// before.
+  [[nodiscard]] std::shared_ptr<void> timer(Duration Delay,
+                                            std::function<void()> Callback);
   /// Calls \p Callback with the number of each of \p Signals that arrives.
   void onSignals(std::initializer_list<int> Signals,
                  std::function<void(int)> Callback);
--- a/packages/transport/src/event_loop.cpp
+++ b/packages/transport/src/event_loop.cpp
@@ -82,6 +82,17 @@
       });
 }
 
+std::shared_ptr<void> EventLoop::timer(Duration Delay,
+                                       std::function<void()> Callback) {
+  auto Timer = std::make_shared<asio::steady_timer>(Impl_->Context_, Delay);
+  Timer->async_wait(
+      [Callback = std::move(Callback)](const std::error_code &Error) {
+        if (!Error)
+          Callback();
+      });
+  return Timer;
+}
+
 void EventLoop::onSignals(std::initializer_list<int> Signals,
                           std::function<void(int)> Callback) {
   Impl_->Signals_ = std::make_unique<asio::signal_set>(Impl_->Context_);
