--- a/packages/node/src/caller_admission.cpp
+++ b/packages/node/src/caller_admission.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <charconv>
 #include <random>
 #include <utility>
 
@@ -24,6 +25,9 @@
 /// The maximum size of a field of such a line. Names may have any length.
 constexpr std::size_t MaxProblemBytes = 200;
 
+/// The largest body whatever the configuration says; rows of the store are not
+/// larger.
+constexpr std::size_t LargestBodyBytes = 1U << 20U;
 /// The number of hexadecimal digits in a job's id.
 constexpr std::size_t JobIdDigits = 16;
 
@@ -34,6 +38,16 @@
          });
 }
 
+/// Returns the value of the header Content-Length, or 0.
+std::uint64_t contentLength(const HttpRequest &Head) {
+  std::string_view Text = Head.header("Content-Length");
+  std::uint64_t Length = 0;
+  auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Length);
+  // The server refuses a length that is not a number.
+  return Error == std::errc() ? Length : 0;
+}
+
 /// Logs why workspaces are not wholly in force.
 void logProblems(const std::vector<WorkspaceProblem> &Problems) {
   std::size_t Shown = std::min(Problems.size(), MaxProblemLines);
@@ -118,7 +132,14 @@
   if (Head.Method_ != "POST" && Head.Method_ != "GET" &&
       Head.Method_ != "DELETE")
     return makeAnswer(405);
+  if (contentLength(Head) > maxBodyBytes())
+    return makeAnswer(413);
   return std::nullopt;
 }
 
+std::size_t CallerRequestHandler::maxBodyBytes() const {
+  return Queues_ ? std::min(Queues_->MaxBodyBytes_, LargestBodyBytes)
+                 : scheduling::QueueTable().MaxBodyBytes_;
+}
+
 } // namespace filbertspring::node
--- a/packages/node/src/callers.cpp
+++ b/packages/node/src/callers.cpp
@@ -27,6 +27,9 @@
 constexpr Duration AnswerMargin = std::chrono::milliseconds(150);
 /// The timeout of callers that send none.
 constexpr Duration DefaultCallerTimeout = std::chrono::milliseconds(3000);
+/// Longer timeouts of callers count as this one. They bound how long a request
+/// is held while the store does not answer.
+constexpr std::chrono::milliseconds MaxCallerTimeout{60'000};
 /// Returns the answer to a request whose outcome is unknown. Repeating it with
 /// the same job id determines the outcome.
 HttpAnswer makeUnknownOutcomeAnswer() { return makeAnswer(504); }
@@ -71,7 +74,8 @@
       std::from_chars(Text.data(), Text.data() + Text.size(), Milliseconds);
   if (Text.empty() || Error != std::errc() || Milliseconds <= 0)
     return DefaultCallerTimeout;
-  return std::chrono::milliseconds(Milliseconds);
+  return std::chrono::milliseconds(
+      std::min<std::int64_t>(Milliseconds, MaxCallerTimeout.count()));
 }
 
 } // namespace
@@ -92,6 +96,9 @@
   /// A transaction for this request has no outcome yet.
   bool IsCommitting_ = false;
   bool IsAnswered_ = false;
+  /// Answers at the deadline. Ends with the exchange, so that requests that
+  /// were answered take no memory.
+  std::shared_ptr<void> DeadlineTimer_;
 };
 
 CallerRequestHandler::CallerRequestHandler(
@@ -125,11 +132,12 @@
                           std::to_string(Answer.Status_) + "\"");
     Respond(std::move(Answer));
   };
-  Loop_.after(callerTimeout(CallerExchange->Request_) - AnswerMargin,
-              [this, Reference = std::weak_ptr(CallerExchange)] {
-                if (ExchangePtr Open = Reference.lock())
-                  answerAtDeadline(Open);
-              });
+  CallerExchange->DeadlineTimer_ =
+      Loop_.timer(callerTimeout(CallerExchange->Request_) - AnswerMargin,
+                  [this, Reference = std::weak_ptr(CallerExchange)] {
+                    if (ExchangePtr Open = Reference.lock())
+                      answerAtDeadline(Open);
+                  });
   route(CallerExchange);
 }
 
@@ -170,6 +178,9 @@
 }
 
 void CallerRequestHandler::submitJob(const ExchangePtr &CallerExchange) {
+  if (!platform::isDocumentWithinLimits(CallerExchange->Request_.Body_))
+    return rejectJob(CallerExchange, "the document is nested too deeply",
+                     CallerExchange->Request_.Body_.size());
   Result<scheduling::JobSpec> Spec =
       platform::decodeJobSpec(CallerExchange->Request_.Body_);
   std::string Problem =
--- a/packages/node/src/callers.h
+++ b/packages/node/src/callers.h
@@ -37,6 +37,8 @@
   /// body has to be received and handled. Examines method, path and headers
   /// alone.
   std::optional<HttpAnswer> refuseEarly(const HttpRequest &Head) const;
+  /// Returns the size in force of the largest body.
+  std::size_t maxBodyBytes() const;
   /// Handles \p Request and calls \p Respond exactly once.
   void handle(HttpRequest Request, HttpResponder Respond);
 
