Cancellations: kept for the whole retention after the last one

What callers could see: a job that was cancelled a second time, or after its end, and answered 410 or 200, could be stored anew right afterwards by an instance that had stood still with its submission. Found by reading.

Cause: the retention was counted from the first cancellation of an unknown job, and from the end of a known one, although each cancellation is answered. It was also that of final states, which says how long callers may ask for a state; a deployment with a short one kept cancellations no longer.

Change: the retention counts from the last cancellation. It is at least bounds.cancellations_kept_s, 120 s by default, much longer than the few seconds for which a process may be suspended. With the present state_kept_s of 120 or 150 s nothing else changes.

Tests: three cases of scheduler_test; with the change taken out each of them fails: is_kept_for_the_retention_of_the_last_cancellation, is_kept_longer_than_short_lived_final_states and a_finished_job_that_is_cancelled.

--- a/packages/node/include/filbertspring/node/node_settings.h
+++ b/packages/node/include/filbertspring/node/node_settings.h
@@ -37,6 +37,9 @@
   Duration StopGrace_ = std::chrono::seconds(6);
   /// How long the state of a finished job remains available to callers.
   Duration StateRetention_ = std::chrono::seconds(120);
+  /// How long a cancellation keeps its job from being stored, if the state of
+  /// jobs is not kept for longer.
+  Duration MinCancellationRetention_ = std::chrono::seconds(120);
   /// The factor by which a task runs longer when it is not placed on the rack
   /// of its data.
   double RemoteDataSlowdown_ = 3.0;
--- a/packages/node/src/cell_ownership.cpp
+++ b/packages/node/src/cell_ownership.cpp
@@ -105,6 +105,7 @@
                               Settings.LeaseDuration_ + GrantSlack);
   Settings.KillTimeout_ = Settings_.KillTimeout_;
   Settings.FinalStateRetention_ = Settings_.StateRetention_;
+  Settings.MinCancellationRetention_ = Settings_.MinCancellationRetention_;
   Settings.FarFactor_ = Settings_.RemoteDataSlowdown_;
   Tenure_ = std::make_shared<Tenure>(Loop_, Counters_, Settings_.PeerAddress_,
                                      Settings, SchedulerClock::now(),
--- a/packages/node/src/node_settings.cpp
+++ b/packages/node/src/node_settings.cpp
@@ -92,6 +92,8 @@
                       Values.KillTimeout_);
   Reader.readDuration("/bounds/stop_grace_s", Second, Values.StopGrace_);
   Reader.readDuration("/bounds/state_kept_s", Second, Values.StateRetention_);
+  Reader.readDuration("/bounds/cancellations_kept_s", Second,
+                      Values.MinCancellationRetention_);
   Reader.readNumber("/bounds/far_factor", 1, 1000, Values.RemoteDataSlowdown_);
   return Parsed;
 }
--- a/packages/scheduling/include/filbertspring/scheduling/scheduler.h
+++ b/packages/scheduling/include/filbertspring/scheduling/scheduler.h
@@ -21,6 +21,7 @@
 #include "filbertspring/scheduling/start_admission.h"
 #include "filbertspring/scheduling/worker.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -56,8 +57,16 @@
   Duration PredecessorLeaseLimit_ = std::chrono::milliseconds(12'700);
   /// How long the final state of a job is kept.
   Duration FinalStateRetention_ = std::chrono::seconds(150);
+  /// How long a cancellation is kept at least. Much longer than a process that
+  /// holds an unread submission of the job may be suspended.
+  Duration MinCancellationRetention_ = std::chrono::seconds(120);
   /// How many times slower tasks are on racks that do not hold their data.
   double FarFactor_ = 3.0;
+
+  /// How long cancellations, and jobs that were cancelled, are kept.
+  Duration cancellationRetention() const {
+    return std::max(FinalStateRetention_, MinCancellationRetention_);
+  }
 };
 
 /// Renews the lease of all tasks on a worker and requests a report.
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -144,8 +144,12 @@
 
 void Scheduler::cancelJob(const std::string &Id, TimePoint Now) {
   JobRecord *Record = Impl_->findJob(Id);
-  if (!Record)
-    Impl_->CancelledBefore_.try_emplace(Id, Now);
+  // Each cancellation is answered, and the answer binds for the whole
+  // retention.
+  if (Record)
+    Record->CancelledAt_ = Now;
+  else
+    Impl_->CancelledBefore_[Id] = Now;
   if (!Record || isFinal(Record->Job_.state()))
     return;
   Record->Job_.cancel();
@@ -365,7 +369,9 @@
       break;
     bool IsExpired =
         Record.FinalAt_ &&
-        Now - *Record.FinalAt_ > Impl_->Settings_.FinalStateRetention_;
+        Now - *Record.FinalAt_ > Impl_->Settings_.FinalStateRetention_ &&
+        !(Record.CancelledAt_ && Now - *Record.CancelledAt_ <=
+                                     Impl_->Settings_.cancellationRetention());
     // Without its snapshot, changes in the journal would apply to a job that is
     // later accepted with the same id.
     if (IsExpired && !Impl_->Journal_.mayHoldRow(Record.LastJournalRow_))
@@ -373,7 +379,7 @@
   }
   for (const auto &[Id, CancelledAt] : Impl_->CancelledBefore_)
     if (Expired.size() < MaxJobs &&
-        Now - CancelledAt > Impl_->Settings_.FinalStateRetention_)
+        Now - CancelledAt > Impl_->Settings_.cancellationRetention())
       Expired.push_back(Id);
   return Expired;
 }
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -33,6 +33,8 @@
   Job Job_;
   /// When the job reached a final state.
   std::optional<TimePoint> FinalAt_;
+  /// When the job was last cancelled, also in a final state.
+  std::optional<TimePoint> CancelledAt_;
   /// The state in the stored snapshot, which callers see.
   JobState StoredState_ = JobState::Queued;
   /// The last row of the journal with changes of the job, 0 if there is none.
@@ -433,7 +435,7 @@
   std::shared_ptr<const QueueTable> Queues_;
   std::set<std::string> ClosedZones_;
   std::map<std::string, JobRecord> Jobs_;
-  /// When jobs were cancelled that are not known.
+  /// When jobs that are not known were last cancelled.
   std::map<std::string, TimePoint> CancelledBefore_;
   std::unordered_map<std::string, WorkerState> Workers_;
   /// The start times of the workers that the previous owner stored.
--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -316,6 +316,45 @@
   BOOST_TEST(Scheduler_.expiredJobs(Now_ + Retention + 1ms, 10).empty());
 }
 
+// The second cancellation is answered, too. Otherwise a submission that is on
+// its way could be stored right after it.
+BOOST_FIXTURE_TEST_CASE(is_kept_for_the_retention_of_the_last_cancellation,
+                        Cell) {
+  Duration Retention = SchedulerSettings().FinalStateRetention_;
+  Scheduler_.cancelJob("job", Now_);
+  Scheduler_.cancelJob("job", Now_ + Retention);
+  BOOST_TEST(Scheduler_.expiredJobs(Now_ + 2 * Retention, 10).empty());
+  BOOST_TEST(Scheduler_.expiredJobs(Now_ + 2 * Retention + 1ms, 10).size() ==
+             1);
+}
+
+// How long states can be asked for has nothing to do with how late a submission
+// can come.
+BOOST_AUTO_TEST_CASE(is_kept_longer_than_short_lived_final_states) {
+  SchedulerSettings Settings;
+  Settings.FinalStateRetention_ = 1s;
+  TimePoint Now{1000s};
+  Scheduler Short(Settings, Now);
+  Short.cancelJob("job", Now);
+  BOOST_TEST(Short.expiredJobs(Now + 120s, 10).empty());
+  BOOST_TEST(Short.expiredJobs(Now + 121s, 10).size() == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_finished_job_that_is_cancelled)
+
+BOOST_FIXTURE_TEST_CASE(is_kept_for_the_retention_of_the_cancellation, Cell) {
+  Duration Retention = SchedulerSettings().FinalStateRetention_;
+  submit("job", {task(1)});
+  Scheduler_.cancelJob("job", Now_);
+  step();
+  Scheduler_.cancelJob("job", Now_ + Retention);
+  BOOST_TEST(Scheduler_.expiredJobs(Now_ + 2 * Retention, 10).empty());
+  BOOST_TEST(Scheduler_.expiredJobs(Now_ + 2 * Retention + 1ms, 10).size() ==
+             1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
