Rows of jobs: removed only as the owner knows them

The job of such a cancellation could then be stored and run.

Cause: the owner removed the rows of expired jobs without a condition. A removal without an answer that the store carried out late, or one by an owner that had been suspended, also removed rows that had been stored since.

Change: JobRows keeps the versions of the rows that the owner has read. A removal is conditional on them and covers only rows that are stored. After a conflict, the current rows are handled like those of the change feed. If a row was stored while its removal was under way, its job is kept.

An acceptance with a later version than the other rows of its job is that of a new job under the same id: the ended job, or the cancellation, that the scheduler still knows is dropped, and the new job is neither passed over nor cancelled.

--- a/packages/node/src/cell_loading.cpp
+++ b/packages/node/src/cell_loading.cpp
@@ -167,8 +167,10 @@
             handleJobRow(StoredRow);
         CancelledJobs_.clear();
         for (const Row &StoredRow : Page->Rows_)
-          if (auto Job = cancelledJobFromKey(StoredRow.Key_.Key_))
+          if (auto Job = cancelledJobFromKey(StoredRow.Key_.Key_)) {
+            Tenure_->JobRows_.note(StoredRow);
             CancelledJobs_.push_back(*Job);
+          }
         loadProgress(Reference, WorkersVersion, Page->Version_);
       });
 }
@@ -208,7 +210,8 @@
 }
 
 void CellOwner::handleJobRow(const Row &StoredRow) {
-  if (StoredRow.IsRemoved_)
+  JobRows::News News = Tenure_->JobRows_.note(StoredRow);
+  if (StoredRow.IsRemoved_ || News == JobRows::News::Old)
     return;
   TimePoint Now = SchedulerClock::now();
   if (auto Cancelled = cancelledJobFromKey(StoredRow.Key_.Key_))
@@ -220,7 +223,14 @@
     return;
   }
   UnreadableRows_.remove(StoredRow.Key_);
+  const std::string &Id = Accepted->Id_;
+  std::optional<scheduling::JobState> State = Tenure_->Scheduler_.stateOf(Id);
+  bool HasNewJob = News == JobRows::News::NewJob;
+  if (HasNewJob && (!State || isFinal(*State)))
+    Tenure_->Scheduler_.jobsRemoved({Id});
   Tenure_->Scheduler_.addJob(*Accepted, Now);
+  if (HasNewJob && Tenure_->JobRows_.isCancelled(Id))
+    Tenure_->Scheduler_.cancelJob(Id, Now);
 }
 
 void CellOwner::followJobs(const TenureRef &Reference, std::uint64_t After) {
--- a/packages/node/src/cell_owner.cpp
+++ b/packages/node/src/cell_owner.cpp
@@ -5,6 +5,8 @@
 #include "rows.h"
 #include "store_access.h"
 
+#include <algorithm>
+
 namespace filbertspring::node {
 namespace {
 
@@ -26,9 +28,9 @@
 constexpr Duration MinModelInterval = std::chrono::seconds(3);
 /// How often the rows of finished jobs are removed.
 constexpr Duration RemovalInterval = std::chrono::seconds(5);
-/// The maximum number of jobs removed at a time; two rows for each job fill one
-/// transaction. Together with RemovalInterval it allows for more than the 8,000
-/// jobs of a day.
+/// The maximum number of jobs removed at a time, so that the store gets a few
+/// transactions at once. Together with RemovalInterval it allows for more than
+/// the 8,000 jobs of a day.
 constexpr std::size_t MaxRemovedJobs = platform::MaxTransactionRows / 2;
 /// The interval of periodic work; lease times and waiting times are hundreds of
 /// milliseconds.
@@ -161,28 +163,48 @@
   if (!Tenure_ || !Tenure_->IsLoaded_ || Now < Tenure_->NextRemovalAt_)
     return;
   Tenure_->NextRemovalAt_ = Now + RemovalInterval;
-  // All rows of a transaction must be in one partition.
-  std::map<std::string, std::vector<std::string>> ByPartition;
-  for (std::string &Job : Tenure_->Scheduler_.expiredJobs(Now, MaxRemovedJobs))
-    ByPartition[partitionOfJob(Job)].push_back(std::move(Job));
-  for (const auto &[Partition, Jobs] : ByPartition)
+  for (const std::vector<JobRemoval> &Jobs : Tenure_->JobRows_.removals(
+           Tenure_->Scheduler_.expiredJobs(Now, MaxRemovedJobs)))
     removeJobs(Jobs);
 }
 
-void CellOwner::removeJobs(const std::vector<std::string> &Jobs) {
-  RowTransaction Removal;
-  for (const std::string &Job : Jobs) {
-    Removal.Removals_.push_back(jobKey(Job));
-    Removal.Removals_.push_back(cancellationKey(Job));
+void CellOwner::removeJobs(const std::vector<JobRemoval> &Jobs) {
+  RowTransaction Removal = makeRemoval(Jobs);
+  if (Removal.Removals_.empty()) {
+    CommitResult Nothing;
+    Nothing.Outcome_ = CommitOutcome::Committed;
+    return handleRemovalResult(Jobs, Removal, Nothing);
   }
-  Store_.commit(
-      Removal, StoreCallTimeout,
-      [Reference = TenureRef(Tenure_), Jobs](const CommitResult &Outcome) {
-        std::shared_ptr<Tenure> ActiveTenure = Reference.lock();
-        // After a failure, the jobs are still expired and removed later.
-        if (ActiveTenure && Outcome.Outcome_ == CommitOutcome::Committed)
-          ActiveTenure->Scheduler_.jobsRemoved(Jobs);
-      });
+  Store_.commit(Removal, StoreCallTimeout,
+                [this, Reference = TenureRef(Tenure_), Jobs,
+                 Removal](const CommitResult &Outcome) {
+                  if (findActiveTenure(Reference))
+                    handleRemovalResult(Jobs, Removal, Outcome);
+                });
+}
+
+/// After a failure, the jobs are still expired and removed later.
+void CellOwner::handleRemovalResult(const std::vector<JobRemoval> &Jobs,
+                                    const RowTransaction &Removal,
+                                    const CommitResult &Outcome) {
+  if (Outcome.Outcome_ == CommitOutcome::Committed) {
+    for (const JobRemoval &Removed : Jobs)
+      if (Tenure_->JobRows_.noteRemoved(Removed))
+        Tenure_->Scheduler_.jobsRemoved({Removed.Job_});
+    return;
+  }
+  if (Outcome.Outcome_ != CommitOutcome::Conflict)
+    return;
+  for (const scheduling::RowKey &Key : Removal.Removals_) {
+    auto Current = std::find_if(
+        Outcome.CurrentRows_.begin(), Outcome.CurrentRows_.end(),
+        [&Key](const Row &Stored) { return Stored.Key_.Key_ == Key.Key_; });
+    if (Current == Outcome.CurrentRows_.end())
+      Tenure_->JobRows_.noteAbsent(Key);
+    else
+      handleJobRow(*Current);
+  }
+  requestSchedulingCycle();
 }
 
 void CellOwner::logSchedulerNotes() {
--- a/packages/node/src/cell_owner.h
+++ b/packages/node/src/cell_owner.h
@@ -9,6 +9,7 @@
 #include "filbertspring/scheduling/owner_lease.h"
 #include "filbertspring/scheduling/scheduler.h"
 #include "filbertspring/scheduling/start_admission.h"
+#include "job_rows.h"
 #include "predecessor_leases.h"
 #include "store_client.h"
 #include "successor_search.h"
@@ -51,6 +52,7 @@
   std::string StoredModel_;
   TimePoint NextModelAt_{};
   TimePoint NextRemovalAt_{};
+  JobRows JobRows_;
 };
 
 /// The content of one transaction of the owner.
@@ -139,7 +141,10 @@
   void runSchedulingCycle();
   void removeExpiredJobs(TimePoint Now);
   /// Removes the rows of \p Jobs, which must be in one partition.
-  void removeJobs(const std::vector<std::string> &Jobs);
+  void removeJobs(const std::vector<JobRemoval> &Jobs);
+  void handleRemovalResult(const std::vector<JobRemoval> &Jobs,
+                           const scheduling::RowTransaction &Removal,
+                           const scheduling::CommitResult &Outcome);
   void logSchedulerNotes();
   std::string encodeCurrentStatus() const;
   /// Adapts the limit of starts to the delay of the event loop.
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -93,6 +93,9 @@
   if (!Impl_->Jobs_.try_emplace(Accepted.Id_, Accepted, Now).second)
     return;
   Impl_->JobsToRelease_.insert(Accepted.Id_);
+  // The snapshot of an earlier job with this id is replaced.
+  if (Impl_->JobsToRemove_.erase(Accepted.Id_) > 0)
+    Impl_->Snapshots_.add(Accepted.Id_);
   // A notice of the cancellation may overtake that of the acceptance.
   if (Impl_->CancelledBefore_.erase(Accepted.Id_) > 0)
     cancelJob(Accepted.Id_, Now);
--- a/packages/scheduling/src/scheduler_writes.cpp
+++ b/packages/scheduling/src/scheduler_writes.cpp
@@ -282,7 +282,10 @@
     if (!Impl_->findWorker(Id))
       Impl_->WorkersToRemove_.insert(Id);
   for (const std::string &Id : Writes.RemovedJobs_)
-    Impl_->JobsToRemove_.insert(Id);
+    if (Impl_->findJob(Id))
+      Impl_->Snapshots_.add(Id);
+    else
+      Impl_->JobsToRemove_.insert(Id);
 }
 
 } // namespace filbertspring::scheduling
--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -342,6 +342,42 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// The removal of the earlier job's snapshot must not hit the new job's, and
+// until then a new owner must not take the new job for finished.
+BOOST_AUTO_TEST_SUITE(a_job_with_the_id_of_a_removed_one)
+
+BOOST_FIXTURE_TEST_CASE(replaces_its_snapshot, Cell) {
+  submit("job", {task(1)});
+  Scheduler_.cancelJob("job", Now_);
+  step();
+  BOOST_REQUIRE((storedProgress()["job"].State_ == JobState::Cancelled));
+  Scheduler_.jobsRemoved({"job"});
+  submit("job", {task(1)});
+  step(20ms, false);
+  step();
+  BOOST_TEST(LastWrites_.RemovedJobs_.empty());
+  BOOST_TEST(storedProgress().contains("job"));
+  BOOST_TEST((storedProgress()["job"].State_ == JobState::Queued));
+  step();
+  BOOST_TEST(Starts_.size() == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(replaces_it_also_if_its_removal_has_no_answer, Cell) {
+  submit("job", {task(1)});
+  Scheduler_.cancelJob("job", Now_);
+  step();
+  Scheduler_.jobsRemoved({"job"});
+  PendingWrites Open = Scheduler_.takeWrites(90);
+  BOOST_REQUIRE(Open.RemovedJobs_.size() == 1);
+  submit("job", {task(1)});
+  Scheduler_.writesFailed(Open);
+  step();
+  BOOST_TEST(LastWrites_.RemovedJobs_.empty());
+  BOOST_TEST((storedProgress()["job"].State_ == JobState::Queued));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_finished_job_that_is_cancelled)
 
 BOOST_FIXTURE_TEST_CASE(is_kept_for_the_retention_of_the_cancellation, Cell) {
