Notices of stored rows: ignored if the change feed has passed them

What callers could see (found by reading): a job ran although its rows had been removed, or a job that was accepted under an id used before was cancelled.

Cause: an instance tells the owner of a row that it has stored (POST /stored/KEY), and the owner believed the notice however long it had waited in the connection of a suspended process. If the rows of the job had been removed since, the scheduler no longer knew that it had been cancelled.

Change: the notice names the version of its row. The owner ignores it if its change feed has passed that version: the row was handled then, and whatever replaced it. Notices without a version, from instances of earlier versions, are handled as before.

--- a/packages/node/src/callers.cpp
+++ b/packages/node/src/callers.cpp
@@ -269,7 +269,7 @@
           return rejectCancelledJob(CallerExchange);
         switch (Outcome.Outcome_) {
         case CommitOutcome::Committed:
-          RowStored_(Accepted);
+          notifyStored(Accepted, Outcome);
           [[fallthrough]];
         case CommitOutcome::Conflict:
           logEvent(
@@ -306,6 +306,12 @@
       });
 }
 
+void CallerRequestHandler::notifyStored(Row Stored,
+                                        const CommitResult &Outcome) {
+  Stored.Version_ = Outcome.Version_;
+  RowStored_(Stored);
+}
+
 void CallerRequestHandler::answerJobState(const ExchangePtr &CallerExchange) {
   if (std::optional<FinalJob> Final =
           JobCache_.finalState(CallerExchange->Job_))
@@ -382,7 +388,7 @@
         switch (Outcome.Outcome_) {
         case CommitOutcome::Committed:
           logEvent(LogEvent::StopRequested, {{"job", CallerExchange->Job_}});
-          RowStored_(NewRow);
+          notifyStored(NewRow, Outcome);
           return CallerExchange->Respond_(makeAnswer(Version == 0 ? 410 : 200));
         case CommitOutcome::Conflict:
           // The job was stored or removed meanwhile.
--- a/packages/node/src/callers.h
+++ b/packages/node/src/callers.h
@@ -46,6 +46,9 @@
   void cancelJob(const ExchangePtr &CallerExchange);
   void insertCancellation(const ExchangePtr &CallerExchange,
                           std::uint64_t Version);
+  /// Passes on a row that was stored by a transaction with \p Outcome.
+  void notifyStored(scheduling::Row Stored,
+                    const scheduling::CommitResult &Outcome);
   void answerAtDeadline(const ExchangePtr &CallerExchange);
   void answerPendingCount(const ExchangePtr &CallerExchange);
   using AcceptanceCallback = std::function<void(const scheduling::Row *)>;
--- a/packages/node/src/cell_loading.cpp
+++ b/packages/node/src/cell_loading.cpp
@@ -194,6 +194,7 @@
         restoreProgress(Page->Rows_, ActiveTenure->Scheduler_, UnreadableRows_);
         for (const std::string &Job : std::exchange(CancelledJobs_, {}))
           ActiveTenure->Scheduler_.cancelJob(Job, SchedulerClock::now());
+        ActiveTenure->JobsVersion_ = JobsVersion;
         ActiveTenure->IsLoaded_ = true;
         scheduling::SchedulerCounts Counts = ActiveTenure->Scheduler_.counts();
         logEvent(
@@ -249,6 +250,7 @@
                 if (!Page->Rows_.empty())
                   requestSchedulingCycle();
                 std::uint64_t Next = std::max(After, Page->Version_);
+                Tenure_->JobsVersion_ = Next;
                 Duration Pause = pauseBeforeFeed(
                     Page->Rows_.size(), Duration::zero(), JobFeedInterval);
                 Loop_.after(Pause, [this, Reference, Next] {
@@ -271,6 +273,7 @@
                           for (const Row &StoredRow : Page->Rows_)
                             handleJobRow(StoredRow);
                           requestSchedulingCycle();
+                          Tenure_->JobsVersion_ = Page->Version_;
                           followJobs(Reference, Page->Version_);
                         });
 }
--- a/packages/node/src/cell_owner.cpp
+++ b/packages/node/src/cell_owner.cpp
@@ -434,6 +434,10 @@
 void CellOwner::handleStoredJobRow(const Row &StoredRow) {
   if (!Tenure_ || !Tenure_->IsLoaded_)
     return;
+  // A notice may arrive late. If the change feed has passed the row's version,
+  // the row was handled, and may have been removed since.
+  if (StoredRow.Version_ != 0 && StoredRow.Version_ <= Tenure_->JobsVersion_)
+    return;
   handleJobRow(StoredRow);
   requestSchedulingCycle();
 }
--- a/packages/node/src/cell_owner.h
+++ b/packages/node/src/cell_owner.h
@@ -53,6 +53,8 @@
   TimePoint NextModelAt_{};
   TimePoint NextRemovalAt_{};
   JobRows JobRows_;
+  /// All changes of the jobs' rows up to this version have been handled.
+  std::uint64_t JobsVersion_ = 0;
 };
 
 /// The content of one transaction of the owner.
--- a/packages/node/src/run_node.cpp
+++ b/packages/node/src/run_node.cpp
@@ -10,6 +10,7 @@
 #include "store_relay.h"
 #include "worker_relay.h"
 
+#include <charconv>
 #include <csignal>
 #include <cstdlib>
 #include <cxxopts.hpp>
@@ -41,6 +42,8 @@
 constexpr Duration StopMargin = std::chrono::milliseconds(800);
 /// The timeout of a notice to another instance.
 constexpr Duration PeerNoticeTimeout = std::chrono::milliseconds(500);
+/// The version of the row that a notice is about.
+constexpr const char *RowVersionHeader = "Row-Version";
 /// Log lines are buffered for this time and written together. A kill loses at
 /// most the lines of this time.
 constexpr Duration LogFlushInterval = std::chrono::milliseconds(20);
@@ -186,6 +189,7 @@
     HttpRequest Notice;
     Notice.Method_ = "POST";
     Notice.Path_ = "/stored/" + StoredRow.Key_.Key_;
+    Notice.Headers_ = {{RowVersionHeader, std::to_string(StoredRow.Version_)}};
     Notice.Body_ = StoredRow.Value_;
     PeerClient_.send(Address, Notice, PeerNoticeTimeout,
                      [this](const Result<HttpAnswer> &Answer) {
@@ -240,6 +244,10 @@
     scheduling::Row StoredRow;
     StoredRow.Key_ = jobKey(Request.Path_.substr(Prefix.size()));
     StoredRow.Value_ = Request.Body_;
+    std::string_view Version = Request.header(RowVersionHeader);
+    // Instances of earlier versions send no version; it remains 0.
+    std::from_chars(Version.data(), Version.data() + Version.size(),
+                    StoredRow.Version_);
     Owner_.handleStoredJobRow(StoredRow);
     return Answer;
   }
