--- a/packages/node/src/callers.cpp
+++ b/packages/node/src/callers.cpp
@@ -258,7 +258,7 @@
         }
         switch (Outcome.Outcome_) {
         case CommitOutcome::Committed:
-          RowStored_(Accepted);
+          notifyStored(Accepted, Outcome);
           [[fallthrough]];
         case CommitOutcome::Conflict:
           logEvent(
@@ -295,6 +295,12 @@
       });
 }
 
+void CallerRequestHandler::notifyStored(Row Stored,
+                                        const CommitResult &Outcome) {
+  Stored.Version_ = Outcome.Version_;
+  RowStored_(Stored);
+}
+
 void CallerRequestHandler::answerJobState(const ExchangePtr &CallerExchange) {
   const CallerScope &Scope = CallerExchange->Scope_;
   std::optional<FinalJob> Final = JobCache_.finalState(CallerExchange->Job_);
@@ -400,7 +406,7 @@
         switch (Outcome.Outcome_) {
         case CommitOutcome::Committed:
           logEvent(LogEvent::StopRequested, {{"job", CallerExchange->Job_}});
-          RowStored_(NewRow);
+          notifyStored(NewRow, Outcome);
           return CallerExchange->Respond_(makeAnswer(Requested.Status_));
         case CommitOutcome::Conflict:
           // The job was stored or removed meanwhile.
--- a/packages/node/src/callers.h
+++ b/packages/node/src/callers.h
@@ -78,6 +78,9 @@
   void answerStoredState(const ExchangePtr &CallerExchange,
                          const scheduling::JobProgress *Progress,
                          std::optional<std::string> Workspace);
+  /// Passes on a row that was stored by a transaction with \p Outcome.
+  void notifyStored(scheduling::Row Stored,
+                    const scheduling::CommitResult &Outcome);
   void answerAtDeadline(const ExchangePtr &CallerExchange);
   void answerPendingCount(const ExchangePtr &CallerExchange);
   using AcceptanceCallback = std::function<void(const scheduling::Row *)>;
--- a/packages/node/src/cell_loading.cpp
+++ b/packages/node/src/cell_loading.cpp
@@ -167,8 +167,10 @@
             handleJobRow(StoredRow);
         CancelledJobs_.clear();
         for (const Row &StoredRow : Page->Rows_)
-          if (auto Job = cancelledJobFromKey(StoredRow.Key_.Key_))
+          if (auto Job = cancelledJobFromKey(StoredRow.Key_.Key_)) {
+            Tenure_->JobRows_.note(StoredRow);
             CancelledJobs_.push_back(*Job);
+          }
         loadProgress(Reference, WorkersVersion, Page->Version_);
       });
 }
@@ -192,6 +194,7 @@
         restoreProgress(Page->Rows_, ActiveTenure->Scheduler_, UnreadableRows_);
         for (const std::string &Job : std::exchange(CancelledJobs_, {}))
           ActiveTenure->Scheduler_.cancelJob(Job, SchedulerClock::now());
+        ActiveTenure->JobsVersion_ = JobsVersion;
         ActiveTenure->IsLoaded_ = true;
         scheduling::SchedulerCounts Counts = ActiveTenure->Scheduler_.counts();
         logEvent(
@@ -208,7 +211,8 @@
 }
 
 void CellOwner::handleJobRow(const Row &StoredRow) {
-  if (StoredRow.IsRemoved_)
+  JobRows::News News = Tenure_->JobRows_.note(StoredRow);
+  if (StoredRow.IsRemoved_ || News == JobRows::News::Old)
     return;
   TimePoint Now = SchedulerClock::now();
   if (auto Cancelled = cancelledJobFromKey(StoredRow.Key_.Key_))
@@ -220,7 +224,14 @@
     return;
   }
   UnreadableRows_.remove(StoredRow.Key_);
+  const std::string &Id = Accepted->Id_;
+  std::optional<scheduling::JobState> State = Tenure_->Scheduler_.stateOf(Id);
+  bool HasNewJob = News == JobRows::News::NewJob;
+  if (HasNewJob && (!State || isFinal(*State)))
+    Tenure_->Scheduler_.jobsRemoved({Id});
   Tenure_->Scheduler_.addJob(*Accepted, Now);
+  if (HasNewJob && Tenure_->JobRows_.isCancelled(Id))
+    Tenure_->Scheduler_.cancelJob(Id, Now);
 }
 
 void CellOwner::followJobs(const TenureRef &Reference, std::uint64_t After) {
@@ -239,6 +250,7 @@
                 if (!Page->Rows_.empty())
                   requestSchedulingCycle();
                 std::uint64_t Next = std::max(After, Page->Version_);
+                Tenure_->JobsVersion_ = Next;
                 Duration Pause = pauseBeforeFeed(
                     Page->Rows_.size(), Duration::zero(), JobFeedInterval);
                 Loop_.after(Pause, [this, Reference, Next] {
@@ -261,6 +273,7 @@
                           for (const Row &StoredRow : Page->Rows_)
                             handleJobRow(StoredRow);
                           requestSchedulingCycle();
+                          Tenure_->JobsVersion_ = Page->Version_;
                           followJobs(Reference, Page->Version_);
                         });
 }
