Submissions: refused after a suspension beyond the retention

What callers could see: a job that was cancelled, and answered 410, was stored and run when an instance that had been suspended for longer than cancellations are kept read its submission. Platforms suspend for a few seconds, so the retention of 120 s or more left a wide margin, but nothing enforced it.

Change: StandstillWatch sees the time between two probes of the event loop. After a suspension of more than a third of the retention, and of at least 5 s, an instance refuses submissions for 10 s with 503, and relays no store calls: their senders have given up. Other requests are served. A third, because a submission may wait in two processes, an instance and the relay of its store calls.

Ruled out: the age of the bytes in the socket, which the kernel tells for the last packet only, and only on one platform; and a row that every insert depends on, because the instance would read it after the suspension.

Tests: is_not_stored_after_a_suspension_beyond_the_retention (node_system_test) failed before, the job was stored; standstill_watch_test.

--- a/packages/node/src/run_node.cpp
+++ b/packages/node/src/run_node.cpp
@@ -7,6 +7,7 @@
 #include "filbertspring/node/node_settings.h"
 #include "loop_delay_log.h"
 #include "rows.h"
+#include "standstill_watch.h"
 #include "store_relay.h"
 #include "worker_relay.h"
 
@@ -94,6 +95,7 @@
         Store_(Loop_, Settings_.StoreAddress_, Counters_),
         Cell_(Loop_, Store_, Settings_, makeNonce()),
         Owner_(Loop_, Store_, Counters_, Settings_, Cell_.lease()),
+        Standstill_(Settings_.StateRetention_),
         CallerRequests_(Loop_, Store_, Cell_, Counters_,
                         [this](const scheduling::Row &StoredRow) {
                           notifyOwner(StoredRow);
@@ -110,8 +112,8 @@
             }),
         CallerServer_(Loop_, {},
                       [this](HttpRequest Request, HttpResponder Respond) {
-                        CallerRequests_.handle(std::move(Request),
-                                               std::move(Respond));
+                        handleCallerRequest(std::move(Request),
+                                            std::move(Respond));
                       }),
         ReadinessServer_(
             Loop_, {},
@@ -160,7 +162,21 @@
   }
 
 private:
+  /// Refuses submissions that may have waited while this process was suspended
+  /// for long: a cancellation that came since may have been removed again.
+  void handleCallerRequest(HttpRequest Request, HttpResponder Respond) {
+    if (!Standstill_.observe(SchedulerClock::now()) ||
+        Request.Method_ != "POST")
+      return CallerRequests_.handle(std::move(Request), std::move(Respond));
+    Counters_.counter("submissions_refused_after_standstill_total").add();
+    HttpAnswer Refusal;
+    Refusal.Status_ = 503;
+    Refusal.Headers_.push_back({"Retry-After", "10"});
+    Respond(std::move(Refusal));
+  }
+
   void noteLoopDelay(Duration Delay) {
+    Standstill_.observe(SchedulerClock::now());
     Counters_.observe("event_loop_delay_seconds", Delay);
     std::optional<LoopDelays> Due =
         DelayLog_.probed(Delay, SchedulerClock::now());
@@ -200,8 +216,12 @@
 
   void handlePeerRequest(const HttpRequest &Request,
                          const HttpResponder &Respond) {
-    if (Request.Path_ == RelayPath)
+    if (Request.Path_ == RelayPath) {
+      // The call may be the insert of a submission. Its sender has given up.
+      if (Standstill_.observe(SchedulerClock::now()))
+        return Respond(encodeRelayedAnswer(fail(Errc::ConnectFailed)));
       return Store_.serveRelayedCall(Request, Respond);
+    }
     if (Request.Path_ == WorkerCallsPath)
       return Relay_.handle(Request, Respond);
     if (Request.Path_ == WorkerAnswersPath)
@@ -298,6 +318,7 @@
   StoreClient Store_;
   CellDirectory Cell_;
   CellOwner Owner_;
+  StandstillWatch Standstill_;
   CallerRequestHandler CallerRequests_;
   AsyncHttpClient PeerClient_;
   WorkerRelay Relay_;
