filbertctl: check-configuration

An operator who writes the row op/config learned of an error only afterwards, from the log of an instance, and of an entry without effect not at all.

It needs no entry instance. Exit codes 0 to 3 as documented in docs/FILBERTCTL.md: 3 is "unreadable" for this command, which never ends with a conflict. Differences alone are no findings.

The check and the comparison are functions of QueueTable (scheduling); errors are located by decoding each entry alone (platform). A prefix within another is reported only if it takes job ids of the shorter one, because a path is a prefix and 16 hexadecimal digits.

--- a/packages/ctl/include/filbertspring/ctl/command_line.h
+++ b/packages/ctl/include/filbertspring/ctl/command_line.h
@@ -23,6 +23,8 @@
   /// The change conflicts with another change that was made first; nothing was
   /// changed.
   Conflict = 3,
+  /// Of check-configuration, which changes nothing: a file cannot be read.
+  Unreadable = 3,
   /// No entry instance could be reached or was ready; nothing was changed.
   Unreachable = 4,
   /// The object named on the command line does not exist.
--- a/packages/ctl/src/command.h
+++ b/packages/ctl/src/command.h
@@ -25,6 +25,8 @@
   /// The options that the command takes in addition to CommonOptions.
   std::span<const OptionSpec> Options_;
   CommandOutput (*Run_)(const Context &);
+  /// The command calls entry instances, so one must be named.
+  bool NeedsEntry_ = true;
 };
 
 /// Return the commands of each group. The spans refer to static storage.
@@ -33,6 +35,7 @@
 std::span<const Command> jobCommands();
 std::span<const Command> reportCommands();
 std::span<const Command> statusCommands();
+std::span<const Command> configurationCommands();
 
 } // namespace filbertspring::ctl_detail
 
--- a/packages/ctl/src/command_line.cpp
+++ b/packages/ctl/src/command_line.cpp
@@ -22,7 +22,7 @@
   std::vector<Command> Commands;
   for (std::span<const Command> Group :
        {contractCommands(), zoneCommands(), jobCommands(), reportCommands(),
-        statusCommands()})
+        statusCommands(), configurationCommands()})
     Commands.insert(Commands.end(), Group.begin(), Group.end());
   return Commands;
 }
@@ -130,13 +130,15 @@
   if (Count < Cmd.MinArguments_ || Count > Cmd.MaxArguments_)
     return usageError(fmt::format("usage: {} {}", Cmd.Name_, Cmd.Arguments_));
   auto Entries = readEntries(*Options);
-  if (!Entries)
+  if (!Entries && Cmd.NeedsEntry_)
     return usageError(Entries.error());
   auto Timeout = readTimeout(*Options);
   if (!Timeout)
     return usageError(Timeout.error());
   return Cmd.Run_(
-      Context(std::move(*Options), EntryClient(std::move(*Entries), *Timeout)));
+      Context(std::move(*Options),
+              EntryClient(std::move(Entries).value_or(std::vector<Address>()),
+                          *Timeout)));
 }
 
 CommandOutput dispatchCommand(const std::vector<std::string> &Arguments) {
--- a/packages/ctl/src/context.cpp
+++ b/packages/ctl/src/context.cpp
@@ -74,8 +74,8 @@
 }
 
 CommandOutput Context::findingsOutput(std::string_view Document,
-                                      const Findings &Report) const {
-  Json Details;
+                                      const Findings &Report,
+                                      Json Details) const {
   Details["findings"] = findingsToJson(Report);
   CommandOutput Output = failureOutput(
       ExitCode::Findings,
--- a/packages/ctl/src/context.h
+++ b/packages/ctl/src/context.h
@@ -47,9 +47,11 @@
   /// message are also printed on the standard output.
   CommandOutput failureOutput(ExitCode Code, std::string_view Message,
                               Json Details = Json::object()) const;
-  /// Returns the output that lists the findings in \p Document.
+  /// Returns the output that lists the findings in \p Document. With --json,
+  /// they are added to \p Details.
   CommandOutput findingsOutput(std::string_view Document,
-                               const Findings &Report) const;
+                               const Findings &Report,
+                               Json Details = Json::object()) const;
 
   /// Sends \p Request and calls \p Handler with the body of a successful
   /// answer. Other statuses are converted to a failure: 400 and 422 to
