Keys: the workspace of a running job is remembered

With keys, each query of a job's state read the job's row, which holds the body, after its progress.

--- a/packages/node/src/callers.cpp
+++ b/packages/node/src/callers.cpp
@@ -248,6 +248,10 @@
         switch (Outcome.Outcome_) {
         case CommitOutcome::Committed:
           RowStored_(Accepted);
+          if (CallerExchange->Scope_.IsRestricted_)
+            JobCache_.insertOwner(CallerExchange->Job_,
+                                  CallerExchange->Scope_.Workspace_,
+                                  CallerExchange->ArrivedAt_);
           [[fallthrough]];
         case CommitOutcome::Conflict:
           logEvent(
@@ -295,7 +299,8 @@
   Store_.read(
       singleRowRange(progressKey(CallerExchange->Job_)),
       timeLeft(*CallerExchange),
-      [this, CallerExchange](const Result<RowPage> &Page) {
+      [this, CallerExchange,
+       SentAt = SchedulerClock::now()](const Result<RowPage> &Page) {
         if (!Page)
           return CallerExchange->Respond_(makeUnavailableAnswer());
         std::optional<scheduling::JobProgress> Progress;
@@ -308,13 +313,23 @@
         }
         if (Progress && !CallerExchange->Scope_.IsRestricted_)
           return answerStoredState(CallerExchange, &*Progress, std::nullopt);
+        // Saves the read of the job's row, which holds the body.
+        std::optional<std::string> KnownOwner =
+            JobCache_.owner(CallerExchange->Job_, SchedulerClock::now());
+        if (KnownOwner && CallerExchange->Scope_.IsRestricted_ &&
+            CallerExchange->Scope_.covers(*KnownOwner))
+          return answerStoredState(CallerExchange,
+                                   Progress ? &*Progress : nullptr, KnownOwner);
         // The job's row tells the workspace. Read after the progress, which is
         // removed later than it or at the same time.
-        readAcceptance(CallerExchange, [this, CallerExchange,
+        readAcceptance(CallerExchange, [this, CallerExchange, SentAt,
                                         Progress](const Row *Accepted) {
           if (!Accepted || !covers(CallerExchange->Scope_, *Accepted))
             return CallerExchange->Respond_(makeAnswer(410));
           Result<std::string> Owner = decodeAcceptedWorkspace(Accepted->Value_);
+          bool HasEnded = Progress && isFinal(Progress->State_);
+          if (Owner && !HasEnded)
+            JobCache_.insertOwner(CallerExchange->Job_, *Owner, SentAt);
           answerStoredState(CallerExchange, Progress ? &*Progress : nullptr,
                             Owner ? std::optional(*Owner) : std::nullopt);
         });
--- a/packages/node/src/job_cache.cpp
+++ b/packages/node/src/job_cache.cpp
@@ -28,4 +28,24 @@
   return Found->second;
 }
 
+void JobCache::insertOwner(const std::string &Job, const std::string &Workspace,
+                           TimePoint Time) {
+  if (!Owners_.insert_or_assign(Job, Owner{Workspace, Time + OwnerValidity})
+           .second)
+    return;
+  OwnerInsertionOrder_.push_back(Job);
+  if (OwnerInsertionOrder_.size() <= MaxCachedJobs)
+    return;
+  Owners_.erase(OwnerInsertionOrder_.front());
+  OwnerInsertionOrder_.pop_front();
+}
+
+std::optional<std::string> JobCache::owner(const std::string &Job,
+                                           TimePoint Now) const {
+  auto Found = Owners_.find(Job);
+  if (Found == Owners_.end() || Now >= Found->second.ValidUntil_)
+    return std::nullopt;
+  return Found->second.Workspace_;
+}
+
 } // namespace filbertspring::node
--- a/packages/node/src/job_cache.h
+++ b/packages/node/src/job_cache.h
@@ -5,6 +5,7 @@
 /// Cache of final job states. They never change, so a cached state saves a call
 /// to the store.
 
+#include "filbertspring/base/time.h"
 #include "filbertspring/scheduling/job.h"
 
 #include <deque>
@@ -31,9 +32,27 @@
   void insertFinalState(const std::string &Job, FinalJob State);
   std::optional<FinalJob> finalState(const std::string &Job) const;
 
+  /// How long a job's workspace remains known. The rows of a job are kept for
+  /// longer after its end (SchedulerSettings::FinalStateRetention_), and its id
+  /// cannot belong to another workspace before they are removed.
+  static constexpr Duration OwnerValidity = std::chrono::seconds(100);
+  /// Notes that \p Job, which had not ended at \p Time, belongs to
+  /// \p Workspace.
+  void insertOwner(const std::string &Job, const std::string &Workspace,
+                   TimePoint Time);
+  /// Returns the workspace that \p Job belongs to, if it is known at \p Now.
+  std::optional<std::string> owner(const std::string &Job, TimePoint Now) const;
+
 private:
+  struct Owner {
+    std::string Workspace_;
+    TimePoint ValidUntil_;
+  };
+
   std::unordered_map<std::string, FinalJob> FinalStates_;
   std::deque<std::string> InsertionOrder_;
+  std::unordered_map<std::string, Owner> Owners_;
+  std::deque<std::string> OwnerInsertionOrder_;
 };
 
 } // namespace filbertspring::node
--- a/packages/node/tests/rows_test.cpp
+++ b/packages/node/tests/rows_test.cpp
@@ -1,5 +1,6 @@
 #include "rows.h"
 
+#include "filbertspring/scheduling/scheduler.h"
 #include "job_cache.h"
 
 #include <boost/test/unit_test.hpp>
@@ -158,6 +159,28 @@
   BOOST_TEST(Cache.finalState("1")->Cause_ == "cause");
 }
 
+// Later, the id may be that of another workspace's job.
+BOOST_AUTO_TEST_CASE(forgets_the_workspace_of_a_job_before_its_rows_are_gone) {
+  TimePoint Seen{std::chrono::hours(1)};
+  JobCache Cache;
+  Cache.insertOwner("job", "a", Seen);
+  BOOST_TEST((Cache.owner("job", Seen) == "a"));
+  BOOST_TEST(!Cache.owner("other", Seen).has_value());
+  BOOST_TEST(!Cache.owner("job", Seen + JobCache::OwnerValidity).has_value());
+  BOOST_TEST((JobCache::OwnerValidity <
+              scheduling::SchedulerSettings().FinalStateRetention_));
+}
+
+BOOST_AUTO_TEST_CASE(evicts_the_oldest_workspace_first) {
+  constexpr int MoreThanCapacity = 10'001;
+  TimePoint Seen{std::chrono::hours(1)};
+  JobCache Cache;
+  for (int Number = 0; Number < MoreThanCapacity; ++Number)
+    Cache.insertOwner(std::to_string(Number), "a", Seen);
+  BOOST_TEST(!Cache.owner("0", Seen).has_value());
+  BOOST_TEST(Cache.owner("1", Seen).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
