Clients: memory is granted when bytes are read, pipelining clients make room

Seen in trials with limits.memory_mb 160: 2,000 clients whose headers consist of 4,000 fields took 184 MB, since all reads were granted before the lists of fields were made; and 2,000 clients with pipelined requests kept a new connection out for 7.8 s, since each of their requests was young.

Change: memory is granted again when bytes have arrived, with that of the list of fields; the age of pipelined requests counts from the first of them when a connection is closed in favour of a new one.

--- a/packages/transport/include/filbertspring/transport/connection_choice.h
+++ b/packages/transport/include/filbertspring/transport/connection_choice.h
@@ -35,6 +35,9 @@
   ConnectionPhase Phase_ = ConnectionPhase::Idle;
   std::size_t Bytes_ = 0;
   Duration Age_{};
+  /// For how long requests have been served that the client sent without
+  /// waiting for the responses; zero if none is left.
+  Duration PipelinedAge_{};
 };
 
 /// Connections that have been in their phase for less than this are not closed
@@ -51,9 +54,9 @@
                                          std::size_t BytesToFree);
 
 /// Returns the connection to close in favour of a new one: one that lingers,
-/// else the one that has sent or read a message for longest, else the one that
-/// has been idle for longest. Returns std::nullopt if all are too young or
-/// being handled.
+/// else the one that has sent or read a message for longest, or pipelined
+/// requests, else the one that has been idle for longest. Returns std::nullopt
+/// if all are too young or being handled.
 std::optional<std::size_t>
 chooseForConnection(std::span<const ConnectionLoad> Loads);
 
--- a/packages/transport/src/connection_choice.cpp
+++ b/packages/transport/src/connection_choice.cpp
@@ -15,8 +15,16 @@
          std::chrono::duration<double>(Load.Age_).count();
 }
 
+/// Pipelined requests begin anew all the time, so that clients that send many
+/// of them would hold all connections.
+bool isPipelining(const ConnectionLoad &Load) {
+  return Load.PipelinedAge_ >= MinAgeToClose;
+}
+
 /// Returns how readily a connection is closed in favour of a new one.
 int closingRank(const ConnectionLoad &Load) {
+  if (isPipelining(Load))
+    return 2;
   switch (Load.Phase_) {
   case ConnectionPhase::Lingering:
     return 3;
@@ -56,10 +64,13 @@
 chooseForConnection(std::span<const ConnectionLoad> Loads) {
   std::optional<std::size_t> Chosen;
   auto key = [Loads](std::size_t Index) {
-    return std::pair(closingRank(Loads[Index]), Loads[Index].Age_);
+    const ConnectionLoad &Load = Loads[Index];
+    return std::pair(closingRank(Load),
+                     std::max(Load.Age_, Load.PipelinedAge_));
   };
   for (std::size_t Index = 0; Index < Loads.size(); ++Index)
-    if (mayClose(Loads[Index]) && (!Chosen || key(Index) > key(*Chosen)))
+    if ((mayClose(Loads[Index]) || isPipelining(Loads[Index])) &&
+        (!Chosen || key(Index) > key(*Chosen)))
       Chosen = Index;
   return Chosen;
 }
--- a/packages/transport/src/http_connection.cpp
+++ b/packages/transport/src/http_connection.cpp
@@ -68,7 +68,11 @@
 }
 
 ConnectionLoad HttpConnection::load() const {
-  return {Entry_.Phase_, Entry_.Bytes_, Server_.Budget_->age(Entry_)};
+  Duration Pipelined = Unparsed_.empty()
+                           ? Duration::zero()
+                           : Server_.Budget_->now() - PipelinedSince_;
+  return {Entry_.Phase_, Entry_.Bytes_, Server_.Budget_->age(Entry_),
+          Pipelined};
 }
 
 void HttpConnection::beginRequest() {
@@ -113,6 +117,9 @@
 }
 
 void HttpConnection::handleReadable(const std::error_code &Error) {
+  // Others may have taken memory since the read began.
+  if (!Error && Entry_.Phase_ != ConnectionPhase::Lingering && !isAdmitted())
+    return waitForMemory();
   std::error_code ReadError = Error;
   std::size_t Size = 0;
   if (!ReadError)
@@ -124,6 +131,7 @@
     return close();
   if (Entry_.Phase_ == ConnectionPhase::Lingering)
     return dropUnread(Size);
+  PipelinedSince_ = Server_.Budget_->now();
   receive(std::string_view(Server_.ReadBuffer_.data(), Size));
 }
 
@@ -151,8 +159,14 @@
   readOnceAdmitted();
 }
 
+bool HttpConnection::isAdmitted() const {
+  // The list of the fields is made when the headers end.
+  std::size_t Fields = IsHeadDone_ ? 0 : FieldCount_ * sizeof(HttpField);
+  return Server_.Budget_->admits(Entry_, Server_.ReadBuffer_.size() + Fields);
+}
+
 void HttpConnection::readOnceAdmitted() {
-  if (Server_.Budget_->admits(Entry_, Server_.ReadBuffer_.size()))
+  if (isAdmitted())
     return read();
   waitForMemory();
 }
--- a/packages/transport/src/http_connection.h
+++ b/packages/transport/src/http_connection.h
@@ -63,6 +63,7 @@
   void read();
   void handleReadable(const std::error_code &Error);
   void receive(std::string_view Data);
+  bool isAdmitted() const;
   void readOnceAdmitted();
   void resume();
   void shed();
@@ -104,6 +105,8 @@
   std::uint64_t Number_ = 0;
   Duration HeadDoneAt_{};
   Duration WaitBeganAt_{};
+  /// When the first of the pipelined requests was read.
+  Duration PipelinedSince_{};
   /// How long the current request has waited for memory.
   Duration Waited_{};
   bool IsInValue_ = false;
--- a/packages/transport/tests/client_budget_test.cpp
+++ b/packages/transport/tests/client_budget_test.cpp
@@ -84,6 +84,14 @@
   BOOST_TEST(chooseForConnection(Loads).value() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(takes_pipelined_requests_although_each_is_young) {
+  std::vector<ConnectionLoad> Loads{
+      {Handling, 0, 0ms, 600ms}, {Responding, 0, 0ms, 2s}, {Idle, 0, 9s}};
+  BOOST_TEST(chooseForConnection(Loads).value() == 1U);
+  Loads.resize(1);
+  BOOST_TEST(chooseForConnection(Loads).value() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(prefers_those_that_were_refused) {
   std::vector<ConnectionLoad> Loads{{Receiving, 0, 9s}, {Lingering, 0, 1s}};
   BOOST_TEST(chooseForConnection(Loads).value() == 1U);
