--- a/packages/transport/src/connection_choice.cpp
+++ b/packages/transport/src/connection_choice.cpp
@@ -63,14 +63,14 @@
 std::optional<std::size_t>
 chooseForConnection(std::span<const ConnectionLoad> Loads) {
   std::optional<std::size_t> Chosen;
-  auto key = [Loads](std::size_t Index) {
+  auto KeyOf = [Loads](std::size_t Index) {
     const ConnectionLoad &Load = Loads[Index];
     return std::pair(closingRank(Load),
                      std::max(Load.Age_, Load.PipelinedAge_));
   };
   for (std::size_t Index = 0; Index < Loads.size(); ++Index)
     if ((mayClose(Loads[Index]) || isPipelining(Loads[Index])) &&
-        (!Chosen || key(Index) > key(*Chosen)))
+        (!Chosen || KeyOf(Index) > KeyOf(*Chosen)))
       Chosen = Index;
   return Chosen;
 }
--- a/packages/transport/src/http_connection.cpp
+++ b/packages/transport/src/http_connection.cpp
@@ -387,15 +387,15 @@
   std::string Text = std::exchange(FieldText_, {});
   Request_.Headers_.reserve(FieldCount_);
   std::string_view Rest = Text;
-  auto next = [&Rest] {
+  auto TakeItem = [&Rest] {
     std::size_t End = Rest.find(FieldSeparator);
     std::string Item(Rest.substr(0, End));
     Rest.remove_prefix(End == std::string_view::npos ? Rest.size() : End + 1);
     return Item;
   };
   for (std::size_t Number = 0; Number < FieldCount_; ++Number) {
-    std::string Name = next();
-    Request_.Headers_.push_back({std::move(Name), next()});
+    std::string Name = TakeItem();
+    Request_.Headers_.push_back({std::move(Name), TakeItem()});
   }
   FieldBytes_ = FieldCount_ * sizeof(HttpField) + HeadBytes_;
 }
