Tasks wait for a place near their data while that pays off

A step that names a rack and could only start elsewhere waits while the learned rates let expect that the wait gains more than it costs this job and later ones. Other tasks avoid a rack that tasks wait for.

--- a/benchmark/src/registry.cpp
+++ b/benchmark/src/registry.cpp
@@ -1,6 +1,7 @@
 #include "../experiments/cell_load.h"
 #include "../experiments/colocation.h"
 #include "../experiments/peers_bytes.h"
+#include "../experiments/place_wait.h"
 #include "../experiments/routing_cost.h"
 #include "../experiments/routing_fairness.h"
 #include "../experiments/routing_load.h"
@@ -18,6 +19,8 @@
       {"config-spread", "Time until a change is in force everywhere",
        runConfigurationSpread},
       {"peers-bytes", "Bytes and messages between peers", runPeersBytes},
+      {"place-wait", "Waits for places near the data while a rack is hot",
+       runPlaceWaitExperiment},
       {"routing-cost", "Time of one routing decision", runRoutingCost},
       {"routing-fairness", "One contract far above its limit",
        runRoutingFairness},
--- a/packages/base/include/filbertspring/base/log_event.h
+++ b/packages/base/include/filbertspring/base/log_event.h
@@ -60,6 +60,7 @@
   TaskOverTarget = 3026,
   TaskPlacedOverdue = 3027,
   RunGivenUp = 3028,
+  PlaceWaitDecided = 3035,
 
   PeerConnected = 4001,
   PeerLost = 4002,
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -100,6 +100,9 @@
      "choice for it."},
     {LogEvent::RunGivenUp, Warning, "run_given_up",
      "A run that was not stopped counts as over; its task waits again."},
+    {LogEvent::PlaceWaitDecided, Info, "place_wait_decided",
+     "A task could start far from its data; whether it waits for a place near "
+     "it, and why."},
     {LogEvent::PeerConnected, Info, "peer_connected",
      "A stream to another entry instance is open."},
     {LogEvent::PeerLost, Warning, "peer_lost",
--- a/packages/scheduling/include/filbertspring/scheduling/scheduler.h
+++ b/packages/scheduling/include/filbertspring/scheduling/scheduler.h
@@ -34,6 +34,18 @@
 
 namespace filbertspring::scheduling {
 
+/// Tasks wait for a place near their data while learned rates let expect that
+/// this pays off.
+struct LearnedPlaceWait {};
+/// Tasks start elsewhere at once when no place near their data is free.
+struct NoPlaceWait {};
+/// Tasks wait for a fixed time, for comparisons.
+struct FixedPlaceWait {
+  Duration Limit_{};
+};
+using PlaceWaitPolicy =
+    std::variant<LearnedPlaceWait, NoPlaceWait, FixedPlaceWait>;
+
 /// Limits, durations and identifiers of a scheduler.
 struct SchedulerSettings {
   /// Fencing token. Increases with each tenure; workers reject lower tokens.
@@ -58,6 +70,7 @@
   Duration FinalStateRetention_ = std::chrono::seconds(150);
   /// How many times slower tasks are on racks that do not hold their data.
   double FarFactor_ = 3.0;
+  PlaceWaitPolicy PlaceWait_;
 };
 
 /// Renews the lease of all tasks on a worker and requests a report.
@@ -153,6 +166,17 @@
 /// the store takes.
 inline constexpr std::size_t MaxTransactionBytes = 128U << 10U;
 
+/// What became of the tasks that could have started far from their data.
+struct PlaceWaitCounts {
+  /// Steps that waited, by the end of the wait.
+  std::uint64_t EndedNear_ = 0;
+  std::uint64_t GaveUp_ = 0;
+  /// Tasks that started far without a wait.
+  std::uint64_t NotWorth_ = 0;
+  /// The sum of the waits that have ended.
+  Duration Waited_{};
+};
+
 /// Current counts, for metrics.
 struct SchedulerCounts {
   std::size_t Jobs_ = 0;
@@ -162,6 +186,7 @@
   std::size_t PlacedTasks_ = 0;
   /// How many workers have been considered in all for the steps that waited.
   std::uint64_t ConsideredWorkers_ = 0;
+  PlaceWaitCounts PlaceWaits_;
 };
 
 /// The scheduler of one cell. Holds its jobs and the state of its workers.
--- a/packages/scheduling/src/obstacle.cpp
+++ b/packages/scheduling/src/obstacle.cpp
@@ -1,6 +1,7 @@
 #include "obstacle.h"
 
 #include "filbertspring/base/enum_table.h"
+#include "place_wait.h"
 
 #include <algorithm>
 #include <array>
@@ -44,6 +45,7 @@
     {Obstacle::OverTarget, "over_target", {}},
     {Obstacle::Utilization, "utilization", MaxJudgementWait},
     {Obstacle::Interference, "interference", MaxJudgementWait},
+    {Obstacle::FarFromData, "far_from_data", MaxPlaceWait},
 }};
 
 const ObstacleTrait &traitOf(Obstacle Value) {
--- a/packages/scheduling/src/obstacle.h
+++ b/packages/scheduling/src/obstacle.h
@@ -49,8 +49,10 @@
   Utilization,
   /// A filler may violate a tail latency target.
   Interference,
+  /// The task waits for a place near its data, which it prefers.
+  FarFromData,
 };
-inline constexpr std::size_t ObstacleCount = 15;
+inline constexpr std::size_t ObstacleCount = 16;
 
 /// Returns the name of \p Value in logs.
 std::string_view nameOf(Obstacle Value);
--- a/packages/scheduling/src/place_wait.cpp
+++ b/packages/scheduling/src/place_wait.cpp
@@ -13,10 +13,6 @@
 /// Longer times are not told apart.
 constexpr double MaxSeconds = 3600;
 
-double seconds(Duration Time) {
-  return std::chrono::duration<double>(Time).count();
-}
-
 Duration toDuration(double Seconds) {
   return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(std::clamp(Seconds, 0.0, MaxSeconds)));
@@ -37,12 +33,15 @@
 
 PlaceWaitDecision decidePlaceWait(const PlaceWaitInput &Input) {
   PlaceWaitDecision Result;
-  double Extra = seconds(Input.RunTime_) * std::max(0.0, Input.FarFactor_ - 1);
+  double Extra =
+      asSeconds(Input.RunTime_) * std::max(0.0, Input.FarFactor_ - 1);
   // A wait of at most the extra time costs at most twice the best choice in
   // hindsight, whatever the estimates are worth.
   double Allowance =
-      std::min(Extra, seconds(MaxPlaceWait)) - seconds(Input.Waited_);
+      std::min(Extra, asSeconds(MaxPlaceWait)) - asSeconds(Input.Waited_);
   Result.Allowance_ = toDuration(Allowance);
+  if (Extra <= 0)
+    return Result;
   if (Allowance <= 0) {
     Result.Verdict_ = PlaceWaitVerdict::Exhausted;
     return Result;
@@ -59,7 +58,7 @@
   // A run elsewhere occupies its place for longer, which delays other tasks the
   // more, the less is free there.
   double Weight = 1 + std::clamp(Input.FarUse_, 0.0, 1.0);
-  double Slack = seconds(Input.Slack_);
+  double Slack = asSeconds(Input.Slack_);
   bool DecidesObjective = Expected <= Slack && Slack < Extra;
   if (DecidesObjective)
     Weight += 1;
--- a/packages/scheduling/src/place_wait.h
+++ b/packages/scheduling/src/place_wait.h
@@ -22,6 +22,10 @@
 /// elsewhere has to be stored and sent after it.
 inline constexpr Duration MaxPlaceWait = std::chrono::milliseconds(1500);
 
+inline double asSeconds(Duration Time) {
+  return std::chrono::duration<double>(Time).count();
+}
+
 /// What the decision for the waiting tasks of one step depends on.
 struct PlaceWaitInput {
   /// The expected run time of a task near its data.
--- /dev/null
+++ b/packages/scheduling/src/place_waits.h
@@ -0,0 +1,141 @@
+#ifndef FILBERTSPRING_SCHEDULING_PLACE_WAITS_H
+#define FILBERTSPRING_SCHEDULING_PLACE_WAITS_H
+
+/// \file
+/// The racks that steps name, the steps that wait for them, and the processors
+/// that those want.
+
+#include "filbertspring/scheduling/scheduler.h"
+#include "place_wait.h"
+#include "rack_activity.h"
+
+#include <compare>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+
+namespace filbertspring::scheduling {
+
+/// The places on one rack for one kind of work: fillers use other processors
+/// than the rest.
+struct RackKey {
+  std::string Service_;
+  std::string Rack_;
+  bool IsFiller_ = false;
+
+  friend auto operator<=>(const RackKey &, const RackKey &) = default;
+};
+
+/// A step of a job whose tasks wait.
+struct StepKey {
+  std::string Job_;
+  std::uint32_t Occurrence_ = 0;
+  std::uint32_t Step_ = 0;
+
+  friend auto operator<=>(const StepKey &, const StepKey &) = default;
+};
+
+/// Processors of some workers and what is used of them, in thousandths.
+struct ProcessorUse {
+  double Total_ = 0;
+  /// Held by runs that end, without fillers, and by long-running ones.
+  double Ending_ = 0;
+  double LongRunning_ = 0;
+  /// Requested by fillers.
+  double Fillers_ = 0;
+
+  ProcessorUse &operator+=(const ProcessorUse &Other);
+  ProcessorUse &operator-=(const ProcessorUse &Other);
+  /// Returns the fraction that is in use for work of the kind.
+  double fraction(bool IsFiller) const;
+};
+
+/// The end of a wait.
+struct EndedPlaceWait {
+  bool IsNear_ = false;
+  Duration Waited_{};
+};
+
+class PlaceWaits {
+public:
+  /// Returns whether any step has named a rack lately. All other functions may
+  /// be skipped otherwise.
+  bool isActive() const { return !Racks_.empty(); }
+
+  /// Begins a placement pass; addWorker() follows for each worker that gets
+  /// tasks, then endSampling().
+  void beginPass(TimePoint Now);
+  /// \p IsSource: the worker gets tasks as soon as its runs end.
+  void addWorker(const std::string &Service,
+                 std::span<const std::string> Labels, const ProcessorUse &Use,
+                 bool IsSource);
+  void endSampling(TimePoint Now);
+
+  /// Starts to learn about \p Key.
+  void track(const RackKey &Key, TimePoint Now);
+  bool isTracked(const RackKey &Key) const { return Racks_.contains(Key); }
+  /// A run that held \p MilliCpu ended on a worker with \p Labels.
+  void noteRelease(const std::string &Service,
+                   std::span<const std::string> Labels, bool IsFiller,
+                   double MilliCpu, TimePoint Now);
+
+  /// Sets what is known of the rack \p Key in \p Input, for \p Tasks tasks that
+  /// need \p MilliCpu each.
+  void describe(const RackKey &Key, double MilliCpu, std::size_t Tasks,
+                PlaceWaitInput &Input, TimePoint Now) const;
+  /// The \p Tasks tasks of \p Step wait in this pass. Returns whether they did
+  /// not before.
+  bool noteWait(const StepKey &Step, const RackKey &Key, double MilliCpu,
+                std::size_t Tasks, TimePoint Now);
+  /// Returns whether \p Step waits in this pass.
+  bool isWaiting(const StepKey &Step) const;
+  /// A task that names \p Key is placed, the last of those of \p Step that are
+  /// waiting if \p IsLast. Returns the wait that ends with it.
+  std::optional<EndedPlaceWait> notePlaced(const StepKey &Step,
+                                           const RackKey &Key, double MilliCpu,
+                                           bool IsNear, bool IsLast,
+                                           TimePoint Now);
+  /// Returns whether tasks wait for the workers with \p Labels. Others should
+  /// use different ones.
+  bool areWanted(const std::string &Service,
+                 std::span<const std::string> Labels, bool IsFiller) const;
+
+  RunTimes &runTimes() { return RunTimes_; }
+  const RunTimes &runTimes() const { return RunTimes_; }
+  const PlaceWaitCounts &counts() const { return Counts_; }
+
+private:
+  struct Rack {
+    RackActivity Activity_;
+    /// Of its workers that get tasks, and of those among them that get tasks as
+    /// soon as their runs end, in this pass.
+    ProcessorUse Use_{};
+    ProcessorUse Sources_{};
+    /// What tasks that wait in this pass want.
+    double Ahead_ = 0;
+    /// Until when other tasks avoid it.
+    TimePoint WantedUntil_{};
+    TimePoint LastNamedAt_{};
+  };
+  struct WaitingStep {
+    TimePoint Since_;
+    TimePoint LastSeenAt_;
+  };
+
+  Rack *find(const RackKey &Key);
+  const Rack *find(const RackKey &Key) const;
+
+  std::map<RackKey, Rack> Racks_;
+  std::map<std::string, ProcessorUse> Services_;
+  std::map<StepKey, WaitingStep> Waiting_;
+  PlaceWaitCounts Counts_;
+  RunTimes RunTimes_;
+  TimePoint PassAt_{};
+  TimePoint NextCleanupAt_{};
+  std::size_t WantedRacks_ = 0;
+};
+
+} // namespace filbertspring::scheduling
+
+#endif // FILBERTSPRING_SCHEDULING_PLACE_WAITS_H
--- a/packages/scheduling/src/rack_activity.cpp
+++ b/packages/scheduling/src/rack_activity.cpp
@@ -1,5 +1,7 @@
 #include "rack_activity.h"
 
+#include "place_wait.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -21,12 +23,10 @@
 /// Bounds the memory; further kinds are not learned.
 constexpr std::size_t MaxKinds = 1000;
 
-double seconds(Duration Time) {
-  return std::chrono::duration<double>(Time).count();
+double logOf(Duration Time) {
+  return std::log(std::max(1e-3, asSeconds(Time)));
 }
 
-double logOf(Duration Time) { return std::log(std::max(1e-3, seconds(Time))); }
-
 } // namespace
 
 void DecayingSum::add(double Amount, TimePoint Now) {
@@ -37,7 +37,8 @@
 double DecayingSum::at(TimePoint Now) const {
   if (Sum_ == 0 || Now <= UpdatedAt_)
     return Sum_;
-  return Sum_ * std::exp(-seconds(Now - UpdatedAt_) / seconds(TimeConstant_));
+  return Sum_ *
+         std::exp(-asSeconds(Now - UpdatedAt_) / asSeconds(TimeConstant_));
 }
 
 RackActivity::RackActivity(TimePoint Now)
@@ -49,7 +50,7 @@
 }
 
 void RackActivity::noteOccupied(double MilliCpu, TimePoint Now) {
-  Held_.add(Occupied_ * seconds(Now - SampledAt_), Now);
+  Held_.add(Occupied_ * asSeconds(Now - SampledAt_), Now);
   Occupied_ = MilliCpu;
   SampledAt_ = Now;
 }
@@ -73,8 +74,9 @@
 
 double RackActivity::demandRate(TimePoint Now) const {
   // The weights of the time since the start add up to this time.
-  double Weight = seconds(RateTime) *
-                  (1 - std::exp(-seconds(Now - Since_) / seconds(RateTime)));
+  double Weight =
+      asSeconds(RateTime) *
+      (1 - std::exp(-asSeconds(Now - Since_) / asSeconds(RateTime)));
   return Weight > 0 ? Demand_.at(Now) / Weight : 0;
 }
 
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -427,6 +427,7 @@
   Result.Jobs_ = Impl_->Jobs_.size();
   Result.Workers_ = Impl_->Workers_.size();
   Result.ConsideredWorkers_ = Impl_->ConsideredWorkers_;
+  Result.PlaceWaits_ = Impl_->PlaceWaits_.counts();
   for (const auto &[Id, Worker] : Impl_->Workers_) {
     Result.ReachableWorkers_ += Worker.isReachable() ? 1 : 0;
     Result.PlacedTasks_ += Worker.Runs_.size();
--- a/packages/scheduling/src/scheduler_costs.cpp
+++ b/packages/scheduling/src/scheduler_costs.cpp
@@ -82,7 +82,7 @@
     if (Step.IsLongRunning_)
       Cost += MixedImageCost * countOtherImages(Worker, Step.Image_);
   }
-  return Cost + remoteDataCost(Worker, Step);
+  return Cost + remoteDataCost(Worker, Step) + wantedRackCost(Worker, Step);
 }
 
 double Scheduler::Impl::remoteDataCost(const WorkerState &Worker,
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -8,6 +8,7 @@
 /// scheduler_placement.cpp and storage in scheduler_writes.cpp.
 
 #include "obstacle.h"
+#include "place_waits.h"
 #include "progress_queue.h"
 #include "worker_state.h"
 
@@ -409,12 +410,41 @@
                                       const StepSpec &Step) const;
   /// Returns the cost of a worker that is far from the data of \p Step.
   static double remoteDataCost(const WorkerState &Worker, const StepSpec &Step);
+  /// Returns the cost of a worker that tasks wait for which prefer it, unless
+  /// \p Step does, too.
+  double wantedRackCost(const WorkerState &Worker, const StepSpec &Step) const;
   double headroom(WorkerState &Worker, const std::string &Image) const;
   double flexibility(WorkerState &Worker) const;
   void planRun(WorkerState &Worker, JobRecord &Record, const TaskName &Name,
                Task &Waiting);
   void sendPlannedStarts(TimePoint Now);
 
+  // Waits for places near the data of a step.
+  /// Notes what the runs of the usable workers hold. Linear in their number if
+  /// steps have named racks lately.
+  void sampleRacks(TimePoint Now);
+  void noteRunEnd(const WorkerState &Worker, const Run &Ended, EndReason Reason,
+                  TimePoint Now);
+  /// Returns whether the tasks in \p Slots, all that wait of one step, go on
+  /// waiting in this pass although \p Chosen can take one; otherwise notes that
+  /// it takes the first.
+  bool waitsForPlace(const Job &TheJob, const PlacementRequest &Request,
+                     std::span<const std::uint32_t> Slots,
+                     const WorkerState &Chosen, TimePoint Now);
+  PlaceWaitDecision decideWait(const Job &TheJob,
+                               const PlacementRequest &Request,
+                               std::uint32_t Slot, std::size_t Tasks,
+                               TimePoint Now) const;
+  /// Returns whether the step of \p Request waits in this pass for workers of
+  /// which \p Worker is none.
+  bool waitsForOther(const PlacementRequest &Request,
+                     const WorkerState &Worker) const;
+  /// Returns whether a task of the step of \p Slot runs far from its data.
+  bool hasFarTask(const Job &TheJob, std::uint32_t Slot) const;
+  void recordPlaceWait(const PlacementRequest &Request,
+                       const PlaceWaitDecision &Decision, std::size_t Tasks,
+                       TimePoint Now);
+
   // Storage.
   void takeChanges(WriteRoom &Room);
   void takeSnapshots(PendingWrites &Writes, WriteRoom &Room);
@@ -493,6 +523,10 @@
   std::vector<Action> Actions_;
   std::vector<LogRecord> LogRecords_;
   UnplaceableRequests Unplaceable_;
+  PlaceWaits PlaceWaits_;
+  TimePoint NextPlaceWaitLogAt_{};
+  std::size_t LoggedPlaceWaits_ = 0;
+  std::size_t UnloggedPlaceWaits_ = 0;
   InterferenceModel Model_;
   bool IsFenced_ = false;
   /// Capacity or ready tasks may have been added since the last placement pass.
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -150,6 +150,7 @@
   Unplaceable_.clear();
   releaseReservations();
   findUsableWorkers(Now);
+  sampleRacks(Now);
   OverdueTasks Overdue = findOverdueTasks(Now);
   std::size_t OverdueStarts = startsForOverdueTasks(Overdue, Limit, Now);
   StartsLeft_ = Limit - OverdueStarts;
@@ -285,7 +286,7 @@
   // there is no room.
   if (!HasRoom || (Offers.empty() && Step.MaxPerWorker_ == 0))
     Unplaceable_.add(Request);
-  for (std::uint32_t Slot : Slots) {
+  for (const std::uint32_t &Slot : Slots) {
     if (StartsLeft_ == 0)
       return;
     TaskName Name = TheJob.nameOf(Slot);
@@ -301,6 +302,10 @@
       reserveCapacity(Request, Now);
     if (!Chosen)
       return;
+    // The worker stays available to the jobs behind.
+    std::span<const std::uint32_t> Rest(&Slot, Slots.data() + Slots.size());
+    if (waitsForPlace(TheJob, Request, Rest, *Chosen, Now))
+      return;
     bool IsAlone = IsIsolated && canIsolate(*Chosen, Now);
     planRun(*Chosen, Record, Name, Waiting);
     --StartsLeft_;
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -113,6 +113,7 @@
   std::string Text = End.Name_.text();
   auto It = Worker.Runs_.find(Text);
   if (It != Worker.Runs_.end() && It->second.Number_ == End.Run_) {
+    noteRunEnd(Worker, It->second, End.Reason_, Now);
     Worker.dropRun(Text);
     NeedsPlacement_ = true;
   }
--- a/packages/scheduling/src/scheduler_waits.cpp
+++ b/packages/scheduling/src/scheduler_waits.cpp
@@ -68,6 +68,8 @@
     std::optional<Obstacle> Found = findObstacle(Worker, Request, Now);
     if (!Found)
       Found = findFillerObstacle(Worker, Request.Step_);
+    if (!Found && waitsForOther(Request, Worker))
+      Found = Obstacle::FarFromData;
     if (Found)
       ++Counts[static_cast<std::size_t>(*Found)];
     else
--- a/packages/scheduling/tests/cell_fixture.h
+++ b/packages/scheduling/tests/cell_fixture.h
@@ -20,7 +20,8 @@
 
 /// A scheduler with two healthy workers and one queue.
 struct Cell {
-  Cell() : Scheduler_(SchedulerSettings(), Now_) {
+  explicit Cell(const SchedulerSettings &Settings = SchedulerSettings())
+      : Scheduler_(Settings, Now_) {
     auto Queues = std::make_shared<QueueTable>();
     Queue Batch;
     Batch.Name_ = "batch";
