--- a/packages/scheduling/src/scheduler_place_wait.cpp
+++ b/packages/scheduling/src/scheduler_place_wait.cpp
@@ -124,8 +124,12 @@
   Input.FarFactor_ = Settings_.FarFactor_;
   Input.Waited_ = Now - std::max(First.ReadyAt_, First.NotBefore_);
   const Queue *Policy = Queues_->find(TheJob.accepted().Queue_);
+  // Both the objective and the time until the end depend on the run time.
+  double Factor = Policy ? Policy->SlackFactor_ : 1;
   Input.Slack_ =
-      rankOf(TheJob, Policy, Now).Due_ - Now - TheJob.remainingTime();
+      rankOf(TheJob, Policy, Now).Due_ - Now - TheJob.remainingTime() +
+      std::chrono::duration_cast<Duration>((Factor - 1) *
+                                           (Input.RunTime_ - Step.Estimate_));
   Input.BatchSize_ = Step.Count_;
   PlaceWaits_.describe(rackOf(Request),
                        static_cast<double>(Step.Request_.MilliCpu_), Tasks,
