--- a/packages/node/src/cell_owner.cpp
+++ b/packages/node/src/cell_owner.cpp
@@ -222,6 +222,28 @@
     return;
   std::size_t Placed = Tenure_->Scheduler_.place(Begin, MaxStarts);
   Tenure_->Admission_.placed(Begin, Placed, SchedulerClock::now() - Begin);
+  countPlaceWaits();
+}
+
+void CellOwner::countPlaceWaits() {
+  const scheduling::PlaceWaitCounts &Present = Tenure_->Scheduler_.placeWaits();
+  scheduling::PlaceWaitCounts &Counted = Tenure_->CountedPlaceWaits_;
+  auto Count = [this](const char *Outcome, std::uint64_t Total,
+                      std::uint64_t Before) {
+    if (Total > Before)
+      Counters_
+          .counter("place_waits_total",
+                   "outcome=\"" + std::string(Outcome) + "\"")
+          .add(Total - Before);
+  };
+  Count("near", Present.EndedNear_, Counted.EndedNear_);
+  Count("gave_up", Present.GaveUp_, Counted.GaveUp_);
+  Count("not_worth", Present.NotWorth_, Counted.NotWorth_);
+  if (Present.Waited_ > Counted.Waited_)
+    Counters_.counter("place_wait_ms_total")
+        .add(static_cast<std::uint64_t>((Present.Waited_ - Counted.Waited_) /
+                                        std::chrono::milliseconds(1)));
+  Counted = Present;
 }
 
 void CellOwner::commitIfDue(TimePoint Now) {
--- a/packages/node/src/cell_owner.h
+++ b/packages/node/src/cell_owner.h
@@ -51,6 +51,8 @@
   std::string StoredModel_;
   TimePoint NextModelAt_{};
   TimePoint NextRemovalAt_{};
+  /// The waits for places that the counters of the process include.
+  scheduling::PlaceWaitCounts CountedPlaceWaits_{};
 };
 
 /// The content of one transaction of the owner.
@@ -145,6 +147,8 @@
   /// Adapts the limit of starts to the delay of the event loop.
   void observeLoop(TimePoint Now);
   void placeTasks();
+  /// Adds what became of waits for places to the counters of the process.
+  void countPlaceWaits();
   void commitIfDue(TimePoint Now);
   void addStatusAndModel(CellTransaction &Sent) const;
   scheduling::RowTransaction
--- a/packages/scheduling/include/filbertspring/scheduling/scheduler.h
+++ b/packages/scheduling/include/filbertspring/scheduling/scheduler.h
@@ -299,6 +299,8 @@
   std::map<std::string, std::uint64_t> pendingByQueue() const;
   std::optional<JobState> stateOf(const std::string &Job) const;
   SchedulerCounts counts() const;
+  /// The part of counts() that changes in each placement pass.
+  const PlaceWaitCounts &placeWaits() const;
 
 private:
   struct Impl;
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -422,6 +422,10 @@
   return Record ? std::optional(Record->Job_.state()) : std::nullopt;
 }
 
+const PlaceWaitCounts &Scheduler::placeWaits() const {
+  return Impl_->PlaceWaits_.counts();
+}
+
 SchedulerCounts Scheduler::counts() const {
   SchedulerCounts Result;
   Result.Jobs_ = Impl_->Jobs_.size();
--- a/packages/scheduling/tests/waiting_histories_test.cpp
+++ b/packages/scheduling/tests/waiting_histories_test.cpp
@@ -118,6 +118,9 @@
   Job.Service_ = "service";
   Job.Spec_.Payload_ = "payload of " + Job.Id_;
   Job.Spec_.Steps_ = {Step};
+  // A wait for a place near the data must not exceed what users tolerate.
+  if (Jobs_ % 2 == 0)
+    Job.Spec_.Steps_.front().DataRack_ = fmt::format("rack-{}", Jobs_ % Racks);
   return Job;
 }
 
