Steps that prefer one rack run on one that can take all of their tasks

The rack with the least sufficient room is chosen; without one, the step waits by the same decision, or is spread.

--- a/packages/scheduling/src/place_waits.cpp
+++ b/packages/scheduling/src/place_waits.cpp
@@ -37,6 +37,13 @@
   return Total_ > 0 ? std::clamp(Used / Total_, 0.0, 1.0) : 1;
 }
 
+std::string rackName(std::span<const std::string> Labels) {
+  std::string Name;
+  for (const std::string &Label : Labels)
+    Name += (Name.empty() ? "" : ",") + Label;
+  return Name;
+}
+
 PlaceWaits::Rack *PlaceWaits::find(const RackKey &Key) {
   auto It = Racks_.find(Key);
   return It == Racks_.end() ? nullptr : &It->second;
@@ -72,13 +79,12 @@
                            std::span<const std::string> Labels,
                            const ProcessorUse &Use, bool IsSource) {
   Services_[Service] += Use;
-  for (const std::string &Label : Labels)
-    for (bool IsFiller : {false, true})
-      if (Rack *Known = find({Service, Label, IsFiller})) {
-        Known->Use_ += Use;
-        if (IsSource)
-          Known->Sources_ += Use;
-      }
+  for (bool IsFiller : {false, true})
+    forEachRack(*this, Service, Labels, IsFiller, [&](Rack &Known) {
+      Known.Use_ += Use;
+      if (IsSource)
+        Known.Sources_ += Use;
+    });
 }
 
 void PlaceWaits::endSampling(TimePoint Now) {
@@ -95,9 +101,8 @@
 void PlaceWaits::noteRelease(const std::string &Service,
                              std::span<const std::string> Labels, bool IsFiller,
                              double MilliCpu, TimePoint Now) {
-  for (const std::string &Label : Labels)
-    if (Rack *Known = find({Service, Label, IsFiller}))
-      Known->Activity_.noteRelease(MilliCpu, Now);
+  forEachRack(*this, Service, Labels, IsFiller,
+              [&](Rack &Known) { Known.Activity_.noteRelease(MilliCpu, Now); });
 }
 
 void PlaceWaits::describe(const RackKey &Key, double MilliCpu,
@@ -164,13 +169,12 @@
 bool PlaceWaits::areWanted(const std::string &Service,
                            std::span<const std::string> Labels,
                            bool IsFiller) const {
-  if (WantedRacks_ == 0)
-    return false;
-  return std::any_of(Labels.begin(), Labels.end(),
-                     [&](const std::string &Label) {
-                       const Rack *Known = find({Service, Label, IsFiller});
-                       return Known && Known->WantedUntil_ > PassAt_;
-                     });
+  bool Result = false;
+  if (WantedRacks_ > 0)
+    forEachRack(*this, Service, Labels, IsFiller, [&](const Rack &Known) {
+      Result = Result || Known.WantedUntil_ > PassAt_;
+    });
+  return Result;
 }
 
 } // namespace filbertspring::scheduling
--- a/packages/scheduling/src/place_waits.h
+++ b/packages/scheduling/src/place_waits.h
@@ -27,6 +27,10 @@
   friend auto operator<=>(const RackKey &, const RackKey &) = default;
 };
 
+/// Returns the name of the rack of workers with \p Labels if it is not known
+/// which of these is the rack: workers that share all of them share it, too.
+std::string rackName(std::span<const std::string> Labels);
+
 /// A step of a job whose tasks wait.
 struct StepKey {
   std::string Job_;
@@ -123,6 +127,20 @@
     TimePoint LastSeenAt_;
   };
 
+  /// Calls \p Act for each known rack of a worker.
+  template <typename Self, typename Visitor>
+  static void forEachRack(Self &Waits, const std::string &Service,
+                          std::span<const std::string> Labels, bool IsFiller,
+                          const Visitor &Act) {
+    for (const std::string &Label : Labels)
+      if (auto *Known = Waits.find({Service, Label, IsFiller}))
+        Act(*Known);
+    if (Labels.size() < 2)
+      return;
+    if (auto *Known = Waits.find({Service, rackName(Labels), IsFiller}))
+      Act(*Known);
+  }
+
   Rack *find(const RackKey &Key);
   const Rack *find(const RackKey &Key) const;
 
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -195,6 +195,28 @@
   std::vector<Entry> Entries_;
 };
 
+/// How many tasks of a step a rack can take.
+struct RackRoom {
+  std::size_t Now_ = 0;
+  /// Once all runs have ended that will.
+  std::size_t Empty_ = 0;
+};
+
+/// By the labels of the workers of the rack.
+using RackRooms = std::map<std::vector<std::string>, RackRoom>;
+
+/// To which workers the tasks of a step are restricted.
+struct RackChoice {
+  /// The tasks go on waiting.
+  bool Waits_ = false;
+  /// The labels of the workers; empty if there is no restriction.
+  std::optional<std::vector<std::string>> Labels_;
+
+  bool admits(const WorkerState &Worker) const {
+    return !Labels_ || Worker.Entry_.Labels_ == *Labels_;
+  }
+};
+
 struct Scheduler::Impl {
   Impl(SchedulerSettings Settings, TimePoint Now);
 
@@ -433,15 +455,26 @@
                      const WorkerState &Chosen, TimePoint Now);
   PlaceWaitDecision decideWait(const Job &TheJob,
                                const PlacementRequest &Request,
-                               std::uint32_t Slot, std::size_t Tasks,
-                               TimePoint Now) const;
+                               const RackKey &Rack, std::uint32_t Slot,
+                               std::size_t Tasks, TimePoint Now) const;
+  /// Returns the workers to which the tasks in \p Slots, all that wait of one
+  /// step, should be restricted so that they run on one rack.
+  RackChoice chooseRack(const Job &TheJob, const PlacementRequest &Request,
+                        std::span<const std::uint32_t> Slots, TimePoint Now);
+  /// Returns how many tasks of \p Request each rack can take now, by the labels
+  /// of its workers, those without any included.
+  RackRooms findRackRooms(const PlacementRequest &Request, TimePoint Now);
+  /// Returns the racks on which tasks of the step of \p Slot are placed, by the
+  /// labels of their workers.
+  std::set<std::vector<std::string>> racksOfStep(const Job &TheJob,
+                                                 std::uint32_t Slot) const;
   /// Returns whether the step of \p Request waits in this pass for workers of
   /// which \p Worker is none.
   bool waitsForOther(const PlacementRequest &Request,
                      const WorkerState &Worker) const;
   /// Returns whether a task of the step of \p Slot runs far from its data.
   bool hasFarTask(const Job &TheJob, std::uint32_t Slot) const;
-  void recordPlaceWait(const PlacementRequest &Request,
+  void recordPlaceWait(const PlacementRequest &Request, const RackKey &Rack,
                        const PlaceWaitDecision &Decision, std::size_t Tasks,
                        TimePoint Now);
 
--- a/packages/scheduling/src/scheduler_place_wait.cpp
+++ b/packages/scheduling/src/scheduler_place_wait.cpp
@@ -111,11 +111,10 @@
   return false;
 }
 
-PlaceWaitDecision Scheduler::Impl::decideWait(const Job &TheJob,
-                                              const PlacementRequest &Request,
-                                              std::uint32_t Slot,
-                                              std::size_t Tasks,
-                                              TimePoint Now) const {
+PlaceWaitDecision
+Scheduler::Impl::decideWait(const Job &TheJob, const PlacementRequest &Request,
+                            const RackKey &Rack, std::uint32_t Slot,
+                            std::size_t Tasks, TimePoint Now) const {
   const StepSpec &Step = Request.Step_;
   const Task &First = TheJob.at(Slot);
   PlaceWaitInput Input;
@@ -131,10 +130,9 @@
       std::chrono::duration_cast<Duration>((Factor - 1) *
                                            (Input.RunTime_ - Step.Estimate_));
   Input.BatchSize_ = Step.Count_;
-  PlaceWaits_.describe(rackOf(Request),
-                       static_cast<double>(Step.Request_.MilliCpu_), Tasks,
-                       Input, Now);
-  PlaceWaitDecision Result = std::visit(
+  PlaceWaits_.describe(Rack, static_cast<double>(Step.Request_.MilliCpu_),
+                       Tasks, Input, Now);
+  return std::visit(
       Overloaded{
           [&](const LearnedPlaceWait &) { return decidePlaceWait(Input); },
           [&](const NoPlaceWait &) { return PlaceWaitDecision(); },
@@ -146,10 +144,6 @@
           },
       },
       Settings_.PlaceWait_);
-  // A task that runs far already determines the end of the step.
-  if (Result.waits() && hasFarTask(TheJob, Slot))
-    Result.Verdict_ = PlaceWaitVerdict::NotWorth;
-  return Result;
 }
 
 bool Scheduler::Impl::waitsForPlace(const Job &TheJob,
@@ -183,14 +177,17 @@
                  TheJob.at(Slot).Progress_.LastRun_ == 0;
   if (MayWait) {
     PlaceWaitDecision Decision =
-        decideWait(TheJob, Request, Slot, Slots.size(), Now);
+        decideWait(TheJob, Request, Rack, Slot, Slots.size(), Now);
+    // A task that runs far already determines the end of the step.
+    if (Decision.waits() && hasFarTask(TheJob, Slot))
+      Decision.Verdict_ = PlaceWaitVerdict::NotWorth;
     if (Decision.waits()) {
       if (PlaceWaits_.noteWait(Key, Rack, MilliCpu, Slots.size(), Now))
-        recordPlaceWait(Request, Decision, Slots.size(), Now);
+        recordPlaceWait(Request, Rack, Decision, Slots.size(), Now);
       NextPlacementAt_ = std::min(NextPlacementAt_, Now + Decision.Allowance_);
       return true;
     }
-    recordPlaceWait(Request, Decision, Slots.size(), Now);
+    recordPlaceWait(Request, Rack, Decision, Slots.size(), Now);
   }
   PlaceWaits_.notePlaced(Key, Rack, MilliCpu, IsNear, Slots.size() == 1, Now);
   return false;
@@ -200,10 +197,12 @@
                                     const WorkerState &Worker) const {
   return PlaceWaits_.isActive() &&
          PlaceWaits_.isWaiting(stepOf(Request.Name_)) &&
-         !hasLabel(Worker.Entry_, Request.Step_.DataRack_);
+         (Request.Step_.DataRack_.empty() ||
+          !hasLabel(Worker.Entry_, Request.Step_.DataRack_));
 }
 
 void Scheduler::Impl::recordPlaceWait(const PlacementRequest &Request,
+                                      const RackKey &Rack,
                                       const PlaceWaitDecision &Decision,
                                       std::size_t Tasks, TimePoint Now) {
   if (Now >= NextPlaceWaitLogAt_) {
@@ -219,7 +218,7 @@
   recordEvent(
       LogEvent::PlaceWaitDecided,
       {{"task", Request.Name_.text()},
-       {"rack", Request.Step_.DataRack_},
+       {"rack", Rack.Rack_},
        {"decision",
         std::string(nameOf(PlaceWaitVerdictNames, Decision.Verdict_))},
        {"tasks", std::to_string(Tasks)},
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -262,9 +262,12 @@
       reserveCapacity(Request, Now);
     return;
   }
+  RackChoice Rack = chooseRack(TheJob, Request, Slots, Now);
+  if (Rack.Waits_)
+    return;
   std::vector<WorkerOffer> Offers;
   auto AddOffer = [&](WorkerState &Worker) {
-    if (!isEligible(Worker, Request, Now))
+    if (!Rack.admits(Worker) || !isEligible(Worker, Request, Now))
       return;
     if (std::optional<double> Cost = placementCost(Worker, Step)) {
       if (IsIsolated)
@@ -284,7 +287,7 @@
   ConsideredWorkers_ += UsableWorkers_.size();
   // A step with a limit per worker may fail where others succeed, but not if
   // there is no room.
-  if (!HasRoom || (Offers.empty() && Step.MaxPerWorker_ == 0))
+  if (!HasRoom || (Offers.empty() && Step.MaxPerWorker_ == 0 && !Rack.Labels_))
     Unplaceable_.add(Request);
   for (const std::uint32_t &Slot : Slots) {
     if (StartsLeft_ == 0)
@@ -296,6 +299,8 @@
     // Only this task is kept from the offers that are left.
     if (!Chosen && !Offers.empty())
       continue;
+    if (!Chosen && Rack.Labels_)
+      return;
     if (!Chosen && IsIsolated)
       reserveWorker(Request, Now);
     else if (!Chosen && HasWaited)
--- a/packages/scheduling/tests/near_place_test.cpp
+++ b/packages/scheduling/tests/near_place_test.cpp
@@ -217,6 +217,67 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_step_that_prefers_one_rack)
+
+namespace {
+
+StepSpec together(std::uint32_t Count) {
+  StepSpec Step = Cell::task(Count);
+  Step.PrefersOneRack_ = true;
+  Step.Estimate_ = 400ms;
+  return Step;
+}
+
+std::map<std::string, int> workersOf(CellWithData &Racks,
+                                     const std::string &Job) {
+  std::map<std::string, int> Counts;
+  for (const auto &[Worker, At] : Racks.Placed_[Job])
+    ++Counts[Worker];
+  return Counts;
+}
+
+} // namespace
+
+/// Guards against the best fit, which fills up the racks one after the other.
+BOOST_FIXTURE_TEST_CASE(starts_where_all_of_its_tasks_fit, CellWithData) {
+  run("block", nearTask(4), 600s);
+  play(100ms);
+  run("step", together(6), 400ms);
+  play(StartTime);
+  BOOST_TEST(
+      (workersOf(*this, "step") == std::map<std::string, int>{{"w2", 6}}));
+}
+
+BOOST_FIXTURE_TEST_CASE(is_spread_if_no_rack_has_room_in_time, CellWithData) {
+  run("block", nearTask(4), 600s);
+  run("block-far", task(4), 600s);
+  play(3s);
+  run("step", together(6), 400ms);
+  play(1500ms + StartTime);
+  BOOST_TEST(Placed_["step"].size() == 6U);
+  // Larger than any rack.
+  run("huge", together(12), 400ms);
+  play(2s);
+  BOOST_TEST(Placed_["huge"].size() == 12U);
+}
+
+BOOST_FIXTURE_TEST_CASE(waits_for_a_rack_that_has_room_soon, CellWithData) {
+  // The workers are full with short tasks, whose ends are learned from.
+  for (int Number = 0; Number < 60; ++Number) {
+    run("short-" + std::to_string(Number), task(2), 380ms);
+    if (Number % 10 == 0)
+      run("learn-" + std::to_string(Number), together(7), 100ms);
+    play(50ms);
+  }
+  run("step", together(4), 400ms);
+  play(2s);
+  BOOST_TEST(Placed_["step"].size() == 4U);
+  BOOST_TEST(workersOf(*this, "step").size() == 1U);
+  BOOST_TEST(Scheduler_.counts().PlaceWaits_.EndedNear_ >= 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(jobs_that_name_no_rack)
 
 /// Guards against effects on deployments whose jobs do not ask for any.
