--- a/packages/scheduling/src/place_waits.cpp
+++ b/packages/scheduling/src/place_waits.cpp
@@ -57,19 +57,22 @@
 void PlaceWaits::beginPass(TimePoint Now) {
   PassAt_ = Now;
   Services_.clear();
-  WantedRacks_ = 0;
+  for (std::vector<bool> &Wanted : Wanted_)
+    Wanted.clear();
   for (auto &[Key, Known] : Racks_) {
+    Known.Workers_.clear();
     Known.Use_ = {};
     Known.Sources_ = {};
     Known.Ahead_ = 0;
-    WantedRacks_ += Known.WantedUntil_ > Now ? 1 : 0;
   }
   if (Now < NextCleanupAt_)
     return;
   NextCleanupAt_ = Now + CleanupInterval;
-  std::erase_if(Racks_, [Now](const auto &Entry) {
+  std::size_t Forgotten = std::erase_if(Racks_, [Now](const auto &Entry) {
     return Now - Entry.second.LastNamedAt_ > RackRetention;
   });
+  if (Forgotten > 0)
+    RacksOfWorkers_.clear();
   std::erase_if(Waiting_, [Now](const auto &Entry) {
     return Now - Entry.second.LastSeenAt_ > StepRetention;
   });
@@ -77,32 +80,72 @@
 
 void PlaceWaits::addWorker(const std::string &Service,
                            std::span<const std::string> Labels,
-                           const ProcessorUse &Use, bool IsSource) {
+                           std::size_t Position, const ProcessorUse &Use,
+                           bool IsSource) {
   Services_[Service] += Use;
-  for (bool IsFiller : {false, true})
-    forEachRack(*this, Service, Labels, IsFiller, [&](Rack &Known) {
-      Known.Use_ += Use;
-      if (IsSource)
-        Known.Sources_ += Use;
-    });
+  for (const RackOfWorkers &Each : racksOf(Service, Labels)) {
+    Each.Rack_->Workers_.push_back(Position);
+    Each.Rack_->Use_ += Use;
+    if (IsSource)
+      Each.Rack_->Sources_ += Use;
+  }
+}
+
+const std::vector<PlaceWaits::RackOfWorkers> &
+PlaceWaits::racksOf(const std::string &Service,
+                    std::span<const std::string> Labels) {
+  std::string Name = rackName(Labels);
+  auto [It, IsNew] = RacksOfWorkers_.try_emplace(Service + '\n' + Name);
+  if (!IsNew)
+    return It->second;
+  for (bool IsFiller : {false, true}) {
+    for (const std::string &Label : Labels)
+      if (Rack *Known = find({Service, Label, IsFiller}))
+        It->second.push_back({IsFiller, Known});
+    Rack *Known = find({Service, Name, IsFiller});
+    if (Known && Labels.size() > 1)
+      It->second.push_back({IsFiller, Known});
+  }
+  return It->second;
+}
+
+void PlaceWaits::markWanted(const Rack &Wanted, bool IsFiller) {
+  std::vector<bool> &Positions = Wanted_[IsFiller ? 1 : 0];
+  for (std::size_t Position : Wanted.Workers_) {
+    if (Position >= Positions.size())
+      Positions.resize(Position + 1);
+    Positions[Position] = true;
+  }
 }
 
 void PlaceWaits::endSampling(TimePoint Now) {
-  for (auto &[Key, Known] : Racks_)
+  for (auto &[Key, Known] : Racks_) {
     Known.Activity_.noteOccupied(
         Key.IsFiller_ ? Known.Sources_.Fillers_ : Known.Sources_.Ending_, Now);
+    if (Known.WantedUntil_ > Now)
+      markWanted(Known, Key.IsFiller_);
+  }
+}
+
+std::span<const std::size_t> PlaceWaits::workersOf(const RackKey &Key) const {
+  const Rack *Known = find(Key);
+  return Known ? std::span<const std::size_t>(Known->Workers_)
+               : std::span<const std::size_t>();
 }
 
 void PlaceWaits::track(const RackKey &Key, TimePoint Now) {
-  Racks_.try_emplace(Key, Rack{RackActivity(Now)}).first->second.LastNamedAt_ =
-      Now;
+  auto [It, IsNew] = Racks_.try_emplace(Key, Rack{RackActivity(Now)});
+  It->second.LastNamedAt_ = Now;
+  if (IsNew)
+    RacksOfWorkers_.clear();
 }
 
 void PlaceWaits::noteRelease(const std::string &Service,
                              std::span<const std::string> Labels, bool IsFiller,
                              double MilliCpu, TimePoint Now) {
-  forEachRack(*this, Service, Labels, IsFiller,
-              [&](Rack &Known) { Known.Activity_.noteRelease(MilliCpu, Now); });
+  for (const RackOfWorkers &Each : racksOf(Service, Labels))
+    if (Each.IsFiller_ == IsFiller)
+      Each.Rack_->Activity_.noteRelease(MilliCpu, Now);
 }
 
 void PlaceWaits::describe(const RackKey &Key, double MilliCpu,
@@ -128,7 +171,8 @@
                           double MilliCpu, std::size_t Tasks, TimePoint Now) {
   if (Rack *Known = find(Key)) {
     Known->Ahead_ += MilliCpu * static_cast<double>(Tasks);
-    WantedRacks_ += Known->WantedUntil_ > PassAt_ ? 0 : 1;
+    if (Known->WantedUntil_ <= PassAt_)
+      markWanted(*Known, Key.IsFiller_);
     Known->WantedUntil_ = Now + WantedTime;
     Known->LastNamedAt_ = Now;
   }
@@ -166,15 +210,4 @@
   return Ended;
 }
 
-bool PlaceWaits::areWanted(const std::string &Service,
-                           std::span<const std::string> Labels,
-                           bool IsFiller) const {
-  bool Result = false;
-  if (WantedRacks_ > 0)
-    forEachRack(*this, Service, Labels, IsFiller, [&](const Rack &Known) {
-      Result = Result || Known.WantedUntil_ > PassAt_;
-    });
-  return Result;
-}
-
 } // namespace filbertspring::scheduling
--- a/packages/scheduling/src/place_waits.h
+++ b/packages/scheduling/src/place_waits.h
@@ -9,11 +9,14 @@
 #include "place_wait.h"
 #include "rack_activity.h"
 
+#include <array>
 #include <compare>
 #include <map>
 #include <optional>
 #include <span>
 #include <string>
+#include <unordered_map>
+#include <vector>
 
 namespace filbertspring::scheduling {
 
@@ -70,15 +73,18 @@
   /// Begins a placement pass; addWorker() follows for each worker that gets
   /// tasks, then endSampling().
   void beginPass(TimePoint Now);
-  /// \p IsSource: the worker gets tasks as soon as its runs end.
+  /// \p Position: of the worker among those of the pass. \p IsSource: it gets
+  /// tasks as soon as its runs end.
   void addWorker(const std::string &Service,
-                 std::span<const std::string> Labels, const ProcessorUse &Use,
-                 bool IsSource);
+                 std::span<const std::string> Labels, std::size_t Position,
+                 const ProcessorUse &Use, bool IsSource);
   void endSampling(TimePoint Now);
 
   /// Starts to learn about \p Key.
   void track(const RackKey &Key, TimePoint Now);
   bool isTracked(const RackKey &Key) const { return Racks_.contains(Key); }
+  /// Returns the positions of the workers of \p Key in this pass.
+  std::span<const std::size_t> workersOf(const RackKey &Key) const;
   /// A run that held \p MilliCpu ended on a worker with \p Labels.
   void noteRelease(const std::string &Service,
                    std::span<const std::string> Labels, bool IsFiller,
@@ -92,6 +98,8 @@
   /// not before.
   bool noteWait(const StepKey &Step, const RackKey &Key, double MilliCpu,
                 std::size_t Tasks, TimePoint Now);
+  /// Returns whether \p Step waits or waited in an earlier pass.
+  bool hasWaited(const StepKey &Step) const { return Waiting_.contains(Step); }
   /// Returns whether \p Step waits in this pass.
   bool isWaiting(const StepKey &Step) const;
   /// A task that names \p Key is placed, the last of those of \p Step that are
@@ -100,10 +108,12 @@
                                            const RackKey &Key, double MilliCpu,
                                            bool IsNear, bool IsLast,
                                            TimePoint Now);
-  /// Returns whether tasks wait for the workers with \p Labels. Others should
-  /// use different ones.
-  bool areWanted(const std::string &Service,
-                 std::span<const std::string> Labels, bool IsFiller) const;
+  /// Returns whether tasks wait for the worker at \p Position in this pass.
+  /// Others should use different ones.
+  bool isWanted(std::size_t Position, bool IsFiller) const {
+    const std::vector<bool> &Wanted = Wanted_[IsFiller ? 1 : 0];
+    return Position < Wanted.size() && Wanted[Position];
+  }
 
   RunTimes &runTimes() { return RunTimes_; }
   const RunTimes &runTimes() const { return RunTimes_; }
@@ -116,6 +126,7 @@
     /// soon as their runs end, in this pass.
     ProcessorUse Use_{};
     ProcessorUse Sources_{};
+    std::vector<std::size_t> Workers_{};
     /// What tasks that wait in this pass want.
     double Ahead_ = 0;
     /// Until when other tasks avoid it.
@@ -127,20 +138,15 @@
     TimePoint LastSeenAt_;
   };
 
-  /// Calls \p Act for each known rack of a worker.
-  template <typename Self, typename Visitor>
-  static void forEachRack(Self &Waits, const std::string &Service,
-                          std::span<const std::string> Labels, bool IsFiller,
-                          const Visitor &Act) {
-    for (const std::string &Label : Labels)
-      if (auto *Known = Waits.find({Service, Label, IsFiller}))
-        Act(*Known);
-    if (Labels.size() < 2)
-      return;
-    if (auto *Known = Waits.find({Service, rackName(Labels), IsFiller}))
-      Act(*Known);
-  }
+  struct RackOfWorkers {
+    bool IsFiller_ = false;
+    Rack *Rack_ = nullptr;
+  };
 
+  /// Returns the known racks of the workers with \p Labels.
+  const std::vector<RackOfWorkers> &
+  racksOf(const std::string &Service, std::span<const std::string> Labels);
+  void markWanted(const Rack &Wanted, bool IsFiller);
   Rack *find(const RackKey &Key);
   const Rack *find(const RackKey &Key) const;
 
@@ -151,7 +157,11 @@
   RunTimes RunTimes_;
   TimePoint PassAt_{};
   TimePoint NextCleanupAt_{};
-  std::size_t WantedRacks_ = 0;
+  /// By the service and the labels; cleared when Racks_ gets or loses one.
+  std::unordered_map<std::string, std::vector<RackOfWorkers>> RacksOfWorkers_;
+  /// The workers that tasks wait for, those for other work and for fillers, by
+  /// their positions in the pass; empty if there is none.
+  std::array<std::vector<bool>, 2> Wanted_;
 };
 
 } // namespace filbertspring::scheduling
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -197,14 +197,13 @@
 
 /// How many tasks of a step a rack can take.
 struct RackRoom {
+  /// The labels of its workers.
+  const std::vector<std::string> *Labels_ = nullptr;
   std::size_t Now_ = 0;
   /// Once all runs have ended that will.
   std::size_t Empty_ = 0;
 };
 
-/// By the labels of the workers of the rack.
-using RackRooms = std::map<std::vector<std::string>, RackRoom>;
-
 /// To which workers the tasks of a step are restricted.
 struct RackChoice {
   /// The tasks go on waiting.
@@ -453,6 +452,10 @@
   bool waitsForPlace(const Job &TheJob, const PlacementRequest &Request,
                      std::span<const std::uint32_t> Slots,
                      const WorkerState &Chosen, TimePoint Now);
+  /// Returns whether the tasks in \p Slots, which have waited before, go on
+  /// waiting since no near worker has room. Linear in the number of these only.
+  bool goesOnWaiting(const Job &TheJob, const PlacementRequest &Request,
+                     std::span<const std::uint32_t> Slots, TimePoint Now);
   PlaceWaitDecision decideWait(const Job &TheJob,
                                const PlacementRequest &Request,
                                const RackKey &Rack, std::uint32_t Slot,
@@ -461,9 +464,12 @@
   /// step, should be restricted so that they run on one rack.
   RackChoice chooseRack(const Job &TheJob, const PlacementRequest &Request,
                         std::span<const std::uint32_t> Slots, TimePoint Now);
-  /// Returns how many tasks of \p Request each rack can take now, by the labels
-  /// of its workers, those without any included.
-  RackRooms findRackRooms(const PlacementRequest &Request, TimePoint Now);
+  /// Returns how many tasks of \p Request each rack can take, ordered by
+  /// labels.
+  std::vector<RackRoom> findRackRooms(const PlacementRequest &Request,
+                                      TimePoint Now);
+  /// Groups the usable workers by their labels, once in a placement pass.
+  void groupByLabels();
   /// Returns the racks on which tasks of the step of \p Slot are placed, by the
   /// labels of their workers.
   std::set<std::vector<std::string>> racksOfStep(const Job &TheJob,
@@ -518,6 +524,10 @@
   std::set<std::string> WorkersOverTarget_;
   /// The workers of the present placement pass.
   std::vector<UsableWorker> UsableWorkers_;
+  /// The labels of groups of them, and the group of each, if these are needed
+  /// in the pass.
+  std::vector<const std::vector<std::string> *> GroupLabels_;
+  std::vector<std::size_t> GroupOfUsable_;
   /// Those of them that are neither avoided nor have fresh suspects.
   std::size_t ReservableWorkers_ = 0;
   /// The reservations of capacity of the present placement pass, and those of
--- a/packages/scheduling/src/scheduler_one_rack.cpp
+++ b/packages/scheduling/src/scheduler_one_rack.cpp
@@ -28,24 +28,40 @@
 
 /// Returns the rack with the least room among those that take \p Tasks, which
 /// leaves the others to larger steps; null if there is none.
-const RackRooms::value_type *findSmallest(const RackRooms &Rooms,
-                                          std::size_t Tasks) {
-  const RackRooms::value_type *Best = nullptr;
-  for (const RackRooms::value_type &Room : Rooms)
-    if (Room.second.Now_ >= Tasks &&
-        (!Best || Room.second.Now_ < Best->second.Now_))
+const RackRoom *findSmallest(const std::vector<RackRoom> &Rooms,
+                             std::size_t Tasks) {
+  const RackRoom *Best = nullptr;
+  for (const RackRoom &Room : Rooms)
+    if (Room.Now_ >= Tasks && (!Best || Room.Now_ < Best->Now_))
       Best = &Room;
   return Best;
 }
 
 } // namespace
 
-RackRooms Scheduler::Impl::findRackRooms(const PlacementRequest &Request,
-                                         TimePoint Now) {
-  RackRooms Rooms;
+void Scheduler::Impl::groupByLabels() {
+  if (!GroupOfUsable_.empty())
+    return;
+  GroupLabels_.clear();
+  std::unordered_map<std::string, std::size_t> Groups;
+  for (const UsableWorker &Usable : UsableWorkers_) {
+    const std::vector<std::string> &Labels = Usable.Worker_->Entry_.Labels_;
+    auto [It, IsNew] =
+        Groups.try_emplace(rackName(Labels), GroupLabels_.size());
+    if (IsNew)
+      GroupLabels_.push_back(&Labels);
+    GroupOfUsable_.push_back(It->second);
+  }
+}
+
+std::vector<RackRoom>
+Scheduler::Impl::findRackRooms(const PlacementRequest &Request, TimePoint Now) {
+  groupByLabels();
   // Enough for any step, and small enough to be added up.
   constexpr std::size_t MaxRoom = 1'000'000;
-  for (const UsableWorker &Usable : UsableWorkers_) {
+  std::vector<RackRoom> Rooms(GroupLabels_.size());
+  for (std::size_t Position = 0; Position < UsableWorkers_.size(); ++Position) {
+    const UsableWorker &Usable = UsableWorkers_[Position];
     const WorkerState &Worker = *Usable.Worker_;
     if (Worker.Entry_.Service_ != Request.Service_ ||
         Worker.Entry_.Labels_.empty())
@@ -54,11 +70,19 @@
     std::size_t Limit = Request.Step_.MaxPerWorker_ == 0 ? MaxRoom : 1;
     Resources Empty = Worker.Entry_.Capacity_;
     Empty.MilliCpu_ -= Worker.LongRunningMilliCpu_;
-    RackRoom &Room = Rooms[Worker.Entry_.Labels_];
+    std::size_t Group = GroupOfUsable_[Position];
+    RackRoom &Room = Rooms[Group];
+    Room.Labels_ = GroupLabels_[Group];
     Room.Empty_ += std::min(Limit, countFits(Empty, Request.Needed_));
-    if (isEligible(Worker, Request, Now))
-      Room.Now_ += std::min(Limit, countFits(Usable.Free_, Request.Needed_));
+    std::size_t Fits = countFits(Usable.Free_, Request.Needed_);
+    if (Fits > 0 && isEligible(Worker, Request, Now))
+      Room.Now_ += std::min(Limit, Fits);
   }
+  std::erase_if(Rooms, [](const RackRoom &Room) { return !Room.Labels_; });
+  std::sort(Rooms.begin(), Rooms.end(),
+            [](const RackRoom &Left, const RackRoom &Right) {
+              return *Left.Labels_ < *Right.Labels_;
+            });
   return Rooms;
 }
 
@@ -83,6 +107,8 @@
                                        std::span<const std::uint32_t> Slots,
                                        TimePoint Now) {
   const StepSpec &Step = Request.Step_;
+  if (goesOnWaiting(TheJob, Request, Slots, Now))
+    return {true, std::nullopt};
   // A step that names a rack has its own rule, and the room for fillers depends
   // on what runs beside them.
   if (!Step.PrefersOneRack_ || Step.Count_ < 2 || !Step.DataRack_.empty() ||
@@ -94,38 +120,37 @@
       racksOfStep(TheJob, Slots.front());
   if (Present.size() > 1)
     return {};
-  RackRooms Rooms = findRackRooms(Request, Now);
+  std::vector<RackRoom> Rooms = findRackRooms(Request, Now);
   ConsideredWorkers_ += UsableWorkers_.size();
-  bool HasRoom = std::any_of(Rooms.begin(), Rooms.end(), [](const auto &Room) {
-    return Room.second.Now_ > 0;
-  });
-  if (!HasRoom)
+  if (std::all_of(Rooms.begin(), Rooms.end(),
+                  [](const RackRoom &Room) { return Room.Now_ == 0; }))
     return {};
   // Others would be slow beside those that run.
   if (!Present.empty())
-    std::erase_if(
-        Rooms, [&](const auto &Room) { return !Present.contains(Room.first); });
+    std::erase_if(Rooms, [&](const RackRoom &Room) {
+      return !Present.contains(*Room.Labels_);
+    });
   auto MilliCpu = static_cast<double>(Step.Request_.MilliCpu_);
   StepKey Key{Request.Name_.Job_, Request.Name_.Occurrence_,
               Request.Name_.Step_};
-  if (const RackRooms::value_type *Room = findSmallest(Rooms, Slots.size())) {
-    PlaceWaits_.notePlaced(Key, rackOfLabels(Request, Room->first),
+  if (const RackRoom *Room = findSmallest(Rooms, Slots.size())) {
+    PlaceWaits_.notePlaced(Key, rackOfLabels(Request, *Room->Labels_),
                            MilliCpu * static_cast<double>(Slots.size()), true,
                            true, Now);
-    return {false, Room->first};
+    return {false, *Room->Labels_};
   }
   // The first pass that finds no room begins to learn.
-  for (const auto &[Labels, Room] : Rooms)
-    PlaceWaits_.track(rackOfLabels(Request, Labels), Now);
+  for (const RackRoom &Room : Rooms)
+    PlaceWaits_.track(rackOfLabels(Request, *Room.Labels_), Now);
   if (TheJob.at(Slots.front()).Progress_.LastRun_ != 0)
     return {};
   std::optional<PlaceWaitDecision> Best;
   RackKey BestRack;
   std::size_t BestTasks = Slots.size();
-  for (const auto &[Labels, Room] : Rooms) {
+  for (const RackRoom &Room : Rooms) {
     if (Room.Empty_ < Slots.size())
       continue;
-    RackKey Rack = rackOfLabels(Request, Labels);
+    RackKey Rack = rackOfLabels(Request, *Room.Labels_);
     std::size_t Missing = Slots.size() - Room.Now_;
     PlaceWaitDecision Decision =
         decideWait(TheJob, Request, Rack, Slots.front(), Missing, Now);
--- a/packages/scheduling/src/scheduler_place_wait.cpp
+++ b/packages/scheduling/src/scheduler_place_wait.cpp
@@ -55,8 +55,8 @@
     Use.Fillers_ = static_cast<double>(Worker.FillerMilliCpu_);
     bool IsSource =
         Worker.AvoidUntil_ <= Now && Worker.QuarantinedUntil_ <= Now;
-    PlaceWaits_.addWorker(Worker.Entry_.Service_, Worker.Entry_.Labels_, Use,
-                          IsSource);
+    PlaceWaits_.addWorker(Worker.Entry_.Service_, Worker.Entry_.Labels_,
+                          Worker.UsablePosition_, Use, IsSource);
   }
   PlaceWaits_.endSampling(Now);
 }
@@ -89,9 +89,12 @@
 
 double Scheduler::Impl::wantedRackCost(const WorkerState &Worker,
                                        const StepSpec &Step) const {
-  const WorkerEntry &Entry = Worker.Entry_;
-  if (!PlaceWaits_.areWanted(Entry.Service_, Entry.Labels_, Step.IsFiller_) ||
-      hasLabel(Entry, Step.DataRack_))
+  // The positions are those of the last placement pass.
+  std::size_t Position = Worker.UsablePosition_;
+  if (!PlaceWaits_.isWanted(Position, Step.IsFiller_) ||
+      Position >= UsableWorkers_.size() ||
+      UsableWorkers_[Position].Worker_ != &Worker ||
+      hasLabel(Worker.Entry_, Step.DataRack_))
     return 0;
   return WantedRackCost;
 }
@@ -146,6 +149,32 @@
       Settings_.PlaceWait_);
 }
 
+bool Scheduler::Impl::goesOnWaiting(const Job &TheJob,
+                                    const PlacementRequest &Request,
+                                    std::span<const std::uint32_t> Slots,
+                                    TimePoint Now) {
+  StepKey Key = stepOf(Request.Name_);
+  if (Request.Step_.DataRack_.empty() || !PlaceWaits_.hasWaited(Key))
+    return false;
+  RackKey Rack = rackOf(Request);
+  std::span<const std::size_t> Positions = PlaceWaits_.workersOf(Rack);
+  bool HasRoom =
+      std::any_of(Positions.begin(), Positions.end(), [&](std::size_t Each) {
+        return UsableWorkers_[Each].Free_.fits({}, Request.Needed_);
+      });
+  if (HasRoom || TheJob.at(Slots.front()).Progress_.LastRun_ != 0)
+    return false;
+  PlaceWaitDecision Decision =
+      decideWait(TheJob, Request, Rack, Slots.front(), Slots.size(), Now);
+  if (!Decision.waits() || hasFarTask(TheJob, Slots.front()))
+    return false;
+  PlaceWaits_.noteWait(Key, Rack,
+                       static_cast<double>(Request.Step_.Request_.MilliCpu_),
+                       Slots.size(), Now);
+  NextPlacementAt_ = std::min(NextPlacementAt_, Now + Decision.Allowance_);
+  return true;
+}
+
 bool Scheduler::Impl::waitsForPlace(const Job &TheJob,
                                     const PlacementRequest &Request,
                                     std::span<const std::uint32_t> Slots,
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -182,6 +182,7 @@
 /// Collects the workers that can get a task at all, with their free capacity.
 void Scheduler::Impl::findUsableWorkers(TimePoint Now) {
   UsableWorkers_.clear();
+  GroupOfUsable_.clear();
   ReservableWorkers_ = 0;
   for (auto &[Id, Worker] : Workers_) {
     if (findObstacle(Worker))
--- a/packages/scheduling/tests/near_place_test.cpp
+++ b/packages/scheduling/tests/near_place_test.cpp
@@ -175,12 +175,15 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(does_not_wait_again_after_a_failure, CellWithData) {
-  blockNear();
-  play(100ms);
+  occupyNear();
   Failing_ = {"late"};
   run("late", nearTask(), 100ms);
-  play(1s);
-  BOOST_TEST(Placed_["late"].size() == 2U);
+  for (int Number = 0; Number < 4; ++Number)
+    run("next-" + std::to_string(Number), nearTask(), 400ms);
+  timeToStart("late", 2s);
+  BOOST_TEST(workerOf("late") == "w1");
+  // The run, the delay of a repetition and the next start.
+  BOOST_TEST((timeToStart("late", 2s) <= 100ms + 50ms + StartTime));
   BOOST_TEST(workerOf("late") == "w2");
 }
 
