--- a/packages/node/src/cell_owner.h
+++ b/packages/node/src/cell_owner.h
@@ -55,6 +55,8 @@
   JobRows JobRows_;
   /// All changes of the jobs' rows up to this version have been handled.
   std::uint64_t JobsVersion_ = 0;
+  /// The waits for places that the counters of the process include.
+  scheduling::PlaceWaitCounts CountedPlaceWaits_{};
 };
 
 /// The content of one transaction of the owner.
@@ -152,6 +154,8 @@
   /// Adapts the limit of starts to the delay of the event loop.
   void observeLoop(TimePoint Now);
   void placeTasks();
+  /// Adds what became of waits for places to the counters of the process.
+  void countPlaceWaits();
   void commitIfDue(TimePoint Now);
   void addStatusAndModel(CellTransaction &Sent) const;
   scheduling::RowTransaction
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -431,11 +431,16 @@
   return Record ? std::optional(Record->Job_.state()) : std::nullopt;
 }
 
+const PlaceWaitCounts &Scheduler::placeWaits() const {
+  return Impl_->PlaceWaits_.counts();
+}
+
 SchedulerCounts Scheduler::counts() const {
   SchedulerCounts Result;
   Result.Jobs_ = Impl_->Jobs_.size();
   Result.Workers_ = Impl_->Workers_.size();
   Result.ConsideredWorkers_ = Impl_->ConsideredWorkers_;
+  Result.PlaceWaits_ = Impl_->PlaceWaits_.counts();
   for (const auto &[Id, Worker] : Impl_->Workers_) {
     Result.ReachableWorkers_ += Worker.isReachable() ? 1 : 0;
     Result.PlacedTasks_ += Worker.Runs_.size();
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -8,6 +8,7 @@
 /// scheduler_placement.cpp and storage in scheduler_writes.cpp.
 
 #include "obstacle.h"
+#include "place_waits.h"
 #include "progress_queue.h"
 #include "worker_state.h"
 
@@ -196,6 +197,27 @@
   std::vector<Entry> Entries_;
 };
 
+/// How many tasks of a step a rack can take.
+struct RackRoom {
+  /// The labels of its workers.
+  const std::vector<std::string> *Labels_ = nullptr;
+  std::size_t Now_ = 0;
+  /// Once all runs have ended that will.
+  std::size_t Empty_ = 0;
+};
+
+/// To which workers the tasks of a step are restricted.
+struct RackChoice {
+  /// The tasks go on waiting.
+  bool Waits_ = false;
+  /// The labels of the workers; empty if there is no restriction.
+  std::optional<std::vector<std::string>> Labels_;
+
+  bool admits(const WorkerState &Worker) const {
+    return !Labels_ || Worker.Entry_.Labels_ == *Labels_;
+  }
+};
+
 struct Scheduler::Impl {
   Impl(SchedulerSettings Settings, TimePoint Now);
 
@@ -412,12 +434,59 @@
                                       const StepSpec &Step) const;
   /// Returns the cost of a worker that is far from the data of \p Step.
   static double remoteDataCost(const WorkerState &Worker, const StepSpec &Step);
+  /// Returns the cost of a worker that tasks wait for which prefer it, unless
+  /// \p Step does, too.
+  double wantedRackCost(const WorkerState &Worker, const StepSpec &Step) const;
   double headroom(WorkerState &Worker, const std::string &Image) const;
   double flexibility(WorkerState &Worker) const;
   void planRun(WorkerState &Worker, JobRecord &Record, const TaskName &Name,
                Task &Waiting);
   void sendPlannedStarts(TimePoint Now);
 
+  // Waits for places near the data of a step.
+  /// Notes what the runs of the usable workers hold. Linear in their number if
+  /// steps have named racks lately.
+  void sampleRacks(TimePoint Now);
+  void noteRunEnd(const WorkerState &Worker, const Run &Ended, EndReason Reason,
+                  TimePoint Now);
+  /// Returns whether the tasks in \p Slots, all that wait of one step, go on
+  /// waiting in this pass although \p Chosen can take one; otherwise notes that
+  /// it takes the first.
+  bool waitsForPlace(const Job &TheJob, const PlacementRequest &Request,
+                     std::span<const std::uint32_t> Slots,
+                     const WorkerState &Chosen, TimePoint Now);
+  /// Returns whether the tasks in \p Slots, which have waited before, go on
+  /// waiting since no near worker has room. Linear in the number of these only.
+  bool goesOnWaiting(const Job &TheJob, const PlacementRequest &Request,
+                     std::span<const std::uint32_t> Slots, TimePoint Now);
+  PlaceWaitDecision decideWait(const Job &TheJob,
+                               const PlacementRequest &Request,
+                               const RackKey &Rack, std::uint32_t Slot,
+                               std::size_t Tasks, TimePoint Now) const;
+  /// Returns the workers to which the tasks in \p Slots, all that wait of one
+  /// step, should be restricted so that they run on one rack.
+  RackChoice chooseRack(const Job &TheJob, const PlacementRequest &Request,
+                        std::span<const std::uint32_t> Slots, TimePoint Now);
+  /// Returns how many tasks of \p Request each rack can take, ordered by
+  /// labels.
+  std::vector<RackRoom> findRackRooms(const PlacementRequest &Request,
+                                      TimePoint Now);
+  /// Groups the usable workers by their labels, once in a placement pass.
+  void groupByLabels();
+  /// Returns the racks on which tasks of the step of \p Slot are placed, by the
+  /// labels of their workers.
+  std::set<std::vector<std::string>> racksOfStep(const Job &TheJob,
+                                                 std::uint32_t Slot) const;
+  /// Returns whether the step of \p Request waits in this pass for workers of
+  /// which \p Worker is none.
+  bool waitsForOther(const PlacementRequest &Request,
+                     const WorkerState &Worker) const;
+  /// Returns whether a task of the step of \p Slot runs far from its data.
+  bool hasFarTask(const Job &TheJob, std::uint32_t Slot) const;
+  void recordPlaceWait(const PlacementRequest &Request, const RackKey &Rack,
+                       const PlaceWaitDecision &Decision, std::size_t Tasks,
+                       TimePoint Now);
+
   // Storage.
   void takeChanges(WriteRoom &Room);
   void takeSnapshots(PendingWrites &Writes, WriteRoom &Room);
@@ -458,6 +527,10 @@
   std::set<std::string> WorkersOverTarget_;
   /// The workers of the present placement pass.
   std::vector<UsableWorker> UsableWorkers_;
+  /// The labels of groups of them, and the group of each, if these are needed
+  /// in the pass.
+  std::vector<const std::vector<std::string> *> GroupLabels_;
+  std::vector<std::size_t> GroupOfUsable_;
   /// Those of them that are neither avoided nor have fresh suspects.
   std::size_t ReservableWorkers_ = 0;
   /// The reservations of capacity of the present placement pass, and those of
@@ -496,6 +569,10 @@
   std::vector<Action> Actions_;
   std::vector<LogRecord> LogRecords_;
   UnplaceableRequests Unplaceable_;
+  PlaceWaits PlaceWaits_;
+  TimePoint NextPlaceWaitLogAt_{};
+  std::size_t LoggedPlaceWaits_ = 0;
+  std::size_t UnloggedPlaceWaits_ = 0;
   InterferenceModel Model_;
   bool IsFenced_ = false;
   /// Capacity or ready tasks may have been added since the last placement pass.
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -150,6 +150,7 @@
   Unplaceable_.clear();
   releaseReservations();
   findUsableWorkers(Now);
+  sampleRacks(Now);
   OverdueTasks Overdue = findOverdueTasks(Now);
   std::size_t OverdueStarts = startsForOverdueTasks(Overdue, Limit, Now);
   StartsLeft_ = Limit - OverdueStarts;
@@ -181,6 +182,7 @@
 /// Collects the workers that can get a task at all, with their free capacity.
 void Scheduler::Impl::findUsableWorkers(TimePoint Now) {
   UsableWorkers_.clear();
+  GroupOfUsable_.clear();
   ReservableWorkers_ = 0;
   for (auto &[Id, Worker] : Workers_) {
     if (findObstacle(Worker))
@@ -261,9 +263,12 @@
       reserveCapacity(Request, Now);
     return;
   }
+  RackChoice Rack = chooseRack(TheJob, Request, Slots, Now);
+  if (Rack.Waits_)
+    return;
   std::vector<WorkerOffer> Offers;
   auto AddOffer = [&](WorkerState &Worker) {
-    if (!isEligible(Worker, Request, Now))
+    if (!Rack.admits(Worker) || !isEligible(Worker, Request, Now))
       return;
     if (std::optional<double> Cost = placementCost(Worker, Step)) {
       if (IsIsolated)
@@ -283,9 +288,9 @@
   ConsideredWorkers_ += UsableWorkers_.size();
   // A step with a limit per worker may fail where others succeed, but not if
   // there is no room.
-  if (!HasRoom || (Offers.empty() && Step.MaxPerWorker_ == 0))
+  if (!HasRoom || (Offers.empty() && Step.MaxPerWorker_ == 0 && !Rack.Labels_))
     Unplaceable_.add(Request);
-  for (std::uint32_t Slot : Slots) {
+  for (const std::uint32_t &Slot : Slots) {
     if (StartsLeft_ == 0)
       return;
     TaskName Name = TheJob.nameOf(Slot);
@@ -295,12 +300,18 @@
     // Only this task is kept from the offers that are left.
     if (!Chosen && !Offers.empty())
       continue;
+    if (!Chosen && Rack.Labels_)
+      return;
     if (!Chosen && IsIsolated)
       reserveWorker(Request, Now);
     else if (!Chosen && HasWaited)
       reserveCapacity(Request, Now);
     if (!Chosen)
       return;
+    // The worker stays available to the jobs behind.
+    std::span<const std::uint32_t> Rest(&Slot, Slots.data() + Slots.size());
+    if (waitsForPlace(TheJob, Request, Rest, *Chosen, Now))
+      return;
     bool IsAlone = IsIsolated && canIsolate(*Chosen, Now);
     planRun(*Chosen, Record, Name, Waiting);
     --StartsLeft_;
