Place waits: tests that a wait ends in time, and after a failure none begins

Letting each task wait for 6 s fails starts_elsewhere_if_no_place_becomes_free; letting tasks wait that had a run fails does_not_wait_again_after_a_failure. The random histories do not notice a wait of 6 s.

--- a/packages/scheduling/tests/near_place_test.cpp
+++ b/packages/scheduling/tests/near_place_test.cpp
@@ -65,8 +65,8 @@
 
   void endDue() {
     std::erase_if(Ends_, [this](const auto &Entry) {
-      const auto &[At, Start] = Entry;
-      if (At > Now_)
+      const StartTask &Start = Entry.second;
+      if (Entry.first > Now_)
         return false;
       std::erase_if(RunningTasks_[Start.Worker_], [&](const RunningTask &Each) {
         return Each.Name_.text() == Start.Name_.text();
@@ -104,7 +104,8 @@
   }
   std::string workerOf(const std::string &Job) const {
     auto It = Placed_.find(Job);
-    return It == Placed_.end() ? "none" : It->second.back().first;
+    return It == Placed_.end() || It->second.empty() ? "none"
+                                                     : It->second.back().first;
   }
   /// Returns how long \p Job takes from now on to its next start, or \p Limit.
   Duration timeToStart(const std::string &Job, Duration Limit) {
--- a/packages/scheduling/tests/waiting_histories_test.cpp
+++ b/packages/scheduling/tests/waiting_histories_test.cpp
@@ -118,9 +118,11 @@
   Job.Service_ = "service";
   Job.Spec_.Payload_ = "payload of " + Job.Id_;
   Job.Spec_.Steps_ = {Step};
-  // A wait for a place near the data must not exceed what users tolerate.
+  // Waits by choice take part in the histories. That they end in time is tested
+  // in near_place_test.cpp: the runs here are too short for the oracle to
+  // notice.
   if (Jobs_ % 2 == 0)
-    Job.Spec_.Steps_.front().DataRack_ = fmt::format("rack-{}", Jobs_ % Racks);
+    Job.Spec_.Steps_.front().DataRack_ = "rack-0";
   return Job;
 }
 
