Workspaces: quotas

A workspace may have a maximum of processors, memory and accelerators for all of its tasks on all workers. Nothing kept a workspace within it.

Each run that a worker executes or may execute refers to its workspace and counts with its whole request where it is added to a worker and removed from it: planned, sent, unanswered, running, being stopped, restored from the predecessor's rows, adopted from a report, or possibly started on the next incarnation of a worker. A task that the quota does not permit is skipped before a worker is searched for, so that it neither counts as a request without a worker nor reserves capacity, and does not take the starts that are left to overdue tasks. Unsent starts are dropped if the maximum was lowered since they were decided.

For a job of a workspace it now names the workers of tasks that are still being stopped.

A task that has waited for long for the quota keeps back later timed tasks of its workspace, unless long-running tasks use what it waits for.

--- a/packages/scheduling/include/filbertspring/scheduling/scheduler.h
+++ b/packages/scheduling/include/filbertspring/scheduling/scheduler.h
@@ -164,6 +164,20 @@
   std::uint64_t ConsideredWorkers_ = 0;
 };
 
+/// What a workspace uses and waits for, for metrics.
+struct WorkspaceCounts {
+  std::string Name_;
+  /// It is part of the present configuration.
+  bool IsConfigured_ = false;
+  Resources Maximum_;
+  /// The requests of all runs that workers execute or may execute.
+  Resources Used_;
+  std::size_t Runs_ = 0;
+  std::size_t WaitingTasks_ = 0;
+  /// The jobs whose first waiting task the quota keeps from starting.
+  std::size_t JobsAtQuota_ = 0;
+};
+
 /// The scheduler of one cell. Holds its jobs and the state of its workers.
 class Scheduler {
 public:
@@ -274,6 +288,13 @@
   std::map<std::string, std::uint64_t> pendingByQueue() const;
   std::optional<JobState> stateOf(const std::string &Job) const;
   SchedulerCounts counts() const;
+  /// Returns the workspaces that are or were configured, or that have a job.
+  /// Linear in their number and in that of the waiting jobs.
+  std::vector<WorkspaceCounts> workspaceCounts() const;
+  /// Returns what each workspace uses, counted anew from all runs; those that
+  /// use nothing are omitted. Checks the counts that are kept. Linear in the
+  /// number of runs.
+  std::map<std::string, Resources> recountWorkspaces() const;
 
 private:
   struct Impl;
--- a/packages/scheduling/src/job.cpp
+++ b/packages/scheduling/src/job.cpp
@@ -96,9 +96,20 @@
   JobProgress Result;
   Result.State_ = State_;
   Result.Cause_ = Cause_;
-  // Only the state of a finished job is needed.
-  if (isFinal(State_))
+  if (isFinal(State_)) {
+    // Only the state is needed, and which workers may still execute a task,
+    // since that counts against the quota of the workspace.
+    for (std::uint32_t Slot = 0;
+         !Accepted_.Workspace_.empty() && Slot < Tasks_.size(); ++Slot) {
+      const TaskProgress &Present = Tasks_[Slot].Progress_;
+      if (Present.IsDone_ || Present.Worker_.empty())
+        continue;
+      TaskProgress &Stored = Result.Tasks_[nameOf(Slot).text()];
+      Stored.Worker_ = Present.Worker_;
+      Stored.LastRun_ = Present.LastRun_;
+    }
     return Result;
+  }
   const TaskProgress Initial;
   for (std::uint32_t Slot = 0; Slot < Tasks_.size(); ++Slot)
     if (Tasks_[Slot].Progress_ != Initial)
--- a/packages/scheduling/src/obstacle.cpp
+++ b/packages/scheduling/src/obstacle.cpp
@@ -44,6 +44,7 @@
     {Obstacle::OverTarget, "over_target", {}},
     {Obstacle::Utilization, "utilization", MaxJudgementWait},
     {Obstacle::Interference, "interference", MaxJudgementWait},
+    {Obstacle::Quota, "quota", {}},
 }};
 
 const ObstacleTrait &traitOf(Obstacle Value) {
--- a/packages/scheduling/src/obstacle.h
+++ b/packages/scheduling/src/obstacle.h
@@ -49,8 +49,10 @@
   Utilization,
   /// A filler may violate a tail latency target.
   Interference,
+  /// The workspace of the task uses as much as it may on all workers together.
+  Quota,
 };
-inline constexpr std::size_t ObstacleCount = 15;
+inline constexpr std::size_t ObstacleCount = 16;
 
 /// Returns the name of \p Value in logs.
 std::string_view nameOf(Obstacle Value);
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -59,6 +59,7 @@
 
 void Scheduler::configure(std::shared_ptr<const QueueTable> Queues) {
   Impl_->Queues_ = std::move(Queues);
+  Impl_->Workspaces_.configure(Impl_->Queues_->Workspaces_);
   Impl_->NeedsPlacement_ = true;
 }
 
@@ -90,8 +91,10 @@
 }
 
 void Scheduler::addJob(const AcceptedJob &Accepted, TimePoint Now) {
-  if (!Impl_->Jobs_.try_emplace(Accepted.Id_, Accepted, Now).second)
+  auto [It, IsNew] = Impl_->Jobs_.try_emplace(Accepted.Id_, Accepted, Now);
+  if (!IsNew)
     return;
+  It->second.Workspace_ = Impl_->Workspaces_.obtain(Accepted.Workspace_);
   Impl_->JobsToRelease_.insert(Accepted.Id_);
   // A notice of the cancellation may overtake that of the acceptance.
   if (Impl_->CancelledBefore_.erase(Accepted.Id_) > 0)
--- a/packages/scheduling/src/scheduler_commands.cpp
+++ b/packages/scheduling/src/scheduler_commands.cpp
@@ -23,6 +23,7 @@
   if (Step.IsFiller_)
     Result.Reserved_.MilliCpu_ = 0;
   Result.RequestedMilliCpu_ = Step.Request_.MilliCpu_;
+  Result.Workspace_ = Workspaces_.find(TheJob.accepted().Workspace_);
   Result.IsFiller_ = Step.IsFiller_;
   Result.IsLongRunning_ = Step.IsLongRunning_;
   Result.SavesProgress_ = Step.SavesProgress_;
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -9,7 +9,9 @@
 
 #include "obstacle.h"
 #include "progress_queue.h"
+#include "scheduler_records.h"
 #include "worker_state.h"
+#include "workspace_usage.h"
 
 #include <algorithm>
 #include <map>
@@ -28,72 +30,6 @@
 /// the response to the second shows whether the first was executed.
 inline constexpr std::uint32_t MaxStartsSent = 2;
 
-/// A job and the scheduler's own data about it.
-struct JobRecord {
-  Job Job_;
-  /// When the job reached a final state.
-  std::optional<TimePoint> FinalAt_;
-  /// The state in the stored snapshot, which callers see.
-  JobState StoredState_ = JobState::Queued;
-  /// The last row of the journal with changes of the job, 0 if there is none.
-  std::uint64_t LastJournalRow_ = 0;
-
-  JobRecord(AcceptedJob Accepted, TimePoint Now)
-      : Job_(std::move(Accepted), Now) {}
-};
-
-/// A placed run whose start command has not been sent.
-struct PlannedRun {
-  std::string Worker_;
-  TaskName Name_;
-  std::uint64_t Number_ = 0;
-};
-
-/// A time at which a worker's renewal may be due.
-struct RenewalTime {
-  TimePoint At_;
-  std::string Worker_;
-  bool operator<(const RenewalTime &Other) const { return Other.At_ < At_; }
-};
-
-/// A worker that gets tasks in the present placement pass.
-struct UsableWorker {
-  WorkerState *Worker_ = nullptr;
-  Resources Free_;
-};
-
-/// The ends of one incarnation of a worker up to a number.
-struct EndsOfWorker {
-  std::uint64_t LastNumber_ = 0;
-  std::int64_t StartedAtMs_ = 0;
-};
-
-/// The remaining room in a transaction.
-struct WriteRoom {
-  std::size_t Rows_ = 0;
-  std::size_t Bytes_ = 0;
-
-  bool fits(std::size_t Rows, std::size_t Bytes) const {
-    return Rows <= Rows_ && Bytes <= Bytes_;
-  }
-  void take(std::size_t Rows, std::size_t Bytes) {
-    Rows_ -= std::min(Rows, Rows_);
-    Bytes_ -= std::min(Bytes, Bytes_);
-  }
-};
-
-/// A job whose changes are part of the outstanding transaction.
-struct JobInFlight {
-  ProgressQueue::Entry Queued_;
-  std::vector<std::uint32_t> Slots_;
-};
-
-/// The crashes of a worker whose cause is unknown.
-struct UnexplainedCrashes {
-  std::uint32_t Count_ = 0;
-  TimePoint LastAt_;
-};
-
 /// What a task that may crash its worker requires of the other runs there. Each
 /// value includes the ones before it.
 enum class Isolation {
@@ -384,6 +320,14 @@
                            WorkerState &Reserved, TimePoint Now);
   void placeStep(JobRecord &Record, std::span<const std::uint32_t> Slots,
                  TimePoint Now);
+  /// Returns whether the quota of its workspace keeps a task of \p Step of
+  /// \p Record from starting, so that it waits although there may be capacity.
+  bool isOverQuota(const JobRecord &Record, const StepSpec &Step) const;
+  /// Holds what is left of the quota of the workspace of \p Record for a task
+  /// of \p Step that has waited for long for it.
+  static void holdQuota(JobRecord &Record, const StepSpec &Step);
+  /// Ends what holdQuota() did in the last placement pass.
+  void releaseQuotas();
   /// Returns why \p Worker gets no tasks now, whatever their requests, and
   /// however long they have waited.
   std::optional<Obstacle> findObstacle(const WorkerState &Worker) const;
@@ -432,6 +376,8 @@
   std::int64_t WallMs_ = 0;
   std::shared_ptr<const QueueTable> Queues_;
   std::set<std::string> ClosedZones_;
+  /// Its workspaces outlive the jobs and the runs, which refer to them.
+  WorkspaceUsage Workspaces_;
   std::map<std::string, JobRecord> Jobs_;
   /// When jobs were cancelled that are not known.
   std::map<std::string, TimePoint> CancelledBefore_;
--- a/packages/scheduling/src/scheduler_overdue.cpp
+++ b/packages/scheduling/src/scheduler_overdue.cpp
@@ -62,10 +62,15 @@
     if (!Record || Record->Job_.waiting().empty())
       continue;
     const Job &Waiting = Record->Job_;
+    // Those that wait for a quota must not take the starts of others.
+    auto IsAtQuota = [&](std::uint32_t Slot) {
+      return Record->Workspace_ &&
+             isOverQuota(*Record, Waiting.step(Waiting.nameOf(Slot)));
+    };
     if (Waiting.isLongRunning()) {
       // Also those that are held back: the number of their starts has no limit.
       for (std::uint32_t Slot : Waiting.waiting())
-        if (IsOverdue(Waiting.at(Slot)))
+        if (IsOverdue(Waiting.at(Slot)) && !IsAtQuota(Slot))
           Overdue.LongRunning_.push_back(
               {Record, Slot, waitsSince(Waiting.at(Slot))});
       continue;
@@ -77,7 +82,7 @@
     std::uint32_t EndOfLastStep = 0;
     for (std::uint32_t Slot : Waiting.waiting()) {
       if (Slot < EndOfLastStep || !IsOverdue(Waiting.at(Slot)) ||
-          isHeldBack(Waiting.at(Slot)))
+          isHeldBack(Waiting.at(Slot)) || IsAtQuota(Slot))
         continue;
       EndOfLastStep = Waiting.endOfStep(Slot);
       Overdue.Timed_.push_back({Record, Slot, waitsSince(Waiting.at(Slot))});
@@ -178,7 +183,8 @@
     return false;
   TaskName Name = TheJob.nameOf(Overdue.Slot_);
   PlacementRequest Request = requestFor(TheJob, Overdue.Slot_, Now);
-  if (UnplaceableOverdue_.covers(Request))
+  if (isOverQuota(*Overdue.Record_, Request.Step_) ||
+      UnplaceableOverdue_.covers(Request))
     return false;
   std::vector<WorkerOffer> Offers;
   for (const UsableWorker &Usable : UsableWorkers_)
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -149,6 +149,7 @@
             });
   Unplaceable_.clear();
   releaseReservations();
+  releaseQuotas();
   findUsableWorkers(Now);
   OverdueTasks Overdue = findOverdueTasks(Now);
   std::size_t OverdueStarts = startsForOverdueTasks(Overdue, Limit, Now);
@@ -251,6 +252,13 @@
   // Any task of the step.
   Request.TaskText_.clear();
   const StepSpec &Step = Request.Step_;
+  // Neither an obstacle of capacity, which would keep back the tasks of others,
+  // nor a reason to reserve any.
+  if (isOverQuota(Record, Step)) {
+    if (hasWaitedForCapacity(TheJob.at(Slots.front()), Now))
+      holdQuota(Record, Step);
+    return;
+  }
   bool IsIsolated = Request.Isolation_ != Isolation::None;
   bool HasWaited =
       !IsIsolated && hasWaitedForCapacity(TheJob.at(Slots.front()), Now);
@@ -286,7 +294,8 @@
   if (!HasRoom || (Offers.empty() && Step.MaxPerWorker_ == 0))
     Unplaceable_.add(Request);
   for (std::uint32_t Slot : Slots) {
-    if (StartsLeft_ == 0)
+    // The others of the step follow when some have ended.
+    if (StartsLeft_ == 0 || isOverQuota(Record, Step))
       return;
     TaskName Name = TheJob.nameOf(Slot);
     Task &Waiting = TheJob.at(Slot);
@@ -380,7 +389,8 @@
 bool Scheduler::Impl::hasBetterWorker(const WorkerState &Present,
                                       const Run &Movable, TimePoint Now) {
   JobRecord *Record = findJob(Movable.Name_.Job_);
-  if (!Record)
+  // Above a maximum that has been lowered its task could not start again.
+  if (!Record || (Record->Workspace_ && Record->Workspace_->isAboveMaximum()))
     return false;
   const StepSpec &Step = Record->Job_.step(Movable.Name_);
   PlacementRequest Request{Step, Present.Entry_.Service_, Movable.Name_,
@@ -420,9 +430,13 @@
     if (It == Worker->Runs_.end() || It->second.Number_ != Planned.Number_ ||
         It->second.Phase_ != RunPhase::Planned)
       continue;
-    // The worker may have become ineligible since it was chosen.
-    bool IsUsable = Worker->IsRegistered_ && Worker->isReachable() &&
-                    Worker->ClockMs_ && !Worker->Entry_.IsDraining_ &&
+    // The worker may have become ineligible since it was chosen, and the
+    // maximum of the workspace may have been lowered.
+    bool IsAboveMaximum =
+        Record->Workspace_ && Record->Workspace_->isAboveMaximum();
+    bool IsUsable = !IsAboveMaximum && Worker->IsRegistered_ &&
+                    Worker->isReachable() && Worker->ClockMs_ &&
+                    !Worker->Entry_.IsDraining_ &&
                     !ClosedZones_.contains(Worker->Entry_.Zone_) &&
                     Worker->holdsItsRuns() &&
                     !(It->second.IsFiller_ && Worker->OverTargetSince_);
--- a/packages/scheduling/src/scheduler_waits.cpp
+++ b/packages/scheduling/src/scheduler_waits.cpp
@@ -39,6 +39,7 @@
   NextWaitReportAt_ = Now + WaitReportInterval;
   LongestWait Timed;
   LongestWait LongRunning;
+  LongestWait AtQuota;
   for (const std::string &Id : JobsWithWaitingTasks_) {
     JobRecord *Record = findJob(Id);
     if (!Record || Record->Job_.waiting().empty())
@@ -48,11 +49,16 @@
     if (Now - Waiting.at(Slot).ReadyAt_ < MinReportedWait ||
         (!Waiting.isLongRunning() && Waiting.hasPlacedTask()))
       continue;
-    (Waiting.isLongRunning() ? LongRunning : Timed).add(*Record, Slot);
+    // Apart, since they would hide those that wait for something else.
+    if (isOverQuota(*Record, Waiting.step(Waiting.nameOf(Slot))))
+      AtQuota.add(*Record, Slot);
+    else
+      (Waiting.isLongRunning() ? LongRunning : Timed).add(*Record, Slot);
   }
   // Timed tasks may wait for much longer under overload.
   reportWait("long_running", LongRunning, Now);
   reportWait("timed", Timed, Now);
+  reportWait("at_quota", AtQuota, Now);
 }
 
 void Scheduler::Impl::reportWait(const char *Kind, const LongestWait &Longest,
@@ -64,10 +70,13 @@
   PlacementRequest Request = requestFor(Waiting, Longest.Slot_, Now);
   std::array<std::int64_t, ObstacleCount> Counts{};
   std::int64_t Eligible = 0;
+  bool IsAtQuota = isOverQuota(*Longest.Record_, Request.Step_);
   for (auto &[Id, Worker] : Workers_) {
     std::optional<Obstacle> Found = findObstacle(Worker, Request, Now);
     if (!Found)
       Found = findFillerObstacle(Worker, Request.Step_);
+    if (IsAtQuota)
+      Found = Obstacle::Quota;
     if (Found)
       ++Counts[static_cast<std::size_t>(*Found)];
     else
@@ -80,18 +89,20 @@
       Obstacles += nameOf(static_cast<Obstacle>(Index));
       Obstacles += ':' + std::to_string(Counts[Index]);
     }
-  recordEvent(
-      LogEvent::TaskWaits,
-      {{"task", Request.TaskText_},
-       {"kind", Kind},
-       {"waited_ms", std::to_string((Now - WaitingTask.ReadyAt_) /
-                                    std::chrono::milliseconds(1))},
-       {"jobs", std::to_string(Longest.Jobs_)},
-       {"held_back",
-        isHeldBack(WaitingTask) || WaitingTask.NotBefore_ > Now ? "1" : "0"},
-       {"isolation", std::string(nameOf(IsolationNames, Request.Isolation_))},
-       {"eligible", std::to_string(Eligible)},
-       {"obstacles", Obstacles}});
+  std::vector<std::pair<std::string, std::string>> Fields = {
+      {"task", Request.TaskText_},
+      {"kind", Kind},
+      {"waited_ms", std::to_string((Now - WaitingTask.ReadyAt_) /
+                                   std::chrono::milliseconds(1))},
+      {"jobs", std::to_string(Longest.Jobs_)},
+      {"held_back",
+       isHeldBack(WaitingTask) || WaitingTask.NotBefore_ > Now ? "1" : "0"},
+      {"isolation", std::string(nameOf(IsolationNames, Request.Isolation_))},
+      {"eligible", std::to_string(Eligible)},
+      {"obstacles", Obstacles}};
+  if (!Waiting.accepted().Workspace_.empty())
+    Fields.emplace_back("workspace", Waiting.accepted().Workspace_);
+  recordEvent(LogEvent::TaskWaits, std::move(Fields));
 }
 
 } // namespace filbertspring::scheduling
--- a/packages/scheduling/src/scheduler_workers.cpp
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -49,6 +49,8 @@
                   Worker.Entry_.StartedAtMs_ == Entry.StartedAtMs_;
   std::optional<LossTime> CrashedAt = Worker.CrashedAt_;
   std::int64_t PreviousStartedAtMs = Worker.Entry_.StartedAtMs_;
+  // The quotas of workspaces do not count its runs any more.
+  Worker.takeAllRuns();
   Worker = WorkerState();
   Worker.CrashedAt_ = CrashedAt;
   Worker.PreviousStartedAtMs_ = PreviousStartedAtMs;
@@ -100,9 +102,7 @@
                  {"cause", Cause}});
   // The tasks may have been away since the last report.
   TimePoint LastReportAt = Worker.ClockMs_ ? Worker.ClockAt_ : Now;
-  std::unordered_map<std::string, Run> LostRuns = std::move(Worker.Runs_);
-  Worker.dropAllRuns();
-  for (auto &[Text, ActiveRun] : LostRuns) {
+  for (auto &[Text, ActiveRun] : Worker.takeAllRuns()) {
     recordGivenUp(Worker, ActiveRun, Cause, nullptr, Now);
     JobRecord *Record = findJob(ActiveRun.Name_.Job_);
     if (!Record)
--- a/packages/scheduling/src/worker_state.cpp
+++ b/packages/scheduling/src/worker_state.cpp
@@ -1,6 +1,7 @@
 #include "worker_state.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace filbertspring::scheduling {
 namespace {
@@ -22,6 +23,8 @@
 void WorkerState::addRun(Run NewRun) {
   dropRun(NewRun.Name_.text());
   Used_ += NewRun.Reserved_;
+  if (NewRun.Workspace_)
+    NewRun.Workspace_->add(NewRun.requested(), NewRun.IsLongRunning_);
   UnknownRuns_ += NewRun.IsUnknown_ ? 1 : 0;
   TailRooms_.reset();
   PacedFillerMilliCpu_.reset();
@@ -44,6 +47,8 @@
     return;
   const Run &Dropped = It->second;
   Used_ -= Dropped.Reserved_;
+  if (Dropped.Workspace_)
+    Dropped.Workspace_->remove(Dropped.requested(), Dropped.IsLongRunning_);
   UnknownRuns_ -= Dropped.IsUnknown_ ? 1 : 0;
   TailRooms_.reset();
   PacedFillerMilliCpu_.reset();
@@ -63,8 +68,11 @@
     refreshOverTarget();
 }
 
-void WorkerState::dropAllRuns() {
-  Runs_.clear();
+std::unordered_map<std::string, Run> WorkerState::takeAllRuns() {
+  std::unordered_map<std::string, Run> Taken = std::exchange(Runs_, {});
+  for (const auto &[Text, Dropped] : Taken)
+    if (Dropped.Workspace_)
+      Dropped.Workspace_->remove(Dropped.requested(), Dropped.IsLongRunning_);
   Used_ = {};
   UnknownRuns_ = 0;
   LongRunningMilliCpu_ = 0;
@@ -78,6 +86,7 @@
   Flexibility_.reset();
   TailRooms_.reset();
   PacedFillerMilliCpu_.reset();
+  return Taken;
 }
 
 void WorkerState::countFresh(const Run &Counted, int Change) {
--- a/packages/scheduling/src/worker_state.h
+++ b/packages/scheduling/src/worker_state.h
@@ -9,6 +9,7 @@
 #include "filbertspring/scheduling/scheduler.h"
 #include "filbertspring/scheduling/worker.h"
 #include "target_watch.h"
+#include "workspace_usage.h"
 
 #include <deque>
 #include <map>
@@ -46,6 +47,8 @@
   /// The resources that are counted against the worker's capacity.
   Resources Reserved_;
   std::int64_t RequestedMilliCpu_ = 0;
+  /// The workspace whose quota it counts against; null if there is none.
+  WorkspaceState *Workspace_ = nullptr;
   /// The task is of an unknown job, so that its request is unknown.
   bool IsUnknown_ = false;
   bool IsFiller_ = false;
@@ -88,6 +91,12 @@
   /// Since when the pace has been so low that the filler should move to another
   /// worker.
   std::optional<TimePoint> SlowSince_;
+
+  /// Returns the request of its task, whether or not the processors are counted
+  /// against the worker's capacity.
+  Resources requested() const {
+    return {RequestedMilliCpu_, Reserved_.MemoryMb_, Reserved_.Accelerators_};
+  }
 };
 
 /// Ends that were processed and whose effect is not known to be stored.
@@ -271,8 +280,8 @@
   double fullShare(const Run &Filler) const;
   /// Removes the run of the task called \p Text and releases its resources.
   void dropRun(const std::string &Text);
-  /// Removes all runs and releases their resources.
-  void dropAllRuns();
+  /// Removes all runs, releases their resources and returns them.
+  std::unordered_map<std::string, Run> takeAllRuns();
 
 private:
   /// Adds \p Change to the counts of runs that have not settled, if \p Counted
--- a/packages/scheduling/tests/cell_fixture.h
+++ b/packages/scheduling/tests/cell_fixture.h
@@ -129,9 +129,11 @@
     }
   }
 
-  void submit(const std::string &Id, std::vector<StepSpec> Steps) {
+  void submit(const std::string &Id, std::vector<StepSpec> Steps,
+              const std::string &Workspace = "") {
     AcceptedJob Job;
     Job.Id_ = Id;
+    Job.Workspace_ = Workspace;
     Job.Queue_ = "batch";
     Job.Service_ = "service";
     Job.Spec_.Steps_ = std::move(Steps);
--- a/packages/scheduling/tests/oracle.cpp
+++ b/packages/scheduling/tests/oracle.cpp
@@ -18,6 +18,9 @@
 /// The time after which a smaller capacity counts: the shortest StableWindowMs
 /// and one HeartbeatMs.
 constexpr Duration ShrinkLimit = std::chrono::milliseconds(3000 + 1500);
+/// How long after a maximum was lowered a start may rely on the one before: the
+/// placement has to be stored, and the start is valid for some time.
+constexpr Duration LoweringLimit = StartValidity + std::chrono::seconds(2);
 /// How long a task may wait beside free capacity.
 constexpr Duration MaxWait = std::chrono::milliseconds(3000);
 /// How long after the last fault, and after the last run of the task, the wait
@@ -30,8 +33,68 @@
 /// How often a task may start after three workers have crashed under it.
 constexpr std::size_t MaxStartsAfterThirdCrash = 2;
 
+/// Returns whether \p Used is within \p Maximum; 0 means no limit.
+bool isWithin(const Resources &Used, const Resources &Maximum) {
+  auto IsLess = [](std::int64_t Amount, std::int64_t Limit) {
+    return Limit == 0 || Amount <= Limit;
+  };
+  return IsLess(Used.MilliCpu_, Maximum.MilliCpu_) &&
+         IsLess(Used.MemoryMb_, Maximum.MemoryMb_) &&
+         IsLess(Used.Accelerators_, Maximum.Accelerators_);
+}
+
 } // namespace
 
+void Oracle::configured(const std::vector<Workspace> &Workspaces,
+                        TimePoint Now) {
+  // A new owner does not know the last maximum of one that was removed.
+  for (auto &[Name, Maxima] : Maxima_)
+    Maxima[Now] = {};
+  Configured_.clear();
+  for (const Workspace &Entry : Workspaces) {
+    auto [It, IsNew] = Maxima_.try_emplace(Entry.Name_);
+    if (IsNew)
+      It->second[TimePoint()] = {};
+    It->second[Now] = Entry.Maximum_;
+    Configured_.insert(Entry.Name_);
+  }
+}
+
+void Oracle::checkQuota(const std::string &Workspace, TimePoint Now) {
+  auto It = Maxima_.find(Workspace);
+  if (It == Maxima_.end())
+    return;
+  auto Oldest = It->second.upper_bound(Now - LoweringLimit);
+  if (Oldest != It->second.begin())
+    --Oldest;
+  const Resources &Used = UsedBy_[Workspace];
+  bool Fits =
+      std::any_of(Oldest, It->second.end(), [&Used](const auto &Maximum) {
+        return isWithin(Used, Maximum.second);
+      });
+  if (!Fits)
+    report("quota",
+           fmt::format("{} uses {} mCPU, {} MB and {} accelerators", Workspace,
+                       Used.MilliCpu_, Used.MemoryMb_, Used.Accelerators_));
+}
+
+bool Oracle::isUnderHalfQuota(const JobHistory &Job,
+                              const Resources &Request) const {
+  auto It = Maxima_.find(Job.Accepted_.Workspace_);
+  if (It == Maxima_.end())
+    return true;
+  if (!Configured_.contains(It->first))
+    return false;
+  const Resources &Maximum = It->second.rbegin()->second;
+  Resources Used;
+  if (auto Found = UsedBy_.find(It->first); Found != UsedBy_.end())
+    Used = Found->second;
+  Resources WithRequest = Used;
+  WithRequest += Request;
+  Used += Used;
+  return isWithin(Used, Maximum) && isWithin(WithRequest, Maximum);
+}
+
 void Oracle::report(const char *Rule, std::string Detail) {
   Violations_.push_back({Rule, std::move(Detail)});
 }
@@ -256,7 +319,8 @@
                                  [&](std::uint32_t Earlier) {
                                    return isDone(Job, Earlier);
                                  });
-    bool HasRoom = IsReady && hasRoomTwice(Job, Number);
+    bool HasRoom = IsReady && hasRoomTwice(Job, Number) &&
+                   isUnderHalfQuota(Job, Step.Request_);
     for (std::uint32_t Index = 0; Index < Step.Count_; ++Index) {
       std::string Text = TaskName{Job.Accepted_.Id_, 0, Number, Index}.text();
       TaskHistory &Task = Job.Tasks_[Text];
@@ -323,7 +387,11 @@
     report("cancelled", Text);
   checkCheckpoint(History, Start, Token, Now);
   checkStepOrder(Job, Name);
-  History.Runs_.insert(Worker);
+  const std::string &Workspace = Job.Accepted_.Workspace_;
+  if (History.Runs_.insert(Worker).second && !Workspace.empty()) {
+    UsedBy_[Workspace] += Step.Request_;
+    checkQuota(Workspace, Now);
+  }
   Resources Reserved = Step.Request_;
   if (Step.IsFiller_)
     Reserved.MilliCpu_ = 0;
@@ -333,8 +401,11 @@
 
 void Oracle::ended(const std::string &Worker, const TaskName &Name,
                    std::uint64_t Run, EndReason Reason, TimePoint Now) {
-  TaskHistory &History = Jobs_[Name.Job_].Tasks_[Name.text()];
-  History.Runs_.erase(Worker);
+  JobHistory &Job = Jobs_[Name.Job_];
+  TaskHistory &History = Job.Tasks_[Name.text()];
+  const std::string &Workspace = Job.Accepted_.Workspace_;
+  if (History.Runs_.erase(Worker) > 0 && !Workspace.empty())
+    UsedBy_[Workspace] -= Job.Accepted_.Spec_.Steps_[Name.Step_].Request_;
   History.LastEndedAt_ = Now;
   Reserved_[Worker].erase(Name.text());
   if (Reason != EndReason::Done)
--- a/packages/scheduling/tests/oracle.h
+++ b/packages/scheduling/tests/oracle.h
@@ -26,6 +26,9 @@
 public:
   void accepted(const AcceptedJob &Job, std::uint32_t Attempts);
   void cancelled(const std::string &Job, TimePoint Now);
+  /// \p Workspaces are those of the configuration from now on. Those that are
+  /// missing may have no maximum, or their last one.
+  void configured(const std::vector<Workspace> &Workspaces, TimePoint Now);
   /// A run of \p Name crashed its worker.
   void crashedBy(const TaskName &Name);
   /// The worker has \p Capacity from now on. A smaller one counts once an owner
@@ -115,6 +118,12 @@
     bool IsFinal_ = false;
   };
   void report(const char *Rule, std::string Detail);
+  /// Checks that the run of a task that has just started leaves its workspace
+  /// within a maximum that the start may rely on.
+  void checkQuota(const std::string &Workspace, TimePoint Now);
+  /// Returns whether the workspace of \p Job uses less than half of its
+  /// maximum, which leaves room for a task with \p Request.
+  bool isUnderHalfQuota(const JobHistory &Job, const Resources &Request) const;
   void checkStepOrder(const JobHistory &Job, const TaskName &Name);
   void checkCapacity(const std::string &Worker, TimePoint Now);
   void checkCheckpoint(const TaskHistory &History, const StartTask &Start,
@@ -143,6 +152,11 @@
   /// The capacities of each worker by the time since when it has had them.
   std::map<std::string, std::map<TimePoint, Resources>> Capacities_;
   std::map<std::string, std::map<std::string, Resources>> Reserved_;
+  /// The maxima of each workspace by the time since when it has had them.
+  std::map<std::string, std::map<TimePoint, Resources>> Maxima_;
+  std::set<std::string> Configured_;
+  /// The requests of the tasks that are executed, by workspace.
+  std::map<std::string, Resources> UsedBy_;
   std::set<std::string> Excluded_;
   std::map<std::string, std::set<std::string>> Labels_;
   std::map<std::string, Duration> LongWaits_;
--- a/packages/scheduling/tests/simulated_cell.cpp
+++ b/packages/scheduling/tests/simulated_cell.cpp
@@ -142,6 +142,7 @@
 
 void SimulatedCell::configure(QueueTable Queues) {
   Queues_ = std::make_shared<const QueueTable>(std::move(Queues));
+  Oracle_.configured(Queues_->Workspaces_, Now_);
   Owner_->Scheduler_.configure(Queues_);
 }
 
