Workspaces: shares

While capacity is short, all jobs were placed in one order. A workspace that submitted five times its usual load for seven seconds made 15 % of the jobs of 19 others worthless.

Jobs within the rate that the weight of their workspace covers now come first, by the priority of their queues; among those of one priority the next job is of the workspace that uses least of the cell in relation to its weight (dominant resource fairness), and its own jobs keep their order. What a workspace submits beyond its rate follows, and gets nothing of a service for which a task within the rates became ready a moment ago and found no capacity. The order uses the counts of the quotas and the stored times of acceptance, so it needs no state of its own. Without workspaces in the configuration the order is the one of before.

--- a/packages/scheduling/include/filbertspring/scheduling/scheduler.h
+++ b/packages/scheduling/include/filbertspring/scheduling/scheduler.h
@@ -166,6 +166,7 @@
 
 /// What a workspace uses and waits for, for metrics.
 struct WorkspaceCounts {
+  /// Empty for jobs without a workspace, taken together.
   std::string Name_;
   /// It is part of the present configuration.
   bool IsConfigured_ = false;
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -94,7 +94,9 @@
   auto [It, IsNew] = Impl_->Jobs_.try_emplace(Accepted.Id_, Accepted, Now);
   if (!IsNew)
     return;
-  It->second.Workspace_ = Impl_->Workspaces_.obtain(Accepted.Workspace_);
+  WorkspaceState &Owner = Impl_->Workspaces_.obtain(Accepted.Workspace_);
+  It->second.Workspace_ = &Owner;
+  It->second.Arrival_ = Owner.Arrivals_.add(Accepted.AcceptedMs_);
   Impl_->JobsToRelease_.insert(Accepted.Id_);
   // A notice of the cancellation may overtake that of the acceptance.
   if (Impl_->CancelledBefore_.erase(Accepted.Id_) > 0)
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -285,6 +285,13 @@
                           const StepSpec &Step) const;
   /// Returns whether less than half of the capacity of \p Service is reserved.
   bool hasAmpleCapacity(const std::string &Service) const;
+  /// Places the waiting tasks of \p Candidates, except for suspected ones, in
+  /// the order of the shares of their workspaces.
+  void placeByShares(const std::vector<PlacementCandidate> &Candidates,
+                     TimePoint Now);
+  /// Returns whether a task of \p Record has become ready a moment ago and was
+  /// not placed for want of capacity that any other task could take.
+  bool lacksCapacity(const JobRecord &Record, TimePoint Now) const;
   /// Places the waiting tasks of a job that are suspected, or the others.
   void placeJob(JobRecord &Record, bool AreSuspected, TimePoint Now);
   /// Returns the service on whose workers the tasks of \p TheJob run.
--- a/packages/scheduling/src/scheduler_overdue.cpp
+++ b/packages/scheduling/src/scheduler_overdue.cpp
@@ -64,8 +64,7 @@
     const Job &Waiting = Record->Job_;
     // Those that wait for a quota must not take the starts of others.
     auto IsAtQuota = [&](std::uint32_t Slot) {
-      return Record->Workspace_ &&
-             isOverQuota(*Record, Waiting.step(Waiting.nameOf(Slot)));
+      return isOverQuota(*Record, Waiting.step(Waiting.nameOf(Slot)));
     };
     if (Waiting.isLongRunning()) {
       // Also those that are held back: the number of their starts has no limit.
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -127,11 +127,7 @@
   NeedsPlacement_ = false;
   NextPlacementAt_ = Now + PlacementInterval;
 
-  struct Candidate {
-    JobRank Rank_;
-    JobRecord *Record_;
-  };
-  std::vector<Candidate> Candidates;
+  std::vector<PlacementCandidate> Candidates;
   for (auto It = JobsWithWaitingTasks_.begin();
        It != JobsWithWaitingTasks_.end();) {
     JobRecord *Record = findJob(*It);
@@ -143,10 +139,11 @@
     const Queue *Policy = Queues_->find(Record->Job_.accepted().Queue_);
     Candidates.push_back({rankOf(Record->Job_, Policy, Now), Record});
   }
-  std::sort(Candidates.begin(), Candidates.end(),
-            [](const Candidate &Left, const Candidate &Right) {
-              return Left.Rank_ < Right.Rank_;
-            });
+  std::sort(
+      Candidates.begin(), Candidates.end(),
+      [](const PlacementCandidate &Left, const PlacementCandidate &Right) {
+        return Left.Rank_ < Right.Rank_;
+      });
   Unplaceable_.clear();
   releaseReservations();
   releaseQuotas();
@@ -158,15 +155,19 @@
   // leave starts to the others, which may be more urgent.
   std::size_t OtherLimit = StartsLeft_ / 2;
   StartsLeft_ -= OtherLimit;
-  for (const Candidate &Waiting : Candidates)
+  for (const PlacementCandidate &Waiting : Candidates)
     if (JobsWithSuspects_.contains(Waiting.Record_->Job_.accepted().Id_))
       placeJob(*Waiting.Record_, true, Now);
   bool IsCutShort = StartsLeft_ == 0;
   StartsLeft_ += OtherLimit;
-  for (const Candidate &Waiting : Candidates) {
-    if (StartsLeft_ == 0)
-      break;
-    placeJob(*Waiting.Record_, false, Now);
+  if (Queues_->Workspaces_.empty()) {
+    for (const PlacementCandidate &Waiting : Candidates) {
+      if (StartsLeft_ == 0)
+        break;
+      placeJob(*Waiting.Record_, false, Now);
+    }
+  } else {
+    placeByShares(Candidates, Now);
   }
   NeedsPlacement_ = IsCutShort || StartsLeft_ == 0;
   if (StartsLeft_ > 0)
@@ -390,7 +391,7 @@
                                       const Run &Movable, TimePoint Now) {
   JobRecord *Record = findJob(Movable.Name_.Job_);
   // Above a maximum that has been lowered its task could not start again.
-  if (!Record || (Record->Workspace_ && Record->Workspace_->isAboveMaximum()))
+  if (!Record || Record->Workspace_->isAboveMaximum())
     return false;
   const StepSpec &Step = Record->Job_.step(Movable.Name_);
   PlacementRequest Request{Step, Present.Entry_.Service_, Movable.Name_,
@@ -432,8 +433,7 @@
       continue;
     // The worker may have become ineligible since it was chosen, and the
     // maximum of the workspace may have been lowered.
-    bool IsAboveMaximum =
-        Record->Workspace_ && Record->Workspace_->isAboveMaximum();
+    bool IsAboveMaximum = Record->Workspace_->isAboveMaximum();
     bool IsUsable = !IsAboveMaximum && Worker->IsRegistered_ &&
                     Worker->isReachable() && Worker->ClockMs_ &&
                     !Worker->Entry_.IsDraining_ &&
--- a/packages/scheduling/src/scheduler_records.h
+++ b/packages/scheduling/src/scheduler_records.h
@@ -5,6 +5,7 @@
 /// What the scheduler notes about jobs, placed runs and outstanding
 /// transactions.
 
+#include "job_order.h"
 #include "progress_queue.h"
 #include "worker_state.h"
 #include "workspace_usage.h"
@@ -25,13 +26,23 @@
   JobState StoredState_ = JobState::Queued;
   /// The last row of the journal with changes of the job, 0 if there is none.
   std::uint64_t LastJournalRow_ = 0;
-  /// The workspace that the job belongs to; null if it belongs to none.
+  /// The workspace that the job belongs to, or that of jobs without one. Never
+  /// null once the job is added.
   WorkspaceState *Workspace_ = nullptr;
+  /// The number of the job among those that the workspace submitted in the same
+  /// interval.
+  std::uint32_t Arrival_ = 0;
 
   JobRecord(AcceptedJob Accepted, TimePoint Now)
       : Job_(std::move(Accepted), Now) {}
 };
 
+/// A job that waits in the present placement pass.
+struct PlacementCandidate {
+  JobRank Rank_;
+  JobRecord *Record_ = nullptr;
+};
+
 /// A placed run whose start command has not been sent.
 struct PlannedRun {
   std::string Worker_;
--- a/packages/scheduling/src/scheduler_workspaces.cpp
+++ b/packages/scheduling/src/scheduler_workspaces.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// The part of the scheduler that applies the quotas of workspaces.
+/// The part of the scheduler that applies the quotas and shares of workspaces.
 
 #include "scheduler_impl.h"
 
@@ -9,12 +9,10 @@
 
 bool Scheduler::Impl::isOverQuota(const JobRecord &Record,
                                   const StepSpec &Step) const {
-  const WorkspaceState *Owner = Record.Workspace_;
-  if (!Owner)
-    return false;
+  const WorkspaceState &Owner = *Record.Workspace_;
   // A long-running task may not wait for timed ones.
-  bool IsHeldBack = Owner->IsHeld_ && !Step.IsLongRunning_;
-  return IsHeldBack || !Owner->permits(Step.Request_);
+  bool IsHeldBack = Owner.IsHeld_ && !Step.IsLongRunning_;
+  return IsHeldBack || !Owner.permits(Step.Request_);
 }
 
 void Scheduler::Impl::holdQuota(JobRecord &Record, const StepSpec &Step) {
@@ -29,6 +27,61 @@
     Owner->IsHeld_ = false;
 }
 
+bool Scheduler::Impl::lacksCapacity(const JobRecord &Record,
+                                    TimePoint Now) const {
+  const Job &TheJob = Record.Job_;
+  const std::set<std::uint32_t> &Slots = TheJob.waiting();
+  return std::any_of(Slots.begin(), Slots.end(), [&](std::uint32_t Slot) {
+    const Task &Waiting = TheJob.at(Slot);
+    const StepSpec &Step = TheJob.step(TheJob.nameOf(Slot));
+    // For a task that waits longer a worker is reserved. Those that need
+    // certain workers do not wait for the rest of the capacity.
+    return Step.RequiredLabel_.empty() && Step.Request_.Accelerators_ == 0 &&
+           Waiting.NotBefore_ <= Now && !isHeldBack(Waiting) &&
+           !hasWaitedForCapacity(Waiting, Now) && !isOverQuota(Record, Step);
+  });
+}
+
+void Scheduler::Impl::placeByShares(
+    const std::vector<PlacementCandidate> &Candidates, TimePoint Now) {
+  Resources Total;
+  for (const UsableWorker &Usable : UsableWorkers_)
+    Total += Usable.Worker_->Entry_.Capacity_;
+  auto ShareOf = [&Total](const WorkspaceState &Owner) {
+    return weightedShare(Owner.Used_, Total, Owner.Weight_);
+  };
+  std::vector<double> Shares;
+  for (const auto &Owner : Workspaces_.all())
+    Shares.push_back(ShareOf(*Owner));
+  std::vector<WaitingJob> Jobs;
+  Jobs.reserve(Candidates.size());
+  for (const PlacementCandidate &Waiting : Candidates) {
+    const JobRecord &Record = *Waiting.Record_;
+    const WorkspaceState &Owner = *Record.Workspace_;
+    // Jobs without a workspace have no rate.
+    bool IsBeyondRate =
+        !Owner.Name_.empty() && isBeyondRate(Record.Arrival_, Owner.Weight_);
+    Jobs.push_back({Waiting.Rank_, Owner.Index_, IsBeyondRate});
+  }
+  WorkspaceOrder Order(Jobs, std::move(Shares));
+  // Services for which tasks within the rates wait. Those beyond them would
+  // take each bit of capacity as it is released, so that no large task fits.
+  std::set<std::string> ShortServices;
+  double Share = 0;
+  while (StartsLeft_ > 0) {
+    std::optional<std::size_t> Next = Order.next(Share);
+    if (!Next)
+      return;
+    JobRecord &Record = *Candidates[*Next].Record_;
+    bool IsBeyondRate = Jobs[*Next].IsBeyondRate_;
+    if (!IsBeyondRate || !ShortServices.contains(serviceOf(Record.Job_)))
+      placeJob(Record, false, Now);
+    if (!IsBeyondRate && lacksCapacity(Record, Now))
+      ShortServices.insert(serviceOf(Record.Job_));
+    Share = ShareOf(*Record.Workspace_);
+  }
+}
+
 std::vector<WorkspaceCounts> Scheduler::workspaceCounts() const {
   std::vector<WorkspaceCounts> Result;
   std::unordered_map<const WorkspaceState *, std::size_t> Positions;
@@ -39,7 +92,7 @@
   }
   for (const std::string &Id : Impl_->JobsWithWaitingTasks_) {
     const JobRecord *Record = Impl_->findJob(Id);
-    if (!Record || !Record->Workspace_)
+    if (!Record)
       continue;
     WorkspaceCounts &Counts = Result[Positions.at(Record->Workspace_)];
     const Job &Waiting = Record->Job_;
--- a/packages/scheduling/src/workspace_usage.cpp
+++ b/packages/scheduling/src/workspace_usage.cpp
@@ -40,30 +40,37 @@
   return areWithin(UsedByLongRunning_, Request, Maximum_);
 }
 
+WorkspaceUsage::WorkspaceUsage() { obtain(""); }
+
 void WorkspaceUsage::configure(const std::vector<Workspace> &Configured) {
   for (const auto &State : All_) {
     State->IsConfigured_ = false;
     State->Weight_ = 0;
   }
+  double Weights = 0;
+  std::size_t Count = 0;
   for (const Workspace &Entry : Configured) {
-    WorkspaceState *State = obtain(Entry.Name_);
-    if (!State || State->IsConfigured_)
+    WorkspaceState &State = obtain(Entry.Name_);
+    if (State.IsConfigured_ || Entry.Name_.empty())
       continue;
-    State->IsConfigured_ = true;
-    State->Weight_ = Entry.Weight_;
-    State->Maximum_ = Entry.Maximum_;
+    State.IsConfigured_ = true;
+    State.Weight_ = Entry.Weight_;
+    State.Maximum_ = Entry.Maximum_;
+    Weights += Entry.Weight_;
+    ++Count;
   }
+  if (Count > 0)
+    obtain("").Weight_ = Weights / static_cast<double>(Count);
 }
 
-WorkspaceState *WorkspaceUsage::obtain(const std::string &Name) {
-  if (Name.empty())
-    return nullptr;
+WorkspaceState &WorkspaceUsage::obtain(const std::string &Name) {
   auto [It, IsNew] = ByName_.try_emplace(Name);
   if (IsNew) {
     It->second = All_.emplace_back(std::make_unique<WorkspaceState>()).get();
     It->second->Name_ = Name;
+    It->second->Index_ = All_.size() - 1;
   }
-  return It->second;
+  return *It->second;
 }
 
 WorkspaceState *WorkspaceUsage::find(const std::string &Name) const {
--- a/packages/scheduling/src/workspace_usage.h
+++ b/packages/scheduling/src/workspace_usage.h
@@ -9,6 +9,7 @@
 /// does not execute it any more.
 
 #include "filbertspring/scheduling/queue_table.h"
+#include "workspace_order.h"
 
 #include <cstddef>
 #include <memory>
@@ -21,6 +22,8 @@
 /// A workspace of the present owner.
 struct WorkspaceState {
   std::string Name_;
+  /// Its position among all workspaces.
+  std::size_t Index_ = 0;
   /// It is part of the present configuration.
   bool IsConfigured_ = false;
   double Weight_ = 0;
@@ -33,6 +36,7 @@
   /// The request of a task that has waited for long for the quota. Until the
   /// end of the placement pass no other timed task may take what it waits for.
   bool IsHeld_ = false;
+  ArrivalCounter Arrivals_;
 
   /// Counts a run.
   void add(const Resources &Request, bool IsLongRunning);
@@ -52,16 +56,18 @@
 /// runs can refer to them.
 class WorkspaceUsage {
 public:
+  WorkspaceUsage();
   /// Applies the weights and maxima of \p Configured. A workspace that is not
   /// part of it keeps its maximum. Of several with the same name the first
   /// counts.
   void configure(const std::vector<Workspace> &Configured);
-  /// Returns the workspace called \p Name, which is added if it is new; null if
-  /// the name is empty.
-  WorkspaceState *obtain(const std::string &Name);
+  /// Returns the workspace called \p Name, which is added if it is new. Jobs
+  /// without a workspace share one with an empty name, which has no maximum and
+  /// the mean weight of the configured ones.
+  WorkspaceState &obtain(const std::string &Name);
   /// Returns the workspace called \p Name, or null.
   WorkspaceState *find(const std::string &Name) const;
-  /// Returns all workspaces in the order in which they were added.
+  /// Returns all workspaces in the order of their indices.
   const std::vector<std::unique_ptr<WorkspaceState>> &all() const {
     return All_;
   }
--- a/packages/scheduling/tests/workspace_histories_test.cpp
+++ b/packages/scheduling/tests/workspace_histories_test.cpp
@@ -80,6 +80,7 @@
   Job.Queue_ = "batch";
   Job.Service_ = "service";
   Job.Workspace_ = nameOfWorkspace(Cell_.random()() % (WorkspaceCount + 1));
+  Job.AcceptedMs_ = Cell_.now().time_since_epoch() / 1ms;
   Job.Spec_.Payload_ = "payload of " + Job.Id_;
   StepSpec Step;
   // At most half of the lowest maximum, so that a workspace below that has
--- a/packages/scheduling/tests/workspace_quota_test.cpp
+++ b/packages/scheduling/tests/workspace_quota_test.cpp
@@ -137,7 +137,10 @@
   }
 
   std::int64_t usedByAlder() const {
-    return Next_.workspaceCounts().front().Used_.MilliCpu_;
+    for (const WorkspaceCounts &Counts : Next_.workspaceCounts())
+      if (Counts.Name_ == "alder")
+        return Counts.Used_.MilliCpu_;
+    return 0;
   }
 
   Scheduler Next_;
@@ -410,6 +413,16 @@
   BOOST_TEST(used("alder").MilliCpu_ == 1000);
 }
 
+BOOST_FIXTURE_TEST_CASE(includes_runs_that_only_a_report_shows, QuotaCell) {
+  step(2100ms);
+  submit("aa", {task(4)}, "alder");
+  for (std::uint32_t Index = 0; Index < 4; ++Index)
+    RunningTasks_["w1"].push_back({{"aa", 0, 0, Index}, 1, "", 0, 0});
+  answerRenewals();
+  // Above the maximum, but they run.
+  BOOST_TEST(used("alder").MilliCpu_ == 4000);
+}
+
 BOOST_FIXTURE_TEST_CASE(includes_runs_of_unreachable_workers, QuotaCell) {
   submit("aa", {lasting(3)}, "alder");
   play(100ms);
