--- a/packages/scheduling/include/filbertspring/scheduling/scheduler.h
+++ b/packages/scheduling/include/filbertspring/scheduling/scheduler.h
@@ -198,6 +198,21 @@
   PlaceWaitCounts PlaceWaits_;
 };
 
+/// What a workspace uses and waits for, for metrics.
+struct WorkspaceCounts {
+  /// Empty for jobs without a workspace, taken together.
+  std::string Name_;
+  /// It is part of the present configuration.
+  bool IsConfigured_ = false;
+  Resources Maximum_;
+  /// The requests of all runs that workers execute or may execute.
+  Resources Used_;
+  std::size_t Runs_ = 0;
+  std::size_t WaitingTasks_ = 0;
+  /// The jobs whose first waiting task the quota keeps from starting.
+  std::size_t JobsAtQuota_ = 0;
+};
+
 /// The scheduler of one cell. Holds its jobs and the state of its workers.
 class Scheduler {
 public:
@@ -310,6 +325,13 @@
   SchedulerCounts counts() const;
   /// The part of counts() that changes in each placement pass.
   const PlaceWaitCounts &placeWaits() const;
+  /// Returns the workspaces that are or were configured, or that have a job.
+  /// Linear in their number and in that of the waiting jobs.
+  std::vector<WorkspaceCounts> workspaceCounts() const;
+  /// Returns what each workspace uses, counted anew from all runs; those that
+  /// use nothing are omitted. Checks the counts that are kept. Linear in the
+  /// number of runs.
+  std::map<std::string, Resources> recountWorkspaces() const;
 
 private:
   struct Impl;
--- a/packages/scheduling/src/obstacle.cpp
+++ b/packages/scheduling/src/obstacle.cpp
@@ -46,6 +46,7 @@
     {Obstacle::Utilization, "utilization", MaxJudgementWait},
     {Obstacle::Interference, "interference", MaxJudgementWait},
     {Obstacle::FarFromData, "far_from_data", MaxPlaceWait},
+    {Obstacle::Quota, "quota", {}},
 }};
 
 const ObstacleTrait &traitOf(Obstacle Value) {
--- a/packages/scheduling/src/obstacle.h
+++ b/packages/scheduling/src/obstacle.h
@@ -51,8 +51,10 @@
   Interference,
   /// The task waits for a place near its data, which it prefers.
   FarFromData,
+  /// The workspace of the task uses as much as it may on all workers together.
+  Quota,
 };
-inline constexpr std::size_t ObstacleCount = 16;
+inline constexpr std::size_t ObstacleCount = 17;
 
 /// Returns the name of \p Value in logs.
 std::string_view nameOf(Obstacle Value);
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -9,8 +9,11 @@
 
 #include "obstacle.h"
 #include "place_waits.h"
+#include "placement_types.h"
 #include "progress_queue.h"
+#include "scheduler_records.h"
 #include "worker_state.h"
+#include "workspace_usage.h"
 
 #include <algorithm>
 #include <map>
@@ -29,195 +32,6 @@
 /// the response to the second shows whether the first was executed.
 inline constexpr std::uint32_t MaxStartsSent = 2;
 
-/// A job and the scheduler's own data about it.
-struct JobRecord {
-  Job Job_;
-  /// When the job reached a final state.
-  std::optional<TimePoint> FinalAt_;
-  /// When the job was last cancelled, also in a final state.
-  std::optional<TimePoint> CancelledAt_;
-  /// The state in the stored snapshot, which callers see.
-  JobState StoredState_ = JobState::Queued;
-  /// The last row of the journal with changes of the job, 0 if there is none.
-  std::uint64_t LastJournalRow_ = 0;
-
-  JobRecord(AcceptedJob Accepted, TimePoint Now)
-      : Job_(std::move(Accepted), Now) {}
-};
-
-/// A placed run whose start command has not been sent.
-struct PlannedRun {
-  std::string Worker_;
-  TaskName Name_;
-  std::uint64_t Number_ = 0;
-};
-
-/// A time at which a worker's renewal may be due.
-struct RenewalTime {
-  TimePoint At_;
-  std::string Worker_;
-  bool operator<(const RenewalTime &Other) const { return Other.At_ < At_; }
-};
-
-/// A worker that gets tasks in the present placement pass.
-struct UsableWorker {
-  WorkerState *Worker_ = nullptr;
-  Resources Free_;
-};
-
-/// The ends of one incarnation of a worker up to a number.
-struct EndsOfWorker {
-  std::uint64_t LastNumber_ = 0;
-  std::int64_t StartedAtMs_ = 0;
-};
-
-/// The remaining room in a transaction.
-struct WriteRoom {
-  std::size_t Rows_ = 0;
-  std::size_t Bytes_ = 0;
-
-  bool fits(std::size_t Rows, std::size_t Bytes) const {
-    return Rows <= Rows_ && Bytes <= Bytes_;
-  }
-  void take(std::size_t Rows, std::size_t Bytes) {
-    Rows_ -= std::min(Rows, Rows_);
-    Bytes_ -= std::min(Bytes, Bytes_);
-  }
-};
-
-/// A job whose changes are part of the outstanding transaction.
-struct JobInFlight {
-  ProgressQueue::Entry Queued_;
-  std::vector<std::uint32_t> Slots_;
-};
-
-/// The crashes of a worker whose cause is unknown.
-struct UnexplainedCrashes {
-  std::uint32_t Count_ = 0;
-  TimePoint LastAt_;
-};
-
-/// What a task that may crash its worker requires of the other runs there. Each
-/// value includes the ones before it.
-enum class Isolation {
-  None,
-  /// They have been listed for SettlingTime.
-  Settled,
-  /// They have been listed for LongSettlingTime.
-  LongSettled,
-};
-
-/// The requirements for placing a task.
-struct PlacementRequest {
-  const StepSpec &Step_;
-  const std::string &Service_;
-  TaskName Name_;
-  /// Name_ as text; a worker that has a run of this task is not eligible. Empty
-  /// if the request is for any task of the step.
-  std::string TaskText_;
-  /// The resources that are counted against a worker's capacity.
-  Resources Needed_;
-  Isolation Isolation_ = Isolation::None;
-  /// Suspected tasks that start together crash together. One that has crashed
-  /// often is not placed beside another one, since it would be given up soon.
-  bool IsNearlyGivenUp_ = false;
-};
-
-/// The task that has waited longest of some jobs.
-struct LongestWait {
-  JobRecord *Record_ = nullptr;
-  std::uint32_t Slot_ = 0;
-  /// The number of the jobs.
-  std::int64_t Jobs_ = 0;
-
-  /// \p Slot: the task of \p Record that has waited longest.
-  void add(JobRecord &Record, std::uint32_t Slot);
-};
-
-/// A worker that can take a task; lower costs are better. The heap functions of
-/// the standard library put the best one first.
-struct WorkerOffer {
-  double Cost_ = 0;
-  WorkerState *Worker_ = nullptr;
-  bool operator<(const WorkerOffer &Other) const { return Cost_ > Other.Cost_; }
-};
-
-/// A task that must not wait any longer.
-struct OverdueTask {
-  JobRecord *Record_ = nullptr;
-  std::uint32_t Slot_ = 0;
-  TimePoint WaitsSince_;
-};
-
-/// The tasks that must not wait any longer, each in the order of their waits.
-struct OverdueTasks {
-  std::vector<OverdueTask> LongRunning_;
-  /// One for each step of a timed job without a placed task.
-  std::vector<OverdueTask> Timed_;
-};
-
-/// Which of the overdue tasks are searched for next.
-struct OverdueSweep {
-  std::size_t Position_ = 0;
-  bool ContinuesNext_ = false;
-};
-
-/// A worker that is reserved for a step of a job until it has capacity for one
-/// of its tasks.
-struct CapacityReservation {
-  std::uint32_t Occurrence_ = 0;
-  std::uint32_t Step_ = 0;
-  std::string Worker_;
-  /// When the worker is next compared with others.
-  TimePoint ReviewAt_{};
-};
-
-/// Returns whether \p Waiting has waited for so long that a worker is reserved
-/// for it.
-bool hasWaitedForCapacity(const Task &Waiting, TimePoint Now);
-
-/// Requests for which no worker was found in the present placement pass. Free
-/// capacity only decreases during a pass, so a request for at least as much can
-/// be skipped.
-class UnplaceableRequests {
-public:
-  void clear() { Entries_.clear(); }
-  void add(const PlacementRequest &Request);
-  bool covers(const PlacementRequest &Request) const;
-
-private:
-  struct Entry {
-    std::string Service_;
-    std::string RequiredLabel_;
-    /// The image of a filler; empty for other tasks.
-    std::string FillerImage_;
-    Resources Requested_;
-    Isolation Isolation_ = Isolation::None;
-  };
-  std::vector<Entry> Entries_;
-};
-
-/// How many tasks of a step a rack can take.
-struct RackRoom {
-  /// The labels of its workers.
-  const std::vector<std::string> *Labels_ = nullptr;
-  std::size_t Now_ = 0;
-  /// Once all runs have ended that will.
-  std::size_t Empty_ = 0;
-};
-
-/// To which workers the tasks of a step are restricted.
-struct RackChoice {
-  /// The tasks go on waiting.
-  bool Waits_ = false;
-  /// The labels of the workers; empty if there is no restriction.
-  std::optional<std::vector<std::string>> Labels_;
-
-  bool admits(const WorkerState &Worker) const {
-    return !Labels_ || Worker.Entry_.Labels_ == *Labels_;
-  }
-};
-
 struct Scheduler::Impl {
   Impl(SchedulerSettings Settings, TimePoint Now);
 
@@ -374,6 +188,13 @@
                           const StepSpec &Step) const;
   /// Returns whether less than half of the capacity of \p Service is reserved.
   bool hasAmpleCapacity(const std::string &Service) const;
+  /// Places the waiting tasks of \p Candidates, except for suspected ones, in
+  /// the order of the shares of their workspaces.
+  void placeByShares(const std::vector<PlacementCandidate> &Candidates,
+                     TimePoint Now);
+  /// Returns whether a task of \p Record has become ready a moment ago and was
+  /// not placed for want of capacity that any other task could take.
+  bool lacksCapacity(const JobRecord &Record, TimePoint Now) const;
   /// Places the waiting tasks of a job that are suspected, or the others.
   void placeJob(JobRecord &Record, bool AreSuspected, TimePoint Now);
   /// Returns the service on whose workers the tasks of \p TheJob run.
@@ -409,6 +230,14 @@
                            WorkerState &Reserved, TimePoint Now);
   void placeStep(JobRecord &Record, std::span<const std::uint32_t> Slots,
                  TimePoint Now);
+  /// Returns whether the quota of its workspace keeps a task of \p Step of
+  /// \p Record from starting, so that it waits although there may be capacity.
+  bool isOverQuota(const JobRecord &Record, const StepSpec &Step) const;
+  /// Holds what is left of the quota of the workspace of \p Record for a task
+  /// of \p Step that has waited for long for it.
+  static void holdQuota(JobRecord &Record, const StepSpec &Step);
+  /// Ends what holdQuota() did in the last placement pass.
+  void releaseQuotas();
   /// Returns why \p Worker gets no tasks now, whatever their requests, and
   /// however long they have waited.
   std::optional<Obstacle> findObstacle(const WorkerState &Worker) const;
@@ -504,6 +333,8 @@
   std::int64_t WallMs_ = 0;
   std::shared_ptr<const QueueTable> Queues_;
   std::set<std::string> ClosedZones_;
+  /// Its workspaces outlive the jobs and the runs, which refer to them.
+  WorkspaceUsage Workspaces_;
   std::map<std::string, JobRecord> Jobs_;
   /// When jobs that are not known were last cancelled.
   std::map<std::string, TimePoint> CancelledBefore_;
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -127,11 +127,7 @@
   NeedsPlacement_ = false;
   NextPlacementAt_ = Now + PlacementInterval;
 
-  struct Candidate {
-    JobRank Rank_;
-    JobRecord *Record_;
-  };
-  std::vector<Candidate> Candidates;
+  std::vector<PlacementCandidate> Candidates;
   for (auto It = JobsWithWaitingTasks_.begin();
        It != JobsWithWaitingTasks_.end();) {
     JobRecord *Record = findJob(*It);
@@ -143,12 +139,14 @@
     const Queue *Policy = Queues_->find(Record->Job_.accepted().Queue_);
     Candidates.push_back({rankOf(Record->Job_, Policy, Now), Record});
   }
-  std::sort(Candidates.begin(), Candidates.end(),
-            [](const Candidate &Left, const Candidate &Right) {
-              return Left.Rank_ < Right.Rank_;
-            });
+  std::sort(
+      Candidates.begin(), Candidates.end(),
+      [](const PlacementCandidate &Left, const PlacementCandidate &Right) {
+        return Left.Rank_ < Right.Rank_;
+      });
   Unplaceable_.clear();
   releaseReservations();
+  releaseQuotas();
   findUsableWorkers(Now);
   sampleRacks(Now);
   OverdueTasks Overdue = findOverdueTasks(Now);
@@ -158,15 +156,19 @@
   // leave starts to the others, which may be more urgent.
   std::size_t OtherLimit = StartsLeft_ / 2;
   StartsLeft_ -= OtherLimit;
-  for (const Candidate &Waiting : Candidates)
+  for (const PlacementCandidate &Waiting : Candidates)
     if (JobsWithSuspects_.contains(Waiting.Record_->Job_.accepted().Id_))
       placeJob(*Waiting.Record_, true, Now);
   bool IsCutShort = StartsLeft_ == 0;
   StartsLeft_ += OtherLimit;
-  for (const Candidate &Waiting : Candidates) {
-    if (StartsLeft_ == 0)
-      break;
-    placeJob(*Waiting.Record_, false, Now);
+  if (Queues_->Workspaces_.empty()) {
+    for (const PlacementCandidate &Waiting : Candidates) {
+      if (StartsLeft_ == 0)
+        break;
+      placeJob(*Waiting.Record_, false, Now);
+    }
+  } else {
+    placeByShares(Candidates, Now);
   }
   NeedsPlacement_ = IsCutShort || StartsLeft_ == 0;
   if (StartsLeft_ > 0)
@@ -249,10 +251,17 @@
                                 std::span<const std::uint32_t> Slots,
                                 TimePoint Now) {
   Job &TheJob = Record.Job_;
+  const StepSpec &Step = TheJob.step(TheJob.nameOf(Slots.front()));
+  // Neither an obstacle of capacity, which would keep back the tasks of others,
+  // nor a reason to reserve any.
+  if (isOverQuota(Record, Step)) {
+    if (hasWaitedForCapacity(TheJob.at(Slots.front()), Now))
+      holdQuota(Record, Step);
+    return;
+  }
   PlacementRequest Request = requestFor(TheJob, Slots.front(), Now);
   // Any task of the step.
   Request.TaskText_.clear();
-  const StepSpec &Step = Request.Step_;
   bool IsIsolated = Request.Isolation_ != Isolation::None;
   bool HasWaited =
       !IsIsolated && hasWaitedForCapacity(TheJob.at(Slots.front()), Now);
@@ -291,7 +300,8 @@
   if (!HasRoom || (Offers.empty() && Step.MaxPerWorker_ == 0 && !Rack.Labels_))
     Unplaceable_.add(Request);
   for (const std::uint32_t &Slot : Slots) {
-    if (StartsLeft_ == 0)
+    // The others of the step follow when some have ended.
+    if (StartsLeft_ == 0 || isOverQuota(Record, Step))
       return;
     TaskName Name = TheJob.nameOf(Slot);
     Task &Waiting = TheJob.at(Slot);
@@ -391,7 +401,8 @@
 bool Scheduler::Impl::hasBetterWorker(const WorkerState &Present,
                                       const Run &Movable, TimePoint Now) {
   JobRecord *Record = findJob(Movable.Name_.Job_);
-  if (!Record)
+  // Above a maximum that has been lowered its task could not start again.
+  if (!Record || Record->Workspace_->isAboveMaximum())
     return false;
   const StepSpec &Step = Record->Job_.step(Movable.Name_);
   PlacementRequest Request{Step, Present.Entry_.Service_, Movable.Name_,
@@ -431,9 +442,12 @@
     if (It == Worker->Runs_.end() || It->second.Number_ != Planned.Number_ ||
         It->second.Phase_ != RunPhase::Planned)
       continue;
-    // The worker may have become ineligible since it was chosen.
-    bool IsUsable = Worker->IsRegistered_ && Worker->isReachable() &&
-                    Worker->ClockMs_ && !Worker->Entry_.IsDraining_ &&
+    // The worker may have become ineligible since it was chosen, and the
+    // maximum of the workspace may have been lowered.
+    bool IsAboveMaximum = Record->Workspace_->isAboveMaximum();
+    bool IsUsable = !IsAboveMaximum && Worker->IsRegistered_ &&
+                    Worker->isReachable() && Worker->ClockMs_ &&
+                    !Worker->Entry_.IsDraining_ &&
                     !ClosedZones_.contains(Worker->Entry_.Zone_) &&
                     Worker->holdsItsRuns() &&
                     !(It->second.IsFiller_ && Worker->OverTargetSince_);
