Quotas: a maximum is not held for a large task while little of it is used

A workspace could run nothing for a minute while less than half of its maximum was in use (found in a review): a task of more than half of the maximum, behind one that runs for long, held the quota, and no other timed task of the workspace was started.

Change: after 1.5 s below half of the maximum the quota is not held. Once half is in use again, the large task gets its turn as before.

The new test failed before: 0 of 2 tasks started.

--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -235,9 +235,9 @@
   bool isOverQuota(const JobRecord &Record, const StepSpec &Step) const;
   /// Holds what is left of the quota of the workspace of \p Record for a task
   /// of \p Step that has waited for long for it.
-  static void holdQuota(JobRecord &Record, const StepSpec &Step);
+  static void holdQuota(JobRecord &Record, const StepSpec &Step, TimePoint Now);
   /// Ends what holdQuota() did in the last placement pass.
-  void releaseQuotas();
+  void releaseQuotas(TimePoint Now);
   /// Returns why \p Worker gets no tasks now, whatever their requests, and
   /// however long they have waited.
   std::optional<Obstacle> findObstacle(const WorkerState &Worker) const;
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -146,7 +146,7 @@
       });
   Unplaceable_.clear();
   releaseReservations();
-  releaseQuotas();
+  releaseQuotas(Now);
   findUsableWorkers(Now);
   sampleRacks(Now);
   OverdueTasks Overdue = findOverdueTasks(Now);
@@ -256,7 +256,7 @@
   // nor a reason to reserve any.
   if (isOverQuota(Record, Step)) {
     if (hasWaitedForCapacity(TheJob.at(Slots.front()), Now))
-      holdQuota(Record, Step);
+      holdQuota(Record, Step, Now);
     return;
   }
   PlacementRequest Request = requestFor(TheJob, Slots.front(), Now);
--- a/packages/scheduling/src/scheduler_workspaces.cpp
+++ b/packages/scheduling/src/scheduler_workspaces.cpp
@@ -6,6 +6,14 @@
 #include <algorithm>
 
 namespace filbertspring::scheduling {
+namespace {
+
+/// After less than half of a maximum has been in use for this time, it is not
+/// held for a large task any more: users tolerate three seconds in which
+/// nothing of a job runs then, and a start takes some time.
+constexpr Duration MaxHoldBelowHalf = std::chrono::milliseconds(1500);
+
+} // namespace
 
 bool Scheduler::Impl::isOverQuota(const JobRecord &Record,
                                   const StepSpec &Step) const {
@@ -15,16 +23,21 @@
   return IsHeldBack || !Owner.permits(Step.Request_);
 }
 
-void Scheduler::Impl::holdQuota(JobRecord &Record, const StepSpec &Step) {
+void Scheduler::Impl::holdQuota(JobRecord &Record, const StepSpec &Step,
+                                TimePoint Now) {
   WorkspaceState &Owner = *Record.Workspace_;
+  if (Owner.isBelowHalfFor(MaxHoldBelowHalf, Now))
+    return;
   // Once the timed tasks have ended, there has to be enough for this one.
   if (Owner.fitsBesideLongRunning(Step.Request_))
     Owner.IsHeld_ = true;
 }
 
-void Scheduler::Impl::releaseQuotas() {
-  for (const auto &Owner : Workspaces_.all())
+void Scheduler::Impl::releaseQuotas(TimePoint Now) {
+  for (const auto &Owner : Workspaces_.all()) {
     Owner->IsHeld_ = false;
+    Owner->observeUse(Now);
+  }
 }
 
 bool Scheduler::Impl::lacksCapacity(const JobRecord &Record,
--- a/packages/scheduling/src/workspace_usage.cpp
+++ b/packages/scheduling/src/workspace_usage.cpp
@@ -40,6 +40,13 @@
   return areWithin(UsedByLongRunning_, Request, Maximum_);
 }
 
+void WorkspaceState::observeUse(TimePoint Now) {
+  if (!areWithin(Used_, Used_, Maximum_))
+    BelowHalfSince_.reset();
+  else if (!BelowHalfSince_)
+    BelowHalfSince_ = Now;
+}
+
 WorkspaceUsage::WorkspaceUsage() { obtain(""); }
 
 void WorkspaceUsage::configure(const std::vector<Workspace> &Configured) {
--- a/packages/scheduling/src/workspace_usage.h
+++ b/packages/scheduling/src/workspace_usage.h
@@ -13,6 +13,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -36,6 +37,8 @@
   /// The request of a task that has waited for long for the quota. Until the
   /// end of the placement pass no other timed task may take what it waits for.
   bool IsHeld_ = false;
+  /// Since when less than half of the maximum has been in use.
+  std::optional<TimePoint> BelowHalfSince_;
   ArrivalCounter Arrivals_;
 
   /// Counts a run.
@@ -50,6 +53,13 @@
   /// Returns whether more is in use than the maximum, which may have been
   /// lowered.
   bool isAboveMaximum() const { return !permits({}); }
+  /// Notes what is in use at \p Now.
+  void observeUse(TimePoint Now);
+  /// Returns whether less than half of the maximum has been in use for at least
+  /// \p Time.
+  bool isBelowHalfFor(Duration Time, TimePoint Now) const {
+    return BelowHalfSince_ && Now - *BelowHalfSince_ >= Time;
+  }
 };
 
 /// The workspaces of one owner. They are kept until its tenure ends, so that
--- a/packages/scheduling/tests/workspace_quota_test.cpp
+++ b/packages/scheduling/tests/workspace_quota_test.cpp
@@ -212,6 +212,20 @@
   BOOST_TEST(startsOf("cc") == 2);
 }
 
+// A task of more than half of the maximum, behind one that runs for long, kept
+// all others of its workspace from starting.
+BOOST_FIXTURE_TEST_CASE(is_not_held_for_long_while_less_than_half_is_used,
+                        QuotaCell) {
+  submit("aa", {task(1)}, "alder");
+  play(100ms);
+  submit("bb", {task(1, 2500)}, "alder");
+  play(1s);
+  submit("cc", {task(2)}, "alder");
+  play(2s);
+  BOOST_TEST(startsOf("bb") == 0);
+  BOOST_TEST(startsOf("cc") == 2);
+}
+
 BOOST_FIXTURE_TEST_CASE(is_named_as_the_reason_of_a_wait, QuotaCell) {
   submit("aa", {task(8)}, "alder");
   submit("ab", {task(8)}, "alder");
