Shares: jobs beyond their rate use a service that is mostly free

A workspace that had sent more than its rate could run nothing for as long as tasks of others came that wait for certain workers, although the service was idle (found in a review).

Cause: such a task was taken as a sign that the capacity of its service is short. Change: only while at least half of the capacity is reserved.

The new test failed before: 0 of 1 task started beside two workers with two of sixteen processors in use.

--- a/packages/scheduling/src/scheduler_workspaces.cpp
+++ b/packages/scheduling/src/scheduler_workspaces.cpp
@@ -80,6 +80,14 @@
   // Services for which tasks within the rates wait. Those beyond them would
   // take each bit of capacity as it is released, so that no large task fits.
   std::set<std::string> ShortServices;
+  // A task may also wait for a certain worker while most of them are free.
+  std::map<std::string, bool> HasAmpleCapacity;
+  auto IsShort = [&](const std::string &Service) {
+    auto [It, IsNew] = HasAmpleCapacity.try_emplace(Service);
+    if (IsNew)
+      It->second = hasAmpleCapacity(Service);
+    return !It->second;
+  };
   double Share = 0;
   while (StartsLeft_ > 0) {
     std::optional<std::size_t> Next = Order.next(Share);
@@ -89,7 +97,8 @@
     bool IsBeyondRate = Jobs[*Next].IsBeyondRate_;
     if (!IsBeyondRate || !ShortServices.contains(serviceOf(Record.Job_)))
       placeJob(Record, false, Now);
-    if (!IsBeyondRate && lacksCapacity(Record, Now))
+    if (!IsBeyondRate && !ShortServices.contains(serviceOf(Record.Job_)) &&
+        lacksCapacity(Record, Now) && IsShort(serviceOf(Record.Job_)))
       ShortServices.insert(serviceOf(Record.Job_));
     Share = ShareOf(*Record.Workspace_);
   }
--- a/packages/scheduling/tests/workspace_share_test.cpp
+++ b/packages/scheduling/tests/workspace_share_test.cpp
@@ -40,6 +40,19 @@
   BOOST_TEST(startsOf("bb") == 4);
 }
 
+// A task that waited for one of few workers kept all jobs beyond the rates of
+// their workspaces out of a service that was nearly idle.
+BOOST_FIXTURE_TEST_CASE(beyond_their_rate_use_free_capacity, QuotaCell) {
+  configure({{"alder", {}, 0.0, {}}, {"birch", {}, 1.0, {}}}, Scheduler_);
+  StepSpec Spread = task(3);
+  Spread.MaxPerWorker_ = 1;
+  submit("bb", {Spread}, "birch");
+  submit("aa", {task(1)}, "alder");
+  play(100ms);
+  BOOST_TEST(startsOf("bb") == 2);
+  BOOST_TEST(startsOf("aa") == 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(get_what_others_leave, FullCell) {
   finishSome(0, 8);
   BOOST_TEST(startsOf("aa") == 24);
