Interference model: a restored baseline outlasts the first report

A new owner replaced the baseline of each image by the first report of one task, and stored it (found in a review): it counted the restored value as none.

The new test failed before.

--- a/packages/scheduling/src/interference.cpp
+++ b/packages/scheduling/src/interference.cpp
@@ -255,8 +255,11 @@
   for (const InterferenceEstimate &Pair : Pairs) {
     Fit &ImageFit = Impl_->Fits_[Pair.ServingImage_];
     if (Pair.FillerImage_.empty()) {
-      if (ImageFit.BaselineReports_ == 0)
-        ImageFit.Baseline_ = Pair.Value_;
+      if (ImageFit.BaselineReports_ != 0)
+        continue;
+      ImageFit.Baseline_ = Pair.Value_;
+      // Otherwise the first report of one task would replace it.
+      ImageFit.BaselineReports_ = MaxBaselineReports;
       continue;
     }
     if (ImageFit.HasObserved_)
--- a/packages/scheduling/tests/interference_test.cpp
+++ b/packages/scheduling/tests/interference_test.cpp
@@ -181,6 +181,16 @@
              boost::test_tools::tolerance(0.1));
 }
 
+// The first report of one task replaced the baseline that was restored.
+BOOST_AUTO_TEST_CASE(keeps_its_restored_baseline_at_the_first_report) {
+  InterferenceModel Model = makeFittedModel();
+  InterferenceModel Successor;
+  Successor.restore(Model.estimates());
+  Successor.observeBaseline("serving", std::log(AloneMs) + 1.0);
+  BOOST_TEST(std::exp(Successor.baselineLog("serving").Mean_) == AloneMs,
+             boost::test_tools::tolerance(0.1));
+}
+
 BOOST_AUTO_TEST_CASE(fits_into_a_row_of_the_store_whatever_the_images) {
   std::vector<InterferenceEstimate> Pairs;
   for (int Serving = 0; Serving < 200; ++Serving) {
