Client limits: queries of many fields, and peers that vanish in a body

Found in a review. A request line of 20,000 short query fields took over a megabyte that the budget does not count, as 600 connections of them 0.8 GB by calculation; a listener keeps 64 fields now, which no request of a client or peer reaches. A peer that vanished without closing its connection in the middle of a body kept it for ever, since the listener for peers had no least rate; it is 1,024 bytes/s after 60 s now.

The test of the peers' limits would fail before (a rate of 0), as would that of the query, which needs the new parameter; neither was run on the old code.

--- a/packages/node/src/client_limits.cpp
+++ b/packages/node/src/client_limits.cpp
@@ -72,7 +72,10 @@
   AsyncServerLimits Limits;
   Limits.MaxBodyBytes_ = 4 * MaxBatchBytes;
   Limits.HeaderTimeout_ = Limits.IdleTimeout_;
-  Limits.MinBodyRate_ = 0;
+  // Slow links are tolerated, but a peer that has vanished without closing its
+  // connection would hold it for ever.
+  Limits.MinBodyRate_ = 1024;
+  Limits.BodyGrace_ = Limits.IdleTimeout_;
   Limits.WriteTimeout_ = Limits.IdleTimeout_;
   return Limits;
 }
--- a/packages/node/tests/client_limits_test.cpp
+++ b/packages/node/tests/client_limits_test.cpp
@@ -52,6 +52,12 @@
   BOOST_TEST((Limits.Callers_.IdleTimeout_ >= 15s));
 }
 
+// A peer that vanished in the middle of a body held its connection for ever.
+BOOST_AUTO_TEST_CASE(of_peers_end_bodies_that_stall) {
+  BOOST_TEST(peerLimits().MinBodyRate_ > 0U);
+  BOOST_TEST((peerLimits().BodyGrace_ >= 60s));
+}
+
 BOOST_AUTO_TEST_CASE(are_counted_by_listener_and_reason) {
   CounterRegistry Counters;
   RefusalLog Log(Counters);
--- a/packages/transport/include/filbertspring/transport/http_message.h
+++ b/packages/transport/include/filbertspring/transport/http_message.h
@@ -4,6 +4,7 @@
 /// \file
 /// Value types for HTTP requests and answers.
 
+#include <limits>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -45,7 +46,10 @@
 
 /// Parses the parameters of \p Query, which excludes the question mark. Invalid
 /// percent escapes are kept unchanged.
-std::vector<HttpField> parseQuery(std::string_view Query);
+/// Fields after the first \p MaxFields are left out.
+std::vector<HttpField>
+parseQuery(std::string_view Query,
+           std::size_t MaxFields = std::numeric_limits<std::size_t>::max());
 
 /// Splits \p Path at its slashes and omits empty segments.
 std::vector<std::string> splitPath(std::string_view Path);
--- a/packages/transport/src/http_connection.cpp
+++ b/packages/transport/src/http_connection.cpp
@@ -8,6 +8,11 @@
 namespace filbertspring {
 namespace {
 
+/// Fields of a query that are kept. No request to these servers has as many. A
+/// request line of short ones would take a hundred times its size, which the
+/// budget does not count.
+constexpr std::size_t MaxQueryFields = 64;
+
 using asio::ip::tcp;
 
 /// Memory of a connection beside its messages: the connection, its socket and
@@ -410,7 +415,8 @@
   std::size_t QueryStart = Request_.Path_.find('?');
   if (QueryStart != std::string::npos) {
     Request_.Query_ =
-        parseQuery(std::string_view(Request_.Path_).substr(QueryStart + 1));
+        parseQuery(std::string_view(Request_.Path_).substr(QueryStart + 1),
+                   MaxQueryFields);
     Request_.Path_.resize(QueryStart);
   }
   if (Server_.Hooks_.CheckHead_) {
--- a/packages/transport/src/http_message.cpp
+++ b/packages/transport/src/http_message.cpp
@@ -54,9 +54,10 @@
   return findValue(Headers_, Name);
 }
 
-std::vector<HttpField> parseQuery(std::string_view Query) {
+std::vector<HttpField> parseQuery(std::string_view Query,
+                                  std::size_t MaxFields) {
   std::vector<HttpField> Fields;
-  while (!Query.empty()) {
+  while (!Query.empty() && Fields.size() < MaxFields) {
     std::string_view Part = Query.substr(0, Query.find('&'));
     Query.remove_prefix(std::min(Part.size() + 1, Query.size()));
     std::string_view Name = Part.substr(0, Part.find('='));
--- a/packages/transport/tests/http_exchange_test.cpp
+++ b/packages/transport/tests/http_exchange_test.cpp
@@ -43,6 +43,8 @@
 BOOST_AUTO_TEST_CASE(keeps_invalid_escapes) {
   BOOST_TEST(parseQuery("a=%zz%4")[0].Value_ == "%zz%4");
   BOOST_TEST(parseQuery("").empty());
+  // A query of very many short fields took a hundred times its size.
+  BOOST_TEST(parseQuery(std::string(20'000, '&'), 64).size() == 64U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
