--- a/packages/node/src/node_settings.cpp
+++ b/packages/node/src/node_settings.cpp
@@ -1,5 +1,7 @@
 #include "filbertspring/node/node_settings.h"
 
+#include "platform/machine_limits.h"
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -87,8 +89,10 @@
   Reader.readNumber("/limits/cpu_share", 0.001, 1024, Values.CpuShare_);
   Reader.readNumber("/limits/cpu_cores", 0.001, 1024,
                     Values.RelativeCoreSpeed_);
-  Reader.readNumber("/limits/memory_mb", 32, 1 << 24, Values.MemoryMb_);
-  Reader.readNumber("/limits/max_fds", 256, 1 << 24, Values.MaxDescriptors_);
+  for (const char *Path : {platform::MachineMemoryPath, "/limits/memory_mb"})
+    Reader.readNumber(Path, 32, 1 << 24, Values.MemoryMb_);
+  for (const char *Path : {platform::MachineDescriptorsPath, "/limits/max_fds"})
+    Reader.readNumber(Path, 256, 1 << 24, Values.MaxDescriptors_);
   Reader.readDuration("/bounds/max_lease_ms", Millisecond, Values.MaxLease_);
   Reader.readDuration("/bounds/kill_timeout_ms", Millisecond,
                       Values.KillTimeout_);
--- a/packages/node/tests/node_settings_test.cpp
+++ b/packages/node/tests/node_settings_test.cpp
@@ -27,6 +27,17 @@
   BOOST_TEST((Parsed.Settings_.KillTimeout_ == 200ms));
 }
 
+// The platform's limits of a machine may lack members.
+BOOST_AUTO_TEST_CASE(take_the_limits_of_the_machine_where_there_are_any) {
+  std::string Text = ValidSettings;
+  Text.replace(Text.rfind('}'), 1,
+               R"(, "machine": {"CpuShare": 0.1, "MemoryMb": 512}})");
+  ParsedNodeSettings Parsed = parseNodeSettings(Text);
+  BOOST_TEST(Parsed.Findings_.empty());
+  BOOST_TEST(Parsed.Settings_.MemoryMb_ == 512);
+  BOOST_TEST(Parsed.Settings_.MaxDescriptors_ == 4100);
+}
+
 BOOST_AUTO_TEST_CASE(report_every_finding_with_its_json_pointer) {
   ParsedNodeSettings Parsed =
       parseNodeSettings(R"({"instance":5,"bounds":{"max_lease_ms":-1}})");
