--- a/packages/scheduling/include/filbertspring/scheduling/interference.h
+++ b/packages/scheduling/include/filbertspring/scheduling/interference.h
@@ -42,41 +42,30 @@
 
 /// A log-linear model for each serving image.
 ///
-/// The logarithm of the tail latency of a task is the sum of a baseline (the
-/// value without fillers), which varies with the load of the task, and, for
-/// each filler image, an effect multiplied by the fraction of the worker's
-/// processors that the filler uses.
-///
-/// The effects are fitted by recursive least squares with a forgetting factor,
-/// to the changes between two successive reports of one task. Its baseline
-/// changes little meanwhile, but baselines of different tasks, or at different
-/// times, differ by more than most fillers change a tail latency. The residual
-/// of a single change is bounded. Adding a change is quadratic in the number of
+/// The logarithm of the tail latency is the sum of a baseline (the value
+/// without fillers) and, for each filler image, an effect multiplied by the
+/// fraction of the worker's processors that the filler uses. The model is
+/// fitted by recursive least squares with a forgetting factor; the residual of
+/// a single report is bounded. Adding a report is quadratic in the number of
 /// filler images observed beside the serving image.
 class InterferenceModel {
 public:
-  /// Standard deviation of the baselines of an image's tasks, over their loads.
-  static constexpr double BaselineDeviation = 0.3;
+  /// Standard deviation of the logarithm of the tail latency in one report. A
+  /// report covers only half a second and is therefore noisy.
+  static constexpr double ReportDeviation = 0.3;
 
   InterferenceModel();
   ~InterferenceModel();
   InterferenceModel(InterferenceModel &&) noexcept;
   InterferenceModel &operator=(InterferenceModel &&) noexcept;
 
-  /// Updates the effects with two successive reports of one task of image
-  /// \p Serving: the logarithm of its tail latency changed by \p LogChange
-  /// while the usage of fillers changed by \p ShareChanges.
-  void observeChange(std::string_view Serving, double LogChange,
-                     std::span<const FillerShare> ShareChanges);
-  /// Updates the baseline of an image with the logarithm of the baseline of one
-  /// of its tasks.
-  void observeBaseline(std::string_view Serving, double BaselineLog);
-  /// Returns the estimated sum of the effects of \p Fillers on \p Serving.
-  double totalEffect(std::string_view Serving,
-                     std::span<const FillerShare> Fillers) const;
-  /// Returns the natural logarithm of the mean baseline of \p Serving, the tail
-  /// latency of its tasks in milliseconds without fillers. For an unknown image
-  /// the mean is 0 and the deviation is large.
+  /// Updates the model with a report: a task of image \p Serving had the tail
+  /// latency \p TailLatencyMs beside \p Fillers.
+  void observe(std::string_view Serving, double TailLatencyMs,
+               std::span<const FillerShare> Fillers);
+  /// Returns the natural logarithm of the baseline of \p Serving, its tail
+  /// latency in milliseconds without fillers. For an unknown image the mean is
+  /// 0 and the deviation is large.
   Estimate baselineLog(std::string_view Serving) const;
   /// Returns what \p Filler adds to the logarithm of the tail latency of
   /// \p Serving when it uses all processors of a worker. The mean is at least
--- a/packages/scheduling/include/filbertspring/scheduling/pacing.h
+++ b/packages/scheduling/include/filbertspring/scheduling/pacing.h
@@ -7,7 +7,6 @@
 
 #include "filbertspring/scheduling/interference.h"
 
-#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -15,21 +14,11 @@
 
 namespace filbertspring::scheduling {
 
-/// The natural logarithm of the tail latency, in milliseconds, that a serving
-/// task has without fillers.
-struct TaskBaseline {
-  double PresentLog_ = 0;
-  /// The highest of its recent values.
-  double PeakLog_ = 0;
-};
-
 /// The last reported tail latency of a serving task, and its target.
 struct ServingSample {
   std::string_view Image_;
   double TailLatencyMs_ = 0;
   double TargetMs_ = 0;
-  /// Empty until the task has been observed.
-  std::optional<TaskBaseline> Baseline_ = {};
 };
 
 /// A filler on the same worker.
--- a/packages/scheduling/src/interference.cpp
+++ b/packages/scheduling/src/interference.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
-#include <optional>
 #include <string_view>
 #include <tuple>
 #include <unordered_map>
@@ -12,31 +11,28 @@
 namespace filbertspring::scheduling {
 namespace {
 
-/// Weight of the previous changes at each new one: about the last 2,000 changes
-/// beside an image count.
+/// Weight of the previous reports at each new one: about the last 2,000 reports
+/// of an image count.
 constexpr double ForgettingFactor = 0.9995;
 constexpr double InverseForgettingFactor = 1 / ForgettingFactor;
-/// Standard deviation of the change of a tail latency's logarithm between two
-/// reports of a task if its fillers do not change. A load that swings by half
-/// within ten seconds changes it by 0.12 in half a second; reports in whole
-/// milliseconds add their rounding.
-constexpr double ChangeDeviation = 0.15;
-/// About the last 200 reports of an image's tasks determine its baseline.
-constexpr double MaxBaselineReports = 200;
+constexpr double ReportDeviation = InterferenceModel::ReportDeviation;
 /// Prior standard deviation of an effect. For scale: a filler that uses a tenth
 /// of a worker and triples a tail latency has an effect of 11.
 constexpr double PriorEffectDeviation = 6.0;
 /// Prior standard deviation of a baseline. Covers tail latencies from some
 /// tenths of a millisecond to some hundred milliseconds.
 constexpr double PriorBaselineDeviation = 4.0;
-/// Residuals are limited to this number of standard deviations of the
-/// prediction, since a stall of a worker is not caused by its fillers.
-constexpr double MaxResidualDeviations = 4.0;
+/// Residuals are limited to this absolute value, since a stall of a worker is
+/// not caused by its fillers.
+constexpr double MaxResidual = 1.0;
+/// Residuals are not limited for this number of reports, so that the baseline
+/// can move from its prior.
+constexpr int WarmupReports = 20;
 /// Maximum number of filler images in the fit of a serving image.
 constexpr std::size_t MaxFillerImages = 40;
 
 double relativeVariance(double Deviation) {
-  double Relative = Deviation / ChangeDeviation;
+  double Relative = Deviation / ReportDeviation;
   return Relative * Relative;
 }
 
@@ -69,25 +65,23 @@
   It->Value_ += Value;
 }
 
-/// The fit for one serving image. Variances are relative to the variance of one
-/// change.
+/// The fit for one serving image. Coefficient 0 is the baseline. Variances are
+/// relative to the variance of one report.
 struct Fit {
-  Estimate Baseline_{0.0, PriorBaselineDeviation};
   TextMap<std::size_t> Columns_;
-  std::vector<double> Coefficients_;
-  std::vector<std::vector<double>> Covariance_;
-  /// A change was observed.
-  bool HasObserved_ = false;
-  double BaselineReports_ = 0;
-
-  /// Returns the column of \p Filler, which is added if necessary; nothing if
-  /// there are too many columns.
-  std::optional<std::size_t> column(std::string_view Filler) {
+  std::vector<double> Coefficients_{0.0};
+  std::vector<std::vector<double>> Covariance_{
+      {relativeVariance(PriorBaselineDeviation)}};
+  int ReportCount_ = 0;
+
+  /// Returns the column of \p Filler, which is added if necessary; 0 if there
+  /// are too many columns.
+  std::size_t column(std::string_view Filler) {
     auto It = Columns_.find(Filler);
     if (It != Columns_.end())
       return It->second;
     if (Columns_.size() >= MaxFillerImages)
-      return std::nullopt;
+      return 0;
     std::size_t NewColumn = Coefficients_.size();
     Columns_.emplace(Filler, NewColumn);
     Coefficients_.push_back(0.0);
@@ -101,16 +95,10 @@
   Estimate estimate(std::size_t Column) const {
     return {Coefficients_[Column],
             std::sqrt(std::max(0.0, Covariance_[Column][Column])) *
-                ChangeDeviation};
-  }
-
-  void updateBaseline(double Observed) {
-    BaselineReports_ = std::min(BaselineReports_ + 1, MaxBaselineReports);
-    Baseline_.Mean_ += (Observed - Baseline_.Mean_) / BaselineReports_;
-    Baseline_.Deviation_ = InterferenceModel::BaselineDeviation;
+                ReportDeviation};
   }
 
-  /// Adds a change. \p Inputs are sorted by their columns.
+  /// Adds a report. \p Inputs are sorted by their columns.
   void update(std::span<const Input> Inputs, double Observed) {
     std::size_t Size = Coefficients_.size();
     std::vector<double> Gain(Size, 0.0);
@@ -123,10 +111,8 @@
       Scale += Each.Value_ * Gain[Each.Column_];
       Residual -= Each.Value_ * Coefficients_[Each.Column_];
     }
-    double MaxResidual =
-        MaxResidualDeviations * ChangeDeviation * std::sqrt(Scale);
-    Residual = std::clamp(Residual, -MaxResidual, MaxResidual);
-    HasObserved_ = true;
+    if (++ReportCount_ > WarmupReports)
+      Residual = std::clamp(Residual, -MaxResidual, MaxResidual);
     for (std::size_t Row = 0; Row < Size; ++Row)
       Coefficients_[Row] += Gain[Row] * Residual / Scale;
     for (std::size_t Row = 0; Row < Size; ++Row) {
@@ -164,8 +150,8 @@
   TextMap<Fit> Fits_;
   std::set<std::string, std::less<>> FillerImages_;
 
-  /// Returns the column of \p Filler in \p ImageFit.
-  std::optional<std::size_t> column(Fit &ImageFit, std::string_view Filler) {
+  /// Returns the column of \p Filler in \p Of.
+  std::size_t column(Fit &ImageFit, std::string_view Filler) {
     if (!FillerImages_.contains(Filler))
       FillerImages_.emplace(Filler);
     return ImageFit.column(Filler);
@@ -183,37 +169,22 @@
 InterferenceModel &
 InterferenceModel::operator=(InterferenceModel &&) noexcept = default;
 
-void InterferenceModel::observeChange(
-    std::string_view Serving, double LogChange,
-    std::span<const FillerShare> ShareChanges) {
+void InterferenceModel::observe(std::string_view Serving, double TailLatencyMs,
+                                std::span<const FillerShare> Fillers) {
+  if (TailLatencyMs <= 0)
+    return;
   Fit &ImageFit = Impl_->Fits_[std::string(Serving)];
-  std::vector<Input> Inputs;
-  for (const FillerShare &Filler : ShareChanges)
-    if (std::optional<std::size_t> Column =
-            Impl_->column(ImageFit, Filler.Image_))
-      addInput(Inputs, *Column, Filler.Share_);
-  // Without a change of the fillers only the load of the task has changed.
-  if (!Inputs.empty())
-    ImageFit.update(Inputs, LogChange);
-}
-
-void InterferenceModel::observeBaseline(std::string_view Serving,
-                                        double BaselineLog) {
-  Impl_->Fits_[std::string(Serving)].updateBaseline(BaselineLog);
-}
-
-double
-InterferenceModel::totalEffect(std::string_view Serving,
-                               std::span<const FillerShare> Fillers) const {
-  double Total = 0;
+  std::vector<Input> Inputs{{0, 1.0}};
   for (const FillerShare &Filler : Fillers)
-    Total += effect(Serving, Filler.Image_).Mean_ * Filler.Share_;
-  return Total;
+    if (std::size_t Column = Impl_->column(ImageFit, Filler.Image_))
+      addInput(Inputs, Column, Filler.Share_);
+  ImageFit.update(Inputs, std::log(TailLatencyMs));
 }
 
 Estimate InterferenceModel::baselineLog(std::string_view Serving) const {
   const Fit *ImageFit = Impl_->find(Serving);
-  return ImageFit ? ImageFit->Baseline_ : Estimate{0.0, PriorBaselineDeviation};
+  return ImageFit ? ImageFit->estimate(0)
+                  : Estimate{0.0, PriorBaselineDeviation};
 }
 
 Estimate InterferenceModel::effect(std::string_view Serving,
@@ -237,7 +208,7 @@
 std::vector<InterferenceEstimate> InterferenceModel::estimates() const {
   std::vector<InterferenceEstimate> Pairs;
   for (const auto &[Serving, ImageFit] : Impl_->Fits_) {
-    Pairs.push_back({Serving, "", ImageFit.Baseline_});
+    Pairs.push_back({Serving, "", ImageFit.estimate(0)});
     for (const auto &[Filler, Column] : ImageFit.Columns_)
       Pairs.push_back({Serving, Filler, ImageFit.estimate(Column)});
   }
@@ -254,21 +225,11 @@
 void InterferenceModel::restore(std::span<const InterferenceEstimate> Pairs) {
   for (const InterferenceEstimate &Pair : Pairs) {
     Fit &ImageFit = Impl_->Fits_[Pair.ServingImage_];
-    if (Pair.FillerImage_.empty()) {
-      if (ImageFit.BaselineReports_ != 0)
-        continue;
-      ImageFit.Baseline_ = Pair.Value_;
-      // Otherwise the first report of one task would replace it.
-      ImageFit.BaselineReports_ = MaxBaselineReports;
-      continue;
-    }
-    if (ImageFit.HasObserved_)
-      continue;
-    std::optional<std::size_t> Known =
-        Impl_->column(ImageFit, Pair.FillerImage_);
-    if (!Known)
+    bool IsBaseline = Pair.FillerImage_.empty();
+    std::size_t Column =
+        IsBaseline ? 0 : Impl_->column(ImageFit, Pair.FillerImage_);
+    if (ImageFit.ReportCount_ != 0 || (!IsBaseline && Column == 0))
       continue;
-    std::size_t Column = *Known;
     ImageFit.Coefficients_[Column] = Pair.Value_.Mean_;
     ImageFit.Covariance_[Column][Column] =
         std::min(relativeVariance(Pair.Value_.Deviation_),
--- a/packages/scheduling/src/pacing.cpp
+++ b/packages/scheduling/src/pacing.cpp
@@ -6,8 +6,8 @@
 namespace filbertspring::scheduling {
 namespace {
 
-/// The predicted tail latency must be this many standard deviations of the
-/// baselines below the target, which leaves time to react to a rising load.
+/// The predicted tail latency must be this many standard deviations of a report
+/// below the target: one report in forty is over the target by chance.
 constexpr double SafetyDeviations = 2.0;
 /// Fraction of the target from which a reported tail latency counts as too
 /// long.
@@ -18,8 +18,11 @@
 /// An effect below this value counts as harmless: a filler that uses a tenth of
 /// a worker lengthens the tail latency by a sixth.
 constexpr double MaxHarmlessEffect = 1.5;
-/// A baseline of an image with a higher standard deviation, the logarithm of a
-/// factor of two and a half, is not used.
+/// Weight of the baseline that follows from the last report, if it is above the
+/// model's baseline. The reports of one task vary with its load.
+constexpr double ReportedBaselineWeight = 0.5;
+/// A baseline with a higher standard deviation, the logarithm of a factor of
+/// two and a half, is not used.
 constexpr double MaxBaselineDeviation = 0.9;
 /// Factor for the paces of fillers that affect a tail latency which is too
 /// long.
@@ -32,7 +35,7 @@
 /// Returns the limit of the logarithm of the predicted tail latency.
 double plannedLogLimit(const ServingSample &ServingTask) {
   return std::log(ServingTask.TargetMs_) -
-         SafetyDeviations * InterferenceModel::BaselineDeviation;
+         SafetyDeviations * InterferenceModel::ReportDeviation;
 }
 
 /// Returns what \p Filler adds to the logarithm of the tail latency at full
@@ -46,18 +49,6 @@
          Filler.FullShare_;
 }
 
-/// Returns the logarithm of the present baseline of \p ServingTask, beside
-/// fillers whose present effect is \p PresentEffect.
-double presentBaseline(const InterferenceModel &Model,
-                       const ServingSample &ServingTask, double PresentEffect) {
-  if (ServingTask.Baseline_)
-    return ServingTask.Baseline_->PresentLog_;
-  Estimate OfImage = Model.baselineLog(ServingTask.Image_);
-  if (OfImage.Deviation_ <= MaxBaselineDeviation)
-    return OfImage.Mean_;
-  return std::log(std::max(ServingTask.TailLatencyMs_, 1.0)) - PresentEffect;
-}
-
 /// Returns the highest common pace of all fillers that affect \p ServingTask at
 /// which its predicted tail latency stays within the limit, as a percentage.
 /// \p Effects are those of \p Fillers at full speed.
@@ -71,9 +62,16 @@
     TotalEffect += Effects[Index];
     CurrentEffect += Effects[Index] * Fillers[Index].Percent_ / 100.0;
   }
-  double Allowed =
-      std::max(0.0, plannedLogLimit(ServingTask) -
-                        presentBaseline(Model, ServingTask, CurrentEffect));
+  double Limit = plannedLogLimit(ServingTask);
+  Estimate BaselineEstimate = Model.baselineLog(ServingTask.Image_);
+  double Baseline = BaselineEstimate.Mean_;
+  double ReportedBaseline =
+      std::log(std::max(ServingTask.TailLatencyMs_, 1.0)) - CurrentEffect;
+  if (BaselineEstimate.Deviation_ > MaxBaselineDeviation)
+    Baseline = ReportedBaseline;
+  else if (ReportedBaseline > Baseline)
+    Baseline += ReportedBaselineWeight * (ReportedBaseline - Baseline);
+  double Allowed = std::max(0.0, Limit - Baseline);
   return TotalEffect <= Allowed ? 100.0 : 100.0 * Allowed / TotalEffect;
 }
 
@@ -130,10 +128,7 @@
   for (const ServingSample &ServingTask : Serving) {
     if (ServingTask.TargetMs_ <= 0)
       continue;
-    // A filler that is placed now may run until the load is high again.
-    double PredictedLog = ServingTask.Baseline_
-                              ? ServingTask.Baseline_->PeakLog_
-                              : Model.baselineLog(ServingTask.Image_).Mean_;
+    double PredictedLog = Model.baselineLog(ServingTask.Image_).Mean_;
     for (const FillerSample &Filler : Fillers)
       PredictedLog += fullEffect(Model, ServingTask, Filler, false);
     double Room = plannedLogLimit(ServingTask) - PredictedLog;
--- a/packages/scheduling/src/scheduler_fillers.cpp
+++ b/packages/scheduling/src/scheduler_fillers.cpp
@@ -83,12 +83,15 @@
   Worker.ModelUpdatedAt_ = Worker.ClockAt_;
   Worker.TailRooms_.reset();
   Worker.Flexibility_.reset();
-  FillerUsage Usage =
-      Worker.FillerUsage_.observe(Worker.Runs_, Worker.milliCpu());
+  std::vector<FillerShare> Fillers;
+  for (const auto &[Text, ActiveRun] : Worker.Runs_)
+    if (ActiveRun.IsFiller_ && ActiveRun.Load_ > 0)
+      Fillers.push_back(
+          {ActiveRun.Image_, ActiveRun.Load_ / Worker.milliCpu()});
   for (auto &[Text, ActiveRun] : Worker.Runs_)
     if (ActiveRun.IsLongRunning_) {
       if (ActiveRun.Load_ > 0)
-        updateModel(ActiveRun, Usage, Now);
+        Model_.observe(ActiveRun.Image_, ActiveRun.Load_, Fillers);
       ActiveRun.Target_.observe(ActiveRun.Load_, ActiveRun.TailLatencyTarget_,
                                 Now);
     }
@@ -101,20 +104,6 @@
   migrateSlowFillers(Worker, Now);
 }
 
-/// Updates the model, and the baseline of \p Serving, with a report.
-void Scheduler::Impl::updateModel(Run &Serving, const FillerUsage &Usage,
-                                  TimePoint Now) {
-  std::optional<double> Change =
-      Serving.TailBaseline_.observeTail(Serving.Load_, Now);
-  if (Change && !Usage.HasEndedFiller_)
-    Model_.observeChange(Serving.Image_, *Change, Usage.Changes_);
-  std::optional<double> Baseline = Serving.TailBaseline_.updateBaseline(
-      Model_.totalEffect(Serving.Image_, Usage.Present_), Usage.HasEndedFiller_,
-      Now);
-  if (Baseline)
-    Model_.observeBaseline(Serving.Image_, *Baseline);
-}
-
 /// Forgets the paces of suspended fillers that work nevertheless.
 void Scheduler::Impl::noteWorkingSuspended(WorkerState &Worker, TimePoint Now) {
   if (!Worker.AreFillersSuspended_)
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -133,7 +133,6 @@
                      const char *Cause, const WorkerReport *Report,
                      TimePoint Now);
   void observeTailLatencies(WorkerState &Worker, TimePoint Now);
-  void updateModel(Run &Serving, const FillerUsage &Usage, TimePoint Now);
   /// Returns the task to the waiting tasks if \p Run on \p Worker is its
   /// present run. It is not placed again before \p Delay has passed.
   void requeueRun(WorkerState &Worker, JobRecord &Record, const TaskName &Name,
--- a/packages/scheduling/src/worker_state.cpp
+++ b/packages/scheduling/src/worker_state.cpp
@@ -173,8 +173,7 @@
       Samples.push_back({ActiveRun.Image_, ActiveRun.Load_,
                          std::chrono::duration<double, std::milli>(
                              ActiveRun.TailLatencyTarget_)
-                             .count(),
-                         ActiveRun.TailBaseline_.value()});
+                             .count()});
   return Samples;
 }
 
--- a/packages/scheduling/src/worker_state.h
+++ b/packages/scheduling/src/worker_state.h
@@ -8,7 +8,6 @@
 #include "filbertspring/scheduling/pacing.h"
 #include "filbertspring/scheduling/scheduler.h"
 #include "filbertspring/scheduling/worker.h"
-#include "tail_baseline.h"
 #include "target_watch.h"
 #include "workspace_usage.h"
 
@@ -84,7 +83,6 @@
   double Percent_ = 0;
   double Load_ = 0;
   TargetWatch Target_;
-  TailBaseline TailBaseline_;
   int PacePercent_ = 100;
   TimePoint PaceSentAt_{};
   bool SavesProgress_ = false;
@@ -167,7 +165,6 @@
   /// The time of the last report that was used to update the interference
   /// model, the runs' tail latency states and the paces.
   TimePoint ModelUpdatedAt_{};
-  FillerUsageHistory FillerUsage_;
   /// Since when a serving task has been over its target. Until it has recovered
   /// the worker gets no fillers.
   std::optional<TimePoint> OverTargetSince_;
--- a/packages/scheduling/tests/serving_worker.cpp
+++ b/packages/scheduling/tests/serving_worker.cpp
@@ -123,8 +123,7 @@
 double ServingWorker::reportedTailMs() {
   double Mean = std::accumulate(Tails_.begin(), Tails_.end(), 0.0) /
                 static_cast<double>(std::max<std::size_t>(1, Tails_.size()));
-  std::normal_distribution<double> Noise(0,
-                                         InterferenceModel::BaselineDeviation);
+  std::normal_distribution<double> Noise(0, InterferenceModel::ReportDeviation);
   return HasNoise_ ? Mean * std::exp(Noise(Random_)) : Mean;
 }
 
--- a/packages/scheduling/tests/simulated_cell.cpp
+++ b/packages/scheduling/tests/simulated_cell.cpp
@@ -38,8 +38,8 @@
     : Random_(Seed), InitialFaults_(Faults), Faults_(Faults),
       WorkerCount_(Workers), Queues_(std::make_shared<QueueTable>()) {
   TailLatencies_->DrawNoise_ = [this] {
-    std::normal_distribution<double> Noise(
-        0, InterferenceModel::BaselineDeviation);
+    std::normal_distribution<double> Noise(0,
+                                           InterferenceModel::ReportDeviation);
     return std::exp(Noise(Random_));
   };
   for (std::size_t Index = 0; Index < Workers; ++Index) {
--- a/packages/scheduling/tests/worker_loss_test.cpp
+++ b/packages/scheduling/tests/worker_loss_test.cpp
@@ -185,13 +185,8 @@
   /// Reports that the fillers are harmless, so that they are not expected to be
   /// the cause later.
   void reportHarmlessFillers() {
-    std::vector<RunningTask> &Running = RunningTasks_["w1"];
-    for (int Report = 0; Report < 40; ++Report) {
-      // The tail latency does not depend on their usage.
-      for (std::size_t Filler = 1; Filler < Running.size(); ++Filler)
-        Running[Filler].Load_ = Report % 2 == 0 ? 1000 : 0;
+    for (int Report = 0; Report < 40; ++Report)
       report(5);
-    }
   }
 
   bool areSuspended() const {
