--- a/review/standin-2/executor.h
+++ b/review/standin-2/executor.h
@@ -30,6 +30,8 @@
   /// -1 while it goes on.
   std::int64_t EndedMs_ = -1;
   std::string How_;
+  /// When LastSeen reached its end; -1 before that.
+  std::int64_t TakenMs_ = -1;
 };
 
 /// All runs of all executors, in the order of their starts. Thread-safe.
@@ -37,6 +39,7 @@
 public:
   std::size_t add(RunEntry Entry);
   void end(std::size_t Index, std::int64_t Ms, const std::string &How);
+  void noteTaken(std::size_t Index, std::int64_t Ms);
   std::vector<RunEntry> entries() const;
 
 private:
@@ -85,6 +88,10 @@
   /// connections are reset.
   void crash();
   bool isUp() const { return Loop_ != nullptr; }
+  /// Lets the first renewal of the next incarnation arrive \p Delay late, as
+  /// over a link that has lost the first packet of a connection. To be called
+  /// before start().
+  void delayFirstHold(filbertspring::Duration Delay) { HoldDelay_ = Delay; }
   const std::string &id() const { return Id_; }
 
 private:
@@ -101,6 +108,7 @@
     std::string Task_;
     std::uint64_t Run_ = 0;
     std::string How_;
+    std::size_t Entry_ = 0;
   };
   struct Waiting {
     filbertspring::TimePoint Until_{};
@@ -108,6 +116,7 @@
   };
 
   void repeatAdvance();
+  void hold(const Json &Body, const filbertspring::HttpResponder &Respond);
   void advance();
   void handle(const filbertspring::HttpRequest &Request,
               const filbertspring::HttpResponder &Respond);
@@ -134,6 +143,7 @@
   std::int64_t BornMs_ = 0;
   filbertspring::TimePoint NextRegistrationAt_{};
   std::uint64_t Sequence_ = 0;
+  filbertspring::Duration HoldDelay_{};
   std::uint64_t Token_ = 0;
   std::int64_t DeadlineMs_ = 0;
   std::uint64_t LastEnd_ = 0;
