--- a/review/standin-2/executor.cpp
+++ b/review/standin-2/executor.cpp
@@ -143,6 +143,7 @@
 }
 
 void Executor::hold(const Json &Body, const HttpResponder &Respond) {
+  LastHoldMs_ = Log_.now();
   if (Body.contains("DeadlineMs"))
     extendLease(Body["DeadlineMs"]);
   auto LastSeen = Body.value("LastSeen", std::uint64_t{0});
--- a/review/standin-2/executor.h
+++ b/review/standin-2/executor.h
@@ -8,6 +8,7 @@
 #include "filbertspring/transport/event_loop.h"
 #include "record.h"
 
+#include <atomic>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -93,6 +94,8 @@
   /// before start().
   void delayFirstHold(filbertspring::Duration Delay) { HoldDelay_ = Delay; }
   const std::string &id() const { return Id_; }
+  /// Returns when the last renewal arrived; -1 before the first one.
+  std::int64_t lastHoldMs() const { return LastHoldMs_; }
 
 private:
   using Json = nlohmann::json;
@@ -143,6 +146,7 @@
   std::int64_t BornMs_ = 0;
   filbertspring::TimePoint NextRegistrationAt_{};
   std::uint64_t Sequence_ = 0;
+  std::atomic<std::int64_t> LastHoldMs_{-1};
   filbertspring::Duration HoldDelay_{};
   std::uint64_t Token_ = 0;
   std::int64_t DeadlineMs_ = 0;
--- a/review/standin-2/platform.cpp
+++ b/review/standin-2/platform.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <array>
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
@@ -29,6 +30,24 @@
 /// How long after its end a process is started again.
 constexpr std::int64_t RestartMs = 500;
 
+/// The nodes that run, for the handler of signals.
+std::array<std::atomic<pid_t>, 8> RunningNodes{};
+
+void noteNode(pid_t Before, pid_t After) {
+  for (std::atomic<pid_t> &Each : RunningNodes) {
+    pid_t Expected = Before;
+    if (Each.compare_exchange_strong(Expected, After))
+      return;
+  }
+}
+
+void endAll(int /*Signal*/) {
+  for (std::atomic<pid_t> &Each : RunningNodes)
+    if (pid_t Pid = Each; Pid > 0)
+      ::kill(Pid, SIGKILL);
+  ::_exit(2);
+}
+
 /// Makes an address of a free port of \p Ip.
 std::string freeAddress(const std::string &Ip) {
   int Socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -98,6 +117,11 @@
   }
 }
 
+void endNodesOnSignals() {
+  for (int Signal : {SIGTERM, SIGINT, SIGHUP})
+    ::signal(Signal, endAll);
+}
+
 std::string Reply::state() const {
   json Value = json::parse(Body_, nullptr, false);
   return Value.is_object() ? Value.value("State", "") : "";
@@ -216,7 +240,9 @@
   bool IsStarted = ::posix_spawn(&Started.Pid_, Program, &Files, nullptr,
                                  Arguments, Variables.data()) == 0;
   posix_spawn_file_actions_destroy(&Files);
-  if (!IsStarted)
+  if (IsStarted)
+    noteNode(0, Started.Pid_);
+  else
     Started.Pid_ = -1;
   Started.RestartAtMs_ = -1;
   Log_.line("process " + Started.Name_ + " starts");
@@ -251,6 +277,7 @@
                               "killed by the platform",
                               Each.Name_, Mb));
       }
+      noteNode(Each.Pid_, 0);
       Each.Pid_ = -1;
       Each.RestartAtMs_ = Log_.now() + RestartMs;
     }
--- a/review/standin-2/platform.h
+++ b/review/standin-2/platform.h
@@ -28,6 +28,9 @@
 /// with and without |json. Sections are not supported.
 std::string fillIn(const std::string &Template, const nlohmann::json &Fields);
 
+/// Makes a signal that ends this process end the nodes, too.
+void endNodesOnSignals();
+
 struct Reply {
   /// 0 without an answer.
   int Status_ = 0;
--- a/review/standin-2/scene.cpp
+++ b/review/standin-2/scene.cpp
@@ -10,6 +10,7 @@
 #include <exception>
 #include <fmt/format.h>
 #include <iostream>
+#include <set>
 
 namespace review {
 namespace {
@@ -133,8 +134,9 @@
       return Work{500ms};
     return Work{Task.starts_with("00000000000000a7") ? 5000ms : 4000ms};
   };
+  Settings.Executors_ = 48;
   Scene Stage(Log, std::move(Settings));
-  const std::vector<std::size_t> Joining = {4, 5, 6, 7};
+  const std::vector<std::size_t> Joining = {44, 45, 46, 47};
   if (!Stage.start(Joining) || !isWorking(Stage))
     return CannotRun;
   auto CountRuns = [&Stage](const std::string &Job) {
@@ -145,10 +147,10 @@
   };
   Reply First = Stage.client(
       1, "POST", "/quote/00000000000000a7",
-      R"({"Spec":"first","Steps":[{"Count":32,"Cpu":8000,"MemMb":1024,"EstimateMs":5000}]})",
+      R"({"Spec":"first","Steps":[{"Count":352,"Cpu":8000,"MemMb":1024,"EstimateMs":5000}]})",
       20);
   if (First.Status_ != 200 || !Stage.eventually(5000, [&] {
-        return CountRuns("00000000000000a7") == 32;
+        return CountRuns("00000000000000a7") == 352;
       }))
     return CannotRun;
   std::this_thread::sleep_for(3100ms);
@@ -252,24 +254,47 @@
 /// LastSeen of its earlier life arrives when the new life has an end to list.
 int acknowledged(Record &Log, bool HasTrouble) {
   SceneSettings Settings = smallDeployment();
-  Settings.Executors_ = 1;
-  Settings.Executor_.WorkOf_ = [](const std::string &, std::uint64_t) {
-    return Work{300ms};
+  Settings.Executor_.WorkOf_ = [](const std::string &Task, std::uint64_t) {
+    return Work{Task.starts_with("00000000000000a7") ? 12000ms : 300ms};
   };
   Scene Stage(Log, std::move(Settings));
   if (!Stage.start() || !isWorking(Stage))
     return CannotRun;
-  // All ends are taken note of, and the owner asks the idle executor each 2 s.
-  if (!Stage.eventually(10000, [&] {
-        std::vector<RunEntry> Runs = Stage.runs().entries();
-        return std::all_of(Runs.begin(), Runs.end(), [](const RunEntry &Each) {
-          return Each.TakenMs_ >= 0;
-        });
+  // Eight tasks on each of the eight executors, and then one on seven of them.
+  Reply First = Stage.client(
+      1, "POST", "/quote/00000000000000a8",
+      R"({"Spec":"first","Steps":[{"Count":64,"Cpu":8000,"MemMb":1024,"EstimateMs":300}]})",
+      20);
+  auto AreAllTaken = [&Stage] {
+    std::vector<RunEntry> Runs = Stage.runs().entries();
+    return Runs.size() >= 66 &&
+           std::all_of(Runs.begin(), Runs.end(),
+                       [](const RunEntry &Each) { return Each.TakenMs_ >= 0; });
+  };
+  if (First.Status_ != 200 || !Stage.eventually(10000, AreAllTaken))
+    return CannotRun;
+  Reply Second = Stage.client(
+      1, "POST", "/quote/00000000000000a7",
+      R"({"Spec":"second","Steps":[{"Count":7,"Cpu":60000,"MemMb":1024,"EstimateMs":12000}]})",
+      20);
+  std::set<std::string> Busy;
+  if (Second.Status_ != 200 || !Stage.eventually(5000, [&] {
+        for (const RunEntry &Each : Stage.runs().entries())
+          if (Each.Task_.starts_with("00000000000000a7"))
+            Busy.insert(Each.Executor_);
+        return Busy.size() == 7;
       }))
     return CannotRun;
+  std::size_t Idle = 0;
+  while (Busy.contains(Stage.executor(Idle).id()))
+    ++Idle;
+  Executor &Restarted = Stage.executor(Idle);
+  // The owner asks an idle executor each 2 s.
+  std::int64_t Asked = Restarted.lastHoldMs();
+  if (!Stage.eventually(5000, [&] { return Restarted.lastHoldMs() != Asked; }))
+    return CannotRun;
   std::this_thread::sleep_for(200ms);
   if (HasTrouble) {
-    Executor &Restarted = Stage.executor(0);
     Restarted.crash();
     std::this_thread::sleep_for(50ms);
     Restarted.delayFirstHold(1000ms);
@@ -326,6 +351,7 @@
 int main(int Count, char **Arguments) {
   if (Count != 4)
     return 2;
+  review::endNodesOnSignals();
   try {
     review::Record Log(Arguments[3]);
     if (!Log.isOpen())
