Check sums and products of numbers from outside

Cause: findSpecError() added counts times occurrences in 64 bits. The sum wrapped around to 0, so the limit of 2,000 tasks held, and Job allocated an entry for each step of each occurrence. Stored jobs pass the same check.

Ruled out: a decoder that accepts wider counts, and stored jobs that are not checked.

Change: checked_arithmetic.h, used for the number of tasks, the due time of the last occurrence and objectives that a slack factor multiplies. Requests and capacities above 2^40 of a resource are rejected and quotas limited to it, so that the sums of a cell can be represented. A row of such a job that is already stored is set aside and logged; the job has failed and its state names the cause, so it neither stops the owner nor stays queued for good.

--- a/packages/node/src/cell_loading.cpp
+++ b/packages/node/src/cell_loading.cpp
@@ -26,6 +26,11 @@
 /// time; reading them in small groups saves calls.
 constexpr Duration JobFeedInterval = std::chrono::milliseconds(20);
 
+/// What callers learn of a job that an earlier version accepted although it
+/// cannot be run.
+constexpr const char *UnusableJobCause =
+    "the job exceeds the limits of a submission";
+
 std::vector<std::string> jobPartitions() {
   std::vector<std::string> Names;
   for (unsigned Number = 0; Number < JobPartitionCount; ++Number)
@@ -221,6 +226,10 @@
       decodeAcceptance(StoredRow.Key_.Key_, StoredRow.Value_);
   if (!Accepted) {
     UnreadableRows_.add(StoredRow.Key_);
+    if (Accepted.error() == Errc::InvalidInput)
+      if (auto Unusable =
+              decodeUnusableAcceptance(StoredRow.Key_.Key_, StoredRow.Value_))
+        Tenure_->Scheduler_.addUnusableJob(*Unusable, UnusableJobCause, Now);
     return;
   }
   UnreadableRows_.remove(StoredRow.Key_);
--- a/packages/node/src/rows.cpp
+++ b/packages/node/src/rows.cpp
@@ -128,25 +128,34 @@
   return dump(Value);
 }
 
+namespace {
+
+/// Decodes all but the specification of an accepted job. Throws json::exception
+/// if \p Value does not have the expected form.
+AcceptedJob decodeWithoutSpec(std::string_view Job, const json &Value) {
+  AcceptedJob Accepted;
+  Accepted.Id_ = Job;
+  Accepted.Queue_ = Value.at("queue").get<std::string>();
+  Accepted.Service_ = Value.at("service").get<std::string>();
+  Accepted.Workspace_ = Value.value(WorkspaceMember, std::string());
+  auto AcceptedMs = requireNumber(Value.at("accepted_ms"));
+  if (!(AcceptedMs >= 0 && AcceptedMs <= MaxWallMs))
+    throw json::out_of_range::create(401, "not a time", &Value);
+  Accepted.AcceptedMs_ = static_cast<std::int64_t>(AcceptedMs);
+  return Accepted;
+}
+
+} // namespace
+
 Result<AcceptedJob> decodeAcceptance(std::string_view Job,
                                      std::string_view Text) {
   try {
-    AcceptedJob Accepted;
-    Accepted.Id_ = Job;
     json Value = json::parse(Text);
-    Accepted.Queue_ = Value.at("queue").get<std::string>();
-    Accepted.Service_ = Value.at("service").get<std::string>();
-    Accepted.Workspace_ = Value.value(WorkspaceMember, std::string());
-    auto AcceptedMs = requireNumber(Value.at("accepted_ms"));
-    if (!(AcceptedMs >= 0 && AcceptedMs <= MaxWallMs))
-      return fail(Errc::InvalidJson);
-    Accepted.AcceptedMs_ = static_cast<std::int64_t>(AcceptedMs);
+    AcceptedJob Accepted = decodeWithoutSpec(Job, Value);
     Result<scheduling::JobSpec> Spec =
         platform::decodeJobSpec(Value.at("body").get<std::string>());
-    if (!Spec)
-      return fail(Spec.error());
-    if (!scheduling::findSpecError(*Spec).empty())
-      return fail(Errc::InvalidJson);
+    if (!Spec || !scheduling::findSpecError(*Spec).empty())
+      return fail(Errc::InvalidInput);
     Accepted.Spec_ = std::move(*Spec);
     return Accepted;
   } catch (const json::exception &) {
@@ -154,6 +163,17 @@
   }
 }
 
+Result<AcceptedJob> decodeUnusableAcceptance(std::string_view Job,
+                                             std::string_view Text) {
+  try {
+    AcceptedJob Accepted = decodeWithoutSpec(Job, json::parse(Text));
+    Accepted.Spec_.Steps_.emplace_back();
+    return Accepted;
+  } catch (const json::exception &) {
+    return fail(Errc::InvalidJson);
+  }
+}
+
 Result<std::string> decodeAcceptedWorkspace(std::string_view Text) {
   try {
     return json::parse(Text).value(WorkspaceMember, std::string());
--- a/packages/node/src/rows.h
+++ b/packages/node/src/rows.h
@@ -100,10 +100,16 @@
 
 std::string encodeAcceptance(const StoredAcceptance &Accepted);
 /// Decodes an accepted job including its specification. Returns
-/// Errc::InvalidJson if the text does not have the expected form, or if no
-/// caller could have submitted the job.
+/// Errc::InvalidJson if the text does not have the expected form, and
+/// Errc::InvalidInput if no caller can submit the job, though an earlier
+/// version may have accepted it.
 Result<scheduling::AcceptedJob> decodeAcceptance(std::string_view Job,
                                                  std::string_view Text);
+/// Decodes the acceptance of a job that no caller can submit. One task takes
+/// the place of its steps, so that nothing of its specification takes effect.
+/// Returns Errc::InvalidJson if the text does not have the expected form.
+Result<scheduling::AcceptedJob> decodeUnusableAcceptance(std::string_view Job,
+                                                         std::string_view Text);
 /// Returns only the workspace of an accepted job, or Errc::InvalidJson.
 Result<std::string> decodeAcceptedWorkspace(std::string_view Text);
 
--- a/packages/node/tests/rows_test.cpp
+++ b/packages/node/tests/rows_test.cpp
@@ -57,14 +57,21 @@
 
 // Its owner read beyond the list of steps, or ran out of memory.
 BOOST_AUTO_TEST_CASE(of_a_job_that_no_caller_could_submit_is_rejected) {
-  for (const char *Body : {R"({"Steps":[]})", R"({"Steps":[{"Count":0}]})",
-                           R"({"Steps":[{"Count":4294967295}]})",
-                           R"({"Steps":[{}],"RepeatCount":4294967295})",
-                           R"({"Steps":[{"After":[4294967295]}]})",
-                           R"({"Steps":[{"After":[0]}]})"}) {
+  for (const char *Body :
+       {R"({"Steps":[]})", R"({"Steps":[{"Count":0}]})",
+        R"({"Steps":[{"Count":4294967295}]})",
+        R"({"Steps":[{}],"RepeatCount":4294967295})",
+        R"({"Steps":[{"After":[4294967295]}]})", R"({"Steps":[{"After":[0]}]})",
+        R"({"Steps":[{"Count":4294967295},
+                               {"Count":4294967295},{"Count":2}],
+                               "RepeatCount":2147483648})"}) {
     StoredAcceptance Accepted{"batch", "service", 1, Body};
     BOOST_TEST(!decodeAcceptance("job", encodeAcceptance(Accepted)).has_value(),
                Body);
+    auto Unusable = decodeUnusableAcceptance("job", encodeAcceptance(Accepted));
+    BOOST_REQUIRE(Unusable.has_value());
+    BOOST_TEST(Unusable->Queue_ == "batch");
+    BOOST_TEST(scheduling::findSpecError(Unusable->Spec_).empty());
   }
 }
 
--- a/packages/scheduling/include/filbertspring/scheduling/job.h
+++ b/packages/scheduling/include/filbertspring/scheduling/job.h
@@ -210,6 +210,8 @@
   /// Fails the job because \p Name crashes the workers that run it. Has no
   /// effect in a final state.
   void giveUp(const TaskName &Name);
+  /// Fails the job because of \p Cause. Has no effect in a final state.
+  void reject(std::string Cause);
   /// Cancels the job. Has no effect in a final state.
   void cancel();
 
--- a/packages/scheduling/include/filbertspring/scheduling/job_spec.h
+++ b/packages/scheduling/include/filbertspring/scheduling/job_spec.h
@@ -24,9 +24,18 @@
   Resources &operator-=(const Resources &Other);
   /// Returns whether \p Request fits beside \p Used.
   bool fits(const Resources &Used, const Resources &Request) const;
+  /// Returns whether none of the amounts is above that of \p Limit.
+  bool isWithin(const Resources &Limit) const;
+  /// Returns the smaller one of each amount and that of \p Limit.
+  Resources limitedTo(const Resources &Limit) const;
   friend bool operator==(const Resources &, const Resources &) = default;
 };
 
+/// Larger requests and capacities are rejected where they are decoded, so that
+/// those of all tasks and workers of a cell can be added.
+inline constexpr Resources MaxResources{
+    std::int64_t{1} << 40U, std::int64_t{1} << 40U, std::int64_t{1} << 40U};
+
 /// A group of identical tasks.
 struct StepSpec {
   std::uint32_t Count_ = 1;
@@ -91,9 +100,10 @@
 };
 
 /// Validates \p Spec and returns a description of the first error, or an empty
-/// string. A specification is valid if it has a step, each step has a task and
-/// depends on earlier steps only, and the total number of tasks is within its
-/// limit.
+/// string. A specification is valid if it has a step, each step has a task,
+/// requests at most MaxResources and depends on earlier steps only, the total
+/// number of tasks is within its limit, and the due time of each occurrence can
+/// be represented.
 std::string findSpecError(const JobSpec &Spec);
 
 /// Returns the length of the critical path through the steps for which
--- a/packages/scheduling/include/filbertspring/scheduling/scheduler.h
+++ b/packages/scheduling/include/filbertspring/scheduling/scheduler.h
@@ -228,6 +228,10 @@
 
   /// Adds a job. Has no effect if the job is already known.
   void addJob(const AcceptedJob &Accepted, TimePoint Now);
+  /// Adds a job that is accepted but cannot be run. It has failed because of
+  /// \p Cause, as callers learn. Has no effect if the job is already known.
+  void addUnusableJob(const AcceptedJob &Accepted, const std::string &Cause,
+                      TimePoint Now);
   /// Restores the stored progress of a job. Must be called after all workers
   /// have been added. Placed tasks count as running until a report of their
   /// worker or the expiry of their lease shows otherwise.
--- a/packages/scheduling/src/job.cpp
+++ b/packages/scheduling/src/job.cpp
@@ -326,11 +326,18 @@
 
 void Job::giveUp(const TaskName &Name) {
   Task *Culprit = find(Name);
-  if (!Culprit || isFinal(State_))
+  if (!Culprit)
     return;
-  Cause_ = "task " + Name.text() + " crashed the workers";
+  std::string Cause = "task " + Name.text() + " crashed the workers";
   for (const std::string &Worker : Culprit->Progress_.CrashedWorkers_)
-    Cause_ += " " + Worker;
+    Cause += " " + Worker;
+  reject(std::move(Cause));
+}
+
+void Job::reject(std::string Cause) {
+  if (isFinal(State_))
+    return;
+  Cause_ = std::move(Cause);
   finish(JobState::Failed);
 }
 
--- a/packages/scheduling/src/job_order.cpp
+++ b/packages/scheduling/src/job_order.cpp
@@ -1,5 +1,7 @@
 #include "job_order.h"
 
+#include "filbertspring/base/checked_arithmetic.h"
+
 #include <algorithm>
 
 namespace filbertspring::scheduling {
@@ -16,8 +18,7 @@
   if (!Policy || Waiting.isLongRunning())
     return Duration::zero();
   return Policy->TargetLatency_ +
-         std::chrono::duration_cast<Duration>(
-             Policy->SlackFactor_ * criticalPath(Waiting.accepted().Spec_));
+         scaled(criticalPath(Waiting.accepted().Spec_), Policy->SlackFactor_);
 }
 
 Lateness latenessOf(const Job &Waiting, Duration Objective, TimePoint Now) {
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -106,6 +106,19 @@
     cancelJob(Accepted.Id_, Now);
 }
 
+void Scheduler::addUnusableJob(const AcceptedJob &Accepted,
+                               const std::string &Cause, TimePoint Now) {
+  if (Impl_->findJob(Accepted.Id_))
+    return;
+  addJob(Accepted, Now);
+  JobRecord &Record = *Impl_->findJob(Accepted.Id_);
+  Record.Job_.reject(Cause);
+  Impl_->handleJobChange(Record, Now);
+  Impl_->recordEvent(
+      LogEvent::JobFinished,
+      {{"job", Accepted.Id_}, {"state", "failed"}, {"cause", Cause}});
+}
+
 void Scheduler::restoreProgress(const std::string &Id,
                                 const JobProgress &Progress) {
   JobRecord *Record = Impl_->findJob(Id);
--- a/packages/scheduling/src/scheduler_place_wait.cpp
+++ b/packages/scheduling/src/scheduler_place_wait.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// The part of the scheduler that lets tasks wait for a place near their data.
 
+#include "filbertspring/base/checked_arithmetic.h"
 #include "filbertspring/base/overloaded.h"
 #include "job_order.h"
 #include "scheduler_impl.h"
@@ -128,10 +129,9 @@
   const Queue *Policy = Queues_->find(TheJob.accepted().Queue_);
   // Both the objective and the time until the end depend on the run time.
   double Factor = Policy ? Policy->SlackFactor_ : 1;
-  Input.Slack_ =
-      rankOf(TheJob, Policy, Now).Due_ - Now - TheJob.remainingTime() +
-      std::chrono::duration_cast<Duration>((Factor - 1) *
-                                           (Input.RunTime_ - Step.Estimate_));
+  Input.Slack_ = rankOf(TheJob, Policy, Now).Due_ - Now -
+                 TheJob.remainingTime() +
+                 scaled(Input.RunTime_ - Step.Estimate_, Factor - 1);
   Input.BatchSize_ = Step.Count_;
   PlaceWaits_.describe(Rack, static_cast<double>(Step.Request_.MilliCpu_),
                        Tasks, Input, Now);
--- a/packages/scheduling/tests/storage_test.cpp
+++ b/packages/scheduling/tests/storage_test.cpp
@@ -129,6 +129,29 @@
 
 } // namespace
 
+BOOST_AUTO_TEST_SUITE(a_stored_job_that_cannot_be_run)
+
+// Guards against a job that stays queued for good: earlier versions accepted
+// jobs beyond the limits.
+BOOST_FIXTURE_TEST_CASE(has_failed_and_tells_why, Cell) {
+  AcceptedJob Unusable;
+  Unusable.Id_ = "00000000000000aa";
+  Unusable.Queue_ = "batch";
+  Unusable.Service_ = "service";
+  Unusable.Spec_.Steps_.emplace_back();
+  Scheduler_.addUnusableJob(Unusable, "too many tasks", Now_);
+  Scheduler_.addUnusableJob(Unusable, "too many tasks", Now_);
+  step();
+  step();
+  BOOST_TEST(Starts_.empty());
+  JobProgress Stored = storedProgress().at(Unusable.Id_);
+  BOOST_TEST((Stored.State_ == JobState::Failed));
+  BOOST_TEST(Stored.Cause_ == "too many tasks");
+  BOOST_TEST(Scheduler_.expiredJobs(Now_ + 1h, 10).size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(while_more_jobs_change_than_a_transaction_holds)
 
 BOOST_FIXTURE_TEST_CASE(each_job_is_started_in_its_turn, LoadedCell) {
