Scheduling: the first registration of an unknown worker is no restart

Callers could see a task that runs twice: an owner restores the run of a worker of which neither a row nor a registration could be read, and then reads its first registration.

Cause: the empty address of the worker differed from the registered one, which counts as an incarnation at another address, so the run was given up at once.

Change: an address that is not known does not differ. The first report of the worker decides, as for other runs of a previous owner.

Evidence: is_kept_if_nothing_is_stored_of_its_worker fails without the change (3 checks).

--- a/packages/scheduling/src/scheduler_workers.cpp
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -110,10 +110,13 @@
   // that incarnations are ordered by may have been set back.
   if (!IsNew && !Worker.IsExpired_ && isOlder(Entry, Worker.Entry_))
     return;
+  // Nothing but its id is known of a worker whose row could not be read.
+  bool IsElsewhere = !Worker.Entry_.Address_.empty() &&
+                     Entry.Address_ != Worker.Entry_.Address_;
   bool IsOtherIncarnation =
       !IsNew && ((Entry.StartedAtMs_ != 0 && Worker.Entry_.StartedAtMs_ != 0 &&
                   Entry.StartedAtMs_ != Worker.Entry_.StartedAtMs_) ||
-                 Entry.Address_ != Worker.Entry_.Address_);
+                 IsElsewhere);
   if (IsOtherIncarnation)
     Impl_->handleNextIncarnation(Worker, Entry, Now, "new life");
   else if (IsNew)
--- a/packages/scheduling/tests/counted_runs_test.cpp
+++ b/packages/scheduling/tests/counted_runs_test.cpp
@@ -441,6 +441,28 @@
 
 BOOST_AUTO_TEST_SUITE(a_run_of_the_previous_owner)
 
+// Guards against two runs of one task: the first registration of a worker whose
+// row could not be read was taken for its next incarnation, at another address.
+BOOST_FIXTURE_TEST_CASE(is_kept_if_nothing_is_stored_of_its_worker, Cell) {
+  submit("lasting", {lastingTask()});
+  JobProgress Progress;
+  Progress.State_ = JobState::Running;
+  Progress.Tasks_["lasting.0.0.0"].Worker_ = "w4";
+  Progress.Tasks_["lasting.0.0.0"].LastRun_ = 7;
+  Scheduler_.restoreProgress("lasting", Progress);
+  step();
+  list("w4", false);
+  step();
+  BOOST_TEST(Starts_.empty());
+  TaskName Name;
+  Name.Job_ = "lasting";
+  RunningTasks_["w4"] = {{Name, 7, "", 100, 1}};
+  answerRenewals();
+  step();
+  BOOST_TEST(Starts_.empty());
+  BOOST_TEST(Scheduler_.counts().PlacedTasks_ == 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(keeps_its_lease_if_its_worker_answers_once,
                         CellTakenOver) {
   step();
