--- a/packages/scheduling/src/worker_state.h
+++ b/packages/scheduling/src/worker_state.h
@@ -76,11 +76,11 @@
   std::uint32_t StartsOpen_ = 0;
   /// A start command got no answer, so it may still be executed.
   bool HasUnansweredStart_ = false;
+  /// The job was marked as started because of this run.
+  bool IsStartRecorded_ = false;
   /// When the last start command was sent, and its fencing token.
   TimePoint StartSentAt_{};
   std::uint64_t StartToken_ = 0;
-  /// The job was marked as started because of this run.
-  bool IsStartRecorded_ = false;
   /// The last report that listed the run, as a value of ReportCount_.
   std::uint64_t LastListedReport_ = 0;
   std::string Checkpoint_;
