Scheduling: log runs that count as over after their stop

A run whose stop was accepted and that the next report did not list was dropped without a line, so the logs could not tell which evidence had freed its task for another worker. run_given_up now names this cause and that of the next incarnation's report apart from the rest, how often the start was sent, and whether one got no answer.

--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -104,7 +104,8 @@
      "A task has waited too long and is placed on a worker that was a bad "
      "choice for it."},
     {LogEvent::RunGivenUp, Warning, "run_given_up",
-     "A run that was not stopped counts as over; its task waits again."},
+     "A run counts as over although no end of it was reported; its task waits "
+     "again."},
     {LogEvent::PlaceWaitDecided, Info, "place_wait_decided",
      "A task could start far from its data; whether it waits for a place near "
      "it, and why."},
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -254,6 +254,8 @@
       {"run", std::to_string(GivenUp.Number_)},
       {"worker", Worker.Entry_.Id_},
       {"cause", Cause},
+      {"starts", std::to_string(GivenUp.StartsSent_)},
+      {"unanswered", GivenUp.HasUnansweredStart_ ? "1" : "0"},
       {"born", std::to_string(Worker.Entry_.StartedAtMs_)},
       {"clock_ms", std::to_string(Worker.clockAt(Now).value_or(-1))},
       {"lease_left_ms",
@@ -275,7 +277,7 @@
                                       TimePoint Now) {
   if (!Report.isComplete())
     return;
-  std::vector<std::string> MissingRuns;
+  std::vector<std::pair<std::string, const char *>> MissingRuns;
   for (const auto &[Text, ActiveRun] : Worker.Runs_) {
     if (ActiveRun.LastListedReport_ == Worker.ReportCount_)
       continue;
@@ -285,13 +287,16 @@
                            ActiveRun.StopConfirmedAt_ &&
                            *ActiveRun.StopConfirmedAt_ < SentAt;
     bool CannotStart = Token == Worker.Token_ && Worker.isFenced(ActiveRun);
-    if (IsConfirmedBefore || IsStoppedBefore || CannotStart)
-      MissingRuns.push_back(Text);
+    if (IsConfirmedBefore)
+      MissingRuns.emplace_back(Text, "not reported");
+    else if (IsStoppedBefore)
+      MissingRuns.emplace_back(Text, "not reported after its stop");
+    else if (CannotStart)
+      MissingRuns.emplace_back(Text, "not reported by the next life");
   }
-  for (const std::string &Text : MissingRuns) {
+  for (const auto &[Text, Cause] : MissingRuns) {
     Run Dropped = Worker.Runs_[Text];
-    if (!Dropped.StopConfirmedAt_)
-      recordGivenUp(Worker, Dropped, "not reported", &Report, Now);
+    recordGivenUp(Worker, Dropped, Cause, &Report, Now);
     Worker.dropRun(Text);
     NeedsPlacement_ = true;
     if (JobRecord *Record = findJob(Dropped.Name_.Job_)) {
