--- a/packages/node/src/cell_ownership.cpp
+++ b/packages/node/src/cell_ownership.cpp
@@ -119,6 +119,8 @@
             {"tenure", static_cast<std::int64_t>(Settings.Tenure_)},
             {"predecessor", Predecessor_},
             {"silent_ms", PredecessorSilence_ / std::chrono::milliseconds(1)},
+            {"leases_ms",
+             Settings.PredecessorLeaseLimit_ / std::chrono::milliseconds(1)},
             {"cores", fmt::format("{:.3}", Settings_.capacityCores())},
             {"strongest_cores", fmt::format("{:.3}", strongestCores())}});
   load(Tenure_);
--- a/packages/scheduling/src/scheduler_workers.cpp
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -140,13 +140,17 @@
 /// and returns their tasks to the waiting tasks.
 void Scheduler::Impl::abandonRuns(WorkerState &Worker, TimePoint Now,
                                   const char *Cause) {
-  if (!Worker.Runs_.empty())
-    recordEvent(LogEvent::WorkerRunsLost,
-                {{"worker", Worker.Entry_.Id_},
-                 {"runs", std::to_string(Worker.Runs_.size())},
-                 {"cause", Cause}});
+  constexpr auto Millisecond = std::chrono::milliseconds(1);
   // The tasks may have been away since the last report.
   TimePoint LastReportAt = Worker.ClockMs_ ? Worker.ClockAt_ : Now;
+  if (!Worker.Runs_.empty())
+    recordEvent(
+        LogEvent::WorkerRunsLost,
+        {{"worker", Worker.Entry_.Id_},
+         {"runs", std::to_string(Worker.Runs_.size())},
+         {"cause", Cause},
+         {"silent_ms", std::to_string((Now - LastReportAt) / Millisecond)},
+         {"tenure_ms", std::to_string((Now - TenureStart_) / Millisecond)}});
   for (auto &[Text, ActiveRun] : Worker.takeAllRuns()) {
     recordGivenUp(Worker, ActiveRun, Cause, nullptr, Now);
     JobRecord *Record = findJob(ActiveRun.Name_.Job_);
