--- a/packages/scheduling/tests/crash_histories_test.cpp
+++ b/packages/scheduling/tests/crash_histories_test.cpp
@@ -125,7 +125,7 @@
     }
     if (Cell.now() >= TakeOverAt) {
       TakeOverAt += History.TenureTime_;
-      Cell.takeOver(Cell.chance() < 0.5);
+      Cell.takeOver(Cell.chance() < 0.5 ? OwnerEnd::CutOff : OwnerEnd::Killed);
     }
     if (Cell.now() >= End - 10s)
       for (const std::string &Job : std::exchange(LongRunning, {}))
--- a/packages/scheduling/tests/restart_histories_test.cpp
+++ b/packages/scheduling/tests/restart_histories_test.cpp
@@ -47,7 +47,7 @@
   Faults.DelayedExecution_ = Seed % 2 == 0 ? 0.03 : 0;
   SimulatedCell Cell(Seed, 6, Faults);
   Cell.setMaxLease(Seed % 4 == 0 ? 6s : 10s);
-  Cell.takeOver(false);
+  Cell.takeOver(OwnerEnd::Killed);
   Cell.enablePowerLoss();
   Cell.enableReportWaits();
   Cell.delayRegistrations(Seed % 3 == 0 ? 1000ms : 300ms);
@@ -72,7 +72,7 @@
       Cell.run(between(Cell, 0ms, 2500ms));
     }
     if (Cell.chance() < 0.25)
-      Cell.takeOver(Cell.chance() < 0.3);
+      Cell.takeOver(Cell.chance() < 0.3 ? OwnerEnd::CutOff : OwnerEnd::Killed);
     Cell.run(between(Cell, 0ms, 1500ms));
     Cell.isolateWorker(Worker);
     Cell.run(between(Cell, 7s, 14s));
@@ -99,7 +99,7 @@
   Faults.DelayedExecution_ = Seed % 2 == 0 ? 0.3 : 0.1;
   Faults.LatestExecution_ = 12s;
   SimulatedCell Cell(Seed, 6, Faults);
-  Cell.takeOver(false);
+  Cell.takeOver(OwnerEnd::Killed);
   Cell.enablePowerLoss();
   Cell.enableReportWaits();
   Cell.delayRegistrations(Seed % 3 == 0 ? 1000ms : 300ms);
@@ -125,7 +125,7 @@
         Cell.restartAsPlanned(Worker, between(Cell, 300ms, 2500ms));
       Cell.run(between(Cell, 0ms, 1500ms));
       if (Cell.chance() < 0.1)
-        Cell.takeOver(false);
+        Cell.takeOver(OwnerEnd::Killed);
     }
     Cell.run(between(Cell, 2s, 12s));
     // Nothing that was sent before is executed afterwards.
--- a/packages/scheduling/tests/scheduler_fuzz_test.cpp
+++ b/packages/scheduling/tests/scheduler_fuzz_test.cpp
@@ -64,9 +64,9 @@
   std::size_t Worker = Cell.random()() % Cell.workerCount();
   switch (Cell.random()() % 12) {
   case 0:
-    return Cell.takeOver(false);
+    return Cell.takeOver(OwnerEnd::Killed);
   case 1:
-    return Cell.takeOver(true);
+    return Cell.takeOver(OwnerEnd::CutOff);
   case 2:
     return Cell.crashWorker(Worker, true);
   case 3:
--- a/packages/scheduling/tests/simulated_cell.cpp
+++ b/packages/scheduling/tests/simulated_cell.cpp
@@ -74,7 +74,7 @@
         },
         TailLatencies_);
   }
-  takeOver(false);
+  takeOver(OwnerEnd::Killed);
   refreshRegistrations();
 }
 
@@ -183,10 +183,10 @@
   Owner_->Scheduler_.cancelJob(Job, Now_);
 }
 
-void SimulatedCell::takeOver(bool IsPredecessorAlive) {
+void SimulatedCell::takeOver(OwnerEnd End) {
   noteFault();
   Predecessor_ = Owner_;
-  if (Owner_ && IsPredecessorAlive)
+  if (Owner_ && End == OwnerEnd::CutOff)
     Owner_->HasStore_ = false;
   else if (Owner_)
     Owner_->IsGone_ = true;
@@ -231,7 +231,7 @@
 }
 
 void SimulatedCell::splitOwners() {
-  takeOver(true);
+  takeOver(OwnerEnd::CutOff);
   Predecessor_->UnreachableZone_ = "zone-a";
   Owner_->UnreachableZone_ = "zone-b";
 }
--- a/packages/scheduling/tests/simulated_cell.h
+++ b/packages/scheduling/tests/simulated_cell.h
@@ -38,6 +38,18 @@
   Duration LatestAfterRestart_ = std::chrono::seconds(3);
 };
 
+/// How an owner ends before the next one takes the cell over.
+enum class OwnerEnd {
+  /// It is killed; another instance takes over.
+  Killed,
+  /// It goes on without the store; another instance takes over.
+  CutOff,
+  /// It is killed, and the next process of its instance takes over.
+  Restarted,
+  /// It releases the cell.
+  Released,
+};
+
 /// A cell with its workers, its present owner and the previous one.
 class SimulatedCell {
 public:
@@ -99,9 +111,8 @@
   void freezeOwner(Duration Time);
   /// Owners take \p Time to write a command to a connection.
   void setSendingTime(Duration Time) { SendingTime_ = Time; }
-  /// Another instance takes the cell over. The previous owner has ended, or
-  /// continues to run without access to the store.
-  void takeOver(bool IsPredecessorAlive);
+  /// The present owner ends, and the next one takes the cell over at once.
+  void takeOver(OwnerEnd End);
   void crashWorker(std::size_t Index, bool Restarts);
   void drainWorker(std::size_t Index);
   /// A planned restart: the worker drains for \p DrainTime, ends, and is back
--- a/packages/scheduling/tests/simulated_worker.h
+++ b/packages/scheduling/tests/simulated_worker.h
@@ -100,6 +100,7 @@
   /// Returns since when a serving task has been over its target because of
   /// fillers; nothing if none is.
   std::optional<TimePoint> harmedSince() const;
+  bool isIdle() const { return Runs_.empty(); }
   bool hasEnds() const { return !Ends_.empty(); }
   std::int64_t clockMs(TimePoint Now) const;
 
--- a/packages/scheduling/tests/standstill_histories_test.cpp
+++ b/packages/scheduling/tests/standstill_histories_test.cpp
@@ -60,7 +60,7 @@
     Cell.run(between(Cell, 10ms, 200ms));
     Cell.freezeOwner(Standstill);
     Cell.run(2600ms);
-    Cell.takeOver(true);
+    Cell.takeOver(OwnerEnd::CutOff);
     Cell.run(12s);
   }
   Cell.run(10s);
@@ -85,7 +85,7 @@
     Cell.crashWorker(Cell.random()() % Cell.workerCount(), true);
     if (Cell.chance() < 0.3) {
       Cell.run(between(Cell, 0ms, 600ms));
-      Cell.takeOver(false);
+      Cell.takeOver(OwnerEnd::Killed);
     }
     Cell.run(4s);
   }
@@ -108,7 +108,7 @@
     Cell.run(between(Cell, 100ms, 600ms));
     Cell.freezeOwner(between(Cell, 500ms, 2500ms));
     Cell.run(2500ms);
-    Cell.takeOver(false);
+    Cell.takeOver(OwnerEnd::Killed);
     Cell.run(8s);
   }
   Cell.run(10s);
--- a/packages/scheduling/tests/waiting_histories_test.cpp
+++ b/packages/scheduling/tests/waiting_histories_test.cpp
@@ -254,7 +254,8 @@
     return Cell_.setFaults(Cell_.chance() < 0.7 ? LostCalls : OwnFailures);
   case Trouble::TakeOvers:
     if (++TakeOvers_ <= MaxTakeOvers)
-      Cell_.takeOver(Cell_.chance() < 0.5);
+      Cell_.takeOver(Cell_.chance() < 0.5 ? OwnerEnd::CutOff
+                                          : OwnerEnd::Killed);
     return;
   case Trouble::GoneWorkers:
     if (IsUp && ++Lost_ <= MaxLost)
--- a/packages/scheduling/tests/workspace_histories_test.cpp
+++ b/packages/scheduling/tests/workspace_histories_test.cpp
@@ -106,9 +106,9 @@
   std::size_t Worker = Cell_.random()() % Cell_.workerCount();
   switch (Cell_.random()() % 10) {
   case 0:
-    return Cell_.takeOver(false);
+    return Cell_.takeOver(OwnerEnd::Killed);
   case 1:
-    return Cell_.takeOver(true);
+    return Cell_.takeOver(OwnerEnd::CutOff);
   case 2:
     return Cell_.crashWorker(Worker, true);
   case 3:
