Owners: one bound for the leases of all predecessors

The new owner assumed that its predecessor could grant leases until six seconds after the takeover, and forgot what was known: that the predecessor was its own former process and had ended, that earlier owners had ended long ago, and that the predecessor had stopped extending the leases of that worker.

The bound is now an instant that is carried from owner to owner. The row of the owner states for how long the owners before it may still grant leases. A former process of the same instance, at the same address, grants nothing once the next one has started. The row also notes the workers that do not answer, and when their leases end; until a row without the note is stored, no command permits tasks of these workers to run. A successor that reads the note need not wait for longer, and passes it on.

Cost: a transaction writes the owner's row, too, when a worker stops answering; once a worker answers again, one write of the row precedes its next lease.

--- a/packages/node/src/cell_owner.cpp
+++ b/packages/node/src/cell_owner.cpp
@@ -89,7 +89,9 @@
                      CounterRegistry &Counters, const NodeSettings &Settings,
                      scheduling::OwnerLease &Lease)
     : Loop_(Loop), Store_(Store), Counters_(Counters), Settings_(Settings),
-      Lease_(Lease), SuccessorSearch_(Loop) {}
+      Lease_(Lease),
+      PredecessorLeases_(Lease.takeoverRecord(), SchedulerClock::now()),
+      SuccessorSearch_(Loop) {}
 
 void CellOwner::start() { tick(); }
 
@@ -279,13 +281,18 @@
     return;
   if (ActiveTenure.IsLoaded_ && Lease_.isValid(Now))
     placeTasks();
-  bool MustRenew = Lease_.shouldRenew(Now) || ActiveTenure.MustWriteOwnerRow_;
+  bool MustRenew = Lease_.shouldRenew(Now) || ActiveTenure.MustWriteOwnerRow_ ||
+                   (ActiveTenure.IsLoaded_ &&
+                    ActiveTenure.Scheduler_.mustUpdateLeaseNotes());
   bool HasWrites =
       ActiveTenure.IsLoaded_ && ActiveTenure.Scheduler_.hasWrites();
   if (!MustRenew && !HasWrites)
     return;
+  MustRenew = MustRenew || (ActiveTenure.IsLoaded_ &&
+                            ActiveTenure.Scheduler_.lacksLeaseNotes(Now));
   CellTransaction Sent;
-  Sent.HasOwnerRow_ = MustRenew;
+  if (MustRenew)
+    Sent.Owner_ = makeOwnerRecord(Now);
   Sent.SentAt_ = Now;
   if (ActiveTenure.IsLoaded_) {
     Sent.Writes_ = ActiveTenure.Scheduler_.takeWrites(
@@ -307,6 +314,19 @@
                 });
 }
 
+OwnerRecord CellOwner::makeOwnerRecord(TimePoint Now) {
+  OwnerRecord Record = Lease_.record();
+  if (Tenure_->IsLoaded_) {
+    Record.Notes_ = Tenure_->Scheduler_.noteLeases(Now);
+    if (Tenure_->Scheduler_.hasFencedPredecessors())
+      EarlierGrantsEnd_ = std::min(EarlierGrantsEnd_, Now);
+  } else {
+    Record.Notes_ = scheduling::makeLeaseNotes(NotedLeases_, Now);
+  }
+  Record.EarlierGrants_ = std::max(EarlierGrantsEnd_ - Now, Duration::zero());
+  return Record;
+}
+
 /// Adds the cell's status and the interference model to \p Sent if they are due
 /// and have changed.
 void CellOwner::addStatusAndModel(CellTransaction &Sent) const {
@@ -326,9 +346,9 @@
 CellOwner::makeCellTransaction(const CellTransaction &Sent) const {
   RowTransaction Changes;
   Changes.Conditions_.push_back({ownerKey(), Lease_.version()});
-  if (Sent.HasOwnerRow_)
+  if (Sent.Owner_)
     Changes.Writes_.push_back(
-        makeRow(ownerKey(), scheduling::encodeOwnerRecord(Lease_.record())));
+        makeRow(ownerKey(), scheduling::encodeOwnerRecord(*Sent.Owner_)));
   if (!Sent.Status_.empty())
     Changes.Writes_.push_back(makeRow(statusKey(), Sent.Status_));
   if (!Sent.Model_.empty())
@@ -374,8 +394,9 @@
     ActiveTenure.NextModelAt_ = Now + MinModelInterval;
   if (Outcome.Outcome_ == CommitOutcome::Committed) {
     ActiveTenure.FailedCommits_ = 0;
-    if (Sent.HasOwnerRow_) {
-      Lease_.rowWritten(Lease_.record(), Outcome.Version_, Sent.SentAt_);
+    if (Sent.Owner_) {
+      Lease_.rowWritten(*Sent.Owner_, Outcome.Version_, Sent.SentAt_);
+      ActiveTenure.Scheduler_.leaseNotesStored(Sent.Owner_->Notes_, Now);
       ActiveTenure.MustWriteOwnerRow_ = false;
     }
     if (!Sent.Status_.empty())
--- a/packages/node/src/cell_owner.h
+++ b/packages/node/src/cell_owner.h
@@ -7,10 +7,10 @@
 
 #include "filbertspring/node/node_settings.h"
 #include "filbertspring/scheduling/owner_lease.h"
+#include "filbertspring/scheduling/predecessor_leases.h"
 #include "filbertspring/scheduling/scheduler.h"
 #include "filbertspring/scheduling/start_admission.h"
 #include "job_rows.h"
-#include "predecessor_leases.h"
 #include "store_client.h"
 #include "successor_search.h"
 #include "transaction_size.h"
@@ -19,6 +19,7 @@
 #include "workspace_metrics.h"
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -63,7 +64,7 @@
 /// The content of one transaction of the owner.
 struct CellTransaction {
   scheduling::PendingWrites Writes_;
-  bool HasOwnerRow_ = false;
+  std::optional<scheduling::OwnerRecord> Owner_;
   /// The encoded status and model; empty if the transaction does not write
   /// them.
   std::string Status_;
@@ -158,6 +159,8 @@
   /// Adds what became of waits for places to the counters of the process.
   void countPlaceWaits();
   void commitIfDue(TimePoint Now);
+  /// Returns the owner's row to write at \p Now.
+  scheduling::OwnerRecord makeOwnerRecord(TimePoint Now);
   void addStatusAndModel(CellTransaction &Sent) const;
   scheduling::RowTransaction
   makeCellTransaction(const CellTransaction &Sent) const;
@@ -186,10 +189,12 @@
   /// The time for which the previous owner had not renewed its row at the
   /// takeover.
   Duration PredecessorSilence_{};
-  PredecessorLeases PredecessorLeases_;
-  /// As they were read before the last takeover. The new row may be read before
-  /// the takeover is answered.
-  PredecessorLeases LeasesAtTakeover_;
+  scheduling::PredecessorLeases PredecessorLeases_;
+  /// Until when the owners before the present tenure may grant leases, and the
+  /// leases that their row noted. As they were read before the last takeover:
+  /// the new row may be read before the takeover is answered.
+  TimePoint EarlierGrantsEnd_{};
+  scheduling::NotedLeases NotedLeases_;
   /// The instance that owned the cell before; empty if it released the cell.
   std::string Predecessor_;
   bool IsTakingOver_ = false;
--- a/packages/node/src/cell_ownership.cpp
+++ b/packages/node/src/cell_ownership.cpp
@@ -35,7 +35,8 @@
 } // namespace
 
 void CellOwner::handleLeaseChange() {
-  PredecessorLeases_.rowRead(Lease_.record(), SchedulerClock::now());
+  PredecessorLeases_.rowRead(Lease_.record(), Lease_.version(),
+                             SchedulerClock::now());
   if (Tenure_ && !Lease_.isOwner())
     endTenure("another owner's row was read");
   // A takeover whose answer was lost took effect after the release.
@@ -60,7 +61,11 @@
   OwnerRecord NewOwner = Lease_.takeoverRecord();
   Predecessor_ = Lease_.record().Holder_;
   PredecessorSilence_ = Lease_.unchangedDuration();
-  LeasesAtTakeover_ = PredecessorLeases_;
+  EarlierGrantsEnd_ = PredecessorLeases_.grantsEnd(SentAt, PredecessorSilence_);
+  NotedLeases_ = PredecessorLeases_.notedLeases();
+  NewOwner.EarlierGrants_ =
+      std::max(EarlierGrantsEnd_ - SentAt, Duration::zero());
+  NewOwner.Notes_ = scheduling::makeLeaseNotes(NotedLeases_, SentAt);
   RowTransaction Takeover;
   Takeover.Conditions_.push_back({ownerKey(), Lease_.version()});
   Takeover.Writes_.push_back(
@@ -101,16 +106,17 @@
   Settings.MaxLease_ = Settings_.MaxLease_;
   Settings.LeaseDuration_ =
       std::min(Settings.LeaseDuration_, Settings_.MaxLease_);
+  TimePoint Now = SchedulerClock::now();
   Settings.PredecessorLeaseLimit_ =
-      LeasesAtTakeover_.limit(SchedulerClock::now(), PredecessorSilence_,
-                              Settings.LeaseDuration_ + GrantSlack);
+      EarlierGrantsEnd_ + Settings.LeaseDuration_ + GrantSlack - Now;
   Settings.KillTimeout_ = Settings_.KillTimeout_;
   Settings.FinalStateRetention_ = Settings_.StateRetention_;
   Settings.MinCancellationRetention_ = Settings_.MinCancellationRetention_;
   Settings.FarFactor_ = Settings_.RemoteDataSlowdown_;
   Tenure_ = std::make_shared<Tenure>(Loop_, Counters_, Settings_.PeerAddress_,
-                                     Settings, SchedulerClock::now(),
+                                     Settings, Now,
                                      [this] { requestSchedulingCycle(); });
+  Tenure_->Scheduler_.restoreLeaseNotes(NotedLeases_);
   Tenure_->Calls_.channel().routes().setCandidates(Relays_);
   Tenure_->Scheduler_.configure(Queues_);
   Tenure_->Scheduler_.setClosedZones(ClosedZones_);
@@ -121,6 +127,7 @@
             {"silent_ms", PredecessorSilence_ / std::chrono::milliseconds(1)},
             {"leases_ms",
              Settings.PredecessorLeaseLimit_ / std::chrono::milliseconds(1)},
+            {"noted_workers", static_cast<std::int64_t>(NotedLeases_.size())},
             {"cores", fmt::format("{:.3}", Settings_.capacityCores())},
             {"strongest_cores", fmt::format("{:.3}", strongestCores())}});
   load(Tenure_);
--- a/packages/scheduling/include/filbertspring/scheduling/owner_lease.h
+++ b/packages/scheduling/include/filbertspring/scheduling/owner_lease.h
@@ -13,13 +13,28 @@
 
 #include "filbertspring/base/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace filbertspring::scheduling {
 
+/// States that the leases of a worker end soon. Until a row without the note is
+/// stored, no owner permits tasks of this worker to run for longer.
+struct LeaseNote {
+  std::string Worker_;
+  /// The start time of the incarnation, milliseconds since 1970.
+  std::int64_t StartedAtMs_ = 0;
+  /// How long tasks may run after the row was written.
+  Duration Left_{};
+};
+
+/// The maximum number of notes in the ownership row.
+inline constexpr std::size_t MaxLeaseNotes = 256;
+
 /// The content of the ownership row.
 struct OwnerRecord {
   /// The instance that owns the cell; empty after the owner released it.
@@ -30,10 +45,15 @@
   std::string Address_;
   /// Incremented by each takeover.
   std::uint64_t Tenure_ = 0;
+  /// For how long after the row was written the owners before this tenure may
+  /// still grant leases; empty if it is not known.
+  std::optional<Duration> EarlierGrants_;
+  std::vector<LeaseNote> Notes_;
 };
 
 std::string encodeOwnerRecord(const OwnerRecord &Record);
-/// Decodes a row. Invalid text yields a record without a holder.
+/// Decodes a row. Invalid text yields a record without a holder. Durations that
+/// no owner writes are omitted.
 OwnerRecord decodeOwnerRecord(std::string_view Text);
 
 /// Intervals and timeouts of the ownership lease.
--- /dev/null
+++ b/packages/scheduling/include/filbertspring/scheduling/predecessor_leases.h
@@ -0,0 +1,68 @@
+#ifndef FILBERTSPRING_SCHEDULING_PREDECESSOR_LEASES_H
+#define FILBERTSPRING_SCHEDULING_PREDECESSOR_LEASES_H
+
+/// \file
+/// Bounds of the leases that previous owners of a cell have granted, from what
+/// one instance has read of the owner's row.
+
+#include "filbertspring/scheduling/owner_lease.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace filbertspring::scheduling {
+
+/// What the owner's row states about the leases of a worker.
+struct NotedLease {
+  /// The start time of the incarnation, milliseconds since 1970.
+  std::int64_t StartedAtMs_ = 0;
+  /// No task runs under these leases after this time.
+  TimePoint End_;
+};
+
+/// By the id of the worker.
+using NotedLeases = std::map<std::string, NotedLease>;
+
+/// Returns \p Leases as a row that is written at \p Now states them.
+std::vector<LeaseNote> makeLeaseNotes(const NotedLeases &Leases, TimePoint Now);
+
+/// Until when previous owners may have granted leases.
+class PredecessorLeases {
+public:
+  /// \p Self: the record that this process writes as the owner. \p StartedAt:
+  /// when the process started.
+  PredecessorLeases(OwnerRecord Self, TimePoint StartedAt);
+
+  /// Notes that the owner's row at \p Version contains \p Record, as an answer
+  /// shows that was handled at \p Now.
+  void rowRead(const OwnerRecord &Record, std::uint64_t Version, TimePoint Now);
+
+  /// Returns the last time at which a previous owner may have granted a lease,
+  /// for a takeover at \p Now. It may be over. \p Silence: how long the owner
+  /// had not renewed its row.
+  TimePoint grantsEnd(TimePoint Now, Duration Silence) const;
+
+  /// Returns the leases of single workers that end earlier than those which are
+  /// granted until grantsEnd().
+  const NotedLeases &notedLeases() const { return Notes_; }
+
+private:
+  TimePoint lastOwnerGrantsEnd(TimePoint Now, Duration Silence) const;
+
+  OwnerRecord Self_;
+  TimePoint StartedAt_;
+  /// The last content that was read.
+  OwnerRecord Record_;
+  std::optional<std::uint64_t> Version_;
+  /// Until when the owners before that of the row may have granted leases.
+  TimePoint EarlierGrantsEnd_{};
+  /// When this instance first saw that the tenure was released.
+  std::optional<TimePoint> ReleasedSince_;
+  NotedLeases Notes_;
+};
+
+} // namespace filbertspring::scheduling
+
+#endif // FILBERTSPRING_SCHEDULING_PREDECESSOR_LEASES_H
--- a/packages/scheduling/include/filbertspring/scheduling/scheduler.h
+++ b/packages/scheduling/include/filbertspring/scheduling/scheduler.h
@@ -16,6 +16,7 @@
 #include "filbertspring/scheduling/interference.h"
 #include "filbertspring/scheduling/job.h"
 #include "filbertspring/scheduling/owner_lease.h"
+#include "filbertspring/scheduling/predecessor_leases.h"
 #include "filbertspring/scheduling/progress_journal.h"
 #include "filbertspring/scheduling/queue_table.h"
 #include "filbertspring/scheduling/start_admission.h"
@@ -259,6 +260,9 @@
   /// expiredJobs() returns it once it cannot come any more.
   void cancelJob(const std::string &Job, TimePoint Now);
 
+  /// Sets the bounds of the leases of workers that the owner's row has noted
+  /// since before this tenure. Must be called before all others.
+  void restoreLeaseNotes(NotedLeases Noted);
   /// Adds a worker that the previous owner may have used.
   void restoreWorker(const WorkerEntry &Entry, TimePoint Now);
   /// Handles a new or changed registration of a worker.
@@ -320,6 +324,25 @@
   /// Returns whether there are changes to store or ended runs to acknowledge.
   bool hasWrites() const;
 
+  /// Returns the notes for the owner's row that is written at \p Now: the
+  /// leases of workers that do not answer. From now on, commands do not permit
+  /// tasks of these workers to run, until a row without the note is stored.
+  /// Linear in the number of workers.
+  std::vector<LeaseNote> noteLeases(TimePoint Now);
+  /// Notes that the stored row of the owner has \p Notes.
+  void leaseNotesStored(const std::vector<LeaseNote> &Notes, TimePoint Now);
+  /// Returns whether there are workers to note that the row does not note yet,
+  /// so that a transaction should write the row, too. Linear in the number of
+  /// workers.
+  bool lacksLeaseNotes(TimePoint Now) const;
+  /// Returns whether all workers that may have run tasks before this tenure have
+  /// answered or are noted, so that no lease which a previous owner grants from
+  /// now on counts. Linear in the number of workers.
+  bool hasFencedPredecessors() const;
+  /// Returns whether a worker answers again that the row may note, so that the
+  /// row should be written soon.
+  bool mustUpdateLeaseNotes() const;
+
   /// Returns up to \p MaxJobs jobs whose final state, or whose cancellation
   /// before their acceptance, need not be kept any more.
   /// Remove their stored acceptances before calling jobsRemoved(): progress
--- a/packages/scheduling/src/owner_lease.cpp
+++ b/packages/scheduling/src/owner_lease.cpp
@@ -6,11 +6,60 @@
 
 using nlohmann::json;
 
+namespace {
+
+/// Longer than any lease.
+constexpr Duration MaxNotedDuration = std::chrono::seconds(60);
+
+/// Rounds up, so that readers do not count less than \p Time.
+std::int64_t encodeDuration(Duration Time) {
+  return std::chrono::ceil<std::chrono::milliseconds>(Time).count();
+}
+
+std::optional<Duration> decodeDuration(const json &Value) {
+  if (!Value.is_number_integer())
+    return std::nullopt;
+  std::chrono::milliseconds Time(Value.get<std::int64_t>());
+  if (Time < Time.zero() || Time > MaxNotedDuration)
+    return std::nullopt;
+  return Time;
+}
+
+json encodeNotes(const std::vector<LeaseNote> &Notes) {
+  json Value = json::array();
+  for (const LeaseNote &Note : Notes)
+    Value.push_back(
+        {Note.Worker_, Note.StartedAtMs_, encodeDuration(Note.Left_)});
+  return Value;
+}
+
+/// Omits what is not a note: without it, a worker is waited for until the
+/// general bound.
+std::vector<LeaseNote> decodeNotes(const json &Value) {
+  std::vector<LeaseNote> Notes;
+  for (const json &Entry : Value) {
+    bool IsNote = Entry.is_array() && Entry.size() == 3 &&
+                  Entry[0].is_string() && Entry[1].is_number_integer();
+    std::optional<Duration> Left =
+        IsNote ? decodeDuration(Entry[2]) : std::nullopt;
+    if (Left)
+      Notes.push_back(
+          {Entry[0].get<std::string>(), Entry[1].get<std::int64_t>(), *Left});
+  }
+  return Notes;
+}
+
+} // namespace
+
 std::string encodeOwnerRecord(const OwnerRecord &Record) {
   json Value = {{"holder", Record.Holder_},
                 {"nonce", Record.Nonce_},
                 {"address", Record.Address_},
                 {"tenure", Record.Tenure_}};
+  if (Record.EarlierGrants_)
+    Value["earlier_ms"] = encodeDuration(*Record.EarlierGrants_);
+  if (!Record.Notes_.empty())
+    Value["notes"] = encodeNotes(Record.Notes_);
   return Value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -23,6 +72,8 @@
     Record.Tenure_ = Value.value("tenure", std::uint64_t{0});
     Record.Nonce_ = Value.value("nonce", "");
     Record.Address_ = Value.value("address", "");
+    Record.EarlierGrants_ = decodeDuration(Value.value("earlier_ms", json()));
+    Record.Notes_ = decodeNotes(Value.value("notes", json::array()));
     Record.Holder_ = Value.value("holder", "");
   } catch (const json::exception &) {
     Record.Holder_.clear();
@@ -127,6 +178,8 @@
   OwnerRecord Released;
   Released.Nonce_ = Self_.Nonce_;
   Released.Tenure_ = Record_.Tenure_;
+  Released.EarlierGrants_ = Record_.EarlierGrants_;
+  Released.Notes_ = Record_.Notes_;
   return Released;
 }
 
--- /dev/null
+++ b/packages/scheduling/src/predecessor_leases.cpp
@@ -0,0 +1,71 @@
+#include "filbertspring/scheduling/predecessor_leases.h"
+
+#include <algorithm>
+
+namespace filbertspring::scheduling {
+namespace {
+
+constexpr Duration ValidFor = OwnerLeaseTimings().ValidFor_;
+
+} // namespace
+
+std::vector<LeaseNote> makeLeaseNotes(const NotedLeases &Leases,
+                                      TimePoint Now) {
+  std::vector<LeaseNote> Notes;
+  Notes.reserve(Leases.size());
+  for (const auto &[Worker, Lease] : Leases)
+    Notes.push_back({Worker, Lease.StartedAtMs_,
+                     std::max(Lease.End_ - Now, Duration::zero())});
+  return Notes;
+}
+
+PredecessorLeases::PredecessorLeases(OwnerRecord Self, TimePoint StartedAt)
+    : Self_(std::move(Self)), StartedAt_(StartedAt) {}
+
+void PredecessorLeases::rowRead(const OwnerRecord &Record,
+                                std::uint64_t Version, TimePoint Now) {
+  if (Version == Version_)
+    return;
+  bool IsOtherTenure = !Version_ || Record.Tenure_ != Record_.Tenure_;
+  Version_ = Version;
+  Record_ = Record;
+  if (IsOtherTenure) {
+    // The owners before this one were valid for this time at most when it took
+    // the cell over.
+    EarlierGrantsEnd_ = Now + ValidFor;
+    ReleasedSince_.reset();
+  }
+  if (Record.EarlierGrants_)
+    EarlierGrantsEnd_ =
+        std::min(EarlierGrantsEnd_, Now + *Record.EarlierGrants_);
+  // An unreadable row has no nonce.
+  bool IsReleased = Record.Holder_.empty() && !Record.Nonce_.empty();
+  if (!IsReleased)
+    ReleasedSince_.reset();
+  else if (!ReleasedSince_)
+    ReleasedSince_ = Now;
+  Notes_.clear();
+  for (const LeaseNote &Note : Record.Notes_)
+    Notes_[Note.Worker_] = {Note.StartedAtMs_, Now + Note.Left_};
+}
+
+TimePoint PredecessorLeases::grantsEnd(TimePoint Now, Duration Silence) const {
+  return std::max(EarlierGrantsEnd_, lastOwnerGrantsEnd(Now, Silence));
+}
+
+TimePoint PredecessorLeases::lastOwnerGrantsEnd(TimePoint Now,
+                                                Duration Silence) const {
+  // An owner grants nothing after its release.
+  if (ReleasedSince_)
+    return *ReleasedSince_;
+  // A process of an instance starts after the previous one has ended. A machine
+  // that replaces another has a different address.
+  bool IsThisInstance = !Record_.Holder_.empty() &&
+                        Record_.Holder_ == Self_.Holder_ &&
+                        Record_.Address_ == Self_.Address_;
+  if (IsThisInstance)
+    return Record_.Nonce_ == Self_.Nonce_ ? Now : StartedAt_;
+  return Now - Silence + ValidFor;
+}
+
+} // namespace filbertspring::scheduling
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -280,7 +280,8 @@
   std::optional<std::int64_t> Clock = Worker.clockAt(Now);
   // The lease of an unreachable worker is not extended, so that its runs end at
   // a known time.
-  if (MayExtendLease && Clock && Worker.FailedRenewals_ == 0) {
+  if (MayExtendLease && Clock && Worker.FailedRenewals_ == 0 &&
+      !NotedWorkers_.contains(Renewal.Worker_)) {
     // A worker that drains leaves soon, and its runs with it. The shorter its
     // lease, the sooner they are known to have ended.
     Duration Lease = Worker.Entry_.IsDraining_
@@ -292,7 +293,8 @@
         std::max(Worker.LeaseExpiresAt_, leaseEnd(Lease, Now));
   }
   // A worker without tasks answers at once: there is no end to wait for.
-  if (Worker.isReachable() && !Worker.Runs_.empty())
+  bool IsNoted = NotedWorkers_.contains(Renewal.Worker_);
+  if (Worker.isReachable() && !Worker.Runs_.empty() && !IsNoted)
     Renewal.Wait_ = Worker.FreshSuspects_ > 0
                         ? std::min(SuspectReportWait, Settings_.ReportWait_)
                         : Settings_.ReportWait_;
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -70,6 +70,11 @@
   /// Returns until when tasks of \p Worker may run, whoever has granted their
   /// lease.
   TimePoint lastLeaseEnd(const WorkerState &Worker) const;
+  /// Returns the bound that a previous owner noted for the leases of \p Worker;
+  /// null if there is none.
+  const NotedLease *findPredecessorNote(const WorkerState &Worker) const;
+  /// Returns whether the owner's row should note the lease of \p Worker.
+  bool shouldBeNoted(const WorkerState &Worker, TimePoint Now) const;
   /// Sets the time of the next renewal, unless one is outstanding then.
   void scheduleRenewal(WorkerState &Worker, TimePoint At);
   void sendDueRenewals(TimePoint Now, bool MaySendCommands);
@@ -371,6 +376,11 @@
   /// Jobs that may have suspected tasks.
   std::set<std::string> JobsWithSuspects_;
   std::priority_queue<RenewalTime> RenewalTimes_;
+  /// The leases that previous owners noted, by the id of the worker.
+  NotedLeases PredecessorNotes_;
+  /// Workers that the stored row of the owner may note. No command permits
+  /// their tasks to run.
+  std::set<std::string> NotedWorkers_;
   /// Asked before each start of any task; nothing that a worker answers later,
   /// and no change of its state, ends a doubt.
   DoubtfulStarts DoubtfulStarts_;
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -352,7 +352,7 @@
   const WorkerEntry &Entry = Worker.Entry_;
   if (!Worker.IsRegistered_ || !Worker.IsStored_ || !Worker.isReachable() ||
       Worker.IsExpired_ || Entry.IsDraining_ || !Worker.ClockMs_ ||
-      ClosedZones_.contains(Entry.Zone_))
+      ClosedZones_.contains(Entry.Zone_) || NotedWorkers_.contains(Entry.Id_))
     return Obstacle::NotUsable;
   if (Worker.UnknownRuns_ > 0)
     return Obstacle::UnknownRun;
@@ -453,7 +453,8 @@
                                    const Run &Target) const {
   return Worker.IsRegistered_ && Worker.isReachable() && Worker.ClockMs_ &&
          !Worker.Entry_.IsDraining_ &&
-         !ClosedZones_.contains(Worker.Entry_.Zone_) && Worker.holdsItsRuns() &&
+         !ClosedZones_.contains(Worker.Entry_.Zone_) &&
+         !NotedWorkers_.contains(Worker.Entry_.Id_) && Worker.holdsItsRuns() &&
          !(Target.IsFiller_ && Worker.OverTargetSince_);
 }
 
--- a/packages/scheduling/src/scheduler_reports.cpp
+++ b/packages/scheduling/src/scheduler_reports.cpp
@@ -24,6 +24,9 @@
 /// Interval between two renewals that are sent to find out whether the lease of
 /// a worker has expired by its own clock.
 constexpr Duration ExpiredRetryInterval = std::chrono::milliseconds(100);
+/// Interval between two renewals of a worker that gets no lease until the
+/// owner's row is written.
+constexpr Duration NotedRetryInterval = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -77,8 +80,10 @@
   bool HasUnstoredEnds = Worker->ProcessedEnd_ > Worker->StoredEnd_;
   bool MayDelay =
       HasUnstoredEnds && Worker->LeaseExpiresAt_ - Now >= LeaseReserve;
-  Impl_->scheduleRenewal(
-      *Worker, Now + (MayDelay ? UnacknowledgedReportDelay : Duration::zero()));
+  Duration Delay = MayDelay ? UnacknowledgedReportDelay : Duration::zero();
+  if (Impl_->NotedWorkers_.contains(Id))
+    Delay = NotedRetryInterval;
+  Impl_->scheduleRenewal(*Worker, Now + Delay);
   if (Worker->Runs_.empty())
     Worker->LastIdleReportAt_ = Now;
   Impl_->observeTailLatencies(*Worker, Now);
--- a/packages/scheduling/src/scheduler_workers.cpp
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -77,8 +77,10 @@
   std::int64_t AgeMs = WallMs_ - Worker.Entry_.StartedAtMs_;
   bool MayBeYoung = Worker.Entry_.StartedAtMs_ == 0 ||
                     AgeMs < SettledIncarnationAge / Millisecond;
-  return std::max(Worker.LeaseExpiresAt_,
-                  Worker.EarlierCommands_.leaseEnd(Lengths, MayBeYoung));
+  TimePoint EarlierEnd = Worker.EarlierCommands_.leaseEnd(Lengths, MayBeYoung);
+  if (const NotedLease *Note = findPredecessorNote(Worker))
+    EarlierEnd = std::min(EarlierEnd, Note->End_);
+  return std::max(Worker.LeaseExpiresAt_, EarlierEnd);
 }
 
 /// Resets the state of a worker for a new incarnation.
--- a/packages/scheduling/tests/owner_lease_test.cpp
+++ b/packages/scheduling/tests/owner_lease_test.cpp
@@ -160,6 +160,30 @@
   BOOST_TEST(Read.Nonce_ == Record.Nonce_);
   BOOST_TEST(Read.Address_ == Record.Address_);
   BOOST_TEST(Read.Tenure_ == 3);
+  BOOST_TEST(!Read.EarlierGrants_);
+  BOOST_TEST(Read.Notes_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(has_bounds_of_leases_that_are_not_shortened) {
+  OwnerRecord Record = makeRecord("me");
+  Record.EarlierGrants_ = std::chrono::microseconds(1500);
+  Record.Notes_ = {{"w1", 7, std::chrono::microseconds(2001)}};
+  OwnerRecord Read = decodeOwnerRecord(encodeOwnerRecord(Record));
+  BOOST_TEST((Read.EarlierGrants_ == std::chrono::milliseconds(2)));
+  BOOST_REQUIRE(Read.Notes_.size() == 1);
+  BOOST_TEST(Read.Notes_[0].Worker_ == "w1");
+  BOOST_TEST(Read.Notes_[0].StartedAtMs_ == 7);
+  BOOST_TEST((Read.Notes_[0].Left_ == std::chrono::milliseconds(3)));
+}
+
+BOOST_AUTO_TEST_CASE(has_no_bounds_that_no_owner_writes) {
+  OwnerRecord Read = decodeOwnerRecord(
+      R"({"holder":"me","earlier_ms":-1,"notes":[["w1",7,-5],["w2",7,1e9],)"
+      R"(["w3",7],[4,7,5],"w4",["w5",7,99999999],["w6",7,5]]})");
+  BOOST_TEST(Read.Holder_ == "me");
+  BOOST_TEST(!Read.EarlierGrants_);
+  BOOST_REQUIRE(Read.Notes_.size() == 1);
+  BOOST_TEST(Read.Notes_[0].Worker_ == "w6");
 }
 
 BOOST_AUTO_TEST_CASE(of_another_form_has_no_holder) {
--- a/packages/scheduling/tests/simulated_cell.cpp
+++ b/packages/scheduling/tests/simulated_cell.cpp
@@ -30,6 +30,9 @@
   bool HasStore_ = true;
   bool IsWriting_ = false;
   TimePoint ConfirmedAt_{};
+  TimePoint RowWrittenAt_{};
+  /// Until when previous owners may grant leases.
+  TimePoint EarlierGrantsEnd_{};
   TimePoint FrozenUntil_{};
 };
 
@@ -186,16 +189,49 @@
 void SimulatedCell::takeOver(OwnerEnd End) {
   noteFault();
   Predecessor_ = Owner_;
-  if (Owner_ && End == OwnerEnd::CutOff)
+  OwnerLeaseTimings Times;
+  // Another instance takes over a row that has not changed for some time.
+  bool IsOtherInstance = End == OwnerEnd::Killed || End == OwnerEnd::CutOff;
+  Duration Silence = IsOtherInstance ? Times.TakeoverAfter_ : Duration::zero();
+  if (Owner_ && End == OwnerEnd::CutOff) {
     Owner_->HasStore_ = false;
-  else if (Owner_)
+    Owner_->ConfirmedAt_ = std::min(Owner_->ConfirmedAt_, Now_ - Silence);
+  } else if (Owner_) {
     Owner_->IsGone_ = true;
+  }
+  if (End == OwnerEnd::Released) {
+    OwnerRecord Released = OwnerRow_;
+    Released.Holder_.clear();
+    storeOwnerRow(Released);
+  }
+  OwnerRecord Self;
+  bool IsRestart = End == OwnerEnd::Restarted;
+  Self.Holder_ =
+      IsRestart ? OwnerRow_.Holder_ : "instance-" + std::to_string(Token_);
+  Self.Nonce_ = std::to_string(Token_);
+  PredecessorLeases Leases = Followed_;
+  if (IsRestart) {
+    Leases = PredecessorLeases(Self, Now_);
+    Leases.rowRead(OwnerRow_, OwnerRowVersion_, Now_);
+  }
+  TimePoint GrantsEnd = Leases.grantsEnd(Now_, Silence);
+  Self.Tenure_ = OwnerRow_.Tenure_ + 1;
+  Self.EarlierGrants_ = std::max(GrantsEnd - Now_, Duration::zero());
+  Self.Notes_ = makeLeaseNotes(Leases.notedLeases(), Now_);
+  storeOwnerRow(Self);
   SchedulerSettings Settings;
+  // As the owner of a cell adds it.
+  constexpr Duration GrantSlack = std::chrono::milliseconds(500);
+  Settings.PredecessorLeaseLimit_ =
+      GrantsEnd + Settings.LeaseDuration_ + GrantSlack - Now_;
   Settings.OwnerToken_ = ++Token_;
   Settings.Tenure_ = Token_ - 1;
   Settings.MaxLease_ = MaxLease_;
   auto CellOwner = std::make_shared<Owner>(Settings, Now_);
   CellOwner->ConfirmedAt_ = Now_;
+  CellOwner->RowWrittenAt_ = Now_;
+  CellOwner->EarlierGrantsEnd_ = GrantsEnd;
+  CellOwner->Scheduler_.restoreLeaseNotes(Leases.notedLeases());
   Owner_ = CellOwner;
   CellOwner->Scheduler_.configure(Queues_);
   CellOwner->Scheduler_.setClosedZones(ClosedZones_);
@@ -215,6 +251,30 @@
   after(Duration::zero(), [this, CellOwner] { tick(CellOwner); });
 }
 
+void SimulatedCell::storeOwnerRow(OwnerRecord Record) {
+  OwnerRow_ = decodeOwnerRecord(encodeOwnerRecord(Record));
+  Followed_.rowRead(OwnerRow_, ++OwnerRowVersion_, Now_);
+}
+
+void SimulatedCell::writeOwnerRow(Owner &CellOwner) {
+  Scheduler &TheScheduler = CellOwner.Scheduler_;
+  bool IsDue =
+      Now_ - CellOwner.RowWrittenAt_ >= OwnerLeaseTimings().RenewalInterval_;
+  bool HasNewNotes =
+      TheScheduler.hasWrites() && TheScheduler.lacksLeaseNotes(Now_);
+  if (!IsDue && !HasNewNotes && !TheScheduler.mustUpdateLeaseNotes())
+    return;
+  OwnerRecord Record = OwnerRow_;
+  Record.Notes_ = TheScheduler.noteLeases(Now_);
+  if (TheScheduler.hasFencedPredecessors())
+    CellOwner.EarlierGrantsEnd_ = std::min(CellOwner.EarlierGrantsEnd_, Now_);
+  Record.EarlierGrants_ =
+      std::max(CellOwner.EarlierGrantsEnd_ - Now_, Duration::zero());
+  storeOwnerRow(Record);
+  CellOwner.RowWrittenAt_ = Now_;
+  TheScheduler.leaseNotesStored(Record.Notes_, Now_);
+}
+
 void SimulatedCell::freezeOwner(Duration Time) {
   noteFault();
   Owner_->FrozenUntil_ = Now_ + Time;
@@ -351,8 +411,11 @@
     return after(CellOwner->FrozenUntil_ - Now_ + std::chrono::milliseconds(1),
                  [this, CellOwner] { tick(CellOwner); });
   }
-  if (CellOwner->HasStore_ && !IsStoreDown_)
+  if (CellOwner->HasStore_ && !IsStoreDown_) {
     CellOwner->ConfirmedAt_ = Now_;
+    if (CellOwner == Owner_)
+      writeOwnerRow(*CellOwner);
+  }
   bool IsTrusted =
       Now_ - CellOwner->ConfirmedAt_ < OwnerLeaseTimings().ValidFor_;
   auto WallMs = std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/packages/scheduling/tests/simulated_cell.h
+++ b/packages/scheduling/tests/simulated_cell.h
@@ -203,6 +203,9 @@
   void waitForEnd(const std::string &Worker, std::int64_t Born, TimePoint Until,
                   const std::function<void(bool IsAlive)> &Answer);
   void write(const std::shared_ptr<Owner> &CellOwner);
+  /// Writes the owner's row if that is due.
+  void writeOwnerRow(Owner &CellOwner);
+  void storeOwnerRow(OwnerRecord Record);
   void apply(const PendingWrites &Writes);
   /// Returns the stored snapshots with the changes in the journal.
   std::map<std::string, JobProgress> storedProgress() const;
@@ -236,6 +239,11 @@
   std::shared_ptr<Owner> Predecessor_;
   std::shared_ptr<const QueueTable> Queues_;
   std::uint64_t Token_ = 0;
+  /// The owner's row.
+  OwnerRecord OwnerRow_;
+  std::uint64_t OwnerRowVersion_ = 0;
+  /// What the instances that do not own the cell have read of it.
+  PredecessorLeases Followed_{{}, {}};
   bool IsStoreDown_ = false;
   std::map<std::string, AcceptedJob> Jobs_;
   std::set<std::string> Cancelled_;
