--- a/packages/scheduling/tests/worker_loss_test.cpp
+++ b/packages/scheduling/tests/worker_loss_test.cpp
@@ -140,6 +140,29 @@
   BOOST_TEST(Starts_.front().Name_.Job_ == "lasting");
 }
 
+// Its wait began anew when the lease had expired.
+BOOST_FIXTURE_TEST_CASE(is_overdue_once_its_lease_has_expired,
+                        CellWithLongRunningTask) {
+  loseWorker(CallOutcome::NoAnswer, 5s);
+  Starts_.clear();
+  submit("failing", {task(4)});
+  step();
+  BOOST_REQUIRE(Starts_.size() == 4);
+  std::string Other = Starts_.front().Worker_;
+  for (const StartTask &Start : Starts_) {
+    std::vector<EndedTask> &Ends = EndedTasks_[Other];
+    Ends.push_back(
+        {Ends.size() + 1, Start.Name_, Start.Run_, EndReason::Failed, ""});
+    Scheduler_.startAnswered(Other, Start.Name_, Start.Run_,
+                             CallOutcome::Accepted, Now_);
+  }
+  Starts_.clear();
+  // The other worker is quarantined for longer.
+  loseWorker(CallOutcome::NoAnswer, 1800ms);
+  BOOST_REQUIRE(!Starts_.empty());
+  BOOST_TEST(Starts_.front().Name_.Job_ == "lasting");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
