Scheduler: the wait of a lost task counts from the last report of its worker

Callers saw a long-running task wait 2.7 s more, beside tasks that started within 50 ms, after its lease had expired: it was overdue only two seconds after it had been returned to the waiting tasks, because requeueRun() set the time before which it must not be placed to the present.

That time is now the last report, from which the task has been away; for a worker that has not reported in this tenure, the takeover. All judgements that yield to a long wait (quarantines, reservations, isolation, near places) are shortened by it. Only the delay after repeated crashes counts from the return.

Evidence: is_overdue_once_its_lease_has_expired was red before. Promises, such as starts in doubt and leases, are not shortened.

--- a/packages/scheduling/src/scheduler_workers.cpp
+++ b/packages/scheduling/src/scheduler_workers.cpp
@@ -144,7 +144,7 @@
                                   const char *Cause) {
   constexpr auto Millisecond = std::chrono::milliseconds(1);
   // The tasks may have been away since the last report.
-  TimePoint LastReportAt = Worker.ClockMs_ ? Worker.ClockAt_ : Now;
+  TimePoint LastReportAt = Worker.ClockMs_ ? Worker.ClockAt_ : TenureStart_;
   if (!Worker.Runs_.empty())
     recordEvent(
         LogEvent::WorkerRunsLost,
@@ -162,9 +162,14 @@
     if (!Lost)
       continue;
     Record->Job_.keepCheckpoint(ActiveRun.Name_, ActiveRun.Checkpoint_);
+    // The task has waited since then, unless it has to wait for another reason.
+    Duration CrashDelay = crashRetryDelay(ActiveRun);
+    Duration Delay = CrashDelay == Duration::zero()
+                         ? Duration::zero()
+                         : Now - LastReportAt + CrashDelay;
     // Whichever run was counted, the worker does not execute it any more.
     requeueRun(Worker, *Record, ActiveRun.Name_, Lost->Progress_.LastRun_,
-               LastReportAt, Now - LastReportAt + crashRetryDelay(ActiveRun));
+               LastReportAt, Delay);
   }
 }
 
