Scheduler: a start in doubt ends with its tenure, not anew with each owner

Callers saw a task wait up to 23 s after two changes of the owner in 12 s: each owner restored the doubt about an unanswered start with a new end, twelve seconds after its own takeover.

An owner sends no start once the next tenure has begun, so the doubt ends twelve seconds after that, whoever owns the cell then. The owner's row carries how long ago the last eight tenures began, at least; the number of the last run names the tenure. Without that knowledge the end is as before.

--- a/packages/node/src/cell_owner.cpp
+++ b/packages/node/src/cell_owner.cpp
@@ -323,6 +323,7 @@
   } else {
     Record.Notes_ = scheduling::makeLeaseNotes(NotedLeases_, Now);
   }
+  Record.TenureAges_ = scheduling::makeTenureAges(TenureStarts_, Now);
   Record.EarlierGrants_ = std::max(EarlierGrantsEnd_ - Now, Duration::zero());
   return Record;
 }
--- a/packages/node/src/cell_owner.h
+++ b/packages/node/src/cell_owner.h
@@ -195,6 +195,8 @@
   /// the new row may be read before the takeover is answered.
   TimePoint EarlierGrantsEnd_{};
   scheduling::NotedLeases NotedLeases_;
+  /// When this tenure and the last ones before it had begun.
+  scheduling::TenureStarts TenureStarts_;
   /// The instance that owned the cell before; empty if it released the cell.
   std::string Predecessor_;
   bool IsTakingOver_ = false;
--- a/packages/node/src/cell_ownership.cpp
+++ b/packages/node/src/cell_ownership.cpp
@@ -63,6 +63,8 @@
   PredecessorSilence_ = Lease_.unchangedDuration();
   EarlierGrantsEnd_ = PredecessorLeases_.grantsEnd(SentAt, PredecessorSilence_);
   NotedLeases_ = PredecessorLeases_.notedLeases();
+  TenureStarts_ = PredecessorLeases_.tenureStarts();
+  NewOwner.TenureAges_ = scheduling::makeTenureAges(TenureStarts_, SentAt);
   NewOwner.EarlierGrants_ =
       std::max(EarlierGrantsEnd_ - SentAt, Duration::zero());
   NewOwner.Notes_ = scheduling::makeLeaseNotes(NotedLeases_, SentAt);
@@ -117,6 +119,12 @@
                                      Settings, Now,
                                      [this] { requestSchedulingCycle(); });
   Tenure_->Scheduler_.restoreLeaseNotes(NotedLeases_);
+  // Runs are numbered from tenure 0, rows from tenure 1.
+  scheduling::TenureStarts Starts;
+  for (const auto &[Number, Start] : TenureStarts_)
+    Starts[Number - 1] = Start;
+  Tenure_->Scheduler_.restoreTenureStarts(std::move(Starts));
+  TenureStarts_[Lease_.record().Tenure_] = Now;
   Tenure_->Calls_.channel().routes().setCandidates(Relays_);
   Tenure_->Scheduler_.configure(Queues_);
   Tenure_->Scheduler_.setClosedZones(ClosedZones_);
--- a/packages/scheduling/include/filbertspring/scheduling/owner_lease.h
+++ b/packages/scheduling/include/filbertspring/scheduling/owner_lease.h
@@ -15,6 +15,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -49,6 +50,9 @@
   /// still grant leases; empty if it is not known.
   std::optional<Duration> EarlierGrants_;
   std::vector<LeaseNote> Notes_;
+  /// How long ago, at least, this tenure and the last ones before it had begun
+  /// when the row was written, by their numbers.
+  std::map<std::uint64_t, Duration> TenureAges_;
 };
 
 std::string encodeOwnerRecord(const OwnerRecord &Record);
--- a/packages/scheduling/include/filbertspring/scheduling/predecessor_leases.h
+++ b/packages/scheduling/include/filbertspring/scheduling/predecessor_leases.h
@@ -25,6 +25,13 @@
 /// By the id of the worker.
 using NotedLeases = std::map<std::string, NotedLease>;
 
+/// When tenures had begun at the latest, by their numbers.
+using TenureStarts = std::map<std::uint64_t, TimePoint>;
+
+/// Returns \p Starts as a row that is written at \p Now states them.
+std::map<std::uint64_t, Duration> makeTenureAges(const TenureStarts &Starts,
+                                                 TimePoint Now);
+
 /// Returns \p Leases as a row that is written at \p Now states them.
 std::vector<LeaseNote> makeLeaseNotes(const NotedLeases &Leases, TimePoint Now);
 
@@ -47,6 +54,8 @@
   /// Returns the leases of single workers that end earlier than those which are
   /// granted until grantsEnd().
   const NotedLeases &notedLeases() const { return Notes_; }
+  /// Returns when the last tenures had begun.
+  const TenureStarts &tenureStarts() const { return TenureStarts_; }
 
 private:
   TimePoint lastOwnerGrantsEnd(TimePoint Now, Duration Silence) const;
@@ -61,6 +70,7 @@
   /// When this instance first saw that the tenure was released.
   std::optional<TimePoint> ReleasedSince_;
   NotedLeases Notes_;
+  TenureStarts TenureStarts_;
 };
 
 } // namespace filbertspring::scheduling
--- a/packages/scheduling/include/filbertspring/scheduling/scheduler.h
+++ b/packages/scheduling/include/filbertspring/scheduling/scheduler.h
@@ -263,6 +263,9 @@
   /// Sets the bounds of the leases of workers that the owner's row has noted
   /// since before this tenure. Must be called before all others.
   void restoreLeaseNotes(NotedLeases Noted);
+  /// Sets when the tenures before this one had begun, by their numbers. Must be
+  /// called before restoreProgress().
+  void restoreTenureStarts(TenureStarts Starts);
   /// Adds a worker that the previous owner may have used.
   void restoreWorker(const WorkerEntry &Entry, TimePoint Now);
   /// Handles a new or changed registration of a worker.
@@ -335,9 +338,9 @@
   /// so that a transaction should write the row, too. Linear in the number of
   /// workers.
   bool lacksLeaseNotes(TimePoint Now) const;
-  /// Returns whether all workers that may have run tasks before this tenure have
-  /// answered or are noted, so that no lease which a previous owner grants from
-  /// now on counts. Linear in the number of workers.
+  /// Returns whether all workers that may have run tasks before this tenure
+  /// have answered or are noted, so that no lease which a previous owner grants
+  /// from now on counts. Linear in the number of workers.
   bool hasFencedPredecessors() const;
   /// Returns whether a worker answers again that the row may note, so that the
   /// row should be written soon.
--- a/packages/scheduling/src/owner_lease.cpp
+++ b/packages/scheduling/src/owner_lease.cpp
@@ -1,5 +1,6 @@
 #include "filbertspring/scheduling/owner_lease.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace filbertspring::scheduling {
@@ -49,6 +50,27 @@
   return Notes;
 }
 
+json encodeTenureAges(const std::map<std::uint64_t, Duration> &Ages) {
+  json Value = json::array();
+  for (const auto &[Tenure, Age] : Ages)
+    Value.push_back({Tenure, std::min(Age, MaxNotedDuration) /
+                                 std::chrono::milliseconds(1)});
+  return Value;
+}
+
+std::map<std::uint64_t, Duration> decodeTenureAges(const json &Value) {
+  std::map<std::uint64_t, Duration> Ages;
+  for (const json &Entry : Value) {
+    bool IsAge =
+        Entry.is_array() && Entry.size() == 2 && Entry[0].is_number_unsigned();
+    std::optional<Duration> Age =
+        IsAge ? decodeDuration(Entry[1]) : std::nullopt;
+    if (Age)
+      Ages[Entry[0].get<std::uint64_t>()] = *Age;
+  }
+  return Ages;
+}
+
 } // namespace
 
 std::string encodeOwnerRecord(const OwnerRecord &Record) {
@@ -60,6 +82,8 @@
     Value["earlier_ms"] = encodeDuration(*Record.EarlierGrants_);
   if (!Record.Notes_.empty())
     Value["notes"] = encodeNotes(Record.Notes_);
+  if (!Record.TenureAges_.empty())
+    Value["ages"] = encodeTenureAges(Record.TenureAges_);
   return Value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -74,6 +98,7 @@
     Record.Address_ = Value.value("address", "");
     Record.EarlierGrants_ = decodeDuration(Value.value("earlier_ms", json()));
     Record.Notes_ = decodeNotes(Value.value("notes", json::array()));
+    Record.TenureAges_ = decodeTenureAges(Value.value("ages", json::array()));
     Record.Holder_ = Value.value("holder", "");
   } catch (const json::exception &) {
     Record.Holder_.clear();
@@ -180,6 +205,7 @@
   Released.Tenure_ = Record_.Tenure_;
   Released.EarlierGrants_ = Record_.EarlierGrants_;
   Released.Notes_ = Record_.Notes_;
+  Released.TenureAges_ = Record_.TenureAges_;
   return Released;
 }
 
--- a/packages/scheduling/src/predecessor_leases.cpp
+++ b/packages/scheduling/src/predecessor_leases.cpp
@@ -7,8 +7,19 @@
 
 constexpr Duration ValidFor = OwnerLeaseTimings().ValidFor_;
 
+/// More than can begin while a start command may be executed late.
+constexpr std::size_t MaxTenureStarts = 8;
+
 } // namespace
 
+std::map<std::uint64_t, Duration> makeTenureAges(const TenureStarts &Starts,
+                                                 TimePoint Now) {
+  std::map<std::uint64_t, Duration> Ages;
+  for (const auto &[Tenure, Start] : Starts)
+    Ages[Tenure] = std::max(Now - Start, Duration::zero());
+  return Ages;
+}
+
 std::vector<LeaseNote> makeLeaseNotes(const NotedLeases &Leases,
                                       TimePoint Now) {
   std::vector<LeaseNote> Notes;
@@ -38,6 +49,14 @@
   if (Record.EarlierGrants_)
     EarlierGrantsEnd_ =
         std::min(EarlierGrantsEnd_, Now + *Record.EarlierGrants_);
+  for (const auto &[Tenure, Age] : Record.TenureAges_) {
+    TimePoint &Start = TenureStarts_.try_emplace(Tenure, Now).first->second;
+    Start = std::min(Start, Now - Age);
+  }
+  if (Record.Tenure_ != 0)
+    TenureStarts_.try_emplace(Record.Tenure_, Now);
+  while (TenureStarts_.size() > MaxTenureStarts)
+    TenureStarts_.erase(TenureStarts_.begin());
   // An unreadable row has no nonce.
   bool IsReleased = Record.Holder_.empty() && !Record.Nonce_.empty();
   if (!IsReleased)
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -130,11 +130,10 @@
   if (std::any_of(Progress.Tasks_.begin(), Progress.Tasks_.end(),
                   [](const auto &Entry) { return isSuspected(Entry.second); }))
     Impl_->JobsWithSuspects_.insert(Id);
-  // The previous owner sent no start command after this tenure began.
   for (const auto &[Text, Stored] : Progress.Tasks_)
     if (!Stored.IsDone_ && !Stored.DoubtfulWorker_.empty())
       Impl_->DoubtfulStarts_.restore(Text, Stored.DoubtfulWorker_,
-                                     Impl_->TenureStart_ + LateExecutionLimit);
+                                     Impl_->restoredDoubtEnd(Stored.LastRun_));
   for (const TaskName &Name : Record->Job_.restore(Progress)) {
     const TaskProgress &Stored = Record->Job_.find(Name)->Progress_;
     // The next incarnation may execute it, since its start may have been under
--- a/packages/scheduling/src/scheduler_commands.cpp
+++ b/packages/scheduling/src/scheduler_commands.cpp
@@ -153,6 +153,19 @@
     Impl_->IsFenced_ = true;
 }
 
+void Scheduler::restoreTenureStarts(TenureStarts Starts) {
+  Impl_->TenureStarts_ = std::move(Starts);
+}
+
+TimePoint Scheduler::Impl::restoredDoubtEnd(std::uint64_t LastRun) const {
+  // An owner sends no start command after the next tenure has begun.
+  auto Next = TenureStarts_.upper_bound(LastRun / RunsPerTenure);
+  TimePoint LastSent = Next == TenureStarts_.end()
+                           ? TenureStart_
+                           : std::min(Next->second, TenureStart_);
+  return LastSent + LateExecutionLimit;
+}
+
 void Scheduler::Impl::noteHeldBack(const std::string &Text,
                                    const StartDoubt &Doubt, TimePoint Now) {
   if (DoubtfulStarts_.noteHeldBack(Text))
--- a/packages/scheduling/src/scheduler_impl.h
+++ b/packages/scheduling/src/scheduler_impl.h
@@ -33,6 +33,9 @@
 /// the response to the second shows whether the first was executed.
 inline constexpr std::uint32_t MaxStartsSent = 2;
 
+/// More than a tenure numbers, so that run numbers rise across tenures.
+inline constexpr std::uint64_t RunsPerTenure = 1'000'000;
+
 struct Scheduler::Impl {
   Impl(SchedulerSettings Settings, TimePoint Now);
 
@@ -158,6 +161,9 @@
                         const TaskName &Name, TimePoint Now);
 
   // Commands.
+  /// Returns until when a worker may execute a start command that a previous
+  /// owner sent for a run up to the number \p LastRun.
+  TimePoint restoredDoubtEnd(std::uint64_t LastRun) const;
   /// Notes in the progress of \p Name which worker may still execute a start
   /// command for it.
   void noteDoubt(const TaskName &Name, TimePoint Now);
@@ -378,6 +384,7 @@
   std::priority_queue<RenewalTime> RenewalTimes_;
   /// The leases that previous owners noted, by the id of the worker.
   NotedLeases PredecessorNotes_;
+  TenureStarts TenureStarts_;
   /// Workers that the stored row of the owner may note. No command permits
   /// their tasks to run.
   std::set<std::string> NotedWorkers_;
--- a/packages/scheduling/src/scheduler_placement.cpp
+++ b/packages/scheduling/src/scheduler_placement.cpp
@@ -432,7 +432,6 @@
 
 void Scheduler::Impl::planRun(WorkerState &Worker, JobRecord &Record,
                               const TaskName &Name, Task &Waiting) {
-  constexpr std::uint64_t RunsPerTenure = 1'000'000;
   std::uint64_t Number =
       std::max(Waiting.Progress_.LastRun_, Settings_.Tenure_ * RunsPerTenure) +
       1;
--- a/packages/scheduling/tests/simulated_cell.cpp
+++ b/packages/scheduling/tests/simulated_cell.cpp
@@ -33,6 +33,8 @@
   TimePoint RowWrittenAt_{};
   /// Until when previous owners may grant leases.
   TimePoint EarlierGrantsEnd_{};
+  /// By the numbers of the rows.
+  TenureStarts TenureStarts_;
   TimePoint FrozenUntil_{};
 };
 
@@ -218,6 +220,7 @@
   Self.Tenure_ = OwnerRow_.Tenure_ + 1;
   Self.EarlierGrants_ = std::max(GrantsEnd - Now_, Duration::zero());
   Self.Notes_ = makeLeaseNotes(Leases.notedLeases(), Now_);
+  Self.TenureAges_ = makeTenureAges(Leases.tenureStarts(), Now_);
   storeOwnerRow(Self);
   SchedulerSettings Settings;
   // As the owner of a cell adds it.
@@ -232,6 +235,12 @@
   CellOwner->RowWrittenAt_ = Now_;
   CellOwner->EarlierGrantsEnd_ = GrantsEnd;
   CellOwner->Scheduler_.restoreLeaseNotes(Leases.notedLeases());
+  TenureStarts Starts;
+  for (const auto &[Number, Start] : Leases.tenureStarts())
+    Starts[Number - 1] = Start;
+  CellOwner->Scheduler_.restoreTenureStarts(std::move(Starts));
+  CellOwner->TenureStarts_ = Leases.tenureStarts();
+  CellOwner->TenureStarts_[Self.Tenure_] = Now_;
   Owner_ = CellOwner;
   CellOwner->Scheduler_.configure(Queues_);
   CellOwner->Scheduler_.setClosedZones(ClosedZones_);
@@ -268,6 +277,7 @@
   Record.Notes_ = TheScheduler.noteLeases(Now_);
   if (TheScheduler.hasFencedPredecessors())
     CellOwner.EarlierGrantsEnd_ = std::min(CellOwner.EarlierGrantsEnd_, Now_);
+  Record.TenureAges_ = makeTenureAges(CellOwner.TenureStarts_, Now_);
   Record.EarlierGrants_ =
       std::max(CellOwner.EarlierGrantsEnd_ - Now_, Duration::zero());
   storeOwnerRow(Record);
