Scheduler: the answer to a start that a report has overtaken is of the same incarnation

Callers on sites with leases of 10 s saw tasks of a lost worker stay away for up to 13.7 s.

The worker's clock is now reckoned back to the time at which the start was sent.

--- a/packages/scheduling/src/worker_state.cpp
+++ b/packages/scheduling/src/worker_state.cpp
@@ -25,10 +25,11 @@
   std::optional<std::int64_t> Expected = clockAt(SentAt);
   if (!Expected)
     return false;
-  auto Elapsed =
-      static_cast<double>(std::max<std::int64_t>(0, *Expected - *ClockMs_));
+  // Negative if a report has overtaken the answer.
+  auto Elapsed = static_cast<double>(*Expected - *ClockMs_);
+  double Rate = Elapsed < 0 ? 1 + Drift : 1 - Drift;
   return static_cast<double>(AnswerClockMs) <
-         static_cast<double>(*ClockMs_) + Elapsed * (1 - Drift) - 1;
+         static_cast<double>(*ClockMs_) + Elapsed * Rate - 1;
 }
 
 void WorkerState::addRun(Run NewRun) {
--- a/packages/scheduling/tests/worker_loss_test.cpp
+++ b/packages/scheduling/tests/worker_loss_test.cpp
@@ -4,6 +4,7 @@
 /// worker has ended.
 
 #include "cell_fixture.h"
+#include "worker_state.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -93,6 +94,17 @@
 
 BOOST_AUTO_TEST_SUITE(on_a_worker_that_is_lost)
 
+// Guards against the wait for the longest lease after the answer to a start
+// that a report had overtaken.
+BOOST_AUTO_TEST_CASE(has_the_clock_of_its_reports) {
+  WorkerState Worker;
+  Worker.ClockMs_ = 1000;
+  Worker.ClockAt_ = TimePoint(10s);
+  TimePoint SentAt = Worker.ClockAt_ - 8ms;
+  BOOST_TEST(!Worker.isClockBehind(992, SentAt, 0.02));
+  BOOST_TEST(Worker.isClockBehind(989, SentAt, 0.02));
+}
+
 BOOST_FIXTURE_TEST_CASE(restarts_sooner_if_the_worker_was_draining,
                         CellWithLongRunningTask) {
   submit("other", {task(1, 8000)});
