Owners: the row notes a worker as soon as its connection is refused

A note was written with the next transaction, or after up to 0.8 s. An owner that is lost in that time leaves no note, and its successor waits for the bound of all grants.

The row is now written at once when a worker refuses a connection, or does not answer two renewals in a row; not while transactions fail.

--- a/packages/node/src/cell_owner.cpp
+++ b/packages/node/src/cell_owner.cpp
@@ -281,16 +281,14 @@
     return;
   if (ActiveTenure.IsLoaded_ && Lease_.isValid(Now))
     placeTasks();
-  bool MustRenew = Lease_.shouldRenew(Now) || ActiveTenure.MustWriteOwnerRow_ ||
-                   (ActiveTenure.IsLoaded_ &&
-                    ActiveTenure.Scheduler_.mustUpdateLeaseNotes());
+  bool MustRenew =
+      Lease_.shouldRenew(Now) || ActiveTenure.MustWriteOwnerRow_ ||
+      (ActiveTenure.IsLoaded_ && ActiveTenure.Scheduler_.mustUpdateLeaseNotes(
+                                     Now, ActiveTenure.mayAddNotes()));
   bool HasWrites =
       ActiveTenure.IsLoaded_ && ActiveTenure.Scheduler_.hasWrites();
   if (!MustRenew && !HasWrites)
     return;
-  MustRenew = MustRenew ||
-              (ActiveTenure.IsLoaded_ && ActiveTenure.FailedCommits_ == 0 &&
-               ActiveTenure.Scheduler_.lacksLeaseNotes(Now));
   CellTransaction Sent;
   if (MustRenew)
     Sent.Owner_ = makeOwnerRecord(Now);
@@ -323,9 +321,7 @@
     Record.Notes_ = scheduling::makeLeaseNotes(NotedLeases_, Now);
     return Record;
   }
-  // A worker that is noted needs the store before its next lease.
-  bool MayAdd = Tenure_->FailedCommits_ == 0;
-  Record.Notes_ = Tenure_->Scheduler_.noteLeases(Now, MayAdd);
+  Record.Notes_ = Tenure_->Scheduler_.noteLeases(Now, Tenure_->mayAddNotes());
   TimePoint GrantsEnd =
       std::min(EarlierGrantsEnd_, Tenure_->Scheduler_.earlierGrantsEnd());
   Record.EarlierGrants_ = std::max(GrantsEnd - Now, Duration::zero());
--- a/packages/node/src/cell_owner.h
+++ b/packages/node/src/cell_owner.h
@@ -35,6 +35,10 @@
         Calls_(Loop, Counters, Scheduler_, std::move(OwnAddress),
                Settings.OwnerToken_, std::move(Changed)) {}
 
+  /// Returns whether further workers may be noted. One that answers again needs
+  /// a write of the owner's row before its next lease.
+  bool mayAddNotes() const { return FailedCommits_ == 0; }
+
   TimePoint StartedAt_;
   scheduling::Scheduler Scheduler_;
   scheduling::StartAdmission Admission_;
--- a/packages/scheduling/include/filbertspring/scheduling/scheduler.h
+++ b/packages/scheduling/include/filbertspring/scheduling/scheduler.h
@@ -335,17 +335,14 @@
   std::vector<LeaseNote> noteLeases(TimePoint Now, bool MayAdd);
   /// Notes that the stored row of the owner has \p Notes.
   void leaseNotesStored(const std::vector<LeaseNote> &Notes, TimePoint Now);
-  /// Returns whether there are workers to note that the row does not note yet,
-  /// so that a transaction should write the row, too. Linear in the number of
-  /// workers.
-  bool lacksLeaseNotes(TimePoint Now) const;
   /// Returns the last time at which a lease that a previous owner grants
   /// counts, since a worker with tasks has not answered this one yet; in the
   /// past if there is none. Linear in the number of workers.
   TimePoint earlierGrantsEnd() const;
-  /// Returns whether a worker answers again that the row may note, so that the
-  /// row should be written soon.
-  bool mustUpdateLeaseNotes() const;
+  /// Returns whether the row should be written soon: a worker answers again
+  /// that it may note or, with \p MayAdd, one does not answer that it does not
+  /// note. Linear in the number of workers.
+  bool mustUpdateLeaseNotes(TimePoint Now, bool MayAdd) const;
 
   /// Returns up to \p MaxJobs jobs whose final state, or whose cancellation
   /// before their acceptance, need not be kept any more.
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -339,6 +339,7 @@
   // Says nothing about the worker.
   if (Outcome == CallOutcome::Expired)
     return;
+  Worker->IsRenewalRefused_ = Outcome == CallOutcome::NotSent;
   if (Worker->FailedRenewals_++ == 0) {
     Worker->UnreachableSince_ = Now;
     Impl_->recordEvent(LogEvent::WorkerUnreachable,
--- a/packages/scheduling/src/scheduler_lease_notes.cpp
+++ b/packages/scheduling/src/scheduler_lease_notes.cpp
@@ -13,8 +13,8 @@
 /// How long a new owner waits for the first reports of the workers before it
 /// notes the others.
 constexpr Duration FirstReportLimit = std::chrono::milliseconds(1500);
-/// A single failed renewal says little.
-constexpr std::uint32_t MinFailedRenewals = 2;
+/// A single renewal without an answer says little.
+constexpr std::uint32_t MinUnansweredRenewals = 2;
 
 } // namespace
 
@@ -43,9 +43,10 @@
     return false;
   if (NotedWorkers_.contains(Worker.Entry_.Id_))
     return true;
-  return Worker.HasReported_
-             ? Worker.FailedRenewals_ >= MinFailedRenewals
-             : AdvancedSince_ && Now - *AdvancedSince_ >= FirstReportLimit;
+  if (!Worker.HasReported_)
+    return AdvancedSince_ && Now - *AdvancedSince_ >= FirstReportLimit;
+  return Worker.IsRenewalRefused_ ||
+         Worker.FailedRenewals_ >= MinUnansweredRenewals;
 }
 
 std::vector<LeaseNote> Scheduler::noteLeases(TimePoint Now, bool MayAdd) {
@@ -90,20 +91,16 @@
   return End - Lease;
 }
 
-bool Scheduler::lacksLeaseNotes(TimePoint Now) const {
-  return std::any_of(Impl_->Workers_.begin(), Impl_->Workers_.end(),
-                     [&](const auto &Entry) {
-                       return Impl_->shouldBeNoted(Entry.second, Now) &&
-                              !Impl_->NotedWorkers_.contains(Entry.first);
-                     });
-}
-
-bool Scheduler::mustUpdateLeaseNotes() const {
-  return std::any_of(Impl_->NotedWorkers_.begin(), Impl_->NotedWorkers_.end(),
-                     [this](const std::string &Id) {
-                       const WorkerState *Worker = Impl_->findWorker(Id);
-                       return Worker && Worker->isReachable();
-                     });
+bool Scheduler::mustUpdateLeaseNotes(TimePoint Now, bool MayAdd) const {
+  const std::set<std::string> &Noted = Impl_->NotedWorkers_;
+  bool HasRoom = MayAdd && Noted.size() < MaxLeaseNotes;
+  return std::any_of(
+      Impl_->Workers_.begin(), Impl_->Workers_.end(), [&](const auto &Entry) {
+        const auto &[Id, Worker] = Entry;
+        return Noted.contains(Id)
+                   ? Worker.isReachable()
+                   : HasRoom && Impl_->shouldBeNoted(Worker, Now);
+      });
 }
 
 } // namespace filbertspring::scheduling
--- a/packages/scheduling/src/worker_state.h
+++ b/packages/scheduling/src/worker_state.h
@@ -176,6 +176,9 @@
   TimePoint RenewalSentAt_{};
   TimePoint NextRenewalAt_{};
   std::uint32_t FailedRenewals_ = 0;
+  /// The last of them did not reach the worker, such as for a connection that
+  /// was refused.
+  bool IsRenewalRefused_ = false;
   /// The time of the last report that was used to update the interference
   /// model, the runs' tail latency states and the paces.
   TimePoint ModelUpdatedAt_{};
--- a/packages/scheduling/tests/simulated_cell.cpp
+++ b/packages/scheduling/tests/simulated_cell.cpp
@@ -259,7 +259,7 @@
   after(Duration::zero(), [this, CellOwner] { tick(CellOwner); });
 }
 
-void SimulatedCell::storeOwnerRow(OwnerRecord Record) {
+void SimulatedCell::storeOwnerRow(const OwnerRecord &Record) {
   OwnerRow_ = decodeOwnerRecord(encodeOwnerRecord(Record));
   Followed_.rowRead(OwnerRow_, ++OwnerRowVersion_, Now_);
 }
@@ -268,9 +268,7 @@
   Scheduler &TheScheduler = CellOwner.Scheduler_;
   bool IsDue =
       Now_ - CellOwner.RowWrittenAt_ >= OwnerLeaseTimings().RenewalInterval_;
-  bool HasNewNotes =
-      TheScheduler.hasWrites() && TheScheduler.lacksLeaseNotes(Now_);
-  if (!IsDue && !HasNewNotes && !TheScheduler.mustUpdateLeaseNotes())
+  if (!IsDue && !TheScheduler.mustUpdateLeaseNotes(Now_, true))
     return;
   OwnerRecord Record = OwnerRow_;
   Record.Notes_ = TheScheduler.noteLeases(Now_, true);
--- a/packages/scheduling/tests/simulated_cell.h
+++ b/packages/scheduling/tests/simulated_cell.h
@@ -210,7 +210,7 @@
   void write(const std::shared_ptr<Owner> &CellOwner);
   /// Writes the owner's row if that is due.
   void writeOwnerRow(Owner &CellOwner);
-  void storeOwnerRow(OwnerRecord Record);
+  void storeOwnerRow(const OwnerRecord &Record);
   void apply(const PendingWrites &Writes);
   /// Returns the stored snapshots with the changes in the journal.
   std::map<std::string, JobProgress> storedProgress() const;
