Owners: after an unreadable row, the numbers of tenures begin anew

Found in review by reading: the known beginnings of tenures would then name others, and a start in doubt could end too early. They are forgotten now, and the doubt ends twelve seconds after the takeover, as before. Comments state who keeps the promise of a note, and which durations may be negative.

belong_to_no_known_tenure_after_an_unreadable_row guards against it.

--- a/packages/node/src/cell_owner.cpp
+++ b/packages/node/src/cell_owner.cpp
@@ -316,14 +316,15 @@
 OwnerRecord CellOwner::makeOwnerRecord(TimePoint Now) {
   OwnerRecord Record = Lease_.record();
   Record.TenureAges_ = scheduling::makeTenureAges(TenureStarts_, Now);
-  Record.EarlierGrants_ = std::max(EarlierGrantsEnd_ - Now, Duration::zero());
+  Record.EarlierGrants_ =
+      std::max(PredecessorGrantsEnd_ - Now, Duration::zero());
   if (!Tenure_->IsLoaded_) {
     Record.Notes_ = scheduling::makeLeaseNotes(NotedLeases_, Now);
     return Record;
   }
   Record.Notes_ = Tenure_->Scheduler_.noteLeases(Now, Tenure_->mayAddNotes());
   TimePoint GrantsEnd =
-      std::min(EarlierGrantsEnd_, Tenure_->Scheduler_.earlierGrantsEnd());
+      std::min(PredecessorGrantsEnd_, Tenure_->Scheduler_.earlierGrantsEnd());
   Record.EarlierGrants_ = std::max(GrantsEnd - Now, Duration::zero());
   return Record;
 }
--- a/packages/node/src/cell_owner.h
+++ b/packages/node/src/cell_owner.h
@@ -197,7 +197,7 @@
   /// Until when the owners before the present tenure may grant leases, and the
   /// leases that their row noted. As they were read before the last takeover:
   /// the new row may be read before the takeover is answered.
-  TimePoint EarlierGrantsEnd_{};
+  TimePoint PredecessorGrantsEnd_{};
   scheduling::NotedLeases NotedLeases_;
   /// When this tenure and the last ones before it had begun.
   scheduling::TenureStarts TenureStarts_;
--- a/packages/node/src/cell_ownership.cpp
+++ b/packages/node/src/cell_ownership.cpp
@@ -61,12 +61,12 @@
   OwnerRecord NewOwner = Lease_.takeoverRecord();
   Predecessor_ = Lease_.record().Holder_;
   PredecessorSilence_ = Lease_.unchangedDuration();
-  EarlierGrantsEnd_ = PredecessorLeases_.grantsEnd(SentAt);
+  PredecessorGrantsEnd_ = PredecessorLeases_.grantsEnd(SentAt);
   NotedLeases_ = PredecessorLeases_.notedLeases();
   TenureStarts_ = PredecessorLeases_.tenureStarts();
   NewOwner.TenureAges_ = scheduling::makeTenureAges(TenureStarts_, SentAt);
   NewOwner.EarlierGrants_ =
-      std::max(EarlierGrantsEnd_ - SentAt, Duration::zero());
+      std::max(PredecessorGrantsEnd_ - SentAt, Duration::zero());
   NewOwner.Notes_ = scheduling::makeLeaseNotes(NotedLeases_, SentAt);
   RowTransaction Takeover;
   Takeover.Conditions_.push_back({ownerKey(), Lease_.version()});
@@ -110,7 +110,7 @@
       std::min(Settings.LeaseDuration_, Settings_.MaxLease_);
   TimePoint Now = SchedulerClock::now();
   Settings.PredecessorLeaseLimit_ =
-      EarlierGrantsEnd_ + Settings.LeaseDuration_ + GrantSlack - Now;
+      PredecessorGrantsEnd_ + Settings.LeaseDuration_ + GrantSlack - Now;
   Settings.KillTimeout_ = Settings_.KillTimeout_;
   Settings.FinalStateRetention_ = Settings_.StateRetention_;
   Settings.MinCancellationRetention_ = Settings_.MinCancellationRetention_;
--- a/packages/scheduling/include/filbertspring/scheduling/owner_lease.h
+++ b/packages/scheduling/include/filbertspring/scheduling/owner_lease.h
@@ -23,8 +23,8 @@
 
 namespace filbertspring::scheduling {
 
-/// States that the leases of a worker end soon. Until a row without the note is
-/// stored, no owner permits tasks of this worker to run for longer.
+/// States when the leases of a worker end. Until a row without the note is
+/// stored, neither the owner that wrote it nor its successors grant others.
 struct LeaseNote {
   std::string Worker_;
   /// The start time of the incarnation, milliseconds since 1970.
--- a/packages/scheduling/include/filbertspring/scheduling/predecessor_leases.h
+++ b/packages/scheduling/include/filbertspring/scheduling/predecessor_leases.h
@@ -51,8 +51,7 @@
   /// last. It may be over.
   TimePoint grantsEnd(TimePoint Now) const;
 
-  /// Returns the leases of single workers that end earlier than those which are
-  /// granted until grantsEnd().
+  /// Returns the bounds of the leases of single workers, by their ids.
   const NotedLeases &notedLeases() const { return Notes_; }
   /// Returns when the last tenures had begun.
   const TenureStarts &tenureStarts() const { return TenureStarts_; }
--- a/packages/scheduling/include/filbertspring/scheduling/scheduler.h
+++ b/packages/scheduling/include/filbertspring/scheduling/scheduler.h
@@ -74,7 +74,7 @@
   /// How long a worker may take to kill a task when its lease has expired.
   Duration KillTimeout_ = std::chrono::milliseconds(200);
   /// How long after the takeover a worker that has not been reached may still
-  /// run tasks under leases of the previous tenure.
+  /// run tasks under leases of previous tenures; negative if these have ended.
   Duration PredecessorLeaseLimit_ = std::chrono::milliseconds(12'700);
   /// How long the final state of a job is kept.
   Duration FinalStateRetention_ = std::chrono::seconds(150);
--- a/packages/scheduling/src/owner_lease.cpp
+++ b/packages/scheduling/src/owner_lease.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-/// Longer than any lease.
+/// Longer durations are not believed.
 constexpr Duration MaxNotedDuration = std::chrono::seconds(60);
 
 /// Rounds up, so that readers do not count less than \p Time.
--- a/packages/scheduling/src/predecessor_leases.cpp
+++ b/packages/scheduling/src/predecessor_leases.cpp
@@ -37,6 +37,9 @@
                                 std::uint64_t Version, TimePoint Now) {
   if (Version == Version_)
     return;
+  // After an unreadable row, the numbers of tenures begin anew.
+  if (Record.Tenure_ < Record_.Tenure_)
+    TenureStarts_.clear();
   bool IsOtherTenure = !Version_ || Record.Tenure_ != Record_.Tenure_ ||
                        Record.Nonce_ != Record_.Nonce_;
   Version_ = Version;
@@ -53,6 +56,8 @@
   if (Record.EarlierGrants_)
     EarlierGrantsEnd_ = std::min(TenureBound_, Now + *Record.EarlierGrants_);
   for (const auto &[Tenure, Age] : Record.TenureAges_) {
+    if (Tenure == 0)
+      continue;
     TimePoint &Start = TenureStarts_.try_emplace(Tenure, Now).first->second;
     Start = std::min(Start, Now - Age);
   }
--- a/packages/scheduling/tests/predecessor_leases_test.cpp
+++ b/packages/scheduling/tests/predecessor_leases_test.cpp
@@ -131,6 +131,16 @@
   BOOST_TEST((grants() >= Validity));
 }
 
+// Guards against starts in doubt that end too early.
+BOOST_FIXTURE_TEST_CASE(belong_to_no_known_tenure_after_an_unreadable_row,
+                        Reader) {
+  read(5, "first");
+  BOOST_TEST((Leases_.tenureStarts() == TenureStarts{{5, Now_}}));
+  Leases_.rowRead(decodeOwnerRecord("?"), ++Version_, Now_);
+  read(1, "second");
+  BOOST_TEST((Leases_.tenureStarts() == TenureStarts{{1, Now_}}));
+}
+
 BOOST_AUTO_TEST_SUITE(of_a_worker)
 
 BOOST_FIXTURE_TEST_CASE(end_when_the_row_notes_it, Reader) {
